--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line of operators and callers.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The scheduler instance.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The scheduler instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about worker leases.
--- /dev/null
+++ b/crates/lists/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' lists of customers and plans.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load with latency histograms.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load with latency histograms.
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,81 @@
+//! Types shared by every crate of the scheduler: ids, tasks, outcomes and the messages between
+//! instances and workers.
+//!
+//! The types carry no behaviour beyond construction and checks, so that decision crates and
+//! transports agree on one vocabulary.
+
+mod capacity;
+mod directory;
+mod ids;
+mod outcome;
+mod peer;
+mod table;
+mod task;
+mod worker;
+
+pub use capacity::CapacitySummary;
+pub use capacity::Demand;
+pub use capacity::WorkerCapacity;
+pub use directory::DirectoryEntry;
+pub use directory::EntryState;
+pub use directory::Location;
+pub use directory::Role;
+pub use ids::Attempt;
+pub use ids::CustomerId;
+pub use ids::DataCentre;
+pub use ids::Epoch;
+pub use ids::Generation;
+pub use ids::Incarnation;
+pub use ids::InstanceId;
+pub use ids::PARTITIONS;
+pub use ids::Partition;
+pub use ids::PlanId;
+pub use ids::Rack;
+pub use ids::Region;
+pub use ids::Revision;
+pub use ids::TaskAttempt;
+pub use ids::TaskId;
+pub use ids::WorkerId;
+pub use ids::keyed_task_id;
+pub use ids::partition_of;
+pub use ids::partition_of_plan;
+pub use ids::task_id_in;
+pub use outcome::NotRunReason;
+pub use outcome::Outcome;
+pub use outcome::TaskResult;
+pub use outcome::UnknownReason;
+pub use peer::FenceAck;
+pub use peer::Heartbeat;
+pub use peer::ListText;
+pub use peer::ListsState;
+pub use peer::Offer;
+pub use peer::OfferReply;
+pub use peer::PeerRequest;
+pub use peer::PeerResponse;
+pub use peer::QuotaAmount;
+pub use peer::QuotaAsk;
+pub use peer::QuotaReply;
+pub use peer::RunReport;
+pub use peer::RunState;
+pub use peer::Submission;
+pub use peer::SubmitReply;
+pub use peer::TaskStatus;
+pub use table::PartitionTable;
+pub use table::Tenure;
+pub use task::Class;
+pub use task::Task;
+pub use task::TaskSpec;
+pub use task::Urgency;
+pub use worker::FinishedRun;
+pub use worker::LeaseReply;
+pub use worker::LeaseRequest;
+pub use worker::ReleaseRequest;
+pub use worker::RunUsage;
+pub use worker::RunningRun;
+pub use worker::StartReply;
+pub use worker::StartRequest;
+pub use worker::StartRun;
+pub use worker::StartVerdict;
+pub use worker::StopReply;
+pub use worker::StopRequest;
+pub use worker::ThrottleRequest;
--- /dev/null
+++ b/crates/owner/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about partition ownership, idempotency and the intent journal.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between instances.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about queueing and placement.
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about cluster-wide plan limits.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of every program.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, for tests.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the platform, for tests.
+
+fn main() {}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs and metrics.
--- /dev/null
+++ b/crates/worker/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of workers and of the platform's instance list.
