--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -9,7 +9,6 @@
 use crate::directory;
 use crate::ids;
 use crate::outcome;
-use crate::table;
 use crate::task;
 use crate::worker;
 
