--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -9,6 +9,7 @@
 use crate::directory;
 use crate::ids;
 use crate::outcome;
+use crate::table;
 use crate::task;
 use crate::worker;
 
@@ -55,6 +56,8 @@
     Quota(Vec<QuotaAsk>),
     /// Asks for the operators' lists; answered by [`PeerResponse::Lists`].
     Lists,
+    /// Asks for the partition table; answered by [`PeerResponse::Table`].
+    Table,
     /// Hands partitions over at a planned stop; answered by [`PeerResponse::Accepted`].
     Delegate {
         /// Partitions with their new generation.
@@ -87,6 +90,13 @@
     Quota(Vec<QuotaReply>),
     /// The lists with their revisions.
     Lists(ListsState),
+    /// The partition table with its revision.
+    Table {
+        /// The table as the answering instance knows it.
+        table: table::PartitionTable,
+        /// Its revision in the platform's service; 0 if none was read.
+        revision: ids::Revision,
+    },
     /// The instance does not own the partition, or does not serve it yet.
     NotOwner,
 }
--- a/crates/model/src/worker.rs
+++ b/crates/model/src/worker.rs
@@ -106,7 +106,7 @@
     pub output: String,
     /// Length of `output` in bytes.
     pub output_bytes: u64,
-    /// SHA-256 of `output`, in hexadecimal.
+    /// SHA-256 over the run and `output`, in hexadecimal, so that a crossed answer is noticed.
     pub output_sha256: String,
     /// Run time, in milliseconds.
     pub run_ms: u64,
@@ -226,7 +226,7 @@
             succeeded,
             worker_fault: false,
             output_bytes: output.len() as u64,
-            output_sha256: sha256_hex(output.as_bytes()),
+            output_sha256: output_digest(run, &output),
             output,
             run_ms,
             peak: capacity::Demand::default(),
@@ -234,17 +234,22 @@
         }
     }
 
-    /// Returns whether the output has its declared length and digest.
+    /// Returns whether the output has its declared length and belongs to its run.
     #[must_use]
     pub fn is_whole(&self) -> bool {
         self.output_bytes == self.output.len() as u64
-            && self.output_sha256 == sha256_hex(self.output.as_bytes())
+            && self.output_sha256 == output_digest(self.run, &self.output)
     }
 }
 
-/// Returns the SHA-256 of `bytes` in hexadecimal.
-fn sha256_hex(bytes: &[u8]) -> String {
-    let digest = sha2::Sha256::digest(bytes);
+/// Returns the SHA-256 over `run` and `output` in hexadecimal.
+fn output_digest(run: ids::TaskAttempt, output: &str) -> String {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(run.task_id.as_bytes());
+    hasher.update(run.member.to_be_bytes());
+    hasher.update(run.attempt.to_be_bytes());
+    hasher.update(output.as_bytes());
+    let digest = hasher.finalize();
     digest.iter().fold(String::new(), |mut text, byte| {
         let _ = write!(text, "{byte:02x}");
         text
