--- /dev/null
+++ b/crates/owner/src/fences.rs
@@ -0,0 +1,41 @@
+//! Generations that a lease holder admits.
+
+use indexmap::IndexMap;
+
+use model::Generation;
+use model::Partition;
+
+/// Keeps the highest generation seen of each partition, at a lease holder.
+#[derive(Clone, Debug, Default)]
+pub struct Fences {
+    /// Highest generation of each partition; never lowered.
+    highest: IndexMap<Partition, Generation>,
+}
+
+impl Fences {
+    /// Creates fences that admit every generation.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Closes every generation of `partition` below `generation`.
+    pub fn raise(&mut self, partition: Partition, generation: Generation) {
+        let highest = self.highest.entry(partition).or_insert(generation);
+        *highest = generation.max(*highest);
+    }
+
+    /// Returns whether an order of `generation` may still be acted on.
+    #[must_use]
+    pub fn admits(&self, partition: Partition, generation: Generation) -> bool {
+        self.highest
+            .get(&partition)
+            .is_none_or(|highest| generation >= *highest)
+    }
+
+    /// Returns the highest generation seen of `partition`; 0 before the first.
+    #[must_use]
+    pub fn highest(&self, partition: Partition) -> Generation {
+        self.highest.get(&partition).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/quota/src/amount.rs
@@ -0,0 +1,1 @@
+//! Arithmetic over the dimensions of a quota amount.
