--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,1 +1,19 @@
-//! Decisions about worker leases.
+//! Decisions about worker leases: which workers to claim, renew, hand over and give up.
+//!
+//! [`Leases`] takes [`Event`]s with the current time and returns [`Action`]s. It has no sockets,
+//! clocks or randomness of its own. The arbiter of a lease is its worker; an instance only decides
+//! whom to ask, and how long it may rely on the last answer.
+
+mod action;
+mod event;
+mod leases;
+mod settings;
+
+pub use action::Acquired;
+pub use action::Action;
+pub use event::Event;
+pub use event::Grant;
+pub use event::Member;
+pub use leases::Leases;
+pub use leases::StartRight;
+pub use settings::LeaseSettings;
--- /dev/null
+++ b/crates/lease/src/settings.rs
@@ -0,0 +1,26 @@
+//! Settings of lease decisions.
+
+use std::time;
+
+/// Settings of one instance's leases.
+#[derive(Clone, Debug)]
+pub struct LeaseSettings {
+    /// This instance.
+    pub instance_id: model::InstanceId,
+    /// Where this instance stands.
+    pub location: model::Location,
+    /// How long a lease lasts from the worker's receipt of the claim or renewal.
+    pub ttl: time::Duration,
+    /// How long running tasks outlive a lapsed lease.
+    pub grace: time::Duration,
+    /// Allowance for clock rates and for messages under way.
+    ///
+    /// Less than `ttl`.
+    pub margin: time::Duration,
+    /// Least time between the sending of two renewals for one worker.
+    pub renew_every: time::Duration,
+    /// How long the members must have been unchanged before a held worker is handed over.
+    pub settle_after: time::Duration,
+    /// Least time between two hand-overs.
+    pub hand_over_every: time::Duration,
+}
--- /dev/null
+++ b/crates/peer/src/error.rs
@@ -0,0 +1,98 @@
+//! Errors of links.
+
+use std::fmt;
+
+/// Why the other end refused a connection or request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum RefusalReason {
+    /// It belongs to another cluster.
+    WrongCluster,
+    /// It does not know the secret.
+    WrongSecret,
+    /// It speaks another version of the protocol.
+    WrongVersion,
+    /// The request is larger than it accepts.
+    TooLarge,
+    /// The request could not be read.
+    Malformed,
+    /// It is stopping.
+    Stopping,
+}
+
+impl RefusalReason {
+    /// Every reason, in declaration order.
+    pub const ALL: &'static [Self] = &[
+        Self::WrongCluster,
+        Self::WrongSecret,
+        Self::WrongVersion,
+        Self::TooLarge,
+        Self::Malformed,
+        Self::Stopping,
+    ];
+
+    /// Returns the name used in logs, headers and counters.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::WrongCluster => "wrong_cluster",
+            Self::WrongSecret => "wrong_secret",
+            Self::WrongVersion => "wrong_version",
+            Self::TooLarge => "too_large",
+            Self::Malformed => "malformed",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// What went wrong with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The request was not sent: the other end has not seen it and never will.
+    NotSent,
+    /// The request was sent, in part at least, and no answer came: it may have been handled.
+    Unanswered,
+    /// The other end refused it and did not handle it.
+    Refused(RefusalReason),
+    /// The message is larger than the limit. A request that is too large was not sent; if the
+    /// response is too large, the request was handled.
+    TooLarge,
+    /// The other end's answer could not be understood; the request may have been handled.
+    Protocol,
+}
+
+/// A failed request.
+#[derive(Debug, thiserror::Error)]
+#[error("{context}")]
+pub struct Error {
+    kind: ErrorKind,
+    context: String,
+}
+
+impl Error {
+    pub(crate) fn new(kind: ErrorKind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            context: context.into(),
+        }
+    }
+
+    /// Returns what went wrong.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// Returns whether the other end surely has not handled the request and never will.
+    #[must_use]
+    pub fn is_unhandled(&self) -> bool {
+        matches!(self.kind, ErrorKind::NotSent | ErrorKind::Refused(_))
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,22 @@
-//! Links between instances.
+//! Links between instances: requests and replies in bincode, one h2 stream for each pair.
+//!
+//! [`Server`] answers the requests of other instances through a [`Handler`]; [`Link`] sends
+//! requests to one other instance, many at a time over one connection.
+
+mod counts;
+mod error;
+mod handler;
+mod identity;
+mod link;
+mod server;
+
+pub use counts::Counts;
+pub use counts::Volume;
+pub use error::Error;
+pub use error::ErrorKind;
+pub use error::RefusalReason;
+pub use handler::Handler;
+pub use identity::Identity;
+pub use link::Link;
+pub use link::LinkSettings;
+pub use server::Server;
