--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,1 +1,28 @@
 //! Decisions about queueing and placement.
+//!
+//! A [`Queue`] belongs to an owner of tasks and decides which task goes to which holder next. A
+//! [`Fleet`] belongs to a holder of workers and decides which worker runs it. Both are plain state
+//! machines: they are told the time and do no I/O.
+
+mod control;
+mod dispatch;
+mod fleet;
+mod fleet_settings;
+mod queue;
+mod queue_settings;
+
+pub use control::Control;
+pub use dispatch::Dispatch;
+pub use dispatch::Proximity;
+pub use dispatch::Queued;
+pub use dispatch::Quota;
+pub use dispatch::Refusal;
+pub use dispatch::Target;
+pub use fleet::Finished;
+pub use fleet::Fleet;
+pub use fleet::NoRoom;
+pub use fleet::Request;
+pub use fleet_settings::FleetSettings;
+pub use queue::Queue;
+pub use queue_settings::Policy;
+pub use queue_settings::QueueSettings;
