--- /dev/null
+++ b/crates/settings/src/entry/instance.rs
@@ -0,0 +1,37 @@
+//! Section `[instance]`.
+
+use std::net;
+
+use crate::section;
+
+/// Who and where the instance is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Configured name; the process adds a boot id to it.
+    pub name: String,
+    /// Region it stands in; one of the cluster's.
+    pub region: String,
+    /// Data centre it stands in.
+    pub data_centre: String,
+    /// Where it listens for callers and operators, and what it advertises to them.
+    pub callers_address: net::SocketAddr,
+    /// Where it listens for peers, and what it advertises to them.
+    pub peer_address: net::SocketAddr,
+}
+
+impl Instance {
+    pub(super) fn read(mut section: section::Section<'_>) -> Self {
+        let name = section.required_text("name");
+        if name.contains(['#', '/']) {
+            let message = format!("'{name}' given, expected a name without '#' and '/'");
+            section.reject("name", message);
+        }
+        Self {
+            name,
+            region: section.required_text("region"),
+            data_centre: section.required_text("data_centre"),
+            callers_address: section.address("callers_address"),
+            peer_address: section.address("peer_address"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lines.rs
@@ -0,0 +1,65 @@
+//! Places of sections and keys in the text of a document.
+
+/// One section header of the text.
+#[derive(Debug)]
+pub(crate) struct SectionLine {
+    /// Name of the section.
+    pub(crate) name: String,
+    /// Line of the header, from 1.
+    pub(crate) line: usize,
+}
+
+/// One key of the text.
+#[derive(Debug)]
+pub(crate) struct KeyLine {
+    /// Section that the key stands in; empty before the first header.
+    pub(crate) section: String,
+    /// Name of the key.
+    pub(crate) key: String,
+    /// Line, from 1.
+    pub(crate) line: usize,
+}
+
+/// Every section header and key of a text, in order.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    /// Section headers.
+    pub(crate) sections: Vec<SectionLine>,
+    /// Keys.
+    pub(crate) keys: Vec<KeyLine>,
+}
+
+impl Lines {
+    /// Scans `text`, which has one header, key or comment a line.
+    pub(crate) fn scan(text: &str) -> Self {
+        let mut lines = Self::default();
+        let mut section = String::new();
+        for (index, raw) in text.lines().enumerate() {
+            let line = index + 1;
+            let trimmed = raw.trim();
+            if trimmed.is_empty() || trimmed.starts_with([';', '#']) {
+                continue;
+            }
+            if let Some(name) = header(trimmed) {
+                section = name.to_owned();
+                lines.sections.push(SectionLine {
+                    name: section.clone(),
+                    line,
+                });
+            } else if let Some((key, _)) = trimmed.split_once(['=', ':']) {
+                lines.keys.push(KeyLine {
+                    section: section.clone(),
+                    key: key.trim().to_owned(),
+                    line,
+                });
+            }
+        }
+        lines
+    }
+}
+
+fn header(trimmed: &str) -> Option<&str> {
+    let rest = trimmed.strip_prefix('[')?;
+    let (name, _) = rest.split_once(']')?;
+    Some(name.trim())
+}
