--- /dev/null
+++ b/crates/store/src/calls.rs
@@ -0,0 +1,54 @@
+//! Counters of the calls made to the service.
+
+use std::sync::atomic;
+
+/// Number of calls sent since the client was built, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads of a key or range.
+    pub reads: u64,
+    /// Transactions and lease grants.
+    pub writes: u64,
+    /// Watches opened.
+    pub watches: u64,
+}
+
+/// What a call does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    /// Reads only: may be repeated at will.
+    Read,
+    /// May change something: never repeated once it may have been sent.
+    Write,
+    /// Opens a watch.
+    Watch,
+}
+
+/// Counts calls from many threads.
+#[derive(Debug, Default)]
+pub(crate) struct CallCounters {
+    reads: atomic::AtomicU64,
+    writes: atomic::AtomicU64,
+    watches: atomic::AtomicU64,
+}
+
+impl CallCounters {
+    /// Counts one call.
+    pub(crate) fn count(&self, kind: CallKind) {
+        let counter = match kind {
+            CallKind::Read => &self.reads,
+            CallKind::Write => &self.writes,
+            CallKind::Watch => &self.watches,
+        };
+        counter.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the counts.
+    pub(crate) fn snapshot(&self) -> Calls {
+        Calls {
+            reads: self.reads.load(atomic::Ordering::Relaxed),
+            writes: self.writes.load(atomic::Ordering::Relaxed),
+            watches: self.watches.load(atomic::Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,56 @@
+//! The error of this crate.
+
+use std::fmt;
+
+/// Says what kind of failure a call met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The request was not sent, because every address refused the connection; or a watch ended.
+    Unavailable,
+    /// The request was sent and not answered in time: a write may have taken effect.
+    Timeout,
+    /// The service refused the request, or its answer made no sense.
+    Protocol,
+    /// A value is larger than the service takes; the request was not sent.
+    TooLarge,
+    /// The revision to watch from is no longer kept: read anew.
+    Compacted,
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unavailable => "store unavailable",
+            Self::Timeout => "store did not answer, outcome not known",
+            Self::Protocol => "store answered out of protocol",
+            Self::TooLarge => "value too large for the store",
+            Self::Compacted => "store no longer keeps the revision",
+        })
+    }
+}
+
+/// A failed call.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{kind}: {context}")]
+pub struct Error {
+    kind: ErrorKind,
+    context: String,
+}
+
+impl Error {
+    /// Creates an error; `context` says what was wrong and what was expected.
+    #[must_use]
+    pub fn new(kind: ErrorKind, context: impl Into<String>) -> Self {
+        Self {
+            kind,
+            context: context.into(),
+        }
+    }
+
+    /// Returns the kind.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,34 @@
 //! Client of the platform's key-value service.
+//!
+//! [`Store`] is the narrow interface that the scheduler uses; [`Etcd`] implements it over the
+//! JSON interface of etcd v3. A write whose reply was lost is settled by [`settle_put`].
+
+mod calls;
+mod entry;
+mod error;
+mod etcd;
+mod settle;
+mod store;
+mod transport;
+mod watch;
+mod wire;
+
+pub use calls::Calls;
+pub use entry::Committed;
+pub use entry::Compare;
+pub use entry::Entry;
+pub use entry::LeaseId;
+pub use entry::MAX_VALUE_BYTES;
+pub use entry::Page;
+pub use entry::Put;
+pub use entry::Revision;
+pub use entry::Txn;
+pub use error::Error;
+pub use error::ErrorKind;
+pub use etcd::Etcd;
+pub use etcd::EtcdBuilder;
+pub use settle::Settlement;
+pub use settle::settle_put;
+pub use store::Store;
+pub use store::Watch;
+pub use watch::EtcdWatch;
--- /dev/null
+++ b/crates/store/src/transport.rs
@@ -0,0 +1,221 @@
+//! HTTP calls to the addresses of the service.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+
+use crate::calls;
+use crate::error;
+use crate::wire;
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
+
+/// Sends requests to one address after the other; clones share everything.
+#[derive(Clone, Debug)]
+pub(crate) struct Transport {
+    client: Client,
+    shared: sync::Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    addresses: Vec<String>,
+    /// Address that answered last, modulo their number.
+    preferred: atomic::AtomicUsize,
+    timeout: time::Duration,
+    counters: calls::CallCounters,
+}
+
+impl Transport {
+    /// Creates a transport with no connection yet.
+    pub(crate) fn new(addresses: Vec<String>, timeout: time::Duration) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout / 2));
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .build(connector);
+        let shared = Shared {
+            addresses,
+            preferred: atomic::AtomicUsize::new(0),
+            timeout,
+            counters: calls::CallCounters::default(),
+        };
+        Self {
+            client,
+            shared: sync::Arc::new(shared),
+        }
+    }
+
+    /// Returns the calls made so far.
+    pub(crate) fn calls(&self) -> calls::Calls {
+        self.shared.counters.snapshot()
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn call<Q, A>(
+        &self,
+        kind: calls::CallKind,
+        path: &str,
+        request: &Q,
+    ) -> Result<A, error::Error>
+    where
+        Q: serde::Serialize + Sync,
+        A: serde::de::DeserializeOwned,
+    {
+        let body = encode_body(request)?;
+        let answer = self
+            .try_addresses(kind, |address| self.exchange(address, path, &body))
+            .await?;
+        serde_json::from_slice(&answer)
+            .map_err(|cause| wire::protocol(format!("expected an answer to {path}: {cause}")))
+    }
+
+    /// Sends a request and returns the answer's body as a stream.
+    pub(crate) async fn open<Q>(
+        &self,
+        path: &str,
+        request: &Q,
+    ) -> Result<hyper::body::Incoming, error::Error>
+    where
+        Q: serde::Serialize + Sync,
+    {
+        let body = encode_body(request)?;
+        self.try_addresses(calls::CallKind::Watch, |address| async {
+            let send = self.send(address, path, &body);
+            tokio::time::timeout(self.shared.timeout, send)
+                .await
+                .map_err(|_| timeout(address))?
+        })
+        .await
+    }
+
+    /// Tries each address until one answers.
+    ///
+    /// A write goes to the next address only if it was certainly not sent to the one before.
+    async fn try_addresses<'a, F, T>(
+        &'a self,
+        kind: calls::CallKind,
+        attempt: impl Fn(&'a str) -> F,
+    ) -> Result<T, error::Error>
+    where
+        F: Future<Output = Result<T, error::Error>>,
+    {
+        let mut last = error::Error::new(error::ErrorKind::Unavailable, "no address is set");
+        let first = self.shared.preferred.load(atomic::Ordering::Relaxed);
+        let count = self.shared.addresses.len();
+        for index in (0..count).map(|step| (first + step) % count) {
+            self.shared.counters.count(kind);
+            match attempt(&self.shared.addresses[index]).await {
+                Ok(answer) => {
+                    self.shared
+                        .preferred
+                        .store(index, atomic::Ordering::Relaxed);
+                    return Ok(answer);
+                }
+                Err(failed) => last = failed,
+            }
+            if !may_try_next(kind, last.kind()) {
+                self.shared
+                    .preferred
+                    .store((index + 1) % count, atomic::Ordering::Relaxed);
+                return Err(last);
+            }
+        }
+        Err(last)
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        path: &str,
+        body: &bytes::Bytes,
+    ) -> Result<bytes::Bytes, error::Error> {
+        let exchange = async {
+            let answer = self.send(address, path, body).await?;
+            collect(answer, address).await
+        };
+        tokio::time::timeout(self.shared.timeout, exchange)
+            .await
+            .map_err(|_| timeout(address))?
+    }
+
+    /// Sends a request and checks the status of the answer.
+    async fn send(
+        &self,
+        address: &str,
+        path: &str,
+        body: &bytes::Bytes,
+    ) -> Result<hyper::body::Incoming, error::Error> {
+        let request = http::Request::post(format!("http://{address}{path}"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(http_body_util::Full::new(body.clone()))
+            .map_err(|cause| wire::protocol(format!("address {address} makes no URI: {cause}")))?;
+        let answer = self.client.request(request).await.map_err(|cause| {
+            let kind = if cause.is_connect() {
+                error::ErrorKind::Unavailable
+            } else {
+                error::ErrorKind::Timeout
+            };
+            error::Error::new(kind, format!("{address}: {cause}"))
+        })?;
+        let status = answer.status();
+        if status.is_success() {
+            return Ok(answer.into_body());
+        }
+        // A server error may come after the write was passed on within the service.
+        let kind = if status.is_server_error() {
+            error::ErrorKind::Timeout
+        } else {
+            error::ErrorKind::Protocol
+        };
+        Err(error::Error::new(
+            kind,
+            format!("{address} answered {path} with status {status}"),
+        ))
+    }
+}
+
+/// Returns whether the next address may be tried.
+fn may_try_next(kind: calls::CallKind, failure: error::ErrorKind) -> bool {
+    match failure {
+        error::ErrorKind::Unavailable => true,
+        error::ErrorKind::Timeout => kind != calls::CallKind::Write,
+        _ => false,
+    }
+}
+
+fn timeout(address: &str) -> error::Error {
+    error::Error::new(
+        error::ErrorKind::Timeout,
+        format!("no answer from {address} in time"),
+    )
+}
+
+fn encode_body(request: &impl serde::Serialize) -> Result<bytes::Bytes, error::Error> {
+    serde_json::to_vec(request)
+        .map(bytes::Bytes::from)
+        .map_err(|cause| wire::protocol(format!("request cannot be encoded: {cause}")))
+}
+
+/// Reads an answer to its end.
+async fn collect(
+    answer: hyper::body::Incoming,
+    address: &str,
+) -> Result<bytes::Bytes, error::Error> {
+    http_body_util::Limited::new(answer, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|cause| {
+            let context = format!("answer of {address} broke off: {cause}");
+            error::Error::new(error::ErrorKind::Timeout, context)
+        })
+}
--- /dev/null
+++ b/crates/store/src/watch.rs
@@ -0,0 +1,93 @@
+//! The stream of a watch.
+
+use http_body_util::BodyExt as _;
+
+use crate::entry;
+use crate::error;
+use crate::store;
+use crate::wire;
+
+/// Largest line that is read, in bytes.
+const MAX_LINE_BYTES: usize = 16 << 20;
+
+/// A watch over newline-delimited JSON.
+#[derive(Debug)]
+pub struct EtcdWatch {
+    body: hyper::body::Incoming,
+    /// What was read and does not end with a newline yet, or was not handed out yet.
+    buffer: Vec<u8>,
+}
+
+impl EtcdWatch {
+    pub(crate) fn new(body: hyper::body::Incoming) -> Self {
+        Self {
+            body,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Takes a whole line from the buffer.
+    fn take_line(&mut self) -> Option<Vec<u8>> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let rest = self.buffer.split_off(end + 1);
+        Some(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    /// Reads more bytes into the buffer.
+    async fn fill(&mut self) -> Result<(), error::Error> {
+        let frame = self
+            .body
+            .frame()
+            .await
+            .ok_or_else(|| ended("the service closed the watch"))?;
+        let frame = frame.map_err(|cause| ended(format!("the watch broke off: {cause}")))?;
+        if let Ok(data) = frame.into_data() {
+            self.buffer.extend_from_slice(&data);
+        }
+        if self.buffer.len() > MAX_LINE_BYTES {
+            return Err(wire::protocol(format!(
+                "expected a line of at most {MAX_LINE_BYTES} bytes"
+            )));
+        }
+        Ok(())
+    }
+}
+
+impl store::Watch for EtcdWatch {
+    async fn next(&mut self) -> Result<Vec<entry::Entry>, error::Error> {
+        loop {
+            while let Some(line) = self.take_line() {
+                let entries = parse_line(&line)?;
+                if !entries.is_empty() {
+                    return Ok(entries);
+                }
+            }
+            self.fill().await?;
+        }
+    }
+}
+
+fn ended(context: impl Into<String>) -> error::Error {
+    error::Error::new(error::ErrorKind::Unavailable, context)
+}
+
+fn parse_line(line: &[u8]) -> Result<Vec<entry::Entry>, error::Error> {
+    let line: wire::WatchLine = serde_json::from_slice(line)
+        .map_err(|cause| wire::protocol(format!("expected a line of a watch: {cause}")))?;
+    let result = line.result;
+    if result.compact_revision.0 > 0 {
+        let context = format!(
+            "expected to watch from {} or later",
+            result.compact_revision.0
+        );
+        return Err(error::Error::new(error::ErrorKind::Compacted, context));
+    }
+    if result.canceled {
+        return Err(ended("the service cancelled the watch"));
+    }
+    let puts = result
+        .events
+        .into_iter()
+        .filter(|event| event.event_type == wire::EventType::Put);
+    puts.map(|event| event.kv.into_entry()).collect()
+}
