--- /dev/null
+++ b/crates/entry/src/api/mod.rs
@@ -0,0 +1,4 @@
+//! The interface for callers and operators: JSON over HTTP.
+
+pub mod answer;
+pub mod request;
--- /dev/null
+++ b/crates/entry/src/api/request.rs
@@ -0,0 +1,225 @@
+//! Parses and checks a caller's submission.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use serde_json::value;
+
+/// Limits that a submission is checked against.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest start deadline.
+    pub max_deadline: time::Duration,
+    /// Start deadline of a submission without one.
+    pub default_deadline: time::Duration,
+}
+
+/// A checked submission.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// What is asked for.
+    pub spec: model::TaskSpec,
+    /// Whether the caller waits for the outcome.
+    pub wait: bool,
+}
+
+/// One field that is not as expected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FieldError {
+    /// Name of the field; empty for the body as a whole.
+    pub field: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+const FIELDS: &[&str] = &[
+    "kind",
+    "class",
+    "processors_milli",
+    "memory_mb",
+    "accelerators",
+    "members",
+    "urgency",
+    "deadline_ms",
+    "repeatable",
+    "key",
+    "declared_run_ms",
+    "wait",
+    "body",
+];
+const MAX_KIND_BYTES: usize = 64;
+const MAX_KEY_BYTES: usize = 128;
+const MAX_MEMBERS: u64 = 1024;
+const MAX_RESOURCE: u64 = 1 << 30;
+const MAX_DECLARED_RUN_MS: u64 = 30 * 24 * 3600 * 1000;
+
+type RawFields<'a> = collections::BTreeMap<String, &'a value::RawValue>;
+
+/// Parses `bytes` as a submission.
+///
+/// # Errors
+///
+/// Returns every field that is not as expected.
+pub fn parse(bytes: &[u8], limits: Limits) -> Result<Request, Vec<FieldError>> {
+    let fields: RawFields<'_> = serde_json::from_slice(bytes)
+        .map_err(|_| vec![error("", "a JSON object with the fields of a task")])?;
+    let mut reader = Reader {
+        fields,
+        errors: Vec::new(),
+    };
+    reader.check_names();
+    let request = reader.request(limits);
+    if reader.errors.is_empty() {
+        Ok(request)
+    } else {
+        Err(reader.errors)
+    }
+}
+
+fn error(field: &str, expected: impl Into<String>) -> FieldError {
+    FieldError {
+        field: field.to_owned(),
+        expected: expected.into(),
+    }
+}
+
+struct Reader<'a> {
+    fields: RawFields<'a>,
+    errors: Vec<FieldError>,
+}
+
+impl Reader<'_> {
+    fn check_names(&mut self) {
+        for name in self.fields.keys() {
+            if !FIELDS.contains(&name.as_str()) {
+                let expected = format!("one of {}", FIELDS.join(", "));
+                self.errors.push(error(name, expected));
+            }
+        }
+    }
+
+    fn request(&mut self, limits: Limits) -> Request {
+        let class = self.class();
+        let repeatable = self.flag("repeatable", true);
+        let spec = model::TaskSpec {
+            kind: self.text("kind", MAX_KIND_BYTES).unwrap_or_default().into(),
+            class,
+            demand: self.demand(),
+            members: self.members(class),
+            urgency: self.urgency(),
+            deadline_ms: self.deadline_ms(limits),
+            repeatable,
+            key: self.key(repeatable),
+            declared_run_ms: self.optional_whole("declared_run_ms", 1, MAX_DECLARED_RUN_MS),
+            body: self.body(),
+        };
+        let wait = self.flag("wait", class != model::Class::Service);
+        if wait && class == model::Class::Service {
+            self.errors.push(error("wait", "false for class service"));
+        }
+        Request { spec, wait }
+    }
+
+    fn read<T: serde::de::DeserializeOwned>(&mut self, field: &str, expected: &str) -> Option<T> {
+        let raw = self.fields.get(field)?;
+        match serde_json::from_str(raw.get()) {
+            Ok(value) => Some(value),
+            Err(_) => {
+                self.errors.push(error(field, expected));
+                None
+            }
+        }
+    }
+
+    fn optional_whole(&mut self, field: &str, least: u64, most: u64) -> Option<u64> {
+        let expected = format!("a whole number from {least} to {most}");
+        let value: u64 = self.read(field, &expected)?;
+        if (least..=most).contains(&value) {
+            return Some(value);
+        }
+        self.errors.push(error(field, expected));
+        None
+    }
+
+    fn resource(&mut self, field: &str) -> u32 {
+        let value = self.optional_whole(field, 0, MAX_RESOURCE).unwrap_or(0);
+        u32::try_from(value).unwrap_or(u32::MAX)
+    }
+
+    fn demand(&mut self) -> model::Demand {
+        model::Demand {
+            processors_milli: self.resource("processors_milli"),
+            memory_mb: self.resource("memory_mb"),
+            accelerators: self.resource("accelerators"),
+        }
+    }
+
+    fn flag(&mut self, field: &str, default: bool) -> bool {
+        self.read(field, "true or false").unwrap_or(default)
+    }
+
+    fn text(&mut self, field: &str, max_bytes: usize) -> Option<String> {
+        let expected = format!("a text of 1 to {max_bytes} printable characters");
+        if !self.fields.contains_key(field) {
+            self.errors.push(error(field, expected));
+            return None;
+        }
+        let text: String = self.read(field, &expected)?;
+        let printable = text.chars().all(|c| !c.is_control());
+        if text.is_empty() || text.len() > max_bytes || !printable {
+            self.errors.push(error(field, expected));
+            return None;
+        }
+        Some(text)
+    }
+
+    fn class(&mut self) -> model::Class {
+        const EXPECTED: &str = "one of service, batch, gang";
+        self.read("class", EXPECTED).unwrap_or(model::Class::Batch)
+    }
+
+    fn urgency(&mut self) -> model::Urgency {
+        self.read("urgency", "one of urgent, normal")
+            .unwrap_or_default()
+    }
+
+    fn members(&mut self, class: model::Class) -> u16 {
+        let least = if class == model::Class::Gang { 2 } else { 1 };
+        let most = if class == model::Class::Gang {
+            MAX_MEMBERS
+        } else {
+            1
+        };
+        if class == model::Class::Gang && !self.fields.contains_key("members") {
+            let expected = format!("a whole number from {least} to {most} for class gang");
+            self.errors.push(error("members", expected));
+        }
+        let members = self.optional_whole("members", least, most).unwrap_or(least);
+        u16::try_from(members).unwrap_or(u16::MAX)
+    }
+
+    fn deadline_ms(&mut self, limits: Limits) -> u64 {
+        let most = limits.max_deadline.as_millis() as u64;
+        self.optional_whole("deadline_ms", 1, most)
+            .unwrap_or(limits.default_deadline.as_millis() as u64)
+    }
+
+    fn key(&mut self, repeatable: bool) -> Option<String> {
+        if self.fields.contains_key("key") {
+            return self.text("key", MAX_KEY_BYTES);
+        }
+        if !repeatable {
+            let expected = "an idempotency key, because repeatable is false";
+            self.errors.push(error("key", expected));
+        }
+        None
+    }
+
+    fn body(&mut self) -> sync::Arc<str> {
+        self.fields
+            .get("body")
+            .map_or("null", |raw| raw.get())
+            .into()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/callers.rs
@@ -0,0 +1,370 @@
+//! Requests of callers: routing to the owner of the task, and answers.
+
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::control::effect;
+use crate::control::input;
+use crate::control::state;
+
+/// How long a forwarded request may stay unanswered; a lost peer ends it earlier.
+const FORWARD_TIMEOUT: time::Duration = time::Duration::from_secs(3600);
+/// Pause before a request is routed again.
+const ROUTE_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// How long after its deadline a request that may have been handled is still routed.
+const ROUTE_GRACE: time::Duration = time::Duration::from_secs(15);
+
+/// What a caller waits for.
+#[derive(Clone, Debug)]
+enum Asked {
+    Submit(model::Task),
+    Lookup(model::CustomerId),
+    Cancel(model::CustomerId),
+}
+
+/// Where a request is at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// At the owner decisions of this instance.
+    Owner,
+    /// On its way to a peer, or waiting there.
+    Peer,
+    /// Waiting to be routed again.
+    Parked(time::Instant),
+}
+
+/// A request that waits for its answer.
+#[derive(Clone, Debug)]
+struct Waiting {
+    task_id: model::TaskId,
+    asked: Asked,
+    /// Start deadline of a submission, end of the wait of a lookup.
+    deadline: time::Instant,
+    place: Place,
+    /// Whether an owner may have seen the request.
+    sent: bool,
+}
+
+/// Requests of callers that wait at this instance.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    waiting: IndexMap<input::Ticket, Waiting>,
+}
+
+impl Callers {
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
+impl state::Control {
+    pub(super) fn submit(&mut self, submit: input::Submit, now: time::Instant) {
+        let task_id = self.id_of(&submit);
+        let deadline = now + time::Duration::from_millis(submit.spec.deadline_ms);
+        let task = model::Task {
+            task_id,
+            customer_id: submit.customer_id,
+            plan_id: submit.plan_id,
+            region: submit.region,
+            spec: submit.spec,
+            wait: submit.wait,
+        };
+        let asked = Asked::Submit(task);
+        self.wait_for(submit.ticket, task_id, asked, deadline, now);
+    }
+
+    fn id_of(&self, submit: &input::Submit) -> model::TaskId {
+        if let Some(key) = &submit.spec.key {
+            return model::keyed_task_id(&submit.customer_id, key);
+        }
+        let serving = self.owner.serving();
+        let partition = if serving.is_empty() || self.draining {
+            (submit.random % u128::from(model::PARTITIONS)) as model::Partition
+        } else {
+            serving[(submit.random % serving.len() as u128) as usize]
+        };
+        model::task_id_in(partition, submit.random >> 8)
+    }
+
+    pub(super) fn lookup(
+        &mut self,
+        ticket: input::Ticket,
+        customer_id: model::CustomerId,
+        task_id: model::TaskId,
+        until: time::Instant,
+        now: time::Instant,
+    ) {
+        self.wait_for(ticket, task_id, Asked::Lookup(customer_id), until, now);
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        ticket: input::Ticket,
+        customer_id: model::CustomerId,
+        task_id: model::TaskId,
+        now: time::Instant,
+    ) {
+        let until = now + ROUTE_GRACE;
+        self.wait_for(ticket, task_id, Asked::Cancel(customer_id), until, now);
+    }
+
+    fn wait_for(
+        &mut self,
+        ticket: input::Ticket,
+        task_id: model::TaskId,
+        asked: Asked,
+        deadline: time::Instant,
+        now: time::Instant,
+    ) {
+        let waiting = Waiting {
+            task_id,
+            asked,
+            deadline,
+            place: Place::Owner,
+            sent: false,
+        };
+        self.callers.waiting.insert(ticket, waiting);
+        if self.callers.waiting.len() > self.settings.max_waiting {
+            let reason = model::NotRunReason::InstanceOverloaded;
+            self.refuse(ticket, reason);
+            return;
+        }
+        self.route(ticket, now);
+    }
+
+    /// Sends a waiting request to the owner of its task.
+    fn route(&mut self, ticket: input::Ticket, now: time::Instant) {
+        let Some(waiting) = self.callers.waiting.get(&ticket) else {
+            return;
+        };
+        let partition = model::partition_of(waiting.task_id);
+        let owner_id = self.owner.owner_of(partition).cloned();
+        match owner_id {
+            Some(id) if self.is_self(&id) => self.route_here(ticket, now),
+            Some(id) => match self.members.address_of(&id) {
+                Some(address) => self.route_to(ticket, address, now),
+                None => self.park(ticket, now),
+            },
+            None => self.park(ticket, now),
+        }
+    }
+
+    fn route_here(&mut self, ticket: input::Ticket, now: time::Instant) {
+        let Some(waiting) = self.callers.waiting.get_mut(&ticket) else {
+            return;
+        };
+        waiting.place = Place::Owner;
+        let task_id = waiting.task_id;
+        let event = match &waiting.asked {
+            Asked::Submit(task) => owner::Event::Submit {
+                ticket,
+                task: task.clone(),
+                deadline: waiting.deadline,
+                resent: waiting.sent,
+            },
+            Asked::Lookup(customer_id) => owner::Event::Lookup {
+                ticket,
+                customer_id: customer_id.clone(),
+                task_id,
+                until: waiting.deadline,
+            },
+            Asked::Cancel(customer_id) => owner::Event::Cancel {
+                ticket,
+                customer_id: customer_id.clone(),
+                task_id,
+            },
+        };
+        self.owner_event(event, now);
+    }
+
+    fn route_to(&mut self, ticket: input::Ticket, address: String, now: time::Instant) {
+        let Some(waiting) = self.callers.waiting.get_mut(&ticket) else {
+            return;
+        };
+        waiting.place = Place::Peer;
+        let task_id = waiting.task_id;
+        let remaining_ms = waiting.deadline.saturating_duration_since(now).as_millis() as u64;
+        let request = match &waiting.asked {
+            Asked::Submit(task) => model::PeerRequest::Submit(model::Submission {
+                task: task.clone(),
+                remaining_ms,
+                resent: waiting.sent,
+            }),
+            Asked::Lookup(customer_id) => model::PeerRequest::Lookup {
+                customer_id: customer_id.clone(),
+                task_id,
+                wait_ms: remaining_ms,
+            },
+            Asked::Cancel(customer_id) => model::PeerRequest::Cancel {
+                customer_id: customer_id.clone(),
+                task_id,
+            },
+        };
+        self.metrics.count("caller.forwarded");
+        self.effect(effect::Effect::Call {
+            address,
+            request: Box::new(request),
+            timeout: FORWARD_TIMEOUT,
+            context: effect::Context::Forward { ticket },
+        });
+    }
+
+    fn park(&mut self, ticket: input::Ticket, now: time::Instant) {
+        if let Some(waiting) = self.callers.waiting.get_mut(&ticket) {
+            waiting.place = Place::Parked(now + ROUTE_PAUSE);
+        }
+    }
+
+    /// Routes parked requests again and gives up those whose time is over.
+    pub(super) fn retry_parked(&mut self, now: time::Instant) {
+        let due: Vec<_> = self
+            .callers
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| matches!(waiting.place, Place::Parked(at) if at <= now))
+            .map(|(ticket, waiting)| (*ticket, waiting.gives_up(now)))
+            .collect();
+        for (ticket, gives_up) in due {
+            if gives_up {
+                self.give_up(ticket);
+            } else {
+                self.metrics.count("retry.route");
+                self.route(ticket, now);
+            }
+        }
+    }
+
+    fn give_up(&mut self, ticket: input::Ticket) {
+        let Some(waiting) = self.callers.waiting.get(&ticket) else {
+            return;
+        };
+        let Asked::Submit(task) = &waiting.asked else {
+            let reason = model::UnknownReason::OwnerUnreachable;
+            let outcome = model::Outcome::Unknown(reason);
+            let status = model::TaskStatus::Settled(outcome);
+            self.answer(ticket, effect::Answer::Status(status));
+            return;
+        };
+        // An earlier request may have used the key, so only work without one surely did not run.
+        if waiting.sent || task.spec.key.is_some() {
+            let outcome = model::Outcome::Unknown(model::UnknownReason::OwnerUnreachable);
+            self.metrics.count("unknown.owner_unreachable");
+            let reply = model::SubmitReply::Settled(outcome);
+            self.answer(ticket, effect::Answer::Submit(reply));
+        } else {
+            self.refuse(ticket, model::NotRunReason::OwnerUnavailable);
+        }
+    }
+
+    fn refuse(&mut self, ticket: input::Ticket, reason: model::NotRunReason) {
+        let Some(waiting) = self.callers.waiting.get(&ticket) else {
+            return;
+        };
+        let outcome = match &waiting.asked {
+            Asked::Submit(task) if task.spec.key.is_some() => {
+                model::Outcome::Unknown(model::UnknownReason::OwnerUnreachable)
+            }
+            _ => {
+                self.metrics.count(&format!("refused.{reason}"));
+                model::Outcome::NotRun(reason)
+            }
+        };
+        let answer = match waiting.asked {
+            Asked::Submit(_) => effect::Answer::Submit(model::SubmitReply::Settled(outcome)),
+            Asked::Lookup(_) | Asked::Cancel(_) => {
+                effect::Answer::Status(model::TaskStatus::Settled(outcome))
+            }
+        };
+        self.answer(ticket, answer);
+    }
+
+    /// Passes an answer on, if the ticket still waits.
+    pub(super) fn answer(&mut self, ticket: input::Ticket, answer: effect::Answer) {
+        let Some(waiting) = self.callers.waiting.swap_remove(&ticket) else {
+            return;
+        };
+        self.effect(effect::Effect::Answer {
+            ticket,
+            task_id: waiting.task_id,
+            answer,
+        });
+    }
+
+    /// Takes the owner decisions' answer to a ticket of a caller.
+    pub(super) fn owner_answered(
+        &mut self,
+        ticket: input::Ticket,
+        answer: owner::Answer,
+        now: time::Instant,
+    ) -> bool {
+        let Some(waiting) = self.callers.waiting.get_mut(&ticket) else {
+            return false;
+        };
+        match answer {
+            owner::Answer::Submit(reply) => self.answer(ticket, effect::Answer::Submit(reply)),
+            owner::Answer::Status(status) => self.answer(ticket, effect::Answer::Status(status)),
+            owner::Answer::NotOwner => {
+                waiting.sent = true;
+                self.park(ticket, now);
+            }
+        }
+        true
+    }
+
+    /// Takes the end of a forwarded request.
+    pub(super) fn forwarded(
+        &mut self,
+        ticket: input::Ticket,
+        address: &str,
+        result: Result<model::PeerResponse, input::CallError>,
+        now: time::Instant,
+    ) {
+        let Some(waiting) = self.callers.waiting.get_mut(&ticket) else {
+            return;
+        };
+        match result {
+            Ok(model::PeerResponse::Submit(reply)) => {
+                self.answer(ticket, effect::Answer::Submit(reply));
+            }
+            Ok(model::PeerResponse::Status(status)) => {
+                self.answer(ticket, effect::Answer::Status(status));
+            }
+            Ok(model::PeerResponse::NotOwner) => {
+                self.park(ticket, now);
+                self.fetch_table(address, now);
+            }
+            Err(input::CallError::NotHandled) => self.park(ticket, now),
+            Ok(_) | Err(input::CallError::Unanswered) => {
+                waiting.sent = true;
+                self.metrics.count("retry.forward_unanswered");
+                self.park(ticket, now);
+            }
+        }
+    }
+
+    pub(super) fn abandon(&mut self, ticket: input::Ticket, now: time::Instant) {
+        let Some(waiting) = self.callers.waiting.swap_remove(&ticket) else {
+            return;
+        };
+        self.metrics.count("caller.abandoned");
+        if waiting.place == Place::Owner {
+            self.owner_event(owner::Event::Abandon { ticket }, now);
+        }
+    }
+}
+
+impl Waiting {
+    fn gives_up(&self, now: time::Instant) -> bool {
+        let until = if self.sent {
+            self.deadline + ROUTE_GRACE
+        } else {
+            self.deadline
+        };
+        now >= until
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/config.rs
@@ -0,0 +1,48 @@
+//! The operators' lists and the platform's list of machines.
+
+use std::time;
+
+use crate::control::state;
+
+impl state::Control {
+    /// Takes the operators' lists, from the store or from a peer.
+    pub(super) fn lists_read(&mut self, offered: model::ListsState, now: time::Instant) {
+        let applied = self.lists.apply(&offered);
+        if !applied.findings.is_empty() {
+            self.metrics.count("lists.faulty");
+            log::error!("lists not taken\n{}", applied.findings);
+        }
+        if !applied.changed {
+            return;
+        }
+        let state = self.lists.state();
+        log::info!(
+            "lists in force customers={} plans={}",
+            state.customers.revision,
+            state.plans.revision
+        );
+        self.metrics.count("lists.applied");
+        self.limits_changed(now);
+        self.publish_lists();
+    }
+
+    /// Takes the platform's list of machines.
+    pub(super) fn machines(&mut self, entries: Vec<model::DirectoryEntry>, now: time::Instant) {
+        let (instances, workers): (Vec<_>, Vec<_>) = entries
+            .into_iter()
+            .partition(|entry| entry.role == model::Role::Instance);
+        let addresses: Vec<_> = instances.into_iter().map(|entry| entry.address).collect();
+        self.instances_listed(&addresses, now);
+        self.listed_leaving = workers
+            .iter()
+            .filter(|entry| entry.state == model::EntryState::Leaving)
+            .map(|entry| entry.id.clone())
+            .collect();
+        let ids: Vec<_> = workers.iter().map(|entry| entry.id.clone()).collect();
+        for worker_id in &ids {
+            self.update_leaving(worker_id);
+        }
+        self.lease_event(lease::Event::Workers(workers), now);
+        self.owner_event(owner::Event::Workers(ids), now);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/effect.rs
@@ -0,0 +1,172 @@
+//! What the control state asks to be done.
+
+use std::sync;
+use std::time;
+
+use crate::control::input;
+
+/// What a peer call was made for.
+#[derive(Clone, Debug)]
+pub enum Context {
+    /// Exchange of state.
+    Heartbeat,
+    /// A caller's request, passed on to the owner.
+    Forward {
+        /// Waits for the answer.
+        ticket: input::Ticket,
+    },
+    /// An offer of runs.
+    Offer(Box<place::Dispatch>),
+    /// Reports about runs.
+    Report(Vec<model::RunReport>),
+    /// Withdrawal of a run.
+    Withdraw {
+        /// The holder.
+        holder: model::InstanceId,
+        /// The run.
+        run: model::TaskAttempt,
+    },
+    /// A fence.
+    Fence {
+        /// The holder.
+        holder: model::InstanceId,
+        /// Partitions with their generations.
+        partitions: Vec<(model::Partition, model::Generation)>,
+    },
+    /// Asks for shares of plans.
+    Quota,
+    /// Fetch of the operators' lists.
+    Lists,
+    /// Fetch of the partition table.
+    Table,
+    /// Hand-over of partitions.
+    Delegate {
+        /// The peer.
+        to: model::InstanceId,
+    },
+}
+
+/// An order to a worker about one run.
+#[derive(Clone, Debug)]
+pub enum RunOrder {
+    /// Stop it, or forbid its start.
+    Stop,
+    /// Save its state and stop it.
+    Checkpoint,
+    /// Limit its processors to this share, from 1 to 100.
+    Throttle {
+        /// Share kept, from 1 to 100.
+        percent: u8,
+    },
+}
+
+/// Something to be done outside the control state.
+#[derive(Debug)]
+pub enum Effect {
+    /// Call a peer; answered by [`input::Input::Called`].
+    Call {
+        /// Address of the peer listener.
+        address: String,
+        /// What to ask.
+        request: Box<model::PeerRequest>,
+        /// How long to wait.
+        timeout: time::Duration,
+        /// Comes back with the answer.
+        context: Context,
+    },
+    /// Claim or renew a lease; answered by [`input::Input::Leased`].
+    Lease {
+        /// The worker.
+        worker_id: model::WorkerId,
+        /// Its address.
+        address: String,
+        /// The request.
+        request: model::LeaseRequest,
+    },
+    /// Release a lease; answered by [`input::Input::Released`].
+    Release {
+        /// The worker.
+        worker_id: model::WorkerId,
+        /// Its address.
+        address: String,
+        /// The request.
+        request: model::ReleaseRequest,
+    },
+    /// Start runs; answered by [`input::Input::Started`].
+    Start {
+        /// The worker.
+        worker_id: model::WorkerId,
+        /// Its address.
+        address: String,
+        /// The request.
+        request: model::StartRequest,
+    },
+    /// Order a worker about a run; all but a throttle are answered by
+    /// [`input::Input::Stopped`].
+    Order {
+        /// The worker.
+        worker_id: model::WorkerId,
+        /// Its address.
+        address: String,
+        /// The run.
+        run: model::TaskAttempt,
+        /// Epoch to quote.
+        epoch: model::Epoch,
+        /// What to do.
+        order: RunOrder,
+    },
+    /// Read the partition table from the store.
+    ReadTable,
+    /// Write the partition table to the store.
+    WriteTable {
+        /// The table.
+        table: model::PartitionTable,
+        /// Revision that it was made from; 0 if the store has none.
+        expected_revision: model::Revision,
+    },
+    /// Write to the journal.
+    WriteJournal {
+        /// The batch.
+        batch_id: owner::BatchId,
+        /// Revision that the partition table must have.
+        table_revision: model::Revision,
+        /// Entries to put.
+        entries: Vec<owner::JournalEntry>,
+        /// Entries to delete.
+        deletes: Vec<model::TaskId>,
+    },
+    /// Read the journal of a partition.
+    ReadJournal {
+        /// The partition.
+        partition: model::Partition,
+    },
+    /// Read the operators' lists from the store.
+    ReadLists,
+    /// Let traffic threads see the lists in force.
+    PublishLists(sync::Arc<lists::Lists>),
+    /// Answer a caller.
+    Answer {
+        /// The ticket.
+        ticket: input::Ticket,
+        /// The task it is about.
+        task_id: model::TaskId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Respond to a peer.
+    Respond {
+        /// The ticket.
+        ticket: input::Ticket,
+        /// The response.
+        response: model::PeerResponse,
+    },
+}
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// To a submission.
+    Submit(model::SubmitReply),
+    /// To a lookup or a cancellation.
+    Status(model::TaskStatus),
+}
--- /dev/null
+++ b/crates/entry/src/control/members.rs
@@ -0,0 +1,375 @@
+//! The other instances: addresses, heartbeats and liveness.
+
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::control::effect;
+use crate::control::input;
+use crate::control::settings;
+use crate::control::state;
+
+/// How long an address that is no longer listed is kept without a heartbeat.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(60);
+/// Interval at which the live instances together read the lists from the store.
+const LISTS_POLL: time::Duration = time::Duration::from_millis(250);
+/// Least interval at which one instance reads the lists from the store.
+const LISTS_POLL_LEAST: time::Duration = time::Duration::from_millis(1000);
+/// Time within which a peer hands over the lists or the partition table.
+const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+/// Pause between two fetches from one peer.
+const FETCH_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Spreads reads over the instances, so that their sum does not grow with the fleet.
+#[derive(Debug)]
+pub(super) struct PollTimer {
+    next_at: time::Instant,
+}
+
+impl PollTimer {
+    pub(super) fn new(now: time::Instant) -> Self {
+        Self { next_at: now }
+    }
+
+    pub(super) fn due(&mut self, instances: usize, now: time::Instant) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        self.next_at = now + LISTS_POLL.saturating_mul(instances).max(LISTS_POLL_LEAST);
+        true
+    }
+}
+
+/// What is known of one peer.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) heartbeat: Option<model::Heartbeat>,
+    pub(super) heard_at: Option<time::Instant>,
+    listed: bool,
+    seen_at: time::Instant,
+    in_flight: bool,
+    next_beat_at: time::Instant,
+    next_fetch_at: time::Instant,
+}
+
+impl Peer {
+    fn new(now: time::Instant) -> Self {
+        Self {
+            heartbeat: None,
+            heard_at: None,
+            listed: false,
+            seen_at: now,
+            in_flight: false,
+            next_beat_at: now,
+            next_fetch_at: now,
+        }
+    }
+
+    pub(super) fn is_live(&self, dead_after: time::Duration, now: time::Instant) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < dead_after)
+    }
+}
+
+/// The other instances by the address of their peer listener.
+#[derive(Debug)]
+pub(super) struct Members {
+    pub(super) peers: IndexMap<String, Peer>,
+    own_location: model::Location,
+    live: usize,
+    told_at: Option<time::Instant>,
+    told: Vec<model::InstanceId>,
+}
+
+impl Members {
+    pub(super) fn new(settings: &settings::ControlSettings, _now: time::Instant) -> Self {
+        Self {
+            peers: IndexMap::new(),
+            own_location: settings.location.clone(),
+            live: 1,
+            told_at: None,
+            told: Vec::new(),
+        }
+    }
+
+    /// Returns how many instances are live, this one included.
+    pub(super) fn live_count(&self) -> usize {
+        self.live
+    }
+
+    pub(super) fn address_of(&self, instance_id: &str) -> Option<String> {
+        self.peer(instance_id).map(|(address, _)| address.clone())
+    }
+
+    /// Returns the latest clock heard of a peer, in milliseconds.
+    pub(super) fn clock_of(&self, instance_id: &str) -> u64 {
+        self.peer(instance_id)
+            .and_then(|(_, peer)| peer.heartbeat.as_ref())
+            .map_or(0, |heartbeat| heartbeat.clock_ms)
+    }
+
+    pub(super) fn proximity_of(&self, instance_id: &str) -> Option<place::Proximity> {
+        let (_, peer) = self.peer(instance_id)?;
+        let location = &peer.heartbeat.as_ref()?.location;
+        Some(if location.region != self.own_location.region {
+            place::Proximity::OtherRegion
+        } else if location.data_centre != self.own_location.data_centre {
+            place::Proximity::SameRegion
+        } else {
+            place::Proximity::SameDataCentre
+        })
+    }
+
+    fn peer(&self, instance_id: &str) -> Option<(&String, &Peer)> {
+        self.peers.iter().find(|(_, peer)| {
+            peer.heartbeat
+                .as_ref()
+                .is_some_and(|heartbeat| *heartbeat.instance_id == *instance_id)
+        })
+    }
+}
+
+impl state::Control {
+    /// Takes the instances of the platform's list.
+    pub(super) fn instances_listed(&mut self, addresses: &[String], now: time::Instant) {
+        for peer in self.members.peers.values_mut() {
+            peer.listed = false;
+        }
+        for address in addresses {
+            if *address == self.settings.address {
+                continue;
+            }
+            let peers = &mut self.members.peers;
+            let peer = peers
+                .entry(address.clone())
+                .or_insert_with(|| Peer::new(now));
+            peer.listed = true;
+            peer.seen_at = now;
+        }
+    }
+
+    /// Sends heartbeats that are due and tells the decisions which instances are live.
+    pub(super) fn update_members(&mut self, now: time::Instant) {
+        self.members.peers.retain(|_, peer| {
+            peer.listed || now.saturating_duration_since(peer.seen_at) < FORGET_AFTER
+        });
+        self.send_heartbeats(now);
+        self.tell_members(now);
+    }
+
+    fn send_heartbeats(&mut self, now: time::Instant) {
+        let interval = self.settings.heartbeat;
+        let mut due = Vec::new();
+        for (address, peer) in &mut self.members.peers {
+            if peer.in_flight || now < peer.next_beat_at {
+                continue;
+            }
+            peer.in_flight = true;
+            peer.next_beat_at = now + interval;
+            due.push(address.clone());
+        }
+        for address in due {
+            let heartbeat = self.heartbeat_to(&address, now);
+            self.effect(effect::Effect::Call {
+                address,
+                request: Box::new(model::PeerRequest::Heartbeat(Box::new(heartbeat))),
+                timeout: self.settings.heartbeat_deadline,
+                context: effect::Context::Heartbeat,
+            });
+        }
+    }
+
+    pub(super) fn heartbeat_to(&self, address: &str, now: time::Instant) -> model::Heartbeat {
+        let heard = self.members.peers.get(address);
+        let heard = heard.and_then(|peer| peer.heartbeat.as_ref());
+        let mut capacity = self.fleet.summary();
+        capacity.queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        model::Heartbeat {
+            instance_id: self.own_id().clone(),
+            address: self.settings.address.clone(),
+            location: self.settings.location.clone(),
+            clock_ms: self.clock_ms(now),
+            echo_clock_ms: heard.map_or(0, |heartbeat| heartbeat.clock_ms),
+            draining: self.draining,
+            customers_revision: self.lists.state().customers.revision,
+            plans_revision: self.lists.state().plans.revision,
+            table_revision: self.owner.table_revision(),
+            pending_partitions: self.owner.pending_partitions(),
+            capacity,
+            racks: self.fleet.racks(),
+        }
+    }
+
+    /// Takes the end of a heartbeat call.
+    pub(super) fn heartbeat_ended(
+        &mut self,
+        address: &str,
+        result: Result<model::PeerResponse, input::CallError>,
+        now: time::Instant,
+    ) {
+        if let Some(peer) = self.members.peers.get_mut(address) {
+            peer.in_flight = false;
+        }
+        match result {
+            Ok(model::PeerResponse::Heartbeat(heartbeat)) => {
+                self.heartbeat_heard(address, *heartbeat, now);
+            }
+            _ => self.metrics.count("peer.heartbeat_failed"),
+        }
+    }
+
+    /// Takes a heartbeat in, sent or answered by a peer.
+    pub(super) fn heartbeat_heard(
+        &mut self,
+        address: &str,
+        heartbeat: model::Heartbeat,
+        now: time::Instant,
+    ) {
+        if self.is_self(&heartbeat.instance_id) {
+            return;
+        }
+        let instance_id = heartbeat.instance_id.clone();
+        let capacity = heartbeat.capacity;
+        let draining = heartbeat.draining;
+        let peers = &mut self.members.peers;
+        let peer = peers
+            .entry(address.to_owned())
+            .or_insert_with(|| Peer::new(now));
+        let replaced = peer.heartbeat.replace(heartbeat);
+        peer.heard_at = Some(now);
+        peer.seen_at = now;
+        if let Some(replaced) = replaced.filter(|r| r.instance_id != instance_id) {
+            log::info!(
+                "peer restarted old={} new={instance_id}",
+                replaced.instance_id
+            );
+            self.queue.remove_target(&replaced.instance_id);
+        }
+        if draining {
+            self.queue.remove_target(&instance_id);
+        } else if let Some(proximity) = self.members.proximity_of(&instance_id) {
+            let target = place::Target::Peer(instance_id);
+            self.queue.set_capacity(&target, proximity, capacity, now);
+        }
+        self.fetch_newer(address, now);
+    }
+
+    fn fetch_newer(&mut self, address: &str, now: time::Instant) {
+        let own = self.lists.state();
+        let (customers, plans) = (own.customers.revision, own.plans.revision);
+        let table = self.owner.table_revision();
+        let Some(peer) = self.members.peers.get_mut(address) else {
+            return;
+        };
+        let Some(heartbeat) = &peer.heartbeat else {
+            return;
+        };
+        let newer_lists =
+            heartbeat.customers_revision > customers || heartbeat.plans_revision > plans;
+        let newer_table = heartbeat.table_revision > table;
+        if now < peer.next_fetch_at {
+            return;
+        }
+        if newer_lists {
+            peer.next_fetch_at = now + FETCH_PAUSE;
+            self.effect(effect::Effect::Call {
+                address: address.to_owned(),
+                request: Box::new(model::PeerRequest::Lists),
+                timeout: FETCH_TIMEOUT,
+                context: effect::Context::Lists,
+            });
+        }
+        if newer_table {
+            self.fetch_table(address, now);
+        }
+    }
+
+    /// Asks a peer for its partition table.
+    pub(super) fn fetch_table(&mut self, address: &str, now: time::Instant) {
+        let Some(peer) = self.members.peers.get_mut(address) else {
+            return;
+        };
+        if now < peer.next_fetch_at {
+            return;
+        }
+        peer.next_fetch_at = now + FETCH_PAUSE;
+        self.effect(effect::Effect::Call {
+            address: address.to_owned(),
+            request: Box::new(model::PeerRequest::Table),
+            timeout: FETCH_TIMEOUT,
+            context: effect::Context::Table,
+        });
+    }
+
+    fn tell_members(&mut self, now: time::Instant) {
+        let dead_after = self.settings.dead_after;
+        let mut live = vec![owner::Member {
+            instance_id: self.own_id().clone(),
+            location: self.settings.location.clone(),
+            draining: self.draining,
+        }];
+        let mut unreachable = Vec::new();
+        for peer in self.members.peers.values() {
+            let Some(heartbeat) = &peer.heartbeat else {
+                continue;
+            };
+            if peer.is_live(dead_after, now) {
+                live.push(owner::Member {
+                    instance_id: heartbeat.instance_id.clone(),
+                    location: heartbeat.location.clone(),
+                    draining: heartbeat.draining,
+                });
+            } else {
+                unreachable.push(heartbeat.instance_id.clone());
+            }
+        }
+        live.sort_by(|a, b| a.instance_id.cmp(&b.instance_id));
+        let ids: Vec<_> = live.iter().map(|m| m.instance_id.clone()).collect();
+        let due = self
+            .members
+            .told_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.settings.heartbeat);
+        if ids == self.members.told && !due {
+            return;
+        }
+        for instance_id in &unreachable {
+            self.queue.remove_target(instance_id);
+        }
+        self.members.told_at = Some(now);
+        self.members.live = ids.len();
+        self.members.told = ids.clone();
+        self.tell_grantor_members(ids, unreachable.clone(), now);
+        let lease_members = live.iter().map(lease_member).collect();
+        self.lease_event(lease::Event::Members(lease_members), now);
+        self.owner_event(owner::Event::Members { live, unreachable }, now);
+    }
+
+    /// Sends a request to an instance; returns whether its address is known.
+    pub(super) fn call(
+        &mut self,
+        to: &str,
+        request: model::PeerRequest,
+        timeout: time::Duration,
+        context: effect::Context,
+    ) -> bool {
+        let Some(address) = self.members.address_of(to) else {
+            return false;
+        };
+        self.effect(effect::Effect::Call {
+            address,
+            request: Box::new(request),
+            timeout,
+            context,
+        });
+        true
+    }
+}
+
+fn lease_member(member: &owner::Member) -> lease::Member {
+    lease::Member {
+        instance_id: member.instance_id.clone(),
+        location: member.location.clone(),
+        draining: member.draining,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/mod.rs
@@ -0,0 +1,34 @@
+//! The control state of an instance: every decision, without I/O.
+//!
+//! [`Control`] takes [`Input`]s with the current time and collects [`Effect`]s. One thread owns it;
+//! traffic threads carry the effects out and bring the results back as inputs.
+
+mod callers;
+mod config;
+mod effect;
+mod holder;
+mod input;
+mod members;
+mod owned;
+mod peers;
+mod placing;
+mod reports;
+mod runs;
+mod settings;
+mod shares;
+mod state;
+mod status;
+
+pub use effect::Answer;
+pub use effect::Context;
+pub use effect::Effect;
+pub use effect::RunOrder;
+pub use input::CallError;
+pub use input::Input;
+pub use input::Leased;
+pub use input::Submit;
+pub use input::Ticket;
+pub use settings::ControlSettings;
+pub use state::Control;
+pub use status::PeerStatus;
+pub use status::Status;
--- /dev/null
+++ b/crates/entry/src/control/placing.rs
@@ -0,0 +1,253 @@
+//! Sends queued tasks to holders and takes offers in.
+
+use std::time;
+
+use crate::control::effect;
+use crate::control::input;
+use crate::control::runs;
+use crate::control::state;
+
+/// How long a peer may take to answer an offer.
+const OFFER_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+/// Dispatches of one batch of inputs at most, so that other inputs are not held up.
+const MAX_DISPATCHES: usize = 512;
+
+impl state::Control {
+    /// Sends waiting tasks to holders while there is room.
+    pub(super) fn dispatch(&mut self, now: time::Instant) {
+        let summary = self.fleet.summary();
+        let local = place::Target::Local;
+        let near = place::Proximity::SameDataCentre;
+        self.queue.set_capacity(&local, near, summary, now);
+        for _ in 0..MAX_DISPATCHES {
+            let Some(dispatch) = self.queue.next(&mut self.shares, now) else {
+                return;
+            };
+            self.send(dispatch, now);
+        }
+    }
+
+    fn send(&mut self, dispatch: place::Dispatch, now: time::Instant) {
+        let holder = match &dispatch.target {
+            place::Target::Local => self.own_id().clone(),
+            place::Target::Peer(instance_id) => instance_id.clone(),
+        };
+        let event = owner::Event::Dispatched {
+            task_id: dispatch.queued.task.task_id,
+            attempt: dispatch.queued.attempt,
+            members: members_of(&dispatch.queued.task),
+            holder: holder.clone(),
+        };
+        self.owner_event(event, now);
+        let offer = self.offer_of(&dispatch, &holder);
+        if self.is_self(&holder) {
+            let reply = self.take_offer(None, &offer, dispatch.short, now);
+            self.offer_ended(dispatch, Ok(reply), now);
+            return;
+        }
+        let request = model::PeerRequest::Offer(offer);
+        let context = effect::Context::Offer(Box::new(dispatch.clone()));
+        self.metrics.count("offer.sent");
+        if !self.call(&holder, request, OFFER_TIMEOUT, context) {
+            self.offer_ended(dispatch, Err(input::CallError::NotHandled), now);
+        }
+    }
+
+    fn offer_of(&self, dispatch: &place::Dispatch, holder: &str) -> model::Offer {
+        model::Offer {
+            owner: self.own_id().clone(),
+            generation: dispatch.queued.generation,
+            attempt: dispatch.queued.attempt,
+            task: dispatch.queued.task.clone(),
+            members: members_of(&dispatch.queued.task),
+            holder_clock_ms: self.members.clock_of(holder),
+            reserve: dispatch.reserve,
+            expected_run_ms: dispatch.expected_run.as_millis() as u64,
+            checkpoint: dispatch.queued.checkpoint.clone(),
+            reserve_only: false,
+        }
+    }
+
+    /// Takes the answer to an offer.
+    pub(super) fn offer_ended(
+        &mut self,
+        mut dispatch: place::Dispatch,
+        result: Result<model::OfferReply, input::CallError>,
+        now: time::Instant,
+    ) {
+        let task_id = dispatch.queued.task.task_id;
+        let attempt = dispatch.queued.attempt;
+        let members = members_of(&dispatch.queued.task);
+        let holder = match &dispatch.target {
+            place::Target::Local => self.own_id().clone(),
+            place::Target::Peer(instance_id) => instance_id.clone(),
+        };
+        match result {
+            Ok(model::OfferReply::Taken { workers, capacity }) => {
+                self.capacity_heard(&holder, capacity, now);
+                let waited = now.saturating_duration_since(dispatch.queued.accepted_at);
+                self.queue.started(waited, dispatch.short, now);
+                self.metrics.time("task.wait", waited);
+                let event = owner::Event::OfferTaken {
+                    task_id,
+                    attempt,
+                    members,
+                    holder,
+                    workers,
+                };
+                self.owner_event(event, now);
+            }
+            Ok(model::OfferReply::Refused { capacity }) => {
+                self.capacity_heard(&holder, capacity, now);
+                self.offer_refused(dispatch, holder, members, now);
+            }
+            Ok(model::OfferReply::Stale) => {
+                self.metrics.count("retry.offer_stale");
+                dispatch.queued.avoid.push(holder.clone());
+                self.offer_refused(dispatch, holder, members, now);
+            }
+            Err(input::CallError::NotHandled) => {
+                self.metrics.count("retry.offer_not_sent");
+                self.offer_refused(dispatch, holder, members, now);
+            }
+            Err(input::CallError::Unanswered) => {
+                self.metrics.count("retry.offer_unanswered");
+                let event = owner::Event::OfferLost {
+                    task_id,
+                    attempt,
+                    members,
+                    holder,
+                };
+                self.owner_event(event, now);
+            }
+        }
+    }
+
+    fn offer_refused(
+        &mut self,
+        dispatch: place::Dispatch,
+        holder: model::InstanceId,
+        members: Vec<u16>,
+        now: time::Instant,
+    ) {
+        self.metrics.count("retry.offer_refused");
+        let task_id = dispatch.queued.task.task_id;
+        let attempt = dispatch.queued.attempt;
+        let single = members.len() == 1;
+        let returned = single.then_some(dispatch);
+        if let Some(dispatch) = returned {
+            self.queue.returned(dispatch, now);
+        }
+        let event = owner::Event::OfferRefused {
+            task_id,
+            attempt,
+            members,
+            holder,
+        };
+        self.owner_event(event, now);
+    }
+
+    fn capacity_heard(
+        &mut self,
+        holder: &model::InstanceId,
+        capacity: model::CapacitySummary,
+        now: time::Instant,
+    ) {
+        if self.is_self(holder) {
+            let near = place::Proximity::SameDataCentre;
+            let local = place::Target::Local;
+            self.queue.set_capacity(&local, near, capacity, now);
+            return;
+        }
+        let Some(proximity) = self.members.proximity_of(holder) else {
+            return;
+        };
+        let target = place::Target::Peer(holder.clone());
+        self.queue.set_capacity(&target, proximity, capacity, now);
+    }
+
+    /// Takes an offer of `from`, or of this instance if `None`.
+    pub(super) fn take_offer(
+        &mut self,
+        from: Option<&str>,
+        offer: &model::Offer,
+        short: bool,
+        now: time::Instant,
+    ) -> model::OfferReply {
+        if self.is_stale(from, offer, now) {
+            self.metrics.count("offer.stale");
+            return model::OfferReply::Stale;
+        }
+        if let Some(workers) = self.runs.workers_of(offer) {
+            let capacity = self.fleet.summary();
+            return model::OfferReply::Taken { workers, capacity };
+        }
+        match self.place_offer(offer, short, now) {
+            Some(workers) => model::OfferReply::Taken {
+                workers,
+                capacity: self.fleet.summary(),
+            },
+            None => {
+                self.metrics.count("offer.no_room");
+                model::OfferReply::Refused {
+                    capacity: self.fleet.summary(),
+                }
+            }
+        }
+    }
+
+    fn is_stale(&self, from: Option<&str>, offer: &model::Offer, now: time::Instant) -> bool {
+        let partition = model::partition_of(offer.task.task_id);
+        if !self.fences.admits(partition, offer.generation) || self.runs.is_forbidden(offer) {
+            return true;
+        }
+        let age_ms = self.clock_ms(now).saturating_sub(offer.holder_clock_ms);
+        from.is_some() && age_ms > self.settings.owner.offer_validity.as_millis() as u64
+    }
+
+    fn place_offer(
+        &mut self,
+        offer: &model::Offer,
+        short: bool,
+        now: time::Instant,
+    ) -> Option<Vec<model::WorkerId>> {
+        if self.draining {
+            return None;
+        }
+        let request = place::Request {
+            task: &offer.task,
+            attempt: offer.attempt,
+            members: &offer.members,
+            reserve: offer.reserve,
+            expected_run: time::Duration::from_millis(offer.expected_run_ms),
+            short,
+            reserve_only: offer.reserve_only,
+        };
+        let placed = self.fleet.place(&request, now).ok()?;
+        let held = placed
+            .iter()
+            .all(|(_, worker_id)| self.leases.may_start(worker_id, now).is_some());
+        if !held {
+            for (member, _) in &placed {
+                self.fleet.release(runs::run_of(offer, *member));
+            }
+            return None;
+        }
+        for (member, worker_id) in &placed {
+            self.runs.insert_new(offer, *member, worker_id.clone());
+        }
+        Some(placed.into_iter().map(|(_, worker_id)| worker_id).collect())
+    }
+
+    /// Settles queued tasks whose deadline has passed.
+    pub(super) fn expire_queue(&mut self, now: time::Instant) {
+        for queued in self.queue.expire(now) {
+            let task_id = queued.task.task_id;
+            self.owner_event(owner::Event::QueueExpired { task_id }, now);
+        }
+    }
+}
+
+fn members_of(task: &model::Task) -> Vec<u16> {
+    (0..task.spec.members).collect()
+}
--- /dev/null
+++ b/crates/entry/src/control/runs.rs
@@ -0,0 +1,169 @@
+//! Runs on the workers that this instance holds or held.
+
+use std::time;
+
+use indexmap::IndexMap;
+
+/// How far a start has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StartState {
+    /// Not sent, or sent and surely not received.
+    Unsent,
+    /// Sent; no answer yet.
+    Sent,
+    /// Sent at least once without an answer: it may have been received.
+    Doubtful {
+        /// When to send it again.
+        retry_at: time::Instant,
+    },
+    /// The worker has confirmed it.
+    Confirmed,
+}
+
+/// One run on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct HeldRun {
+    pub(super) worker_id: model::WorkerId,
+    /// The order to send; kept for retries and reports.
+    pub(super) start: model::StartRun,
+    pub(super) state: StartState,
+    /// Whether any send of the start stayed without an answer.
+    pub(super) doubted: bool,
+    /// Incarnation of the worker that the start was meant for.
+    pub(super) incarnation: model::Incarnation,
+    /// Results that did not have their declared length and digest.
+    pub(super) damaged: u32,
+    /// Who waits for the end of a stop: tickets of peers, and this instance's owner decisions.
+    pub(super) withdrawers: Vec<Withdrawer>,
+}
+
+/// Who asked for a run to be stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Withdrawer {
+    /// The owner decisions of this instance.
+    Here,
+    /// A peer that waits for the response.
+    Peer(u64),
+}
+
+/// A finished run whose worker has not heard that its result is safe.
+#[derive(Clone, Debug)]
+pub(super) struct FinishedRun {
+    pub(super) worker_id: model::WorkerId,
+    pub(super) report: model::RunReport,
+}
+
+/// Runs by their state.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    /// Runs that may be running.
+    pub(super) live: IndexMap<model::TaskAttempt, HeldRun>,
+    /// Finished runs that their worker still repeats.
+    pub(super) finished: IndexMap<model::TaskAttempt, FinishedRun>,
+    /// Runs whose start is to be sent.
+    pub(super) unsent: Vec<model::TaskAttempt>,
+    /// Ends of withdrawals that this instance's owner decisions have not heard yet.
+    pub(super) withdrawn: Vec<model::RunReport>,
+    /// Runs that must never start, with the time until which a late offer could arrive.
+    forbidden: IndexMap<model::TaskAttempt, time::Instant>,
+}
+
+impl Runs {
+    pub(super) fn insert_new(
+        &mut self,
+        offer: &model::Offer,
+        member: u16,
+        worker_id: model::WorkerId,
+    ) {
+        let run = run_of(offer, member);
+        let start = model::StartRun {
+            run,
+            task: offer.task.clone(),
+            generation: offer.generation,
+            reserved: offer.reserve,
+            checkpoint: offer.checkpoint.clone(),
+        };
+        let held = HeldRun {
+            worker_id,
+            start,
+            state: StartState::Unsent,
+            doubted: false,
+            incarnation: 0,
+            damaged: 0,
+            withdrawers: Vec::new(),
+        };
+        self.live.insert(run, held);
+        self.unsent.push(run);
+    }
+
+    pub(super) fn insert_adopted(
+        &mut self,
+        worker_id: model::WorkerId,
+        running: &model::RunningRun,
+        incarnation: model::Incarnation,
+    ) {
+        let start = model::StartRun {
+            run: running.run,
+            task: running.task.clone(),
+            generation: running.generation,
+            reserved: running.reserved,
+            checkpoint: None,
+        };
+        let held = HeldRun {
+            worker_id,
+            start,
+            state: StartState::Confirmed,
+            doubted: false,
+            incarnation,
+            damaged: 0,
+            withdrawers: Vec::new(),
+        };
+        self.live.insert(running.run, held);
+    }
+
+    /// Returns the worker of each offered member, if the offer was taken before.
+    pub(super) fn workers_of(&self, offer: &model::Offer) -> Option<Vec<model::WorkerId>> {
+        offer
+            .members
+            .iter()
+            .map(|member| self.worker_of(run_of(offer, *member)))
+            .collect()
+    }
+
+    fn worker_of(&self, run: model::TaskAttempt) -> Option<model::WorkerId> {
+        let live = self.live.get(&run).map(|held| held.worker_id.clone());
+        live.or_else(|| self.finished.get(&run).map(|f| f.worker_id.clone()))
+    }
+
+    pub(super) fn forbid(&mut self, run: model::TaskAttempt, until: time::Instant) {
+        self.forbidden.insert(run, until);
+    }
+
+    pub(super) fn is_forbidden(&self, offer: &model::Offer) -> bool {
+        offer
+            .members
+            .iter()
+            .any(|member| self.forbidden.contains_key(&run_of(offer, *member)))
+    }
+
+    pub(super) fn forget_forbidden(&mut self, now: time::Instant) {
+        self.forbidden.retain(|_, until| *until > now);
+    }
+
+    pub(super) fn on_worker(&self, worker_id: &str) -> Vec<model::TaskAttempt> {
+        self.live
+            .iter()
+            .filter(|(_, held)| *held.worker_id == *worker_id)
+            .map(|(run, _)| *run)
+            .collect()
+    }
+}
+
+/// Returns the run of an offered member.
+pub(super) fn run_of(offer: &model::Offer, member: u16) -> model::TaskAttempt {
+    model::TaskAttempt {
+        task_id: offer.task.task_id,
+        member,
+        attempt: offer.attempt,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/shares.rs
@@ -0,0 +1,228 @@
+//! Shares of plans: spending by this instance's tasks, and granting to all instances.
+
+use std::time;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::control::effect;
+use crate::control::settings;
+use crate::control::state;
+
+/// Interval of asks while nothing is short.
+const ASK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Interval of asks while a task waits for a share.
+const ASK_INTERVAL_SHORT: time::Duration = time::Duration::from_millis(25);
+/// How long a grantor may take to answer.
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+
+/// Both sides of the shares of plans.
+#[derive(Debug)]
+pub(super) struct Shares {
+    spender: quota::Spender,
+    grantor: quota::Grantor,
+    /// Plans that this instance grants.
+    granting: IndexSet<model::PlanId>,
+    /// Whether a task was held back for want of a share since the last asks.
+    short: bool,
+    asked_at: time::Instant,
+}
+
+impl Shares {
+    pub(super) fn new(settings: &settings::ControlSettings, now: time::Instant) -> Self {
+        let grantor = quota::GrantorSettings {
+            orphan_hold: settings.orphan_hold,
+        };
+        Self {
+            spender: quota::Spender::new(settings.instance_id.clone(), now),
+            grantor: quota::Grantor::new(grantor),
+            granting: IndexSet::new(),
+            short: false,
+            asked_at: now,
+        }
+    }
+
+    pub(super) fn free(&mut self, task: &model::Task) {
+        self.spender.give_back(&task.plan_id, amount_of(task));
+    }
+
+    pub(super) fn force(&mut self, task: &model::Task) {
+        self.spender.force_take(&task.plan_id, amount_of(task));
+    }
+
+    pub(super) fn held(&self) -> Vec<model::QuotaAsk> {
+        self.spender.held()
+    }
+
+    fn asks_due(&self, now: time::Instant) -> bool {
+        let interval = if self.short {
+            ASK_INTERVAL_SHORT
+        } else {
+            ASK_INTERVAL
+        };
+        now.saturating_duration_since(self.asked_at) >= interval
+    }
+}
+
+impl place::Quota for Shares {
+    fn try_take(
+        &mut self,
+        plan_id: &model::PlanId,
+        amount: &model::QuotaAmount,
+        now: time::Instant,
+    ) -> bool {
+        let taken = self.spender.try_take(plan_id, *amount, now);
+        self.short |= !taken;
+        taken
+    }
+}
+
+impl state::Control {
+    pub(super) fn ask_shares(&mut self, now: time::Instant) {
+        if !self.shares.asks_due(now) {
+            return;
+        }
+        self.shares.asked_at = now;
+        self.shares.short = false;
+        let lists = self.lists.lists();
+        for plan_id in lists.plans().keys() {
+            let wanted = self.queue.wanted(plan_id);
+            self.shares.spender.set_wanted(plan_id, wanted);
+        }
+        let mut by_grantor: IndexMap<model::InstanceId, Vec<model::QuotaAsk>> = IndexMap::new();
+        for ask in self.shares.spender.asks(now) {
+            let partition = model::partition_of_plan(&ask.plan_id);
+            if let Some(grantor) = self.owner.owner_of(partition) {
+                by_grantor.entry(grantor.clone()).or_default().push(ask);
+            }
+        }
+        for (grantor, asks) in by_grantor {
+            if self.is_self(&grantor) {
+                let replies = self.grant(asks, now);
+                self.shares_granted(replies, now);
+            } else {
+                let request = model::PeerRequest::Quota(asks);
+                self.call(&grantor, request, ASK_TIMEOUT, effect::Context::Quota);
+            }
+        }
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        asks: Vec<model::QuotaAsk>,
+        now: time::Instant,
+    ) -> Vec<model::QuotaReply> {
+        let grantor = &mut self.shares.grantor;
+        asks.into_iter()
+            .map(|ask| grantor.on_ask(ask, now))
+            .collect()
+    }
+
+    pub(super) fn shares_granted(&mut self, replies: Vec<model::QuotaReply>, now: time::Instant) {
+        for reply in replies {
+            self.shares.spender.on_reply(reply, now);
+        }
+    }
+
+    /// Takes the limits of the lists in force.
+    pub(super) fn limits_changed(&mut self, now: time::Instant) {
+        let lists = self.lists.lists();
+        let limits: IndexMap<_, _> = lists
+            .plans()
+            .iter()
+            .map(|(plan_id, plan)| (plan_id.clone(), limits_of(plan)))
+            .collect();
+        let weights: IndexMap<_, _> = lists
+            .plans()
+            .iter()
+            .map(|(plan_id, plan)| (plan_id.clone(), plan.weight))
+            .collect();
+        self.queue.set_plans(&weights);
+        self.shares.spender.set_limits(limits.clone(), now);
+        self.shares.grantor.set_limits(limits);
+        let own = self.owner.serving();
+        self.begin_granting_in(&own, Vec::new(), now);
+    }
+
+    /// Starts to grant the plans of partitions that this instance begins to serve.
+    pub(super) fn begin_granting(
+        &mut self,
+        partitions: &[(model::Partition, model::Generation)],
+        grants: Vec<model::QuotaAsk>,
+        now: time::Instant,
+    ) {
+        let partitions: Vec<_> = partitions.iter().map(|(partition, _)| *partition).collect();
+        self.begin_granting_in(&partitions, grants, now);
+    }
+
+    fn begin_granting_in(
+        &mut self,
+        partitions: &[model::Partition],
+        grants: Vec<model::QuotaAsk>,
+        now: time::Instant,
+    ) {
+        let lists = self.lists.lists();
+        let plans: Vec<_> = lists
+            .plans()
+            .keys()
+            .filter(|plan_id| partitions.contains(&model::partition_of_plan(plan_id)))
+            .filter(|plan_id| !self.shares.granting.contains(*plan_id))
+            .cloned()
+            .collect();
+        if plans.is_empty() {
+            return;
+        }
+        self.shares.granting.extend(plans.iter().cloned());
+        self.shares.grantor.begin(plans, grants, now);
+    }
+
+    pub(super) fn end_granting(&mut self, partitions: &[model::Partition]) {
+        for plan_id in self.lists.lists().plans().keys() {
+            if partitions.contains(&model::partition_of_plan(plan_id)) {
+                self.shares.granting.swap_remove(plan_id);
+                self.shares.grantor.retire(plan_id);
+            }
+        }
+    }
+
+    pub(super) fn tell_grantor_members(
+        &mut self,
+        live: Vec<model::InstanceId>,
+        unreachable: Vec<model::InstanceId>,
+        now: time::Instant,
+    ) {
+        self.shares
+            .grantor
+            .set_table_instances(live, unreachable, now);
+    }
+}
+
+/// Returns what a task takes of its plan's limits.
+pub(super) fn amount_of(task: &model::Task) -> model::QuotaAmount {
+    let members = u32::from(task.spec.members);
+    model::QuotaAmount {
+        resources: task.spec.demand.times(members),
+        tasks: members,
+        rate_milli: 0,
+    }
+}
+
+/// Returns the limits of a plan in the form of the share decisions.
+pub(super) fn limits_of(plan: &lists::Plan) -> quota::Limits {
+    quota::Limits {
+        processors_milli: plan.limits.processors_milli,
+        memory_mb: plan.limits.memory_mb,
+        accelerators: plan.limits.accelerators,
+        tasks: plan.limits.tasks,
+        rate_milli: plan.limits.rate_milli,
+    }
+}
+
+/// Returns whether `amount` is more than `limits` would ever allow.
+pub(super) fn exceeds(amount: &model::QuotaAmount, limits: &quota::Limits) -> bool {
+    let above = |amount: u32, limit: Option<u32>| limit.is_some_and(|limit| amount > limit);
+    above(amount.resources.processors_milli, limits.processors_milli)
+        || above(amount.resources.memory_mb, limits.memory_mb)
+        || above(amount.resources.accelerators, limits.accelerators)
+        || above(amount.tasks, limits.tasks)
+}
