--- /dev/null
+++ b/crates/standin/src/answer.rs
@@ -0,0 +1,297 @@
+//! HTTP services that may also drop a connection or fall silent.
+
+use std::future;
+use std::io;
+use std::net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+
+use http_body_util::BodyExt as _;
+use hyper_util::rt;
+use tokio::net as tokio_net;
+use tokio_util::sync as tokio_sync;
+use tokio_util::task as tokio_task;
+
+use crate::error;
+use crate::faults;
+use crate::listen;
+
+/// Largest request body, in bytes.
+const MAX_REQUEST_BYTES: usize = 64 << 20;
+
+/// What a service does with a request.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// Sends a JSON document.
+    Json(Vec<u8>),
+    /// Sends a status with a reason.
+    Status(http::StatusCode, String),
+    /// Sends chunks until the sender is dropped.
+    Stream(tokio::sync::mpsc::UnboundedReceiver<bytes::Bytes>),
+    /// Closes the connection without an answer.
+    Drop,
+}
+
+impl Answer {
+    /// Sends `document` as JSON.
+    pub(crate) fn json(document: &impl serde::Serialize) -> Self {
+        match serde_json::to_vec(document) {
+            Ok(body) => Self::Json(body),
+            Err(cause) => Self::Status(http::StatusCode::INTERNAL_SERVER_ERROR, cause.to_string()),
+        }
+    }
+
+    /// Sends an empty JSON object.
+    pub(crate) fn empty() -> Self {
+        Self::Json(b"{}".to_vec())
+    }
+
+    /// Refuses a request that cannot be understood.
+    pub(crate) fn bad_request(reason: impl Into<String>) -> Self {
+        Self::Status(http::StatusCode::BAD_REQUEST, reason.into())
+    }
+
+    /// Refuses an unknown path.
+    pub(crate) fn not_found(path: &str) -> Self {
+        Self::Status(http::StatusCode::NOT_FOUND, format!("no such path: {path}"))
+    }
+}
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub(crate) struct Call {
+    /// Method.
+    pub(crate) method: http::Method,
+    /// Path, without query.
+    pub(crate) path: String,
+    /// Body.
+    pub(crate) body: bytes::Bytes,
+}
+
+impl Call {
+    /// Parses the body as JSON.
+    pub(crate) fn parse<T: serde::de::DeserializeOwned>(&self) -> Result<T, Answer> {
+        serde_json::from_slice(&self.body)
+            .map_err(|cause| Answer::bad_request(format!("{}: {cause}", self.path)))
+    }
+}
+
+/// Answers requests.
+pub(crate) trait Service: Send + Sync + 'static {
+    /// Returns whether the service can be reached at present.
+    fn reachability(&self) -> faults::Reachability;
+
+    /// Returns a guard for a new connection, or `None` if there are too many.
+    fn admit(&self) -> Option<Admission>;
+
+    /// Returns whether a request to `path` takes effect even if its connection is closed first.
+    fn outlives_connection(&self, path: &str) -> bool;
+
+    /// Acts on a request.
+    fn answer(&self, call: Call) -> impl future::Future<Output = Answer> + Send;
+}
+
+/// Counts an open connection until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Admission(sync::Arc<atomic::AtomicU32>);
+
+impl Admission {
+    /// Counts a connection in `open`, unless there are `limit` of them already.
+    pub(crate) fn new(open: &sync::Arc<atomic::AtomicU32>, limit: u32) -> Option<Self> {
+        let admission = Self(sync::Arc::clone(open));
+        let others = open.fetch_add(1, atomic::Ordering::Relaxed);
+        (others < limit).then_some(admission)
+    }
+
+    /// Admits a connection where there is no limit.
+    pub(crate) fn unlimited() -> Self {
+        let open = sync::Arc::new(atomic::AtomicU32::new(1));
+        Self(open)
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// A [`Service`] with its listener and tasks.
+#[derive(Debug)]
+pub(crate) struct HttpServer {
+    listener: listen::Listener,
+    requests: tokio_task::TaskTracker,
+    stop: tokio_sync::CancellationToken,
+}
+
+impl HttpServer {
+    /// Serves `service` on `address`.
+    pub(crate) fn start<S: Service>(
+        address: net::SocketAddr,
+        service: sync::Arc<S>,
+    ) -> Result<Self, error::Error> {
+        let requests = tokio_task::TaskTracker::new();
+        let stop = tokio_sync::CancellationToken::new();
+        let http = Http {
+            service,
+            requests: requests.clone(),
+            stop: stop.clone(),
+        };
+        let listener = listen::Listener::start(address, sync::Arc::new(http))?;
+        Ok(Self {
+            listener,
+            requests,
+            stop,
+        })
+    }
+
+    /// Returns the address, with the real port.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.listener.address()
+    }
+
+    /// Takes the listener down or up as `reachability` says, and waits until that is done.
+    pub(crate) async fn set_reachability(&self, reachability: faults::Reachability) {
+        self.listener
+            .set_up(reachability != faults::Reachability::Down)
+            .await;
+    }
+
+    /// Closes every connection and joins every task.
+    pub(crate) async fn shutdown(self) {
+        self.stop.cancel();
+        self.listener.shutdown().await;
+        self.requests.close();
+        self.requests.wait().await;
+    }
+}
+
+struct Http<S> {
+    service: sync::Arc<S>,
+    /// Requests that outlive their connections.
+    requests: tokio_task::TaskTracker,
+    stop: tokio_sync::CancellationToken,
+}
+
+impl<S: Service> listen::Serve for Http<S> {
+    async fn serve(&self, stream: tokio_net::TcpStream) {
+        let Some(_admission) = self.service.admit() else {
+            return;
+        };
+        // Without it answers only take longer.
+        let _ = stream.set_nodelay(true);
+        let service = hyper::service::service_fn(|request| self.respond(request));
+        // An error only says that the connection ended early, on a fault or by the other side.
+        let _ = hyper::server::conn::http1::Builder::new()
+            .serve_connection(rt::TokioIo::new(stream), service)
+            .await;
+    }
+}
+
+impl<S: Service> Http<S> {
+    async fn respond(
+        &self,
+        request: http::Request<hyper::body::Incoming>,
+    ) -> Result<http::Response<AnswerBody>, io::Error> {
+        let (head, body) = request.into_parts();
+        let body = http_body_util::Limited::new(body, MAX_REQUEST_BYTES)
+            .collect()
+            .await
+            .map_err(io::Error::other)?
+            .to_bytes();
+        wait_if_silent(&*self.service).await;
+        let call = Call {
+            method: head.method,
+            path: head.uri.path().to_owned(),
+            body,
+        };
+        let answer = if self.service.outlives_connection(&call.path) {
+            self.answer_in_task(call).await?
+        } else {
+            self.service.answer(call).await
+        };
+        wait_if_silent(&*self.service).await;
+        into_response(answer)
+    }
+
+    async fn answer_in_task(&self, call: Call) -> Result<Answer, io::Error> {
+        let service = sync::Arc::clone(&self.service);
+        let stop = self.stop.clone();
+        let request = self.requests.spawn(async move {
+            tokio::select! {
+                answer = service.answer(call) => answer,
+                () = stop.cancelled() => Answer::Drop,
+            }
+        });
+        request.await.map_err(io::Error::other)
+    }
+}
+
+/// Never returns if the service is silent, not even when it is reached again later.
+async fn wait_if_silent<S: Service>(service: &S) {
+    if service.reachability() == faults::Reachability::Silent {
+        future::pending::<()>().await;
+    }
+}
+
+fn into_response(answer: Answer) -> Result<http::Response<AnswerBody>, io::Error> {
+    let (status, body) = match answer {
+        Answer::Json(body) => (http::StatusCode::OK, AnswerBody::whole(body)),
+        Answer::Status(status, reason) => (status, AnswerBody::whole(reason)),
+        Answer::Stream(chunks) => (http::StatusCode::OK, AnswerBody::Chunks(chunks)),
+        Answer::Drop => return Err(io::Error::other("fault: reply lost")),
+    };
+    http::Response::builder()
+        .status(status)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(body)
+        .map_err(io::Error::other)
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// Known in whole.
+    Whole(http_body_util::Full<bytes::Bytes>),
+    /// Sent as it comes.
+    Chunks(tokio::sync::mpsc::UnboundedReceiver<bytes::Bytes>),
+}
+
+impl AnswerBody {
+    fn whole(body: impl Into<bytes::Bytes>) -> Self {
+        Self::Whole(http_body_util::Full::new(body.into()))
+    }
+}
+
+impl hyper::body::Body for AnswerBody {
+    type Data = bytes::Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<hyper::body::Frame<Self::Data>, Self::Error>>> {
+        match &mut *self {
+            Self::Whole(whole) => pin::Pin::new(whole).poll_frame(context),
+            Self::Chunks(chunks) => chunks
+                .poll_recv(context)
+                .map(|chunk| chunk.map(|data| Ok(hyper::body::Frame::data(data)))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(whole) => whole.is_end_stream(),
+            Self::Chunks(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Whole(whole) => whole.size_hint(),
+            Self::Chunks(_) => hyper::body::SizeHint::default(),
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,48 @@
-//! Small stand-ins for the platform, for tests.
+//! Small stand-ins for the platform, for tests: the key-value service, workers, the instance list
+//! and relays between two addresses.
+//!
+//! Each part listens on an address of its own, has switches for faults and joins its tasks at
+//! shutdown. Nothing is written to disk.
+
+mod answer;
+mod clock;
+mod control;
+mod directory;
+mod error;
+mod faults;
+mod fleet;
+mod listen;
+mod relay;
+mod settings;
+mod store;
+mod worker;
+
+pub use control::ControlServer;
+pub use control::FaultCommand;
+pub use control::Platform;
+pub use control::PlatformCounts;
+pub use directory::DirectoryServer;
+pub use error::Error;
+pub use error::ErrorKind;
+pub use faults::DirectoryFaults;
+pub use faults::Reachability;
+pub use faults::RelayFaults;
+pub use faults::StoreFaults;
+pub use faults::WorkerFaults;
+pub use fleet::FleetConfig;
+pub use fleet::WorkerFleet;
+pub use relay::Relay;
+pub use relay::RelayTraffic;
+pub use settings::DirectorySettings;
+pub use settings::RelaySettings;
+pub use settings::Settings;
+pub use store::StoreCounts;
+pub use store::StoreServer;
+pub use worker::Execution;
+pub use worker::ExecutionEnd;
+pub use worker::ExecutionSummary;
+pub use worker::RepeatedTask;
+pub use worker::WorkerConfig;
+pub use worker::WorkerCounts;
+pub use worker::WorkerServer;
+pub use worker::expected_output;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,79 @@
 //! Small stand-ins for the platform, for tests.
 
-fn main() {}
+use std::fs;
+use std::path;
+use std::process;
+
+use tokio::signal;
+
+const USAGE: &str = "\
+ferry-standin: small stand-ins for the platform, for tests
+
+usage: ferry-standin --config FILE [--check-settings]
+
+  --config FILE      settings in INI
+  --check-settings   check the settings and exit
+  --help             show this text";
+
+fn main() -> process::ExitCode {
+    match run(pico_args::Arguments::from_env()) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(failed) => {
+            eprintln!("ferry-standin: {failed}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(mut arguments: pico_args::Arguments) -> Result<(), String> {
+    if arguments.contains("--help") {
+        println!("{USAGE}");
+        return Ok(());
+    }
+    let check_only = arguments.contains("--check-settings");
+    let config: path::PathBuf = arguments
+        .value_from_str("--config")
+        .map_err(|cause| format!("{cause}\n\n{USAGE}"))?;
+    let unexpected = arguments.finish();
+    if !unexpected.is_empty() {
+        return Err(format!("unexpected arguments: {unexpected:?}\n\n{USAGE}"));
+    }
+    let settings = read_settings(&config)?;
+    if check_only {
+        println!("settings are correct");
+        return Ok(());
+    }
+    telemetry::init_logs(log::LevelFilter::Info).map_err(|failed| failed.to_string())?;
+    serve(&settings)
+}
+
+fn read_settings(config: &path::Path) -> Result<standin::Settings, String> {
+    let name = config.display().to_string();
+    let text =
+        fs::read_to_string(config).map_err(|cause| format!("cannot read {name}: {cause}"))?;
+    standin::Settings::parse(&name, &text)
+        .map_err(|findings| format!("settings are wrong\n{findings}"))
+}
+
+#[tokio::main]
+async fn serve(settings: &standin::Settings) -> Result<(), String> {
+    let control = settings
+        .start()
+        .await
+        .map_err(|failed| failed.to_string())?;
+    log::info!("ready, control on {}", control.address());
+    wait_for_stop()
+        .await
+        .map_err(|cause| format!("cannot wait for signals: {cause}"))?;
+    log::info!("stopping");
+    control.shutdown().await;
+    Ok(())
+}
+
+async fn wait_for_stop() -> std::io::Result<()> {
+    let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        interrupted = signal::ctrl_c() => interrupted,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,234 @@
+//! A TCP relay between two addresses, with a delay and faults.
+
+use std::future;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net as tokio_net;
+
+use crate::error;
+use crate::faults;
+use crate::listen;
+
+const CHUNK_BYTES: usize = 16 << 10;
+/// Chunks on the way in one direction of a connection before its sender has to wait.
+const CHUNKS_ON_THE_WAY: usize = 256;
+
+/// What a relay has forwarded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RelayTraffic {
+    /// Connections accepted.
+    pub connections: u64,
+    /// Bytes from the accepted side to the target.
+    pub forward_bytes: u64,
+    /// Bytes from the target to the accepted side.
+    pub backward_bytes: u64,
+}
+
+/// Forwards connections to a target; data takes a delay each way, connecting does not.
+#[derive(Debug)]
+pub struct Relay {
+    service: sync::Arc<RelayService>,
+    listener: listen::Listener,
+}
+
+impl Relay {
+    /// Starts a relay from `address` to `target` with a one-way `delay`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(
+        address: net::SocketAddr,
+        target: net::SocketAddr,
+        delay: time::Duration,
+    ) -> Result<Self, error::Error> {
+        let service = sync::Arc::new(RelayService {
+            target,
+            delay,
+            faults: sync::Mutex::default(),
+            connections: atomic::AtomicU64::new(0),
+            silenced: atomic::AtomicU64::new(0),
+            forward_bytes: atomic::AtomicU64::new(0),
+            backward_bytes: atomic::AtomicU64::new(0),
+        });
+        let listener = listen::Listener::start(address, sync::Arc::clone(&service))?;
+        Ok(Self { service, listener })
+    }
+
+    /// Returns the address, with the real port.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.listener.address()
+    }
+
+    /// Replaces the faults; when it returns they are in force.
+    pub async fn set_faults(&self, faults: faults::RelayFaults) {
+        *self.service.faults() = faults;
+        if faults.silent_existing {
+            let accepted = self.service.connections.load(atomic::Ordering::SeqCst);
+            self.service
+                .silenced
+                .store(accepted, atomic::Ordering::SeqCst);
+        }
+        self.listener.set_up(!faults.cut).await;
+    }
+
+    /// Returns what was forwarded so far.
+    #[must_use]
+    pub fn traffic(&self) -> RelayTraffic {
+        RelayTraffic {
+            connections: self.service.connections.load(atomic::Ordering::SeqCst),
+            forward_bytes: self.service.forward_bytes.load(atomic::Ordering::Relaxed),
+            backward_bytes: self.service.backward_bytes.load(atomic::Ordering::Relaxed),
+        }
+    }
+
+    /// Closes every connection and joins every task.
+    pub async fn shutdown(self) {
+        self.listener.shutdown().await;
+    }
+}
+
+#[derive(Debug)]
+struct RelayService {
+    target: net::SocketAddr,
+    delay: time::Duration,
+    faults: sync::Mutex<faults::RelayFaults>,
+    /// Connections accepted; the latest has this number.
+    connections: atomic::AtomicU64,
+    /// Connections up to this number forward nothing any more.
+    silenced: atomic::AtomicU64,
+    forward_bytes: atomic::AtomicU64,
+    backward_bytes: atomic::AtomicU64,
+}
+
+impl RelayService {
+    fn faults(&self) -> sync::MutexGuard<'_, faults::RelayFaults> {
+        self.faults
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn is_silent(&self, connection: u64) -> bool {
+        connection <= self.silenced.load(atomic::Ordering::SeqCst) || self.faults().silent
+    }
+
+    fn delay(&self) -> time::Duration {
+        self.delay + time::Duration::from_millis(self.faults().delay_ms)
+    }
+}
+
+impl listen::Serve for RelayService {
+    async fn serve(&self, stream: tokio_net::TcpStream) {
+        let connection = self.connections.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        let Ok(target) = tokio_net::TcpStream::connect(self.target).await else {
+            return;
+        };
+        // Without it data only takes longer.
+        let _ = (stream.set_nodelay(true), target.set_nodelay(true));
+        let (near_read, near_write) = stream.into_split();
+        let (far_read, far_write) = target.into_split();
+        let forward = Direction {
+            service: self,
+            connection,
+            bytes: &self.forward_bytes,
+        };
+        let backward = Direction {
+            service: self,
+            connection,
+            bytes: &self.backward_bytes,
+        };
+        tokio::join!(
+            forward.forward(near_read, far_write),
+            backward.forward(far_read, near_write),
+        );
+    }
+}
+
+struct Chunk {
+    due: tokio::time::Instant,
+    data: bytes::Bytes,
+}
+
+struct Direction<'a> {
+    service: &'a RelayService,
+    connection: u64,
+    bytes: &'a atomic::AtomicU64,
+}
+
+impl Direction<'_> {
+    async fn forward(
+        &self,
+        from: tokio_net::tcp::OwnedReadHalf,
+        to: tokio_net::tcp::OwnedWriteHalf,
+    ) {
+        let (sender, receiver) = tokio::sync::mpsc::channel(CHUNKS_ON_THE_WAY);
+        tokio::join!(self.read(from, sender), self.write(to, receiver));
+    }
+
+    /// Reads until the end of the stream; what comes while silent is lost.
+    async fn read(
+        &self,
+        mut from: tokio_net::tcp::OwnedReadHalf,
+        chunks: tokio::sync::mpsc::Sender<Chunk>,
+    ) {
+        loop {
+            let mut buffer = bytes::BytesMut::with_capacity(CHUNK_BYTES);
+            let length = from.read_buf(&mut buffer).await.unwrap_or(0);
+            if self.service.is_silent(self.connection) {
+                self.stay_silent_at_end(length).await;
+                continue;
+            }
+            if length == 0 {
+                return;
+            }
+            self.bytes
+                .fetch_add(length as u64, atomic::Ordering::Relaxed);
+            let due = tokio::time::Instant::now() + self.service.delay();
+            if chunks
+                .send(Chunk {
+                    due,
+                    data: buffer.freeze(),
+                })
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    /// Keeps the end of the stream from the other side.
+    async fn stay_silent_at_end(&self, length: usize) {
+        if length == 0 {
+            future::pending::<()>().await;
+        }
+    }
+
+    /// Writes each chunk when it is due, then closes this direction.
+    async fn write(
+        &self,
+        mut to: tokio_net::tcp::OwnedWriteHalf,
+        mut chunks: tokio::sync::mpsc::Receiver<Chunk>,
+    ) {
+        while let Some(chunk) = chunks.recv().await {
+            tokio::time::sleep_until(chunk.due).await;
+            if self.service.is_silent(self.connection) {
+                continue;
+            }
+            if to.write_all(&chunk.data).await.is_err() {
+                return;
+            }
+        }
+        if self.service.is_silent(self.connection) {
+            future::pending::<()>().await;
+        }
+        // Fails only if the other side has closed already.
+        let _ = to.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/data.rs
@@ -0,0 +1,354 @@
+//! Keys, leases and watches in memory.
+
+use std::collections;
+use std::time;
+
+use super::message;
+
+/// Largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Bytes of past changes that watches may still ask for.
+const MAX_HISTORY_BYTES: usize = 64 << 20;
+
+type Key = Vec<u8>;
+type Lines = tokio::sync::mpsc::UnboundedSender<bytes::Bytes>;
+
+/// Why a transaction was refused without effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// A value is larger than [`MAX_VALUE_BYTES`].
+    ValueTooLarge,
+    /// A put names a lease that does not exist.
+    LeaseNotFound,
+}
+
+#[derive(Debug)]
+struct Lease {
+    id: i64,
+    ends: time::Instant,
+}
+
+#[derive(Debug)]
+struct Watcher {
+    first: Key,
+    end: Option<Key>,
+    lines: Lines,
+    /// Whether the connection has fallen silent for good.
+    silent: bool,
+}
+
+/// The state of the service.
+#[derive(Debug)]
+pub(crate) struct Data {
+    revision: i64,
+    entries: collections::BTreeMap<Key, message::KeyValue>,
+    leases: Vec<Lease>,
+    last_lease_id: i64,
+    /// Past changes, oldest first.
+    history: collections::VecDeque<message::Event>,
+    history_bytes: usize,
+    /// Revision whose changes are no longer all in the history.
+    compacted_revision: i64,
+    watchers: Vec<Watcher>,
+}
+
+impl Data {
+    /// Creates an empty service.
+    pub(crate) fn new() -> Self {
+        Self {
+            revision: 1,
+            entries: collections::BTreeMap::new(),
+            leases: Vec::new(),
+            last_lease_id: 0,
+            history: collections::VecDeque::new(),
+            history_bytes: 0,
+            compacted_revision: 0,
+            watchers: Vec::new(),
+        }
+    }
+
+    fn header(&self) -> message::Header {
+        message::Header {
+            revision: message::Int64(self.revision),
+        }
+    }
+
+    /// Reads keys.
+    pub(crate) fn range(&self, request: &message::RangeRequest) -> message::RangeResponse {
+        let end = request.range_end.as_ref().map(|end| end.0.as_slice());
+        let found: Vec<_> = self
+            .entries
+            .range(request.key.0.clone()..)
+            .take_while(|(key, _)| within(key, &request.key.0, end))
+            .map(|(_, entry)| entry)
+            .collect();
+        let limit = usize::try_from(request.limit.0).unwrap_or(0);
+        let limit = if limit == 0 { found.len() } else { limit };
+        message::RangeResponse {
+            header: self.header(),
+            more: found.len() > limit,
+            count: message::Int64(i64::try_from(found.len()).unwrap_or(i64::MAX)),
+            kvs: found.into_iter().take(limit).cloned().collect(),
+        }
+    }
+
+    /// Applies a transaction if its conditions hold.
+    pub(crate) fn commit(
+        &mut self,
+        request: message::TxnRequest,
+    ) -> Result<message::TxnResponse, Refusal> {
+        let succeeded = request.compare.iter().all(|compare| self.holds(compare));
+        if succeeded {
+            self.check(&request.success)?;
+            self.apply(request.success);
+        }
+        Ok(message::TxnResponse {
+            header: self.header(),
+            succeeded,
+        })
+    }
+
+    fn holds(&self, compare: &message::Compare) -> bool {
+        let entry = self.entries.get(&compare.key.0);
+        match compare.target {
+            message::Target::Create => {
+                entry.map_or(0, |entry| entry.create_revision.0) == compare.create_revision.0
+            }
+            message::Target::Mod => {
+                entry.map_or(0, |entry| entry.mod_revision.0) == compare.mod_revision.0
+            }
+            message::Target::Value => entry.is_some_and(|entry| entry.value == compare.value),
+        }
+    }
+
+    fn check(&self, operations: &[message::Operation]) -> Result<(), Refusal> {
+        for operation in operations {
+            let message::Operation::Put(put) = operation else {
+                continue;
+            };
+            if put.value.0.len() > MAX_VALUE_BYTES {
+                return Err(Refusal::ValueTooLarge);
+            }
+            let lease_id = put.lease.0;
+            if lease_id != 0 && !self.leases.iter().any(|lease| lease.id == lease_id) {
+                return Err(Refusal::LeaseNotFound);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, operations: Vec<message::Operation>) {
+        let revision = self.revision + 1;
+        let mut events = Vec::new();
+        for operation in operations {
+            match operation {
+                message::Operation::Put(put) => events.push(self.put(put, revision)),
+                message::Operation::Delete(delete) => {
+                    events.extend(self.delete(&delete.key.0, revision));
+                }
+            }
+        }
+        self.publish(revision, events);
+    }
+
+    fn put(&mut self, put: message::Put, revision: i64) -> message::Event {
+        let revision = message::Int64(revision);
+        let created = self
+            .entries
+            .get(&put.key.0)
+            .map_or(revision, |old| old.create_revision);
+        let entry = message::KeyValue {
+            key: put.key,
+            value: put.value,
+            create_revision: created,
+            mod_revision: revision,
+            lease: put.lease,
+        };
+        self.entries.insert(entry.key.0.clone(), entry.clone());
+        message::Event {
+            event_type: message::EventType::Put,
+            kv: entry,
+        }
+    }
+
+    fn delete(&mut self, key: &[u8], revision: i64) -> Option<message::Event> {
+        let old = self.entries.remove(key)?;
+        let kv = message::KeyValue {
+            key: old.key,
+            value: message::Blob::default(),
+            create_revision: message::Int64(0),
+            mod_revision: message::Int64(revision),
+            lease: message::Int64(0),
+        };
+        Some(message::Event {
+            event_type: message::EventType::Delete,
+            kv,
+        })
+    }
+
+    /// Makes `revision` current and tells the watchers of its changes.
+    fn publish(&mut self, revision: i64, events: Vec<message::Event>) {
+        if events.is_empty() {
+            return;
+        }
+        self.revision = revision;
+        let header = self.header();
+        self.watchers
+            .retain(|watcher| watcher.silent || watcher.send(header, &events));
+        for event in events {
+            self.remember(event);
+        }
+    }
+
+    fn remember(&mut self, event: message::Event) {
+        self.history_bytes += event.kv.value.0.len();
+        self.history.push_back(event);
+        while self.history_bytes > MAX_HISTORY_BYTES {
+            let Some(forgotten) = self.history.pop_front() else {
+                break;
+            };
+            self.history_bytes -= forgotten.kv.value.0.len();
+            self.compacted_revision = forgotten.kv.mod_revision.0;
+        }
+    }
+
+    /// Grants a lease.
+    pub(crate) fn grant_lease(
+        &mut self,
+        request: &message::LeaseGrantRequest,
+        now: time::Instant,
+    ) -> message::LeaseGrantResponse {
+        self.last_lease_id += 1;
+        let ttl = time::Duration::from_secs(u64::try_from(request.ttl_s.0).unwrap_or(0));
+        self.leases.push(Lease {
+            id: self.last_lease_id,
+            ends: now + ttl,
+        });
+        message::LeaseGrantResponse {
+            header: self.header(),
+            id: message::Int64(self.last_lease_id),
+            ttl_s: request.ttl_s,
+        }
+    }
+
+    /// Deletes the keys of leases that have ended.
+    pub(crate) fn expire(&mut self, now: time::Instant) {
+        let (ended, live): (Vec<_>, Vec<_>) =
+            self.leases.drain(..).partition(|lease| lease.ends <= now);
+        self.leases = live;
+        for lease in ended {
+            let keys = self
+                .entries
+                .values()
+                .filter(|entry| entry.lease.0 == lease.id);
+            let deletes = keys.map(|entry| message::Delete {
+                key: entry.key.clone(),
+            });
+            let operations = deletes.map(message::Operation::Delete).collect();
+            self.apply(operations);
+        }
+    }
+
+    /// Opens a watch that sends lines of JSON, past changes first.
+    pub(crate) fn watch(
+        &mut self,
+        request: message::WatchCreate,
+    ) -> tokio::sync::mpsc::UnboundedReceiver<bytes::Bytes> {
+        let (lines, receiver) = tokio::sync::mpsc::unbounded_channel();
+        let watcher = Watcher {
+            first: request.key.0,
+            end: request.range_end.map(|end| end.0),
+            lines,
+            silent: false,
+        };
+        let start = request.start_revision.0;
+        if start > 0 && start <= self.compacted_revision {
+            watcher.send_compacted(self.header(), self.compacted_revision + 1);
+            return receiver;
+        }
+        watcher.send_created(self.header());
+        if start > 0 {
+            let past: Vec<_> = self
+                .history
+                .iter()
+                .filter(|event| event.kv.mod_revision.0 >= start)
+                .collect();
+            watcher.send(self.header(), past);
+        }
+        self.watchers.push(watcher);
+        receiver
+    }
+
+    /// Makes the open watches fall silent for good, without closing their connections.
+    pub(crate) fn silence_watches(&mut self) {
+        for watcher in &mut self.watchers {
+            watcher.silent = true;
+        }
+    }
+}
+
+impl Watcher {
+    /// Sends the events that it watches; returns whether the receiver is still there.
+    fn send<'a>(
+        &self,
+        header: message::Header,
+        events: impl IntoIterator<Item = &'a message::Event>,
+    ) -> bool {
+        let watched = events
+            .into_iter()
+            .filter(|event| within(&event.kv.key.0, &self.first, self.end.as_deref()))
+            .cloned()
+            .collect::<Vec<_>>();
+        if watched.is_empty() {
+            return !self.lines.is_closed();
+        }
+        self.send_line(message::WatchResult {
+            events: watched,
+            ..empty_result(header)
+        })
+    }
+
+    fn send_created(&self, header: message::Header) -> bool {
+        self.send_line(message::WatchResult {
+            created: true,
+            ..empty_result(header)
+        })
+    }
+
+    fn send_compacted(&self, header: message::Header, compact_revision: i64) -> bool {
+        self.send_line(message::WatchResult {
+            canceled: true,
+            compact_revision: Some(message::Int64(compact_revision)),
+            ..empty_result(header)
+        })
+    }
+
+    fn send_line(&self, result: message::WatchResult) -> bool {
+        let Ok(mut line) = serde_json::to_vec(&message::WatchLine { result }) else {
+            return false;
+        };
+        line.push(b'\n');
+        self.lines.send(line.into()).is_ok()
+    }
+}
+
+fn empty_result(header: message::Header) -> message::WatchResult {
+    message::WatchResult {
+        header,
+        created: false,
+        canceled: false,
+        compact_revision: None,
+        events: Vec::new(),
+    }
+}
+
+/// Returns whether `key` is `first`, or with an `end` lies from `first` up to and without it.
+///
+/// An end of a single zero byte stands for no upper end.
+fn within(key: &[u8], first: &[u8], end: Option<&[u8]>) -> bool {
+    match end {
+        None | Some([]) => key == first,
+        Some([0]) => key >= first,
+        Some(end) => key >= first && key < end,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker/runs.rs
@@ -0,0 +1,179 @@
+//! Runs of a worker: those that run and those that have ended.
+
+use std::time;
+
+use super::work;
+use crate::clock;
+use crate::faults;
+
+const FULL_PERCENT: u32 = 100;
+
+/// A run in progress.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) start: model::StartRun,
+    pub(super) work: work::Work,
+    pub(super) started: time::Instant,
+    /// When it ends at its present speed; `None` if it runs until it is stopped.
+    pub(super) ends: Option<time::Instant>,
+    /// Whether the worker's own fault makes it fail.
+    pub(super) worker_fault: bool,
+    /// Its index in the log of executions.
+    pub(super) log_index: usize,
+    /// Run time of its remaining work at full speed, as of `paced_at`.
+    remaining: time::Duration,
+    /// When its speed was last changed.
+    paced_at: time::Instant,
+    /// Share of its processors that it keeps.
+    percent: u32,
+    /// Factor of its run time, in percent.
+    slowness_percent: u32,
+}
+
+impl Running {
+    /// Starts a run.
+    pub(super) fn new(
+        start: model::StartRun,
+        faults: &faults::WorkerFaults,
+        now: time::Instant,
+        log_index: usize,
+    ) -> Self {
+        let work = work::Work::of(&start.task.spec);
+        let mut run = Self {
+            remaining: work.remaining(start.checkpoint.as_deref()),
+            work,
+            started: now,
+            ends: None,
+            worker_fault: faults.fail_all,
+            log_index,
+            paced_at: now,
+            percent: FULL_PERCENT,
+            slowness_percent: FULL_PERCENT.saturating_add(faults.slower_percent),
+            start,
+        };
+        run.ends = run.planned_end();
+        run
+    }
+
+    fn planned_end(&self) -> Option<time::Instant> {
+        if self.worker_fault {
+            return Some(self.started);
+        }
+        if self.start.task.spec.class == model::Class::Service {
+            return None;
+        }
+        let stretched = self.remaining * self.slowness_percent / self.percent;
+        Some(self.paced_at + stretched)
+    }
+
+    /// Returns the run time at full speed that is still to be done.
+    fn remaining_at(&self, now: time::Instant) -> time::Duration {
+        let passed = now.saturating_duration_since(self.paced_at);
+        self.remaining
+            .saturating_sub(passed * self.percent / self.slowness_percent)
+    }
+
+    /// Changes the share of its processors.
+    pub(super) fn throttle(&mut self, percent: u8, now: time::Instant) {
+        self.remaining = self.remaining_at(now);
+        self.paced_at = now;
+        self.percent = u32::from(percent.clamp(1, 100));
+        self.ends = self.planned_end();
+    }
+
+    /// Returns the state that a checkpoint saves.
+    pub(super) fn checkpoint(&self, now: time::Instant) -> String {
+        let whole = time::Duration::from_millis(self.work.run_ms);
+        let done = whole.saturating_sub(self.remaining_at(now));
+        work::Checkpoint {
+            done_ms: clock::whole_ms(done),
+        }
+        .to_text()
+    }
+
+    /// Returns what it uses in truth.
+    pub(super) fn used(&self) -> model::Demand {
+        let mut used = self.work.used(&self.start.reserved);
+        let throttled = u64::from(used.processors_milli) * u64::from(self.percent) / 100;
+        used.processors_milli = u32::try_from(throttled).unwrap_or(u32::MAX);
+        used
+    }
+
+    /// Returns its entry in the answer to a claim.
+    pub(super) fn report(&self, now: time::Instant) -> model::RunningRun {
+        model::RunningRun {
+            run: self.start.run,
+            task: self.start.task.clone(),
+            generation: self.start.generation,
+            running_ms: clock::whole_ms(now.saturating_duration_since(self.started)),
+            reserved: self.start.reserved,
+        }
+    }
+}
+
+/// A run that has ended with a result; its output is made when it is asked for.
+#[derive(Clone, Debug)]
+pub(super) struct Finished {
+    pub(super) run: model::TaskAttempt,
+    pub(super) task: model::Task,
+    pub(super) succeeded: bool,
+    pub(super) worker_fault: bool,
+    pub(super) run_ms: u64,
+    pub(super) peak: model::Demand,
+    pub(super) checkpoint: Option<String>,
+}
+
+impl Finished {
+    /// Ends `run` at `at`; with a `checkpoint` its work is not at its end.
+    pub(super) fn new(run: &Running, at: time::Instant, checkpoint: Option<String>) -> Self {
+        Self {
+            run: run.start.run,
+            task: run.start.task.clone(),
+            succeeded: !run.work.fail && !run.worker_fault && checkpoint.is_none(),
+            worker_fault: run.worker_fault,
+            run_ms: clock::whole_ms(at.saturating_duration_since(run.started)),
+            peak: run.work.used(&run.start.reserved),
+            checkpoint,
+        }
+    }
+
+    fn output(&self) -> String {
+        if self.worker_fault || self.checkpoint.is_some() {
+            return String::new();
+        }
+        work::expected_output(&self.task.spec.kind, &self.task.spec.body)
+    }
+
+    /// Returns the result, damaged if the faults say so.
+    pub(super) fn report(
+        &self,
+        with_task: bool,
+        faults: &faults::WorkerFaults,
+    ) -> model::FinishedRun {
+        let mut whole =
+            model::FinishedRun::whole(self.run, self.succeeded, self.output(), self.run_ms);
+        whole.task = with_task.then(|| self.task.clone());
+        whole.worker_fault = self.worker_fault;
+        whole.peak = self.peak;
+        whole.checkpoint.clone_from(&self.checkpoint);
+        if faults.crossed_answers {
+            whole.output = work::expected_output("other", &whole.output_sha256);
+        }
+        if faults.cut_answers {
+            let half = whole.output.len() / 2;
+            whole.output.truncate(half);
+        }
+        whole
+    }
+}
+
+/// What became of a run that needs no acknowledgement any more.
+#[derive(Debug)]
+pub(super) enum Settled {
+    /// It finished, and the result was passed on.
+    Finished(Box<Finished>),
+    /// It was stopped in the middle.
+    Stopped,
+    /// It was forbidden before it arrived.
+    Tombstone,
+}
--- /dev/null
+++ b/crates/standin/src/worker/work.rs
@@ -0,0 +1,97 @@
+//! The work that a run pretends to do, as its body describes it.
+
+use std::fmt::Write as _;
+use std::time;
+
+use sha2::Digest as _;
+
+const DEFAULT_RUN_MS: u64 = 5;
+
+/// What the JSON body of a task asks for; unknown fields are ignored.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(default)]
+pub(super) struct Work {
+    /// Run time at full speed, in milliseconds.
+    pub(super) run_ms: u64,
+    /// Smallest length of the output, in bytes.
+    pub(super) output_bytes: usize,
+    /// Whether the work fails at its end.
+    pub(super) fail: bool,
+    /// Memory that it really uses, if not what was set aside.
+    pub(super) use_memory_mb: Option<u32>,
+    /// Processors that it really uses, if not what was set aside.
+    pub(super) use_processors_milli: Option<u32>,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        Self {
+            run_ms: DEFAULT_RUN_MS,
+            output_bytes: 0,
+            fail: false,
+            use_memory_mb: None,
+            use_processors_milli: None,
+        }
+    }
+}
+
+impl Work {
+    /// Reads a body; one that is not a fitting JSON object asks for the defaults.
+    pub(super) fn of(spec: &model::TaskSpec) -> Self {
+        serde_json::from_str(&spec.body).unwrap_or_default()
+    }
+
+    /// Returns what it really uses when `reserved` was set aside.
+    pub(super) fn used(&self, reserved: &model::Demand) -> model::Demand {
+        model::Demand {
+            processors_milli: self
+                .use_processors_milli
+                .unwrap_or(reserved.processors_milli),
+            memory_mb: self.use_memory_mb.unwrap_or(reserved.memory_mb),
+            accelerators: reserved.accelerators,
+        }
+    }
+
+    /// Returns the run time left at full speed after `checkpoint`.
+    pub(super) fn remaining(&self, checkpoint: Option<&str>) -> time::Duration {
+        let done_ms = checkpoint
+            .and_then(Checkpoint::parse)
+            .map_or(0, |state| state.done_ms);
+        time::Duration::from_millis(self.run_ms.saturating_sub(done_ms))
+    }
+}
+
+/// State that a checkpoint saves.
+#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+pub(super) struct Checkpoint {
+    /// Work done, in milliseconds at full speed.
+    pub(super) done_ms: u64,
+}
+
+impl Checkpoint {
+    fn parse(text: &str) -> Option<Self> {
+        serde_json::from_str(text).ok()
+    }
+
+    /// Returns the text that a later start brings back.
+    pub(super) fn to_text(self) -> String {
+        format!(r#"{{"done_ms":{}}}"#, self.done_ms)
+    }
+}
+
+/// Returns the output that a worker gives for a task of this kind and body.
+///
+/// It is `{kind}:{SHA-256 of the body in hexadecimal}`, padded with dots to the `output_bytes` of
+/// the body, so that a caller can tell whether an answer belongs to its request.
+#[must_use]
+pub fn expected_output(kind: &str, body: &str) -> String {
+    let work: Work = serde_json::from_str(body).unwrap_or_default();
+    let mut output = format!("{kind}:");
+    for byte in sha2::Sha256::digest(body.as_bytes()) {
+        // Writing to a string does not fail.
+        let _ = write!(output, "{byte:02x}");
+    }
+    let padding = work.output_bytes.saturating_sub(output.len());
+    output.extend(std::iter::repeat_n('.', padding));
+    output
+}
