--- /dev/null
+++ b/crates/ctl/src/answer.rs
@@ -0,0 +1,84 @@
+//! Answers of the callers' interface.
+
+use crate::error;
+use crate::report;
+
+/// Exit code of a task that did not run, or that ran and did not succeed.
+const NOT_DONE: u8 = 1;
+
+/// The answer to a task.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct TaskAnswer {
+    /// The task, if it got an id.
+    pub task_id: Option<String>,
+    /// `done`, `not_run`, `unknown`, `queued` or `running`.
+    pub outcome: String,
+    /// Why it did not run, or why that is not known.
+    pub reason: Option<String>,
+    /// Whether the work itself reported success.
+    pub succeeded: Option<bool>,
+    /// Output of each member.
+    pub outputs: Option<Vec<String>>,
+    /// Time from acceptance to the start, in milliseconds.
+    pub waited_ms: Option<u64>,
+    /// Longest run time of a member, in milliseconds.
+    pub run_ms: Option<u64>,
+    /// Executions it took.
+    pub attempts: Option<u32>,
+    /// When to try again, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl report::Report for TaskAnswer {
+    fn table(&self) -> String {
+        let optional = [
+            ("task_id", self.task_id.clone()),
+            ("outcome", Some(self.outcome.clone())),
+            ("reason", self.reason.clone()),
+            ("succeeded", self.succeeded.map(|it| it.to_string())),
+            ("waited_ms", self.waited_ms.map(|it| it.to_string())),
+            ("run_ms", self.run_ms.map(|it| it.to_string())),
+            ("attempts", self.attempts.map(|it| it.to_string())),
+            (
+                "retry_after_ms",
+                self.retry_after_ms.map(|it| it.to_string()),
+            ),
+        ];
+        let known = optional.into_iter();
+        let known = known.filter_map(|(name, value)| Some(format!("{name}: {}\n", value?)));
+        let mut text: String = known.collect();
+        for output in self.outputs.iter().flatten() {
+            text.push_str(&format!("output: {output}\n"));
+        }
+        text
+    }
+
+    fn exit_code(&self) -> u8 {
+        match (self.outcome.as_str(), self.succeeded) {
+            ("queued" | "running", _) | ("done", Some(true)) => 0,
+            ("unknown", _) => error::ErrorKind::Unknown.exit_code(),
+            _ => NOT_DONE,
+        }
+    }
+}
+
+/// A request that the instance refused as such.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+pub(crate) struct BadRequest {
+    /// What is wrong.
+    pub(crate) error: String,
+    /// The field that is wrong, if it is one.
+    pub(crate) field: Option<String>,
+    /// What was expected.
+    pub(crate) expected: Option<String>,
+}
+
+impl BadRequest {
+    pub(crate) fn describe(&self) -> String {
+        let field = self.field.as_deref().map(|field| format!("{field}: "));
+        let expected = self.expected.as_deref();
+        let expected = expected.map(|expected| format!(", expected {expected}"));
+        let (field, expected) = (field.unwrap_or_default(), expected.unwrap_or_default());
+        format!("{field}{}{expected}", self.error)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/arguments.rs
@@ -0,0 +1,141 @@
+//! Reads the command line.
+
+use std::ffi;
+use std::fs;
+use std::net;
+use std::path;
+use std::str;
+use std::time;
+
+use crate::error;
+use crate::report;
+
+/// The arguments of one command that were not read yet.
+pub(crate) struct Arguments {
+    inner: pico_args::Arguments,
+}
+
+impl Arguments {
+    pub(crate) fn new(args: Vec<ffi::OsString>) -> Self {
+        Self {
+            inner: pico_args::Arguments::from_vec(args),
+        }
+    }
+
+    pub(crate) fn subcommand(&mut self) -> Result<Option<String>, error::Error> {
+        self.inner.subcommand().map_err(usage)
+    }
+
+    pub(crate) fn flag(&mut self, name: &'static str) -> bool {
+        self.inner.contains(name)
+    }
+
+    pub(crate) fn optional<T>(&mut self, name: &'static str) -> Result<Option<T>, error::Error>
+    where
+        T: str::FromStr,
+        T::Err: std::fmt::Display,
+    {
+        let text: Option<String> = self.inner.opt_value_from_str(name).map_err(usage)?;
+        let Some(text) = text else {
+            return Ok(None);
+        };
+        let value = text.parse().map_err(|reason| {
+            error::Error::usage(format!("{name}: '{text}' given, which fails: {reason}"))
+        })?;
+        Ok(Some(value))
+    }
+
+    pub(crate) fn required<T>(
+        &mut self,
+        name: &'static str,
+        expected: &str,
+    ) -> Result<T, error::Error>
+    where
+        T: str::FromStr,
+        T::Err: std::fmt::Display,
+    {
+        let value = self.optional(name)?;
+        value.ok_or_else(|| error::Error::usage(format!("{name} is missing, expected {expected}")))
+    }
+
+    pub(crate) fn format(&mut self) -> Result<report::Format, error::Error> {
+        Ok(self.optional("--format")?.unwrap_or_default())
+    }
+
+    pub(crate) fn path(
+        &mut self,
+        name: &'static str,
+    ) -> Result<Option<path::PathBuf>, error::Error> {
+        self.optional(name)
+    }
+
+    pub(crate) fn duration_ms(
+        &mut self,
+        name: &'static str,
+        default: time::Duration,
+    ) -> Result<time::Duration, error::Error> {
+        let given: Option<u64> = self.optional(name)?;
+        Ok(given.map_or(default, time::Duration::from_millis))
+    }
+
+    /// Reads addresses separated by commas; at least one.
+    pub(crate) fn addresses(
+        &mut self,
+        name: &'static str,
+    ) -> Result<Vec<net::SocketAddr>, error::Error> {
+        let expected = "addresses separated by commas, such as 10.1.0.4:7000";
+        let text: String = self.required(name, expected)?;
+        let items = text.split(',').map(str::trim);
+        let addresses = items.map(|item| {
+            item.parse().map_err(|_| {
+                error::Error::usage(format!("{name}: '{item}' given, expected {expected}"))
+            })
+        });
+        addresses.collect()
+    }
+
+    /// Reads the one line of a secret file.
+    pub(crate) fn secret(&mut self, name: &'static str) -> Result<String, error::Error> {
+        let path: path::PathBuf = self.required(name, "a file that holds nothing else")?;
+        let text = read_file(&path)?;
+        let secret = text.trim();
+        if secret.is_empty() {
+            let message = format!("{}: empty, expected a secret", path.display());
+            return Err(error::Error::usage(message));
+        }
+        Ok(secret.to_owned())
+    }
+
+    /// Reads the one argument without a name.
+    pub(crate) fn free(&mut self, expected: &str) -> Result<String, error::Error> {
+        let given = self.inner.opt_free_from_str().map_err(usage)?;
+        given.ok_or_else(|| error::Error::usage(format!("an argument is missing: {expected}")))
+    }
+
+    /// Reads an argument without a name, if there is one.
+    pub(crate) fn optional_free(&mut self) -> Result<Option<String>, error::Error> {
+        self.inner.opt_free_from_str().map_err(usage)
+    }
+
+    /// Refuses arguments that nobody read.
+    pub(crate) fn finish(self) -> Result<(), error::Error> {
+        let rest = self.inner.finish();
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let names: Vec<_> = rest.iter().map(|arg| arg.to_string_lossy()).collect();
+        let message = format!("unknown arguments: {}, see --help", names.join(" "));
+        Err(error::Error::usage(message))
+    }
+}
+
+/// Reads a whole text file.
+pub(crate) fn read_file(path: &path::Path) -> Result<String, error::Error> {
+    fs::read_to_string(path).map_err(|reason| {
+        error::Error::usage(format!("{}: cannot be read: {reason}", path.display()))
+    })
+}
+
+fn usage(reason: pico_args::Error) -> error::Error {
+    error::Error::usage(reason.to_string())
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,10 @@
+//! The commands, one module each.
+
+pub(crate) mod apply;
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod drain;
+pub(crate) mod show;
+pub(crate) mod status;
+pub(crate) mod task;
+pub(crate) mod wait;
--- /dev/null
+++ b/crates/ctl/src/commands/drain.rs
@@ -0,0 +1,87 @@
+//! `ferryctl drain`: stops instances without cutting a request.
+
+use std::net;
+
+use crate::arguments;
+use crate::commands::wait;
+use crate::error;
+use crate::report;
+use crate::status;
+
+/// An instance that was told to stop.
+#[derive(Debug, serde::Serialize)]
+struct Drained {
+    address: String,
+    /// Whether it has nothing left to do; `None` if the command did not wait.
+    empty: Option<bool>,
+}
+
+/// Every instance that was told to stop.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct DrainReport {
+    instances: Vec<Drained>,
+}
+
+impl report::Report for DrainReport {
+    fn table(&self) -> String {
+        let lines = self.instances.iter().map(|drained| {
+            let state = if drained.empty == Some(true) {
+                "drained"
+            } else {
+                "draining"
+            };
+            format!("{}: {state}\n", drained.address)
+        });
+        lines.collect()
+    }
+}
+
+pub(crate) async fn run(mut args: arguments::Arguments) -> Result<DrainReport, error::Error> {
+    let operator = status::Operator::from_arguments(&mut args)?;
+    let timing = wait::Timing::from_arguments(&mut args)?;
+    let wait = args.flag("--wait");
+    args.finish()?;
+    for address in &operator.instances {
+        operator.drain(*address).await?;
+    }
+    let mut instances = Vec::new();
+    for address in &operator.instances {
+        if wait {
+            until_empty(&operator, *address, timing).await?;
+        }
+        instances.push(Drained {
+            address: address.to_string(),
+            empty: wait.then_some(true),
+        });
+    }
+    Ok(DrainReport { instances })
+}
+
+/// Polls an instance until it has no task left, or has gone.
+async fn until_empty(
+    operator: &status::Operator,
+    address: net::SocketAddr,
+    timing: wait::Timing,
+) -> Result<(), error::Error> {
+    let started = tokio::time::Instant::now();
+    loop {
+        let left = match operator.status(address).await {
+            Ok(status) if is_empty(&status) => return Ok(()),
+            Ok(status) => format!("{} queued, {} running", status.queued, status.running),
+            // The process ends after its last answer, so its listener goes away.
+            Err(reason) if reason.kind() == error::ErrorKind::Unreachable => return Ok(()),
+            Err(reason) => reason.to_string(),
+        };
+        if started.elapsed() >= timing.timeout {
+            let waited_ms = timing.timeout.as_millis();
+            let message = format!("{address} was not drained within {waited_ms} ms: {left}");
+            return Err(error::Error::new(error::ErrorKind::Unknown, message));
+        }
+        tokio::time::sleep(timing.poll).await;
+    }
+}
+
+fn is_empty(status: &status::OperatorStatus) -> bool {
+    let partitions = status.partitions_owned + status.partitions_pending;
+    status.draining && status.queued == 0 && status.running == 0 && partitions == 0
+}
--- /dev/null
+++ b/crates/ctl/src/commands/status.rs
@@ -0,0 +1,124 @@
+//! `ferryctl status`: prints what the instances say of themselves.
+
+use crate::arguments;
+use crate::error;
+use crate::report;
+use crate::revisions;
+use crate::status;
+
+const HEADER: &[&str] = &[
+    "INSTANCE",
+    "REGION",
+    "DC",
+    "STATE",
+    "CUSTOMERS",
+    "PLANS",
+    "TABLE",
+    "OWNED",
+    "PENDING",
+    "WORKERS",
+    "QUEUED",
+    "RUNNING",
+    "PEERS",
+];
+
+/// An instance that did not answer.
+#[derive(Debug, serde::Serialize)]
+struct Failed {
+    address: String,
+    message: String,
+}
+
+/// Every instance that was asked.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct StatusReport {
+    instances: Vec<status::OperatorStatus>,
+    failed: Vec<Failed>,
+    lowest: revisions::LowestRevisions,
+    #[serde(skip)]
+    with_counters: bool,
+}
+
+impl report::Report for StatusReport {
+    fn table(&self) -> String {
+        let rows: Vec<_> = self.instances.iter().map(row).collect();
+        let mut text = report::columns(HEADER, &rows);
+        for failed in &self.failed {
+            text.push_str(&format!("{}: {}\n", failed.address, failed.message));
+        }
+        let lowest = &self.lowest;
+        text.push_str(&format!(
+            "lowest in force on {} live instances: customers {}, plans {}\n",
+            lowest.instances, lowest.customers, lowest.plans
+        ));
+        if self.with_counters {
+            text.push_str(&counters(&self.instances));
+        }
+        text
+    }
+
+    fn exit_code(&self) -> u8 {
+        if self.failed.is_empty() {
+            0
+        } else {
+            error::ErrorKind::Refused.exit_code()
+        }
+    }
+}
+
+pub(crate) async fn run(mut args: arguments::Arguments) -> Result<StatusReport, error::Error> {
+    let operator = status::Operator::from_arguments(&mut args)?;
+    let with_counters = args.flag("--counters");
+    args.finish()?;
+    let mut instances = Vec::new();
+    let mut failed = Vec::new();
+    for asked in operator.statuses().await {
+        match asked.status {
+            Ok(status) => instances.push(status),
+            Err(reason) => failed.push(Failed {
+                address: asked.address.to_string(),
+                message: reason.to_string(),
+            }),
+        }
+    }
+    Ok(StatusReport {
+        lowest: revisions::lowest_revisions(&instances),
+        instances,
+        failed,
+        with_counters,
+    })
+}
+
+fn row(status: &status::OperatorStatus) -> Vec<String> {
+    let state = if status.draining { "draining" } else { "live" };
+    let alive = status.peers.iter().filter(|peer| peer.alive).count();
+    vec![
+        status.instance_id.clone(),
+        status.region.clone(),
+        status.data_centre.clone(),
+        state.to_owned(),
+        status.customers_revision.to_string(),
+        status.plans_revision.to_string(),
+        status.table_revision.to_string(),
+        status.partitions_owned.to_string(),
+        status.partitions_pending.to_string(),
+        status.workers_held.to_string(),
+        status.queued.to_string(),
+        status.running.to_string(),
+        format!("{alive}/{}", status.peers.len()),
+    ]
+}
+
+/// Returns each counter's sum over all instances.
+fn counters(instances: &[status::OperatorStatus]) -> String {
+    let mut sums = indexmap::IndexMap::<&str, u64>::new();
+    for (name, total) in instances.iter().flat_map(|status| &status.counters) {
+        *sums.entry(name).or_default() += total;
+    }
+    sums.sort_keys();
+    let sums = sums.into_iter();
+    let rows: Vec<_> = sums
+        .map(|(name, total)| vec![name.to_owned(), total.to_string()])
+        .collect();
+    report::columns(&["COUNTER", "TOTAL"], &rows)
+}
--- /dev/null
+++ b/crates/ctl/src/commands/task.rs
@@ -0,0 +1,162 @@
+//! `ferryctl submit`, `get` and `cancel`: the callers' interface.
+
+use std::io;
+use std::net;
+use std::path;
+use std::time;
+
+use crate::answer;
+use crate::arguments;
+use crate::error;
+use crate::http_client;
+use crate::report;
+
+const TASKS_PATH: &str = "/v1/tasks";
+const SUBMIT_TIMEOUT: time::Duration = time::Duration::from_secs(120);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+const STANDARD_INPUT: &str = "-";
+
+/// Answer to a cancellation, whose exit code tells whether the task is stopped.
+#[derive(Debug, serde::Serialize)]
+#[serde(transparent)]
+pub(crate) struct CancelReport {
+    answer: answer::TaskAnswer,
+}
+
+impl report::Report for CancelReport {
+    fn table(&self) -> String {
+        self.answer.table()
+    }
+
+    fn exit_code(&self) -> u8 {
+        let cancelled = [
+            model::NotRunReason::Cancelled.as_str(),
+            model::UnknownReason::CancelledWhileRunning.as_str(),
+        ];
+        match &self.answer.reason {
+            Some(reason) if cancelled.contains(&reason.as_str()) => 0,
+            _ if self.answer.outcome == "done" => error::ErrorKind::Refused.exit_code(),
+            _ => self.answer.exit_code(),
+        }
+    }
+}
+
+/// Calls the callers' interface.
+struct Caller {
+    client: http_client::HttpClient,
+    instances: Vec<net::SocketAddr>,
+    token: String,
+    timeout: time::Duration,
+}
+
+pub(crate) async fn submit(
+    mut args: arguments::Arguments,
+) -> Result<answer::TaskAnswer, error::Error> {
+    let caller = Caller::from_arguments(&mut args, SUBMIT_TIMEOUT)?;
+    let file: path::PathBuf = args.required("--request", "a json file, or - for standard input")?;
+    let no_wait = args.flag("--no-wait");
+    args.finish()?;
+    let request = request_body(&read_request(&file)?, no_wait)?;
+    caller.call(http::Method::POST, TASKS_PATH, request).await
+}
+
+pub(crate) async fn get(
+    mut args: arguments::Arguments,
+) -> Result<answer::TaskAnswer, error::Error> {
+    let caller = Caller::from_arguments(&mut args, CALL_TIMEOUT)?;
+    let path = task_path(&mut args)?;
+    args.finish()?;
+    caller.call(http::Method::GET, &path, Vec::new()).await
+}
+
+pub(crate) async fn cancel(mut args: arguments::Arguments) -> Result<CancelReport, error::Error> {
+    let caller = Caller::from_arguments(&mut args, CALL_TIMEOUT)?;
+    let path = task_path(&mut args)?;
+    args.finish()?;
+    let answer = caller.call(http::Method::DELETE, &path, Vec::new()).await?;
+    Ok(CancelReport { answer })
+}
+
+fn task_path(args: &mut arguments::Arguments) -> Result<String, error::Error> {
+    let id = args.free("the id of a task")?;
+    let allowed = |c: char| c.is_ascii_hexdigit() || c == '-';
+    if id.is_empty() || !id.chars().all(allowed) {
+        let message = format!("task id '{id}' given, expected hexadecimal digits and hyphens");
+        return Err(error::Error::usage(message));
+    }
+    Ok(format!("{TASKS_PATH}/{id}"))
+}
+
+fn read_request(file: &path::Path) -> Result<String, error::Error> {
+    if file != path::Path::new(STANDARD_INPUT) {
+        return arguments::read_file(file);
+    }
+    io::read_to_string(io::stdin())
+        .map_err(|reason| error::Error::usage(format!("standard input cannot be read: {reason}")))
+}
+
+fn request_body(text: &str, no_wait: bool) -> Result<Vec<u8>, error::Error> {
+    let parsed: Result<serde_json::Map<String, serde_json::Value>, _> = serde_json::from_str(text);
+    let mut request = parsed.map_err(|reason| {
+        error::Error::usage(format!("the request is no json object: {reason}"))
+    })?;
+    if no_wait {
+        request.insert("wait".to_owned(), false.into());
+    }
+    serde_json::to_vec(&request).map_err(|reason| error::Error::usage(reason.to_string()))
+}
+
+impl Caller {
+    /// Reads `--instances`, `--token-file` and `--timeout-ms`.
+    fn from_arguments(
+        args: &mut arguments::Arguments,
+        timeout: time::Duration,
+    ) -> Result<Self, error::Error> {
+        Ok(Self {
+            client: http_client::HttpClient::new(),
+            instances: args.addresses("--instances")?,
+            token: args.secret("--token-file")?,
+            timeout: args.duration_ms("--timeout-ms", timeout)?,
+        })
+    }
+
+    /// Calls the first instance that can be reached.
+    async fn call(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<answer::TaskAnswer, error::Error> {
+        let mut last = error::Error::refused("no instance given");
+        for address in &self.instances {
+            let call = http_client::Call::new(method.clone(), *address, path, &self.token);
+            match self
+                .client
+                .send(call.body(body.clone()), self.timeout)
+                .await
+            {
+                Ok(answer) => return read_answer(&answer),
+                // Only a call that was certainly not sent may be sent to another.
+                Err(reason) if reason.kind() == error::ErrorKind::Unreachable => last = reason,
+                Err(reason) => return Err(reason),
+            }
+        }
+        Err(last)
+    }
+}
+
+fn read_answer(answer: &http_client::Answer) -> Result<answer::TaskAnswer, error::Error> {
+    let refused: Result<answer::BadRequest, _> = answer.json();
+    if let Ok(refused) = refused {
+        let kind = match answer.status {
+            http::StatusCode::BAD_REQUEST => error::ErrorKind::Usage,
+            _ => error::ErrorKind::Refused,
+        };
+        let message = format!("{}: {}", answer.status, refused.describe());
+        return Err(error::Error::new(kind, message));
+    }
+    if answer.status == http::StatusCode::NOT_FOUND {
+        return Err(error::Error::refused("404 Not Found: no such task"));
+    }
+    answer.json()
+}
--- /dev/null
+++ b/crates/ctl/src/http_client.rs
@@ -0,0 +1,162 @@
+//! Calls over HTTP.
+
+use std::net;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+
+use crate::error;
+
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
+
+/// Sends calls to instances.
+pub(crate) struct HttpClient {
+    inner: Client,
+}
+
+/// One call.
+pub(crate) struct Call<'a> {
+    method: http::Method,
+    address: net::SocketAddr,
+    path: &'a str,
+    bearer: &'a str,
+    body: bytes::Bytes,
+}
+
+/// A whole answer.
+pub(crate) struct Answer {
+    address: net::SocketAddr,
+    pub(crate) status: http::StatusCode,
+    pub(crate) body: bytes::Bytes,
+}
+
+impl<'a> Call<'a> {
+    pub(crate) fn new(
+        method: http::Method,
+        address: net::SocketAddr,
+        path: &'a str,
+        bearer: &'a str,
+    ) -> Self {
+        Self {
+            method,
+            address,
+            path,
+            bearer,
+            body: bytes::Bytes::new(),
+        }
+    }
+
+    pub(crate) fn body(mut self, body: impl Into<bytes::Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    fn request(self) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, error::Error> {
+        let request = http::Request::builder()
+            .method(self.method)
+            .uri(format!("http://{}{}", self.address, self.path))
+            .header(
+                http::header::AUTHORIZATION,
+                format!("Bearer {}", self.bearer),
+            )
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(http_body_util::Full::new(self.body));
+        // The reason is left out, as it could quote the secret.
+        request.map_err(|_| {
+            let message = "the token or path cannot be sent, expected printable ascii";
+            error::Error::usage(message)
+        })
+    }
+}
+
+impl HttpClient {
+    pub(crate) fn new() -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let builder = legacy::Client::builder(rt::TokioExecutor::new());
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+
+    /// Sends `call` and reads the whole answer within `timeout`.
+    ///
+    /// Fails with [`error::ErrorKind::Unreachable`] if the call was certainly not sent, else with
+    /// [`error::ErrorKind::Unknown`].
+    pub(crate) async fn send(
+        &self,
+        call: Call<'_>,
+        timeout: time::Duration,
+    ) -> Result<Answer, error::Error> {
+        let address = call.address;
+        let request = call.request()?;
+        let exchange = self.exchange(address, request);
+        let lost = |_| {
+            let message = format!("{address} did not answer within {} ms", timeout.as_millis());
+            error::Error::new(error::ErrorKind::Unknown, message)
+        };
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .map_err(lost)?
+    }
+
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> Result<Answer, error::Error> {
+        let answer = self.inner.request(request).await.map_err(|reason| {
+            if reason.is_connect() {
+                let message = format!("{address} cannot be reached");
+                error::Error::new(error::ErrorKind::Unreachable, message)
+            } else {
+                broke_off(address)
+            }
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(|_| broke_off(address))?;
+        Ok(Answer {
+            address,
+            status: head.status,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+impl Answer {
+    /// Fails unless the status tells success.
+    pub(crate) fn expect_success(&self) -> Result<(), error::Error> {
+        if self.status.is_success() {
+            return Ok(());
+        }
+        let (address, status) = (self.address, self.status);
+        let hint = match status {
+            http::StatusCode::UNAUTHORIZED => ", expected the right secret",
+            _ => "",
+        };
+        let message = format!("{address} answered with status {status}{hint}");
+        Err(error::Error::refused(message))
+    }
+
+    /// Reads the body as JSON.
+    pub(crate) fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, error::Error> {
+        serde_json::from_slice(&self.body).map_err(|reason| {
+            let (address, status) = (self.address, self.status);
+            let message =
+                format!("{address} answered with status {status} and no expected json: {reason}");
+            error::Error::refused(message)
+        })
+    }
+}
+
+fn broke_off(address: net::SocketAddr) -> error::Error {
+    let message = format!("the connection to {address} broke off before the answer was whole");
+    error::Error::new(error::ErrorKind::Unknown, message)
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,38 @@
 //! Command line of operators and callers.
+//!
+//! [`run`] takes the arguments of `ferryctl` and returns what to print and the exit code, so that
+//! whole sessions can be tested. The commands that use the platform's key-value service are open
+//! to any [`store::Store`].
+
+mod answer;
+mod arguments;
+mod command;
+mod commands;
+mod connect;
+mod error;
+mod help;
+mod http_client;
+mod list_file;
+mod report;
+mod revisions;
+mod status;
+
+pub use answer::TaskAnswer;
+pub use command::Finished;
+pub use command::run;
+pub use commands::apply::AppliedList;
+pub use commands::apply::Apply;
+pub use commands::apply::ApplyReport;
+pub use commands::apply::apply;
+pub use commands::apply::settle_timing::SettleTiming;
+pub use error::Error;
+pub use error::ErrorKind;
+pub use list_file::ListFile;
+pub use list_file::REVISION_HEADER;
+pub use report::Format;
+pub use report::Report;
+pub use revisions::InstanceRevision;
+pub use revisions::LowestRevisions;
+pub use revisions::lowest_revisions;
+pub use status::OperatorStatus;
+pub use status::PeerStatus;
--- /dev/null
+++ b/crates/ctl/src/report.rs
@@ -0,0 +1,64 @@
+//! Output of commands as table or JSON.
+
+use std::str;
+
+use crate::error;
+
+/// How output is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Table,
+    /// For scripts: one JSON document.
+    Json,
+}
+
+impl str::FromStr for Format {
+    type Err = error::Error;
+
+    fn from_str(text: &str) -> Result<Self, error::Error> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err(error::Error::usage(format!(
+                "format '{text}' given, expected table or json"
+            ))),
+        }
+    }
+}
+
+/// What a command has to say.
+pub trait Report: serde::Serialize {
+    /// Returns the text for people, ending with a newline unless it is empty.
+    fn table(&self) -> String;
+
+    /// Returns the exit code.
+    fn exit_code(&self) -> u8 {
+        0
+    }
+}
+
+/// Lines up `rows` under `header`.
+pub(crate) fn columns(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = header.iter().map(|cell| cell.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let header: Vec<String> = header.iter().map(|cell| (*cell).to_owned()).collect();
+    let mut text = line(&header, &widths);
+    for row in rows {
+        text.push_str(&line(row, &widths));
+    }
+    text
+}
+
+fn line(cells: &[String], widths: &[usize]) -> String {
+    let padded = cells.iter().zip(widths);
+    let padded: Vec<_> = padded
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    format!("{}\n", padded.join("  ").trim_end())
+}
