--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -27,6 +27,8 @@
     pub(crate) sections: Vec<SectionLine>,
     /// Keys.
     pub(crate) keys: Vec<KeyLine>,
+    /// Lines that are neither header, key nor comment.
+    pub(crate) strays: Vec<usize>,
 }
 
 impl Lines {
@@ -52,6 +54,8 @@
                     key: key.trim().to_owned(),
                     line,
                 });
+            } else {
+                lines.strays.push(line);
             }
         }
         lines
--- a/crates/settings/src/loader.rs
+++ b/crates/settings/src/loader.rs
@@ -57,13 +57,14 @@
             findings: Vec::new(),
             readable: true,
         };
-        match ini::Ini::load_from_str_opt(text, options()) {
-            Ok(document) => loader.take(&document, &lines::Lines::scan(text)),
-            Err(error) => {
-                loader.readable = false;
-                let message = format!("not an ini document: {}", error.msg);
-                loader.push(Some(error.line + 1), "", None, message);
-            }
+        let lines = lines::Lines::scan(text);
+        for line in &lines.strays {
+            loader.readable = false;
+            let message = "neither section, key nor comment, expected 'key = value'";
+            loader.push(Some(*line), "", None, message.to_owned());
+        }
+        if loader.readable {
+            loader.parse(text, &lines);
         }
         loader
     }
@@ -108,6 +109,18 @@
         }
     }
 
+    fn parse(&mut self, text: &str, lines: &lines::Lines) {
+        match ini::Ini::load_from_str_opt(text, options()) {
+            Ok(document) => self.take(&document, lines),
+            Err(error) => {
+                self.readable = false;
+                let line = error.line.min(text.lines().count());
+                let message = format!("not an ini document: {}", error.msg);
+                self.push(Some(line), "", None, message);
+            }
+        }
+    }
+
     fn line_of(&self, section: &str, key: Option<&str>) -> Option<usize> {
         let body = self.sections.get(section)?;
         let value = key.and_then(|key| body.values.get(key));
