--- /dev/null
+++ b/crates/telemetry/tests/logs.rs
@@ -0,0 +1,68 @@
+//! Lines of the log.
+
+use std::io;
+use std::sync;
+
+use expect_test::expect;
+use log::Log as _;
+
+#[derive(Clone, Default)]
+struct Output(sync::Arc<sync::Mutex<Vec<u8>>>);
+
+impl Output {
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+}
+
+impl io::Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_are_pairs_and_stay_one_line() {
+    let output = Output::default();
+    let logger = telemetry::LineLogger::without_time(log::LevelFilter::Info, output.clone());
+    let write = |level, args: std::fmt::Arguments<'_>, pairs: &[(&str, &str)]| {
+        let mut record = log::Record::builder();
+        record.level(level).target("peer").key_values(&pairs);
+        logger.log(&record.args(args).build());
+    };
+    write(
+        log::Level::Warn,
+        format_args!("lease lapsed"),
+        &[
+            ("worker", "w-07"),
+            ("why", "no \"room\"\nat all"),
+            ("empty", ""),
+        ],
+    );
+    write(log::Level::Info, format_args!("started"), &[]);
+    write(log::Level::Debug, format_args!("hidden"), &[]);
+    expect![[r#"
+        level=warn target=peer message="lease lapsed" worker=w-07 why="no \"room\"\nat all" empty=""
+        level=info target=peer message=started
+    "#]]
+    .assert_eq(&output.text());
+}
+
+#[test]
+fn lines_start_with_the_time() {
+    let output = Output::default();
+    let logger = telemetry::LineLogger::new(log::LevelFilter::Info, output.clone());
+    let mut record = log::Record::builder();
+    logger.log(&record.level(log::Level::Info).target("t").build());
+    let text = output.text();
+    let time = text.strip_prefix("time=").unwrap();
+    assert_eq!(
+        time.find(' '),
+        Some("2026-01-01T00:00:00.000Z".len()),
+        "{text}"
+    );
+}
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,60 @@
+//! Counters, gauges and timings.
+
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+/// Hands each sent metric to the test.
+struct Sink(mpsc::SyncSender<String>);
+
+impl cadence::MetricSink for Sink {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let _ = self.0.send(metric.to_owned());
+        Ok(metric.len())
+    }
+}
+
+#[test]
+fn flush_sends_what_was_counted_since_the_last() {
+    let (sender, sent) = mpsc::sync_channel(16);
+    let metrics = telemetry::Metrics::to_sink(Sink(sender), "ferry");
+    metrics.count("not_run.queue_full");
+    metrics.clone().count_by("not_run.queue_full", 2);
+    metrics.gauge("queued", 7);
+    metrics.flush();
+    assert_eq!(sent.recv().unwrap(), "ferry.not_run.queue_full:3|c");
+    assert_eq!(sent.recv().unwrap(), "ferry.queued:7|g");
+    metrics.count("not_run.queue_full");
+    metrics.time("wait", time::Duration::from_millis(12));
+    assert_eq!(sent.recv().unwrap(), "ferry.wait:12|ms");
+    drop(metrics);
+    assert_eq!(sent.recv().unwrap(), "ferry.not_run.queue_full:1|c");
+}
+
+#[test]
+fn counting_goes_on_while_nothing_is_taken() {
+    let (sender, _kept) = mpsc::sync_channel(0);
+    let metrics = telemetry::Metrics::to_sink(Sink(sender), "ferry");
+    for _ in 0..10_000 {
+        metrics.count("starts");
+        metrics.time("wait", time::Duration::from_millis(1));
+        metrics.flush();
+    }
+    assert_eq!(metrics.snapshot()["starts"], 10_000);
+}
+
+#[test]
+fn clones_share_counters_over_threads() {
+    let metrics = telemetry::Metrics::unsent();
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            let metrics = metrics.clone();
+            scope.spawn(move || (0..1_000).for_each(|_| metrics.count("starts")));
+        }
+    });
+    metrics.count_by("refusals", 0);
+    let snapshot = metrics.snapshot();
+    assert_eq!(snapshot["starts"], 4_000);
+    assert_eq!(snapshot["refusals"], 0);
+}
