--- /dev/null
+++ b/crates/place/src/admit.rs
@@ -0,0 +1,104 @@
+//! Refuses tasks early that could not start in time.
+
+use std::time;
+
+use crate::dispatch;
+use crate::lanes;
+use crate::queue;
+use crate::queue_settings;
+use crate::targets;
+
+const URGENT_SHARE: usize = 10;
+const MIN_BUSY: time::Duration = time::Duration::from_secs(1);
+const RATE_SECONDS: usize = 10;
+const RETRY_WHEN_FULL: time::Duration = time::Duration::from_secs(1);
+const MIN_RETRY: time::Duration = time::Duration::from_millis(100);
+const MAX_RETRY: time::Duration = time::Duration::from_secs(30);
+
+impl queue::Queue {
+    /// Decides whether `task`, which must start within `remaining`, may be queued.
+    ///
+    /// The last tenth of the queue is kept for urgent tasks. A start in time is denied only if the
+    /// tasks ahead of the same kind outnumber what the best of the last seconds would start.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a task that no worker can hold, that finds the queue full, or that cannot start
+    /// within `remaining`.
+    pub fn admit(
+        &mut self,
+        task: &model::Task,
+        remaining: time::Duration,
+        now: time::Instant,
+    ) -> Result<(), dispatch::Refusal> {
+        let spec = &task.spec;
+        let members = u32::from(spec.members);
+        if self.fleet_complete && !self.targets.could_ever_hold(&spec.demand, members) {
+            return Err(dispatch::Refusal {
+                reason: model::NotRunReason::NeverFits,
+                retry_after: time::Duration::ZERO,
+            });
+        }
+        if self.is_full(task) {
+            return Err(dispatch::Refusal {
+                reason: model::NotRunReason::QueueFull,
+                retry_after: RETRY_WHEN_FULL,
+            });
+        }
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            return Ok(());
+        }
+        match self.least_wait(task, now) {
+            Some(wait) if wait > remaining => Err(dispatch::Refusal {
+                reason: model::NotRunReason::CannotStartInTime,
+                retry_after: (wait - remaining).clamp(MIN_RETRY, MAX_RETRY),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn is_full(&self, task: &model::Task) -> bool {
+        let urgent = task.spec.urgency == model::Urgency::Urgent;
+        let limit = |max: usize| {
+            if urgent {
+                max
+            } else {
+                max - max / URGENT_SHARE
+            }
+        };
+        self.len() >= limit(self.settings.max_queued)
+            || self.queued_of_plan(&task.plan_id) >= limit(self.settings.max_queued_of_plan)
+    }
+
+    /// Returns the least time that the tasks ahead in the same lane take, if it is known.
+    fn least_wait(&mut self, task: &model::Task, now: time::Instant) -> Option<time::Duration> {
+        let spec = &task.spec;
+        let kind = self.predictor.index(&task.customer_id, &spec.kind);
+        let short = self.predictor.predict(kind, spec).short;
+        let need = targets::Need {
+            reserve: spec.demand,
+            members: u32::from(spec.members),
+            short,
+            short_slots_only: false,
+            cross_region: true,
+            avoid: &[],
+            seed: 0,
+        };
+        if self.targets.choose(&need).is_some() {
+            return None;
+        }
+        let key = lanes::LaneKey::new(spec, kind, &[]);
+        let lanes = &mut self.plans.get_mut(&task.plan_id)?.lanes;
+        let position = lanes.get(&key)?;
+        let lane = lanes.get_mut(position);
+        if now.saturating_duration_since(lane.busy_since) < MIN_BUSY {
+            return None;
+        }
+        let starts_a_second = lane.starts.peak(RATE_SECONDS, now);
+        if starts_a_second == 0 {
+            return None;
+        }
+        let wait_ms = lane.live as u64 * 1000 / starts_a_second;
+        Some(time::Duration::from_millis(wait_ms))
+    }
+}
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::targets;
+
 /// Where a dispatched task is offered.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Target {
@@ -54,6 +56,10 @@
     pub expected_run: time::Duration,
     /// Whether it is predicted to be short.
     pub short: bool,
+    /// Its place in the queue.
+    pub(crate) seq: u64,
+    /// Room taken from what the target advertises.
+    pub(crate) taken: targets::Taken,
 }
 
 /// Why a task was not admitted.
--- /dev/null
+++ b/crates/place/src/fit_tree.rs
@@ -0,0 +1,88 @@
+//! Finds a worker with room in time that grows with the logarithm of their number.
+
+/// Free slots and resources of a worker, or the largest of each over several workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    pub(crate) slots: u32,
+    pub(crate) resources: model::Demand,
+}
+
+impl Room {
+    pub(crate) fn fits(&self, reserve: &model::Demand) -> bool {
+        self.slots > 0 && reserve.fits_in(&self.resources)
+    }
+
+    pub(crate) fn max(&self, other: &Self) -> Self {
+        Self {
+            slots: self.slots.max(other.slots),
+            resources: self.resources.max(&other.resources),
+        }
+    }
+}
+
+/// A tree over workers whose nodes hold the largest room of the workers below.
+#[derive(Debug)]
+pub(crate) struct FitTree {
+    /// Leaves, a power of two.
+    leaves: usize,
+    /// Node `n` has the children `2n` and `2n + 1`; the root is node 1.
+    nodes: Vec<Room>,
+}
+
+impl FitTree {
+    pub(crate) fn new() -> Self {
+        Self {
+            leaves: 1,
+            nodes: vec![Room::default(); 2],
+        }
+    }
+
+    /// Returns the largest of each over all workers with a free slot.
+    pub(crate) fn largest(&self) -> Room {
+        self.nodes[1]
+    }
+
+    /// Sets the room of the worker at `index`; without a slot it has none.
+    pub(crate) fn set(&mut self, index: usize, room: Room) {
+        while index >= self.leaves {
+            self.grow();
+        }
+        let mut node = self.leaves + index;
+        self.nodes[node] = if room.slots > 0 {
+            room
+        } else {
+            Room::default()
+        };
+        while node > 1 {
+            node /= 2;
+            self.nodes[node] = self.nodes[2 * node].max(&self.nodes[2 * node + 1]);
+        }
+    }
+
+    /// Returns the first worker with a slot and room for `reserve`.
+    pub(crate) fn first_fit(&self, reserve: &model::Demand) -> Option<usize> {
+        self.first_fit_below(1, reserve)
+    }
+
+    fn first_fit_below(&self, node: usize, reserve: &model::Demand) -> Option<usize> {
+        if !self.nodes[node].fits(reserve) {
+            return None;
+        }
+        if node >= self.leaves {
+            return Some(node - self.leaves);
+        }
+        self.first_fit_below(2 * node, reserve)
+            .or_else(|| self.first_fit_below(2 * node + 1, reserve))
+    }
+
+    fn grow(&mut self) {
+        let mut larger = Self {
+            leaves: self.leaves * 2,
+            nodes: vec![Room::default(); self.leaves * 4],
+        };
+        for index in 0..self.leaves {
+            larger.set(index, self.nodes[self.leaves + index]);
+        }
+        *self = larger;
+    }
+}
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -1,9 +1,18 @@
 //! Chooses the worker that runs a task.
 
+use std::cmp;
+use std::collections;
 use std::time;
 
-use crate::control;
+use crate::drain;
 use crate::fleet_settings;
+use crate::health;
+use crate::pool;
+use crate::queue_settings;
+use crate::run;
+use crate::short_slots;
+use crate::spread;
+use crate::worker;
 
 /// A task to place, or some members of a gang.
 #[derive(Clone, Copy, Debug)]
@@ -41,100 +50,316 @@
     pub peak: model::Demand,
 }
 
-/// The workers of one holder.
+pub(crate) type Due = cmp::Reverse<(time::Instant, model::TaskAttempt)>;
+
+/// The workers of one holder: the only one that counts what they have free.
 #[derive(Debug)]
 pub struct Fleet {
-    settings: fleet_settings::FleetSettings,
+    pub(crate) settings: fleet_settings::FleetSettings,
+    pub(crate) pool: pool::Pool,
+    pub(crate) runs: indexmap::IndexMap<model::TaskAttempt, run::Run>,
+    pub(crate) short_slots: short_slots::ShortSlots,
+    /// Time of the latest event.
+    pub(crate) latest: Option<time::Instant>,
+    /// Runs that count as short.
+    pub(crate) short_running: u32,
+    /// Runs that were handed to a worker.
+    placed: usize,
+    spread: spread::Spread,
+    kinds: indexmap::IndexMap<spread::ServiceKey, health::KindHealth>,
+    pub(crate) on_probation: indexmap::IndexSet<usize>,
+    pub(crate) drains: drain::Drains,
+    /// Long runs that may be ended for short ones, by start.
+    pub(crate) long_runs: collections::BTreeSet<(time::Instant, model::TaskAttempt)>,
+    /// Long batch runs that may not be repeated, by start.
+    pub(crate) long_once: collections::BTreeSet<(time::Instant, model::TaskAttempt)>,
+    /// Runs told to checkpoint for short ones.
+    pub(crate) ending: indexmap::IndexSet<model::TaskAttempt>,
+    /// When short runs are to be looked at again; may hold runs that have ended.
+    pub(crate) demotions: collections::BinaryHeap<Due>,
+    /// When reservations lapse; may hold runs that have been placed or dropped.
+    pub(crate) lapses: collections::BinaryHeap<Due>,
+    pub(crate) refreshed_at: Option<time::Instant>,
+    pub(crate) relieved_at: Option<time::Instant>,
+    pub(crate) throttled: indexmap::IndexSet<model::TaskAttempt>,
 }
 
 impl Fleet {
     /// Returns a fleet without workers.
     #[must_use]
     pub fn new(settings: fleet_settings::FleetSettings) -> Self {
-        Self { settings }
+        let set_apart = settings.policy == queue_settings::Policy::Fair;
+        Self {
+            settings,
+            pool: pool::Pool::new(set_apart),
+            runs: indexmap::IndexMap::new(),
+            short_slots: short_slots::ShortSlots::new(),
+            latest: None,
+            short_running: 0,
+            placed: 0,
+            spread: spread::Spread::default(),
+            kinds: indexmap::IndexMap::new(),
+            on_probation: indexmap::IndexSet::new(),
+            drains: drain::Drains::default(),
+            long_runs: collections::BTreeSet::new(),
+            long_once: collections::BTreeSet::new(),
+            ending: indexmap::IndexSet::new(),
+            demotions: collections::BinaryHeap::new(),
+            lapses: collections::BinaryHeap::new(),
+            refreshed_at: None,
+            relieved_at: None,
+            throttled: indexmap::IndexSet::new(),
+        }
     }
 
-    /// Adds a worker with the runs it already has.
+    /// Adds a worker with the runs it already has; one of the same id is replaced.
     pub fn add_worker(
         &mut self,
-        _worker_id: model::WorkerId,
-        _location: model::Location,
-        _capacity: model::WorkerCapacity,
-        _leaving: bool,
-        _running: &[model::RunningRun],
-        _now: time::Instant,
+        worker_id: model::WorkerId,
+        location: model::Location,
+        capacity: model::WorkerCapacity,
+        leaving: bool,
+        running: &[model::RunningRun],
+        now: time::Instant,
     ) {
+        self.latest = Some(now);
+        self.remove_worker(&worker_id);
+        let worker = worker::Worker::new(worker_id, location, capacity, leaving);
+        let index = self.pool.add(worker, now);
+        for adopted in running {
+            self.remove_run(&adopted.run, now);
+            let running = time::Duration::from_millis(adopted.running_ms);
+            let run = run::Run {
+                worker: index,
+                task: adopted.task.clone(),
+                stage: run::Stage::Placed,
+                reserved: adopted.reserved,
+                short: false,
+                started_at: now.checked_sub(running).unwrap_or(now),
+                overruns: 0,
+                throttle: None,
+                ending_since: None,
+            };
+            self.add_run(adopted.run, run, now);
+        }
     }
 
-    /// Removes a worker and returns the runs it had.
-    pub fn remove_worker(&mut self, _worker_id: &model::WorkerId) -> Vec<model::TaskAttempt> {
-        Vec::new()
+    /// Removes a worker and returns the runs that were handed to it.
+    pub fn remove_worker(&mut self, worker_id: &model::WorkerId) -> Vec<model::TaskAttempt> {
+        let Some(index) = self.pool.index_of(worker_id) else {
+            return Vec::new();
+        };
+        let runs: Vec<_> = self.runs_of(index);
+        let mut placed = Vec::new();
+        for run in runs {
+            if let Some(removed) = self.forget_run(&run) {
+                placed.extend(removed.is_placed().then_some(run));
+            }
+        }
+        self.on_probation.swap_remove(&index);
+        self.pool.remove(worker_id);
+        placed
     }
 
     /// Sets whether a worker takes no new work.
-    pub fn set_leaving(&mut self, _worker_id: &model::WorkerId, _leaving: bool) {}
-
-    /// Chooses a worker for every member, or for none.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`NoRoom`] if not every member fits.
-    pub fn place(
-        &mut self,
-        _request: &Request<'_>,
-        _now: time::Instant,
-    ) -> Result<Vec<(u16, model::WorkerId)>, NoRoom> {
-        Err(NoRoom)
+    pub fn set_leaving(&mut self, worker_id: &model::WorkerId, leaving: bool) {
+        let Some(now) = self.latest else {
+            return;
+        };
+        if let Some(index) = self.pool.index_of(worker_id) {
+            self.pool
+                .update(index, now, |worker| worker.leaving = leaving);
+        }
     }
 
     /// Frees what a run holds, without learning from it.
-    pub fn release(&mut self, _run: model::TaskAttempt) {}
-
-    /// Frees what a run held and learns from its end.
-    pub fn finished(&mut self, _run: model::TaskAttempt, _report: &Finished, _now: time::Instant) {}
-
-    /// Takes in a usage report.
-    pub fn usage(
-        &mut self,
-        _usage: &[model::RunUsage],
-        _now: time::Instant,
-    ) -> Vec<control::Control> {
-        Vec::new()
+    pub fn release(&mut self, run: model::TaskAttempt) {
+        let Some(now) = self.latest else {
+            return;
+        };
+        if self.remove_run(&run, now).is_some() {
+            self.fill_drain(now);
+        }
     }
 
-    /// Does what is due, given the number of short tasks that wait for this fleet.
-    pub fn tick(&mut self, _short_waiting: u32, _now: time::Instant) -> Vec<control::Control> {
-        Vec::new()
+    /// Frees what a run held and learns from its end.
+    pub fn finished(&mut self, run: model::TaskAttempt, report: &Finished, now: time::Instant) {
+        self.latest = Some(now);
+        let Some(ended) = self.remove_run(&run, now) else {
+            return;
+        };
+        if self.settings.policy == queue_settings::Policy::Fair {
+            self.judge(&ended, report, now);
+        }
+        self.fill_drain(now);
     }
 
-    /// Returns what to advertise.
+    /// Returns what to advertise; `queued` is left at 0.
     #[must_use]
     pub fn summary(&self) -> model::CapacitySummary {
-        model::CapacitySummary::default()
+        let free = self.pool.free();
+        let long = self.long_room().min(free.slots);
+        model::CapacitySummary {
+            workers: self.pool.len() as u32,
+            free_slots: long,
+            free_short_slots: free.slots - long,
+            free: free.resources,
+            largest_free: self.pool.largest_free(),
+            largest_worker: self.pool.largest_worker(),
+            slots: self.pool.slots(),
+            queued: 0,
+        }
     }
 
-    /// Returns the worker of a run.
+    /// Returns the worker of a run, reserved or running.
     #[must_use]
-    pub fn worker_of(&self, _run: &model::TaskAttempt) -> Option<&model::WorkerId> {
-        None
+    pub fn worker_of(&self, run: &model::TaskAttempt) -> Option<&model::WorkerId> {
+        let run = self.runs.get(run)?;
+        Some(&self.pool.get(run.worker)?.worker_id)
     }
 
-    /// Returns the runs on a worker.
+    /// Returns the runs that were handed to a worker.
     #[must_use]
-    pub fn runs_on(&self, _worker_id: &model::WorkerId) -> Vec<model::TaskAttempt> {
-        Vec::new()
+    pub fn runs_on(&self, worker_id: &model::WorkerId) -> Vec<model::TaskAttempt> {
+        let Some(index) = self.pool.index_of(worker_id) else {
+            return Vec::new();
+        };
+        let mut runs = self.runs_of(index);
+        runs.retain(|run| self.runs.get(run).is_some_and(run::Run::is_placed));
+        runs
     }
 
-    /// Returns the number of runs.
+    /// Returns the number of runs that were handed to a worker.
     #[must_use]
     pub fn running(&self) -> usize {
-        0
+        self.placed
     }
 
     /// Returns the number of racks with a worker.
     #[must_use]
     pub fn racks(&self) -> u32 {
-        let _ = &self.settings;
-        0
+        self.pool.racks() as u32
+    }
+
+    /// Returns how many slots a task that is not short may still take.
+    pub(crate) fn long_room(&self) -> u32 {
+        let for_short = self.pool.short_room() + self.short_running;
+        for_short.saturating_sub(self.short_slots.slots())
+    }
+
+    pub(crate) fn spread_load(
+        &self,
+        key: &spread::ServiceKey,
+        at: &model::Location,
+    ) -> spread::Load {
+        self.spread.load(key, at)
+    }
+
+    pub(crate) fn add_run(&mut self, id: model::TaskAttempt, run: run::Run, now: time::Instant) {
+        let index = run.worker;
+        let reserved = run.reserved;
+        self.pool.update(index, now, |worker| {
+            worker.reserved = worker.reserved.plus(&reserved);
+            worker.runs.insert(id);
+        });
+        if run.task.spec.class == model::Class::Service
+            && let Some(worker) = self.pool.get(index)
+        {
+            let key = spread::ServiceKey::of(&run.task);
+            self.spread.add(key, &worker.location);
+        }
+        if let run::Stage::Reserved { lapses_at } = run.stage {
+            self.lapses.push(cmp::Reverse((lapses_at, id)));
+        }
+        self.index_run(id, &run);
+        self.runs.insert(id, run);
+    }
+
+    /// Counts a run by stage and length.
+    pub(crate) fn index_run(&mut self, id: model::TaskAttempt, run: &run::Run) {
+        if !run.is_placed() {
+            return;
+        }
+        self.placed += 1;
+        if run.short {
+            self.short_running += 1;
+            let due = run.started_at + self.settings.demote_after;
+            self.demotions.push(cmp::Reverse((due, id)));
+        } else if run.can_checkpoint() {
+            self.long_runs.insert((run.started_at, id));
+        } else if run.task.spec.class == model::Class::Batch {
+            self.long_once.insert((run.started_at, id));
+        }
+    }
+
+    /// Undoes [`Fleet::index_run`].
+    pub(crate) fn unindex_run(&mut self, id: model::TaskAttempt, run: &run::Run) {
+        if !run.is_placed() {
+            return;
+        }
+        self.placed -= 1;
+        if run.short {
+            self.short_running -= 1;
+        }
+        self.long_runs.remove(&(run.started_at, id));
+        self.long_once.remove(&(run.started_at, id));
+    }
+
+    pub(crate) fn remove_run(
+        &mut self,
+        id: &model::TaskAttempt,
+        now: time::Instant,
+    ) -> Option<run::Run> {
+        let run = self.forget_run(id)?;
+        self.pool.refresh(run.worker, now);
+        Some(run)
+    }
+
+    /// Removes a run without bringing the index of its worker up to date.
+    fn forget_run(&mut self, id: &model::TaskAttempt) -> Option<run::Run> {
+        let run = self.runs.swap_remove(id)?;
+        self.unindex_run(*id, &run);
+        self.ending.swap_remove(id);
+        self.throttled.swap_remove(id);
+        let worker = self.pool.get_mut(run.worker)?;
+        worker.reserved = worker.reserved.minus(&run.reserved);
+        worker.runs.swap_remove(id);
+        if run.task.spec.class == model::Class::Service {
+            let key = spread::ServiceKey::of(&run.task);
+            self.spread.remove(&key, &worker.location);
+        }
+        Some(run)
+    }
+
+    fn judge(&mut self, ended: &run::Run, report: &Finished, now: time::Instant) {
+        let key = spread::ServiceKey::of(&ended.task);
+        if self.kinds.len() >= self.settings.max_kinds && !self.kinds.contains_key(&key) {
+            self.kinds.swap_remove_index(0);
+        }
+        let kind = self.kinds.entry(key).or_default();
+        let verdict = kind.judge(ended.worker, report.succeeded, report.worker_fault);
+        let may_enter = (self.on_probation.len() + 1) * self.settings.probation_divisor
+            <= self.pool.len().max(self.settings.probation_divisor)
+            && self.pool.len() > 1;
+        self.pool.update(ended.worker, now, |worker| {
+            worker.health.record(verdict, may_enter, now);
+        });
+        let standing = self
+            .pool
+            .get(ended.worker)
+            .map(|worker| worker.health.standing);
+        match standing {
+            Some(health::Standing::Probation { .. }) => {
+                self.on_probation.insert(ended.worker);
+            }
+            _ => {
+                self.on_probation.swap_remove(&ended.worker);
+            }
+        }
+    }
+
+    fn runs_of(&self, index: usize) -> Vec<model::TaskAttempt> {
+        let worker = self.pool.get(index);
+        worker.map_or_else(Vec::new, |worker| worker.runs.iter().copied().collect())
     }
 }
--- /dev/null
+++ b/crates/place/src/health.rs
@@ -0,0 +1,155 @@
+//! Puts workers that fail what others finish on probation, and brings them back step by step.
+
+use std::time;
+
+const MAX_RESULTS: u32 = 16;
+const MIN_FAILURES: u32 = 4;
+const SUCCESSES_PER_STEP: u32 = 3;
+const STEPS: [u32; 3] = [1, 2, 4];
+const MIN_BACKOFF: time::Duration = time::Duration::from_secs(1);
+const MAX_BACKOFF: time::Duration = time::Duration::from_secs(60);
+
+/// What became of a run, as far as it tells about its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It succeeded.
+    Success,
+    /// It failed where others succeed.
+    Failure,
+    /// It failed, as it does elsewhere.
+    Neither,
+}
+
+/// Whether a worker may get work, and how much.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// As much as it holds.
+    Good,
+    /// A few trial tasks.
+    Probation {
+        /// Index into [`STEPS`].
+        step: usize,
+        /// Successes at this step.
+        successes: u32,
+        /// No trial before.
+        trial_at: time::Instant,
+        /// Time without trial after the next failure.
+        backoff: time::Duration,
+    },
+}
+
+/// The recent results of one worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Health {
+    /// Latest results, the newest in bit 0; a set bit is a failure.
+    results: u32,
+    count: u32,
+    pub(crate) standing: Standing,
+}
+
+impl Health {
+    pub(crate) fn new() -> Self {
+        Self {
+            results: 0,
+            count: 0,
+            standing: Standing::Good,
+        }
+    }
+
+    /// Returns the number of trial tasks at once, or `None` for a worker in good standing.
+    pub(crate) fn trials(&self, now: time::Instant) -> Option<u32> {
+        match self.standing {
+            Standing::Good => None,
+            Standing::Probation { trial_at, .. } if now < trial_at => Some(0),
+            Standing::Probation { step, .. } => Some(STEPS[step]),
+        }
+    }
+
+    /// Takes a result in; `may_enter` tells whether one more worker may go on probation.
+    pub(crate) fn record(&mut self, verdict: Verdict, may_enter: bool, now: time::Instant) {
+        let failed = match verdict {
+            Verdict::Neither => return,
+            Verdict::Success => false,
+            Verdict::Failure => true,
+        };
+        self.results = (self.results << 1 | u32::from(failed)) & ((1 << MAX_RESULTS) - 1);
+        self.count = (self.count + 1).min(MAX_RESULTS);
+        match self.standing {
+            Standing::Good if may_enter && self.is_bad() => self.enter(MIN_BACKOFF, now),
+            Standing::Good => {}
+            Standing::Probation { backoff, .. } if failed => self.enter(backoff, now),
+            Standing::Probation { .. } => self.step_up(),
+        }
+    }
+
+    fn is_bad(&self) -> bool {
+        let failures = self.results.count_ones();
+        failures >= MIN_FAILURES && 2 * failures >= self.count
+    }
+
+    fn enter(&mut self, backoff: time::Duration, now: time::Instant) {
+        self.standing = Standing::Probation {
+            step: 0,
+            successes: 0,
+            trial_at: now + backoff,
+            backoff: (backoff * 2).min(MAX_BACKOFF),
+        };
+    }
+
+    fn step_up(&mut self) {
+        let Standing::Probation {
+            step, successes, ..
+        } = &mut self.standing
+        else {
+            return;
+        };
+        *successes += 1;
+        if *successes < SUCCESSES_PER_STEP {
+            return;
+        }
+        *successes = 0;
+        *step += 1;
+        if *step == STEPS.len() {
+            *self = Self::new();
+        }
+    }
+}
+
+/// How the tasks of one customer and kind end.
+#[derive(Debug, Default)]
+pub(crate) struct KindHealth {
+    last_failed_on: Option<usize>,
+    successes: u32,
+    failures: u32,
+}
+
+impl KindHealth {
+    /// Takes a result in and says what it tells about the worker.
+    ///
+    /// Failures one after the other on the same worker count once for the kind, so that one bad
+    /// worker that draws most of the tasks does not make the kind look bad.
+    pub(crate) fn judge(&mut self, worker: usize, succeeded: bool, worker_fault: bool) -> Verdict {
+        if succeeded {
+            self.successes += 1;
+            self.fade();
+            return Verdict::Success;
+        }
+        if self.last_failed_on != Some(worker) {
+            self.failures += 1;
+        }
+        self.last_failed_on = Some(worker);
+        self.fade();
+        if worker_fault || self.successes > self.failures {
+            Verdict::Failure
+        } else {
+            Verdict::Neither
+        }
+    }
+
+    fn fade(&mut self) {
+        if self.successes + self.failures > 64 {
+            self.successes /= 2;
+            self.failures /= 2;
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/lanes.rs
@@ -0,0 +1,250 @@
+//! The waiting tasks of one plan, in lanes of like tasks.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::rate;
+
+const MAX_LANES: usize = 64;
+const MIN_STALE_TICKETS: usize = 64;
+
+/// Tells apart tasks that differ in what they need or in what is predicted of them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct LaneKey {
+    pub(crate) urgent: bool,
+    pub(crate) kind: usize,
+    pub(crate) class: model::Class,
+    pub(crate) members: u16,
+    pub(crate) demand: model::Demand,
+    pub(crate) avoid: Vec<model::InstanceId>,
+}
+
+impl LaneKey {
+    pub(crate) fn new(spec: &model::TaskSpec, kind: usize, avoid: &[model::InstanceId]) -> Self {
+        Self {
+            urgent: spec.urgency == model::Urgency::Urgent,
+            kind,
+            class: spec.class,
+            members: spec.members,
+            demand: spec.demand,
+            avoid: avoid.to_vec(),
+        }
+    }
+}
+
+/// A task's place in a lane; stale once the task has left the queue or moved.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ticket {
+    pub(crate) seq: u64,
+    pub(crate) task_id: model::TaskId,
+}
+
+/// Like tasks in order of arrival.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) urgent: bool,
+    pub(crate) kind: usize,
+    pub(crate) spec: sync::Arc<model::TaskSpec>,
+    /// In order of sequence number; the first is never stale.
+    pub(crate) tickets: collections::VecDeque<Ticket>,
+    /// Tickets that are not stale.
+    pub(crate) live: usize,
+    /// Round in which the lane's head could not be dispatched, for each pass.
+    pub(crate) blocked_round: [u64; 2],
+    /// Since when the lane has held tasks without a break.
+    pub(crate) busy_since: time::Instant,
+    /// Dispatches since then.
+    pub(crate) starts: rate::RecentSum,
+    /// When a gang that fits no free capacity may be offered again.
+    pub(crate) offer_again_at: Option<time::Instant>,
+    key: LaneKey,
+}
+
+/// What the waiting tasks of a plan would use, without saturation.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Wanted {
+    processors_milli: u64,
+    memory_mb: u64,
+    accelerators: u64,
+    tasks: u64,
+}
+
+impl Wanted {
+    pub(crate) fn add(&mut self, spec: &model::TaskSpec) {
+        let members = u64::from(spec.members);
+        self.processors_milli += u64::from(spec.demand.processors_milli) * members;
+        self.memory_mb += u64::from(spec.demand.memory_mb) * members;
+        self.accelerators += u64::from(spec.demand.accelerators) * members;
+        self.tasks += members;
+    }
+
+    pub(crate) fn subtract(&mut self, spec: &model::TaskSpec) {
+        let members = u64::from(spec.members);
+        self.processors_milli -= u64::from(spec.demand.processors_milli) * members;
+        self.memory_mb -= u64::from(spec.demand.memory_mb) * members;
+        self.accelerators -= u64::from(spec.demand.accelerators) * members;
+        self.tasks -= members;
+    }
+
+    /// Returns the amount, each part at most `u32::MAX`; `starts` tasks would start at once.
+    pub(crate) fn amount(&self, starts: usize) -> model::QuotaAmount {
+        model::QuotaAmount {
+            resources: model::Demand {
+                processors_milli: clamp(self.processors_milli),
+                memory_mb: clamp(self.memory_mb),
+                accelerators: clamp(self.accelerators),
+            },
+            tasks: clamp(self.tasks),
+            rate_milli: clamp(starts as u64 * 1000),
+        }
+    }
+}
+
+/// All lanes of a plan.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    index: indexmap::IndexMap<LaneKey, usize>,
+    lanes: Vec<Lane>,
+    unused: Vec<usize>,
+    tickets: usize,
+    live: usize,
+}
+
+impl Lanes {
+    /// Returns the lane for `key`, making it if needed; beyond [`MAX_LANES`] a coarser one.
+    pub(crate) fn lane(
+        &mut self,
+        key: LaneKey,
+        spec: &sync::Arc<model::TaskSpec>,
+        now: time::Instant,
+    ) -> usize {
+        if let Some(lane) = self.index.get(&key) {
+            return *lane;
+        }
+        let key = if self.index.len() < MAX_LANES {
+            key
+        } else {
+            coarse(&key)
+        };
+        if let Some(lane) = self.index.get(&key) {
+            return *lane;
+        }
+        let lane = Lane {
+            urgent: key.urgent,
+            kind: key.kind,
+            spec: spec.clone(),
+            tickets: collections::VecDeque::new(),
+            live: 0,
+            blocked_round: [0; 2],
+            busy_since: now,
+            starts: rate::RecentSum::default(),
+            offer_again_at: None,
+            key: key.clone(),
+        };
+        let position = self.unused.pop().unwrap_or(self.lanes.len());
+        if position == self.lanes.len() {
+            self.lanes.push(lane);
+        } else {
+            self.lanes[position] = lane;
+        }
+        self.index.insert(key, position);
+        position
+    }
+
+    /// Adds a ticket in order of its sequence number.
+    pub(crate) fn insert(&mut self, lane: usize, ticket: Ticket) {
+        let lane = &mut self.lanes[lane];
+        let at = lane.tickets.partition_point(|other| other.seq < ticket.seq);
+        lane.tickets.insert(at, ticket);
+        lane.live += 1;
+        lane.blocked_round = [0; 2];
+        self.tickets += 1;
+        self.live += 1;
+    }
+
+    /// Counts one ticket of `lane` as stale, and drops stale tickets at the front.
+    pub(crate) fn leave(&mut self, lane: usize, is_live: impl Fn(&Ticket) -> bool) {
+        self.lanes[lane].live -= 1;
+        self.live -= 1;
+        if self.lanes[lane].live == 0 {
+            self.retire(lane);
+            return;
+        }
+        let tickets = &mut self.lanes[lane].tickets;
+        while tickets.front().is_some_and(|ticket| !is_live(ticket)) {
+            tickets.pop_front();
+            self.tickets -= 1;
+        }
+    }
+
+    /// Returns whether stale tickets outnumber the others by far.
+    pub(crate) fn wants_compaction(&self) -> bool {
+        self.tickets > 2 * self.live + MIN_STALE_TICKETS
+    }
+
+    /// Drops the tickets that `is_live` denies.
+    pub(crate) fn compact(&mut self, mut is_live: impl FnMut(&Ticket) -> bool) {
+        for lane in &mut self.lanes {
+            lane.tickets.retain(&mut is_live);
+        }
+        self.tickets = self.lanes.iter().map(|lane| lane.tickets.len()).sum();
+    }
+
+    /// Returns the first task of `lane`.
+    pub(crate) fn head(&self, lane: usize) -> Option<model::TaskId> {
+        self.lanes[lane]
+            .tickets
+            .front()
+            .map(|ticket| ticket.task_id)
+    }
+
+    /// Returns the lane for `key`, if it holds tasks.
+    pub(crate) fn get(&self, key: &LaneKey) -> Option<usize> {
+        self.index.get(key).copied()
+    }
+
+    /// Drops the first ticket of `lane`; its task then counts as gone by [`Lanes::leave`].
+    pub(crate) fn pop(&mut self, lane: usize) {
+        if self.lanes[lane].tickets.pop_front().is_some() {
+            self.tickets -= 1;
+        }
+    }
+
+    /// Returns the lanes that hold tasks, with their positions.
+    pub(crate) fn active(&self) -> impl Iterator<Item = (usize, &Lane)> {
+        let lanes = self.lanes.iter().enumerate();
+        lanes.filter(|(_, lane)| lane.live > 0)
+    }
+
+    pub(crate) fn get_mut(&mut self, lane: usize) -> &mut Lane {
+        &mut self.lanes[lane]
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.live
+    }
+
+    fn retire(&mut self, position: usize) {
+        let lane = &mut self.lanes[position];
+        self.tickets -= lane.tickets.len();
+        lane.tickets.clear();
+        self.index.swap_remove(&lane.key);
+        self.unused.push(position);
+    }
+}
+
+fn coarse(key: &LaneKey) -> LaneKey {
+    LaneKey {
+        urgent: key.urgent,
+        kind: 0,
+        class: key.class,
+        members: 0,
+        demand: model::Demand::default(),
+        avoid: Vec::new(),
+    }
+}
+
+fn clamp(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -4,12 +4,31 @@
 //! [`Fleet`] belongs to a holder of workers and decides which worker runs it. Both are plain state
 //! machines: they are told the time and do no I/O.
 
+mod admit;
 mod control;
 mod dispatch;
+mod drain;
+mod fit_tree;
 mod fleet;
 mod fleet_settings;
+mod health;
+mod histogram;
+mod lanes;
+mod next;
+mod overrun;
+mod place;
+mod plan;
+mod pool;
+mod predictor;
 mod queue;
 mod queue_settings;
+mod rate;
+mod relief;
+mod run;
+mod short_slots;
+mod spread;
+mod targets;
+mod worker;
 
 pub use control::Control;
 pub use dispatch::Dispatch;
--- /dev/null
+++ b/crates/place/src/next.rs
@@ -0,0 +1,323 @@
+//! Picks the next task and its target.
+
+use std::ops;
+use std::time;
+
+use crate::dispatch;
+use crate::predictor;
+use crate::queue;
+use crate::queue_settings;
+use crate::targets;
+
+const RATE_SECONDS: usize = 5;
+const START_RATE_MILLI: u32 = 1000;
+
+/// Which tasks and slots are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pass {
+    /// Short tasks, for the slots kept for them.
+    ShortSlots,
+    /// All tasks, for all other slots too.
+    AllSlots,
+}
+
+/// A task that was picked, and the room it was given.
+struct Pick {
+    prediction: predictor::Prediction,
+    reserve: model::Demand,
+    target: dispatch::Target,
+    taken: targets::Taken,
+}
+
+impl queue::Queue {
+    /// Returns the next task to offer, until there is none.
+    ///
+    /// Takes from `quota` what the task declares and is expected to use: [`dispatch::Dispatch`]'s
+    /// `reserve` for each member.
+    pub fn next<Q: dispatch::Quota>(
+        &mut self,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        let dispatch = match self.settings.policy {
+            queue_settings::Policy::Fair => self.next_fair(quota, now),
+            queue_settings::Policy::Baseline => self.next_first(quota, now),
+        };
+        if dispatch.is_none() {
+            self.round += 1;
+        }
+        dispatch
+    }
+
+    fn next_fair<Q: dispatch::Quota>(
+        &mut self,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        if self.is_empty() || (self.gangs == 0 && !self.targets.any_free()) {
+            return None;
+        }
+        if self.targets.any_short_slot() {
+            let dispatch = self.next_in_order(Pass::ShortSlots, quota, now);
+            if dispatch.is_some() {
+                return dispatch;
+            }
+        }
+        self.next_in_order(Pass::AllSlots, quota, now)
+    }
+
+    /// Tries the plans from the least charged on.
+    fn next_in_order<Q: dispatch::Quota>(
+        &mut self,
+        pass: Pass,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        let mut after = ops::Bound::Unbounded;
+        loop {
+            let order = match pass {
+                Pass::ShortSlots => &self.by_short_charge,
+                Pass::AllSlots => &self.by_charge,
+            };
+            let (charge, plan) = *order.range((after, ops::Bound::Unbounded)).next()?;
+            after = ops::Bound::Excluded((charge, plan));
+            if self.plans[plan].blocked_round[pass as usize] == self.round {
+                continue;
+            }
+            let dispatch = self.next_of_plan(plan, pass, quota, now);
+            if dispatch.is_none() {
+                self.plans[plan].blocked_round[pass as usize] = self.round;
+                continue;
+            }
+            match pass {
+                Pass::ShortSlots => self.served_short_charge = charge,
+                Pass::AllSlots => self.served_charge = charge,
+            }
+            return dispatch;
+        }
+    }
+
+    /// Tries the lanes of a plan in order.
+    fn next_of_plan<Q: dispatch::Quota>(
+        &mut self,
+        plan: usize,
+        pass: Pass,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        while let Some((_, lane)) = self.best_lane(plan, pass) {
+            let dispatch = self.try_head(plan, lane, pass, quota, now);
+            if dispatch.is_some() {
+                return dispatch;
+            }
+        }
+        None
+    }
+
+    /// Tries all lanes of all plans, the earliest task first.
+    fn next_first<Q: dispatch::Quota>(
+        &mut self,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        loop {
+            let plans = 0..self.plans.len();
+            let lanes = plans.filter_map(|plan| {
+                let (order, lane) = self.best_lane(plan, Pass::AllSlots)?;
+                Some((order, plan, lane))
+            });
+            let (_, plan, lane) = lanes.min()?;
+            let dispatch = self.try_head(plan, lane, Pass::AllSlots, quota, now);
+            if dispatch.is_some() {
+                return dispatch;
+            }
+        }
+    }
+
+    /// Returns the lane of `plan` to try next, and its order among those of other plans.
+    fn best_lane(&self, plan: usize, pass: Pass) -> Option<((bool, time::Instant, u64), usize)> {
+        let plan = &self.plans[plan];
+        let lanes = plan.lanes.active();
+        let open = lanes.filter(|(_, lane)| lane.blocked_round[pass as usize] != self.round);
+        open.filter_map(|(position, lane)| {
+            let prediction = self.predictor.predict(lane.kind, &lane.spec);
+            if pass == Pass::ShortSlots && !prediction.short {
+                return None;
+            }
+            let ticket = lane.tickets.front()?;
+            let accepted_at = self.entries.get(&ticket.task_id)?.queued.accepted_at;
+            let order = match self.settings.policy {
+                queue_settings::Policy::Fair => {
+                    let lead = prediction.run.min(self.settings.max_lead);
+                    (!lane.urgent, accepted_at + lead, ticket.seq)
+                }
+                queue_settings::Policy::Baseline => (false, accepted_at, ticket.seq),
+            };
+            Some((order, position))
+        })
+        .min()
+    }
+
+    /// Dispatches the first task of a lane, or marks the lane as blocked for this round.
+    fn try_head<Q: dispatch::Quota>(
+        &mut self,
+        plan: usize,
+        lane: usize,
+        pass: Pass,
+        quota: &mut Q,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        let task_id = self.plans[plan].lanes.head(lane)?;
+        let Some(pick) = self.pick(plan, lane, task_id, pass, now) else {
+            self.plans[plan].lanes.get_mut(lane).blocked_round[pass as usize] = self.round;
+            return None;
+        };
+        let members = self.entries[&task_id].queued.task.spec.members;
+        let amount = model::QuotaAmount {
+            resources: pick.reserve.times(u32::from(members)),
+            tasks: u32::from(members),
+            rate_milli: START_RATE_MILLI,
+        };
+        let plan_id = self.plans[plan].plan_id.clone();
+        if !quota.try_take(&plan_id, &amount, now) {
+            self.targets.give_back(&pick.target, &pick.taken);
+            self.plans[plan].lanes.get_mut(lane).blocked_round = [self.round; 2];
+            return None;
+        }
+        self.dispatch(plan, lane, task_id, pick, now)
+    }
+
+    /// Finds room for a task.
+    fn pick(
+        &mut self,
+        plan: usize,
+        lane: usize,
+        task_id: model::TaskId,
+        pass: Pass,
+        now: time::Instant,
+    ) -> Option<Pick> {
+        let entry = &self.entries[&task_id];
+        let spec = &entry.queued.task.spec;
+        let prediction = self.prediction(entry);
+        let bounded = smaller(&prediction.peak, &self.targets.largest_worker());
+        let reserve = spec.demand.max(&bounded);
+        let near = targets::Need {
+            reserve,
+            members: u32::from(spec.members),
+            short: prediction.short,
+            short_slots_only: pass == Pass::ShortSlots,
+            cross_region: false,
+            avoid: &entry.queued.avoid,
+            seed: task_id.as_u128() as u64,
+        };
+        let far = targets::Need {
+            cross_region: true,
+            ..near
+        };
+        let mut position = self.targets.choose(&near);
+        if position.is_none() && self.targets.any_other_region() && self.outweighs(entry, now) {
+            position = self.targets.choose(&far);
+        }
+        if let Some(position) = position {
+            return Some(Pick {
+                prediction,
+                reserve,
+                target: self.targets.target(position).clone(),
+                taken: self.targets.take(position, &near),
+            });
+        }
+        if spec.class != model::Class::Gang || pass == Pass::ShortSlots {
+            return None;
+        }
+        if now.saturating_duration_since(entry.queued.accepted_at) < self.settings.gang_patience {
+            return None;
+        }
+        let lane = self.plans[plan].lanes.get_mut(lane);
+        if lane.offer_again_at.is_some_and(|at| at > now) {
+            return None;
+        }
+        let position = self.targets.choose_large_enough(&far)?;
+        lane.offer_again_at = Some(now + self.settings.gang_offer_interval);
+        Some(Pick {
+            prediction,
+            reserve,
+            target: self.targets.target(position).clone(),
+            taken: targets::Taken::default(),
+        })
+    }
+
+    fn prediction(&self, entry: &queue::Entry) -> predictor::Prediction {
+        let spec = &entry.queued.task.spec;
+        let mut prediction = self.predictor.predict(entry.kind, spec);
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            prediction.short = false;
+            prediction.peak = model::Demand::default();
+        }
+        prediction
+    }
+
+    /// Returns whether the wait in the own region outweighs a link to another one.
+    fn outweighs(&self, entry: &queue::Entry, now: time::Instant) -> bool {
+        let spec = &entry.queued.task.spec;
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            return true;
+        }
+        if !self.targets.region_could_hold(&spec.demand) {
+            return true;
+        }
+        let waited = now.saturating_duration_since(entry.queued.accepted_at);
+        waited.max(self.expected_wait(entry, now)) > self.settings.cross_region_wait
+    }
+
+    /// Returns how long the waiting tasks of the same class take to start at the recent rate.
+    fn expected_wait(&self, entry: &queue::Entry, now: time::Instant) -> time::Duration {
+        let short = self.prediction(entry).short;
+        let mut starts = self.starts[usize::from(short)].clone();
+        let starts_a_second = starts.mean(RATE_SECONDS, now);
+        if starts_a_second == 0 {
+            return time::Duration::ZERO;
+        }
+        let plans = self.plans.values();
+        let waiting: usize = plans.map(|plan| self.queued_in(plan, short)).sum();
+        time::Duration::from_millis(waiting as u64 * 1000 / starts_a_second)
+    }
+
+    fn dispatch(
+        &mut self,
+        plan: usize,
+        lane: usize,
+        task_id: model::TaskId,
+        pick: Pick,
+        now: time::Instant,
+    ) -> Option<dispatch::Dispatch> {
+        let lanes = &mut self.plans[plan].lanes;
+        lanes.get_mut(lane).starts.add(1, now);
+        lanes.pop(lane);
+        let entry = self.take(task_id)?;
+        let members = entry.queued.task.spec.members;
+        let cost = self.plans[plan].cost(pick.prediction.run, members);
+        self.charge(plan, pick.prediction.short, |charge| {
+            charge.saturating_add(cost)
+        });
+        if pick.prediction.short {
+            self.predictor.start_short(entry.kind);
+        }
+        Some(dispatch::Dispatch {
+            queued: entry.queued,
+            target: pick.target,
+            reserve: pick.reserve,
+            expected_run: pick.prediction.run,
+            short: pick.prediction.short,
+            seq: entry.seq,
+            taken: pick.taken,
+        })
+    }
+}
+
+fn smaller(a: &model::Demand, b: &model::Demand) -> model::Demand {
+    model::Demand {
+        processors_milli: a.processors_milli.min(b.processors_milli),
+        memory_mb: a.memory_mb.min(b.memory_mb),
+        accelerators: a.accelerators.min(b.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/place/src/overrun.rs
@@ -0,0 +1,123 @@
+//! Throttles and stops runs that use more than was set aside for them.
+
+use std::time;
+
+use crate::control;
+use crate::fleet;
+use crate::queue_settings;
+
+const MAX_OVERRUNS: u32 = 2;
+const TOLERANCE_PERCENT: u64 = 110;
+const MEMORY_DANGER_PERCENT: u64 = 95;
+
+impl fleet::Fleet {
+    /// Takes in the usage reports of workers.
+    ///
+    /// Memory beyond the reservation is reserved too while the worker has it; else the run is
+    /// stopped before its neighbours lose theirs. Processors are throttled to the reservation.
+    pub fn usage(
+        &mut self,
+        usage: &[model::RunUsage],
+        now: time::Instant,
+    ) -> Vec<control::Control> {
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            return Vec::new();
+        }
+        let mut controls = Vec::new();
+        for report in usage {
+            controls.extend(self.limit_memory(report, now));
+            controls.extend(self.limit_processors(report, now));
+        }
+        controls
+    }
+
+    fn limit_memory(
+        &mut self,
+        report: &model::RunUsage,
+        now: time::Instant,
+    ) -> Option<control::Control> {
+        let run = self.runs.get_mut(&report.run)?;
+        let lacking = report.used.memory_mb.saturating_sub(run.reserved.memory_mb);
+        if lacking == 0 || run.ending_since.is_some() {
+            return None;
+        }
+        let worker = self.pool.get(run.worker)?;
+        let granted = lacking.min(worker.free().resources.memory_mb);
+        let capacity = u64::from(worker.capacity.resources.memory_mb);
+        let reserved = u64::from(worker.reserved.memory_mb) + u64::from(lacking);
+        let endangers = worker.runs.len() > 1
+            && granted < lacking
+            && reserved * 100 > capacity * MEMORY_DANGER_PERCENT;
+        run.reserved.memory_mb += granted;
+        let index = run.worker;
+        if endangers {
+            run.ending_since = Some(now);
+            self.long_runs.remove(&(run.started_at, report.run));
+        }
+        self.pool.update(index, now, |worker| {
+            worker.reserved.memory_mb += granted;
+        });
+        if !endangers {
+            return None;
+        }
+        let worker_id = self.worker_of(&report.run)?.clone();
+        Some(control::Control::Stop {
+            run: report.run,
+            worker_id,
+        })
+    }
+
+    fn limit_processors(
+        &mut self,
+        report: &model::RunUsage,
+        now: time::Instant,
+    ) -> Option<control::Control> {
+        let run = self.runs.get_mut(&report.run)?;
+        let used = u64::from(report.used.processors_milli);
+        let reserved = u64::from(run.reserved.processors_milli);
+        if let Some(throttle) = run.throttle {
+            let limit = u64::from(throttle.processors_milli) * u64::from(throttle.percent) / 100;
+            if used <= limit && limit < reserved {
+                self.shrink(&report.run, limit as u32, now);
+                return None;
+            }
+        }
+        let run = self.runs.get_mut(&report.run)?;
+        if used * 100 <= reserved * TOLERANCE_PERCENT {
+            run.overruns = 0;
+            return None;
+        }
+        run.overruns += 1;
+        if run.overruns < MAX_OVERRUNS || run.throttle.is_some() || reserved == 0 {
+            return None;
+        }
+        let percent = (reserved * 100 / used).clamp(1, 100) as u8;
+        self.throttle_to_reserved(report.run, percent)
+    }
+
+    fn throttle_to_reserved(
+        &mut self,
+        id: model::TaskAttempt,
+        percent: u8,
+    ) -> Option<control::Control> {
+        let worker_id = self.worker_of(&id)?.clone();
+        Some(control::Control::Throttle {
+            run: id,
+            worker_id,
+            percent,
+        })
+    }
+
+    /// Gives up processors that a throttled run no longer uses.
+    fn shrink(&mut self, id: &model::TaskAttempt, processors_milli: u32, now: time::Instant) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        let freed = run.reserved.processors_milli - processors_milli;
+        run.reserved.processors_milli = processors_milli;
+        let index = run.worker;
+        self.pool.update(index, now, |worker| {
+            worker.reserved.processors_milli -= freed;
+        });
+    }
+}
--- /dev/null
+++ b/crates/place/src/place.rs
@@ -0,0 +1,135 @@
+//! Places members on workers, all of a request or none.
+
+use std::time;
+
+use crate::fleet;
+use crate::queue_settings;
+use crate::run;
+use crate::spread;
+
+impl fleet::Fleet {
+    /// Chooses a worker for every member, or for none.
+    ///
+    /// A repeated request for members that are placed gives the same workers. Members that were
+    /// only reserved are committed by a request without `reserve_only`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fleet::NoRoom`] if not every member fits.
+    pub fn place(
+        &mut self,
+        request: &fleet::Request<'_>,
+        now: time::Instant,
+    ) -> Result<Vec<(u16, model::WorkerId)>, fleet::NoRoom> {
+        self.latest = Some(now);
+        let mut added = Vec::new();
+        for member in request.members {
+            let id = attempt_of(request, *member);
+            if self.runs.contains_key(&id) {
+                continue;
+            }
+            let Some(worker) = self.choose(request) else {
+                self.give_up(request, &added, now);
+                return Err(fleet::NoRoom);
+            };
+            let lapses_at = now + self.settings.reservation_timeout;
+            let run = self.new_run(request, worker, run::Stage::Reserved { lapses_at }, now);
+            self.add_run(id, run, now);
+            added.push(id);
+        }
+        self.drains.forget(request.task.task_id, request.attempt);
+        if !request.reserve_only {
+            self.commit(request, now);
+        }
+        Ok(self.workers_of(request))
+    }
+
+    /// Chooses a worker for one member.
+    pub(crate) fn choose(&self, request: &fleet::Request<'_>) -> Option<usize> {
+        let spec = &request.task.spec;
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            return self.pool.first_fit(&request.reserve);
+        }
+        let worker = match spec.class {
+            model::Class::Service => self.choose_spread(request),
+            model::Class::Batch if spec.repeatable => self
+                .pool
+                .trial_fit(&request.reserve)
+                .or_else(|| self.pool.first_fit(&request.reserve)),
+            _ => self.pool.first_fit(&request.reserve),
+        }?;
+        if request.short || self.is_exempt(request) {
+            return Some(worker);
+        }
+        let lost = self.pool.short_room_lost(worker, &request.reserve);
+        (lost <= self.long_room()).then_some(worker)
+    }
+
+    pub(crate) fn new_run(
+        &self,
+        request: &fleet::Request<'_>,
+        worker: usize,
+        stage: run::Stage,
+        now: time::Instant,
+    ) -> run::Run {
+        run::Run {
+            worker,
+            task: request.task.clone(),
+            stage,
+            reserved: request.reserve,
+            short: request.short,
+            started_at: now,
+            overruns: 0,
+            throttle: None,
+            ending_since: None,
+        }
+    }
+
+    fn choose_spread(&self, request: &fleet::Request<'_>) -> Option<usize> {
+        let key = spread::ServiceKey::of(request.task);
+        let seed = request.task.task_id.as_u128() as usize;
+        let spread = self.pool.spread_fit(&request.reserve, seed, |location| {
+            self.spread_load(&key, location)
+        });
+        spread.or_else(|| self.pool.first_fit(&request.reserve))
+    }
+
+    fn commit(&mut self, request: &fleet::Request<'_>, now: time::Instant) {
+        for member in request.members {
+            let id = attempt_of(request, *member);
+            let Some(run) = self.runs.get_mut(&id) else {
+                continue;
+            };
+            if run.is_placed() {
+                continue;
+            }
+            run.stage = run::Stage::Placed;
+            run.started_at = now;
+            let run = run.clone();
+            self.index_run(id, &run);
+            if run.short {
+                self.short_slots
+                    .arrived(request.expected_run, &request.reserve, now);
+            }
+        }
+    }
+
+    fn workers_of(&self, request: &fleet::Request<'_>) -> Vec<(u16, model::WorkerId)> {
+        let members = request.members.iter();
+        members
+            .filter_map(|member| {
+                let worker_id = self.worker_of(&attempt_of(request, *member))?;
+                Some((*member, worker_id.clone()))
+            })
+            .collect()
+    }
+}
+
+/// Returns the id of a member's run.
+pub(crate) fn attempt_of(request: &fleet::Request<'_>, member: u16) -> model::TaskAttempt {
+    model::TaskAttempt {
+        task_id: request.task.task_id,
+        member,
+        attempt: request.attempt,
+    }
+}
--- /dev/null
+++ b/crates/place/src/plan.rs
@@ -0,0 +1,42 @@
+//! One plan's share of the dispatches.
+
+use std::time;
+
+use crate::lanes;
+
+const COST_SCALE: u64 = 1 << 10;
+
+/// A plan with its waiting tasks and what it was charged.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) plan_id: model::PlanId,
+    pub(crate) weight: u32,
+    pub(crate) lanes: lanes::Lanes,
+    pub(crate) wanted: lanes::Wanted,
+    /// Predicted slot time of its dispatches over its weight; the lowest plan goes next.
+    pub(crate) charged: u64,
+    /// The same for short tasks alone, which decides who gets the slots kept for them.
+    pub(crate) charged_short: u64,
+    /// Round in which none of its tasks could be dispatched, for each pass.
+    pub(crate) blocked_round: [u64; 2],
+}
+
+impl Plan {
+    pub(crate) fn new(plan_id: model::PlanId, weight: u32) -> Self {
+        Self {
+            plan_id,
+            weight: weight.max(1),
+            lanes: lanes::Lanes::default(),
+            wanted: lanes::Wanted::default(),
+            charged: 0,
+            charged_short: 0,
+            blocked_round: [0; 2],
+        }
+    }
+
+    /// Returns what a dispatch of `members` slots for `run` costs at this plan's weight.
+    pub(crate) fn cost(&self, run: time::Duration, members: u16) -> u64 {
+        let slot_time_us = (run.as_micros() as u64).saturating_mul(u64::from(members));
+        slot_time_us.saturating_mul(COST_SCALE) / u64::from(self.weight)
+    }
+}
--- /dev/null
+++ b/crates/place/src/predictor.rs
@@ -0,0 +1,151 @@
+//! Predicts run times and sizes from what was observed of each customer and kind.
+
+use std::sync;
+use std::time;
+
+use crate::histogram;
+
+const MAX_KINDS: usize = 4096;
+const MIN_OBSERVATIONS: u32 = 3;
+const SHORT_PERCENT: u32 = 90;
+const SIZE_PERCENT: u32 = 95;
+const TRIALS_WITHOUT_OBSERVATION: u32 = 4;
+const UNKNOWN_RUN_FACTOR: u32 = 4;
+const SERVICE_RUN: time::Duration = time::Duration::from_secs(60);
+
+/// Index of a customer and kind; [`OTHER`] stands for all beyond the limit.
+pub(crate) type KindIndex = usize;
+
+const OTHER: KindIndex = 0;
+
+/// What is expected of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Prediction {
+    /// Mean run time.
+    pub(crate) run: time::Duration,
+    /// Whether it belongs to the short class.
+    pub(crate) short: bool,
+    /// Largest resources it is likely to use.
+    pub(crate) peak: model::Demand,
+}
+
+#[derive(Debug)]
+struct Kind {
+    runs_ms: histogram::Histogram,
+    processors_milli: histogram::Histogram,
+    memory_mb: histogram::Histogram,
+    /// Starts as short before enough runs were observed.
+    trials: u32,
+    /// Cached from the histograms at each observation.
+    learned: Option<Prediction>,
+}
+
+impl Kind {
+    fn new() -> Self {
+        Self {
+            runs_ms: histogram::Histogram::new(),
+            processors_milli: histogram::Histogram::new(),
+            memory_mb: histogram::Histogram::new(),
+            trials: 0,
+            learned: None,
+        }
+    }
+
+    fn learn(&mut self, short_run: time::Duration) {
+        if self.runs_ms.count() < MIN_OBSERVATIONS {
+            return;
+        }
+        let high = time::Duration::from_millis(self.runs_ms.quantile(SHORT_PERCENT));
+        self.learned = Some(Prediction {
+            run: time::Duration::from_millis(self.runs_ms.mean().max(1)),
+            short: high <= short_run,
+            peak: model::Demand {
+                processors_milli: clamp(self.processors_milli.quantile(SIZE_PERCENT)),
+                memory_mb: clamp(self.memory_mb.quantile(SIZE_PERCENT)),
+                accelerators: 0,
+            },
+        });
+    }
+}
+
+type Kinds = indexmap::IndexMap<sync::Arc<str>, KindIndex>;
+
+/// Learns run times and sizes with bounded memory.
+#[derive(Debug)]
+pub(crate) struct Predictor {
+    short_run: time::Duration,
+    indexes: indexmap::IndexMap<model::CustomerId, Kinds>,
+    kinds: Vec<Kind>,
+}
+
+impl Predictor {
+    pub(crate) fn new(short_run: time::Duration) -> Self {
+        Self {
+            short_run,
+            indexes: indexmap::IndexMap::new(),
+            kinds: vec![Kind::new()],
+        }
+    }
+
+    /// Returns the index of a customer's kind, the shared one if there are too many.
+    pub(crate) fn index(&mut self, customer_id: &model::CustomerId, kind: &str) -> KindIndex {
+        let known = self.indexes.get(customer_id);
+        if let Some(index) = known.and_then(|kinds| kinds.get(kind)) {
+            return *index;
+        }
+        if self.kinds.len() >= MAX_KINDS {
+            return OTHER;
+        }
+        self.kinds.push(Kind::new());
+        let index = self.kinds.len() - 1;
+        let kinds = self.indexes.entry(customer_id.clone()).or_default();
+        kinds.insert(kind.into(), index);
+        index
+    }
+
+    /// Records how one task ran.
+    pub(crate) fn observe(&mut self, index: KindIndex, run: time::Duration, peak: model::Demand) {
+        let kind = &mut self.kinds[index];
+        kind.runs_ms.record(run.as_millis() as u64);
+        kind.processors_milli
+            .record(u64::from(peak.processors_milli));
+        kind.memory_mb.record(u64::from(peak.memory_mb));
+        kind.learn(self.short_run);
+    }
+
+    /// Returns what is expected of a task of the kind at `index`.
+    ///
+    /// Without observations the declared run time counts, and only a few such tasks may be short at
+    /// once, so that an untrue declaration fills few of the slots kept for short tasks.
+    pub(crate) fn predict(&self, index: KindIndex, spec: &model::TaskSpec) -> Prediction {
+        let kind = &self.kinds[index];
+        let mut prediction = kind.learned.unwrap_or_else(|| self.unknown(kind, spec));
+        if spec.class == model::Class::Service {
+            prediction.run = prediction.run.max(SERVICE_RUN);
+        }
+        prediction.short &= spec.class == model::Class::Batch;
+        prediction
+    }
+
+    /// Notes that a task of the kind at `index` starts as a short one.
+    pub(crate) fn start_short(&mut self, index: KindIndex) {
+        let kind = &mut self.kinds[index];
+        if kind.learned.is_none() {
+            kind.trials = kind.trials.saturating_add(1);
+        }
+    }
+
+    fn unknown(&self, kind: &Kind, spec: &model::TaskSpec) -> Prediction {
+        let declared = spec.declared_run_ms.map(time::Duration::from_millis);
+        let run = declared.unwrap_or(self.short_run * UNKNOWN_RUN_FACTOR);
+        Prediction {
+            run,
+            short: run <= self.short_run && kind.trials < TRIALS_WITHOUT_OBSERVATION,
+            peak: model::Demand::default(),
+        }
+    }
+}
+
+fn clamp(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -1,131 +1,345 @@
 //! Chooses the task to start next and the holder it is offered to.
 
+use std::cmp;
+use std::collections;
 use std::time;
 
 use crate::dispatch;
+use crate::lanes;
+use crate::plan;
+use crate::predictor;
 use crate::queue_settings;
+use crate::rate;
+use crate::targets;
+
+const MIN_STALE_DEADLINES: usize = 1024;
+
+/// A waiting task and where it waits.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) queued: dispatch::Queued,
+    pub(crate) seq: u64,
+    pub(crate) plan: usize,
+    pub(crate) lane: usize,
+    pub(crate) kind: predictor::KindIndex,
+}
+
+type Deadline = cmp::Reverse<(time::Instant, u64, model::TaskId)>;
 
 /// The tasks of one owner that wait to start.
 #[derive(Debug)]
 pub struct Queue {
-    settings: queue_settings::QueueSettings,
+    pub(crate) settings: queue_settings::QueueSettings,
+    pub(crate) plans: indexmap::IndexMap<model::PlanId, plan::Plan>,
+    pub(crate) entries: indexmap::IndexMap<model::TaskId, Entry>,
+    pub(crate) targets: targets::Targets,
+    pub(crate) predictor: predictor::Predictor,
+    /// Plans with waiting tasks, the least charged first.
+    pub(crate) by_charge: collections::BTreeSet<(u64, usize)>,
+    /// The same plans, the least charged for short tasks first.
+    pub(crate) by_short_charge: collections::BTreeSet<(u64, usize)>,
+    /// Charge of the plan served last: one that comes back starts from here.
+    pub(crate) served_charge: u64,
+    pub(crate) served_short_charge: u64,
+    /// Raised whenever something that was blocked may go on.
+    pub(crate) round: u64,
+    pub(crate) fleet_complete: bool,
+    /// Waiting gangs.
+    pub(crate) gangs: usize,
+    /// Starts of other and of short tasks.
+    pub(crate) starts: [rate::RecentSum; 2],
+    /// May hold deadlines of tasks that have left.
+    deadlines: collections::BinaryHeap<Deadline>,
+    next_seq: u64,
 }
 
 impl Queue {
     /// Returns an empty queue.
     #[must_use]
     pub fn new(settings: queue_settings::QueueSettings) -> Self {
-        Self { settings }
+        let predictor = predictor::Predictor::new(settings.short_run);
+        Self {
+            settings,
+            plans: indexmap::IndexMap::new(),
+            entries: indexmap::IndexMap::new(),
+            targets: targets::Targets::default(),
+            predictor,
+            by_charge: collections::BTreeSet::new(),
+            by_short_charge: collections::BTreeSet::new(),
+            served_charge: 0,
+            served_short_charge: 0,
+            round: 1,
+            fleet_complete: false,
+            gangs: 0,
+            starts: [rate::RecentSum::default(), rate::RecentSum::default()],
+            deadlines: collections::BinaryHeap::new(),
+            next_seq: 0,
+        }
     }
 
-    /// Replaces the plans and their weights.
-    pub fn set_plans(&mut self, _weights: &indexmap::IndexMap<model::PlanId, u32>) {}
-
-    /// Sets whether the capacity of every holder is known.
-    pub fn set_capacity_complete(&mut self, _complete: bool) {}
+    /// Replaces the weights of plans; a plan that is not listed has weight 1.
+    pub fn set_plans(&mut self, weights: &indexmap::IndexMap<model::PlanId, u32>) {
+        for plan in self.plans.values_mut() {
+            plan.weight = weights.get(&plan.plan_id).copied().unwrap_or(1).max(1);
+        }
+        for (plan_id, weight) in weights {
+            if !self.plans.contains_key(plan_id) {
+                let plan = plan::Plan::new(plan_id.clone(), *weight);
+                self.plans.insert(plan_id.clone(), plan);
+            }
+        }
+        self.round += 1;
+    }
 
-    /// Decides whether `task` may be queued.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a task that no worker can hold, that finds the queue full, or that cannot start
-    /// within `remaining`.
-    pub fn admit(
-        &mut self,
-        _task: &model::Task,
-        _remaining: time::Duration,
-        _now: time::Instant,
-    ) -> Result<(), dispatch::Refusal> {
-        Ok(())
+    /// Sets whether the capacity of every holder is known, so that what fits none never fits.
+    pub fn set_capacity_complete(&mut self, complete: bool) {
+        self.fleet_complete = complete;
     }
 
-    /// Queues a task.
-    pub fn push(&mut self, _queued: dispatch::Queued, _now: time::Instant) {}
+    /// Queues a task; one that is queued already is replaced.
+    pub fn push(&mut self, queued: dispatch::Queued, now: time::Instant) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.insert(queued, seq, now);
+    }
 
     /// Takes back a task whose offer was refused; it keeps its place.
-    pub fn returned(&mut self, _dispatch: dispatch::Dispatch, _now: time::Instant) {}
+    ///
+    /// The target gets no task of that size or larger until it advertises other capacity.
+    pub fn returned(&mut self, dispatch: dispatch::Dispatch, now: time::Instant) {
+        let members = dispatch.queued.task.spec.members;
+        self.targets.refuse(
+            &dispatch.target,
+            &dispatch.taken,
+            targets::Size {
+                reserve: dispatch.reserve,
+                members: u32::from(members),
+                short: dispatch.short,
+            },
+            now,
+        );
+        let plan = self.plan_index(&dispatch.queued.task.plan_id);
+        let cost = self.plans[plan].cost(dispatch.expected_run, members);
+        self.charge(plan, dispatch.short, |charge| charge.saturating_sub(cost));
+        let lane = self.insert(dispatch.queued, dispatch.seq, now);
+        let lane = self.plans[plan].lanes.get_mut(lane);
+        lane.starts.take_back(1);
+    }
 
     /// Forgets a task and returns whether it was queued.
-    pub fn cancel(&mut self, _task_id: model::TaskId) -> bool {
-        false
+    pub fn cancel(&mut self, task_id: model::TaskId) -> bool {
+        self.take(task_id).is_some()
     }
 
     /// Records what a target advertises.
     pub fn set_capacity(
         &mut self,
-        _target: &dispatch::Target,
-        _proximity: dispatch::Proximity,
-        _summary: model::CapacitySummary,
-        _now: time::Instant,
+        target: &dispatch::Target,
+        proximity: dispatch::Proximity,
+        summary: model::CapacitySummary,
+        now: time::Instant,
     ) {
+        self.targets.set(target, proximity, summary, now);
+        self.round += 1;
     }
 
     /// Forgets a peer.
-    pub fn remove_target(&mut self, _instance_id: &model::InstanceId) {}
-
-    /// Returns the next task to offer, until there is none.
-    pub fn next<Q: dispatch::Quota>(
-        &mut self,
-        _quota: &mut Q,
-        _now: time::Instant,
-    ) -> Option<dispatch::Dispatch> {
-        None
+    pub fn remove_target(&mut self, instance_id: &model::InstanceId) {
+        self.targets.remove(instance_id);
     }
 
     /// Removes and returns the tasks whose deadline has passed.
-    pub fn expire(&mut self, _now: time::Instant) -> Vec<dispatch::Queued> {
-        Vec::new()
+    pub fn expire(&mut self, now: time::Instant) -> Vec<dispatch::Queued> {
+        let mut expired = Vec::new();
+        while let Some(cmp::Reverse((deadline, seq, task_id))) = self.deadlines.peek().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop();
+            if self.is_current(task_id, seq) {
+                expired.extend(self.take(task_id).map(|entry| entry.queued));
+            }
+        }
+        expired
     }
 
     /// Learns from a finished task.
     pub fn observe(
         &mut self,
-        _customer_id: &model::CustomerId,
-        _kind: &str,
-        _run: time::Duration,
-        _peak: model::Demand,
+        customer_id: &model::CustomerId,
+        kind: &str,
+        run: time::Duration,
+        peak: model::Demand,
         _declared: model::Demand,
         _now: time::Instant,
     ) {
+        let kind = self.predictor.index(customer_id, kind);
+        self.predictor.observe(kind, run, peak);
     }
 
     /// Learns from a task that has started.
-    pub fn started(&mut self, _waited: time::Duration, _short: bool, _now: time::Instant) {}
+    pub fn started(&mut self, _waited: time::Duration, short: bool, now: time::Instant) {
+        self.starts[usize::from(short)].add(1, now);
+    }
 
     /// Returns the number of waiting tasks.
     #[must_use]
     pub fn len(&self) -> usize {
-        0
+        self.entries.len()
     }
 
     /// Returns whether no task waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.entries.is_empty()
     }
 
     /// Returns the number of waiting tasks of a plan.
     #[must_use]
-    pub fn queued_of_plan(&self, _plan_id: &model::PlanId) -> usize {
-        0
+    pub fn queued_of_plan(&self, plan_id: &model::PlanId) -> usize {
+        self.plans.get(plan_id).map_or(0, |plan| plan.lanes.len())
     }
 
-    /// Returns what the waiting tasks of a plan would use.
+    /// Returns what the waiting tasks of a plan declare to use if all started within a second.
     #[must_use]
-    pub fn wanted(&self, _plan_id: &model::PlanId) -> model::QuotaAmount {
-        model::QuotaAmount::default()
+    pub fn wanted(&self, plan_id: &model::PlanId) -> model::QuotaAmount {
+        self.plans
+            .get(plan_id)
+            .map(|plan| plan.wanted.amount(plan.lanes.len()))
+            .unwrap_or_default()
     }
 
-    /// Returns the number of waiting short tasks.
+    /// Returns the number of waiting tasks that are predicted to be short.
     #[must_use]
     pub fn short_waiting(&self, _now: time::Instant) -> u32 {
-        0
+        let plans = self.plans.values();
+        let waiting: usize = plans.map(|plan| self.queued_in(plan, true)).sum();
+        u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 
     /// Returns when [`Queue::next`] or [`Queue::expire`] has something to do without an event.
     #[must_use]
     pub fn next_wake(&self, _now: time::Instant) -> Option<time::Instant> {
-        let _ = &self.settings;
-        None
+        let deadline = self.deadlines.peek().map(|deadline| deadline.0.0);
+        let offers = self
+            .plans
+            .values()
+            .flat_map(|plan| plan.lanes.active())
+            .filter_map(|(_, lane)| lane.offer_again_at);
+        offers.chain(deadline).min()
+    }
+
+    /// Returns the position of a plan, with weight 1 if it is not known.
+    pub(crate) fn plan_index(&mut self, plan_id: &model::PlanId) -> usize {
+        if let Some(index) = self.plans.get_index_of(plan_id) {
+            return index;
+        }
+        let plan = plan::Plan::new(plan_id.clone(), 1);
+        self.plans.insert_full(plan_id.clone(), plan).0
+    }
+
+    /// Returns the number of waiting tasks of `plan` that are short, or that are not.
+    pub(crate) fn queued_in(&self, plan: &plan::Plan, short: bool) -> usize {
+        let lanes = plan.lanes.active();
+        lanes
+            .filter(|(_, lane)| self.predictor.predict(lane.kind, &lane.spec).short == short)
+            .map(|(_, lane)| lane.live)
+            .sum()
+    }
+
+    /// Changes both charges of a plan and keeps the orders by charge.
+    pub(crate) fn charge(&mut self, index: usize, short: bool, change: impl Fn(u64) -> u64) {
+        let plan = &mut self.plans[index];
+        let queued = self.by_charge.remove(&(plan.charged, index));
+        self.by_short_charge.remove(&(plan.charged_short, index));
+        plan.charged = change(plan.charged);
+        if short {
+            plan.charged_short = change(plan.charged_short);
+        }
+        if queued {
+            self.by_charge.insert((plan.charged, index));
+            self.by_short_charge.insert((plan.charged_short, index));
+        }
+    }
+
+    pub(crate) fn is_current(&self, task_id: model::TaskId, seq: u64) -> bool {
+        self.entries
+            .get(&task_id)
+            .is_some_and(|entry| entry.seq == seq)
+    }
+
+    /// Removes a task from the queue; its ticket stays behind as a stale one.
+    pub(crate) fn take(&mut self, task_id: model::TaskId) -> Option<Entry> {
+        let entry = self.entries.swap_remove(&task_id)?;
+        let entries = &self.entries;
+        let plan = &mut self.plans[entry.plan];
+        plan.lanes.leave(entry.lane, |ticket| {
+            let entry = entries.get(&ticket.task_id);
+            entry.is_some_and(|entry| entry.seq == ticket.seq)
+        });
+        let spec = &entry.queued.task.spec;
+        plan.wanted.subtract(spec);
+        self.gangs -= usize::from(spec.class == model::Class::Gang);
+        if plan.lanes.len() == 0 {
+            self.by_charge.remove(&(plan.charged, entry.plan));
+            self.by_short_charge
+                .remove(&(plan.charged_short, entry.plan));
+        }
+        self.compact(entry.plan);
+        Some(entry)
+    }
+
+    fn insert(&mut self, queued: dispatch::Queued, seq: u64, now: time::Instant) -> usize {
+        let task_id = queued.task.task_id;
+        self.take(task_id);
+        let spec = queued.task.spec.clone();
+        let kind = self.predictor.index(&queued.task.customer_id, &spec.kind);
+        let index = self.plan_index(&queued.task.plan_id);
+        self.activate(index);
+        let plan = &mut self.plans[index];
+        let key = lanes::LaneKey::new(&spec, kind, &queued.avoid);
+        let lane = plan.lanes.lane(key, &spec, now);
+        plan.lanes.insert(lane, lanes::Ticket { seq, task_id });
+        plan.wanted.add(&spec);
+        plan.blocked_round = [0; 2];
+        self.deadlines
+            .push(cmp::Reverse((queued.deadline, seq, task_id)));
+        let entry = Entry {
+            queued,
+            seq,
+            plan: index,
+            lane,
+            kind,
+        };
+        self.entries.insert(task_id, entry);
+        self.gangs += usize::from(spec.class == model::Class::Gang);
+        lane
+    }
+
+    /// Puts a plan without waiting tasks back in order, without credit for the time away.
+    fn activate(&mut self, index: usize) {
+        let plan = &mut self.plans[index];
+        if plan.lanes.len() > 0 {
+            return;
+        }
+        plan.charged = plan.charged.max(self.served_charge);
+        plan.charged_short = plan.charged_short.max(self.served_short_charge);
+        self.by_charge.insert((plan.charged, index));
+        self.by_short_charge.insert((plan.charged_short, index));
+    }
+
+    fn compact(&mut self, plan: usize) {
+        let entries = &self.entries;
+        let is_live = |task_id: &model::TaskId, seq: u64| {
+            entries.get(task_id).is_some_and(|entry| entry.seq == seq)
+        };
+        let lanes = &mut self.plans[plan].lanes;
+        if lanes.wants_compaction() {
+            lanes.compact(|ticket| is_live(&ticket.task_id, ticket.seq));
+        }
+        if self.deadlines.len() > 2 * entries.len() + MIN_STALE_DEADLINES {
+            self.deadlines
+                .retain(|deadline| is_live(&deadline.0.2, deadline.0.1));
+        }
     }
 }
--- a/crates/place/src/queue_settings.rs
+++ b/crates/place/src/queue_settings.rs
@@ -25,6 +25,12 @@
     pub short_run: time::Duration,
     /// Expected wait in the own region that outweighs a paid link.
     pub cross_region_wait: time::Duration,
+    /// Longest lead that short tasks get over earlier long ones of the same plan.
+    pub max_lead: time::Duration,
+    /// Wait after which a gang is offered to a fleet that has no room yet, so that it makes some.
+    pub gang_patience: time::Duration,
+    /// Time between two such offers.
+    pub gang_offer_interval: time::Duration,
 }
 
 impl Default for QueueSettings {
@@ -35,6 +41,9 @@
             max_queued_of_plan: 10_000,
             short_run: time::Duration::from_secs(2),
             cross_region_wait: time::Duration::from_millis(250),
+            max_lead: time::Duration::from_secs(10),
+            gang_patience: time::Duration::from_millis(500),
+            gang_offer_interval: time::Duration::from_millis(200),
         }
     }
 }
--- /dev/null
+++ b/crates/place/src/rate.rs
@@ -0,0 +1,58 @@
+//! Sums of recent amounts, in buckets of one second.
+
+use std::time;
+
+const BUCKETS: usize = 30;
+const BUCKET: time::Duration = time::Duration::from_secs(1);
+
+/// Adds up amounts over the last [`BUCKETS`] seconds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RecentSum {
+    /// Start of the newest bucket; `None` before the first amount.
+    newest: Option<time::Instant>,
+    /// Sums by age, the newest first.
+    sums: [u64; BUCKETS],
+}
+
+impl RecentSum {
+    /// Adds `amount` at `now`.
+    pub(crate) fn add(&mut self, amount: u64, now: time::Instant) {
+        self.advance(now);
+        self.sums[0] = self.sums[0].saturating_add(amount);
+    }
+
+    /// Takes back `amount` from the newest bucket, as far as it is there.
+    pub(crate) fn take_back(&mut self, amount: u64) {
+        self.sums[0] = self.sums[0].saturating_sub(amount);
+    }
+
+    /// Returns the largest sum of a whole second among the last `seconds`.
+    pub(crate) fn peak(&mut self, seconds: usize, now: time::Instant) -> u64 {
+        self.advance(now);
+        self.sums[..=seconds.min(BUCKETS - 1)]
+            .iter()
+            .copied()
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the mean sum of a whole second over the last `seconds`, without the newest one.
+    pub(crate) fn mean(&mut self, seconds: usize, now: time::Instant) -> u64 {
+        self.advance(now);
+        let seconds = seconds.clamp(1, BUCKETS - 1);
+        let sum: u64 = self.sums[1..=seconds].iter().sum();
+        sum / seconds as u64
+    }
+
+    fn advance(&mut self, now: time::Instant) {
+        let newest = *self.newest.get_or_insert(now);
+        let passed = now.saturating_duration_since(newest).as_secs();
+        if passed == 0 {
+            return;
+        }
+        let shift = (passed as usize).min(BUCKETS);
+        self.sums.copy_within(..BUCKETS - shift, shift);
+        self.sums[..shift].fill(0);
+        self.newest = Some(newest + BUCKET * u32::try_from(passed).unwrap_or(u32::MAX));
+    }
+}
--- /dev/null
+++ b/crates/place/src/relief.rs
@@ -0,0 +1,244 @@
+//! Keeps short tasks from waiting behind long ones that already run.
+
+use std::cmp;
+use std::time;
+
+use crate::control;
+use crate::fleet;
+use crate::queue_settings;
+use crate::run;
+
+const REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
+const RELIEF_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const MIN_RUN: time::Duration = time::Duration::from_secs(1);
+const ENDING_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+const MAX_ATTEMPTS: model::Attempt = 5;
+const MAX_ENDING_DIVISOR: u32 = 16;
+const MAX_PROBES: usize = 32;
+const THROTTLE_PERCENT: u8 = 50;
+
+impl fleet::Fleet {
+    /// Does what is due, given the number of short tasks that wait for this fleet.
+    ///
+    /// Lapses reservations, moves short runs that outlived their class to the long one, sizes the
+    /// slots for short tasks, and ends or throttles long runs when short tasks find no slot.
+    pub fn tick(&mut self, short_waiting: u32, now: time::Instant) -> Vec<control::Control> {
+        self.latest = Some(now);
+        self.lapse(now);
+        self.retry_probation(now);
+        self.tick_drains(now);
+        if self.settings.policy == queue_settings::Policy::Baseline {
+            return Vec::new();
+        }
+        self.demote(now);
+        self.refresh_short_slots(short_waiting, now);
+        let mut controls = Vec::new();
+        if short_waiting > 0 && self.pool.short_room() == 0 {
+            self.relieve(short_waiting, now, &mut controls);
+        }
+        if short_waiting == 0 {
+            self.unthrottle(now, &mut controls);
+        }
+        controls
+    }
+
+    /// Returns the most slots that are kept for short tasks.
+    pub(crate) fn max_short_slots(&self) -> u32 {
+        self.pool.slots() * self.settings.max_short_percent / 100
+    }
+
+    fn lapse(&mut self, now: time::Instant) {
+        while let Some(cmp::Reverse((due, id))) = self.lapses.peek().copied() {
+            if due > now {
+                return;
+            }
+            self.lapses.pop();
+            let stage = self.runs.get(&id).map(|run| run.stage);
+            if stage == Some(run::Stage::Reserved { lapses_at: due }) {
+                self.remove_run(&id, now);
+            }
+        }
+    }
+
+    /// Gives workers on probation whose time without trial is over their trial slots.
+    fn retry_probation(&mut self, now: time::Instant) {
+        for position in 0..self.on_probation.len() {
+            if let Some(index) = self.on_probation.get_index(position) {
+                self.pool.refresh(*index, now);
+            }
+        }
+    }
+
+    fn demote(&mut self, now: time::Instant) {
+        while let Some(cmp::Reverse((due, id))) = self.demotions.peek().copied() {
+            if due > now {
+                return;
+            }
+            self.demotions.pop();
+            let Some(run) = self.runs.get(&id) else {
+                continue;
+            };
+            if !run.short || run.started_at + self.settings.demote_after != due {
+                continue;
+            }
+            let mut run = run.clone();
+            self.unindex_run(id, &run);
+            run.short = false;
+            self.index_run(id, &run);
+            self.runs.insert(id, run);
+        }
+    }
+
+    fn refresh_short_slots(&mut self, waiting: u32, now: time::Instant) {
+        let recent = self
+            .refreshed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REFRESH_INTERVAL);
+        if recent {
+            return;
+        }
+        self.refreshed_at = Some(now);
+        let max_slots = self.max_short_slots();
+        self.short_slots.refresh(waiting, max_slots, now);
+        self.pool.set_short_size(self.short_slots.size());
+    }
+
+    /// Ends as many long runs as short tasks lack slots, a few at a time.
+    fn relieve(&mut self, waiting: u32, now: time::Instant, controls: &mut Vec<control::Control>) {
+        let recent = self
+            .relieved_at
+            .is_some_and(|at| now.saturating_duration_since(at) < RELIEF_INTERVAL);
+        if recent {
+            return;
+        }
+        self.relieved_at = Some(now);
+        self.drop_stuck(now);
+        let lacking = self.short_slots.slots().saturating_sub(self.short_running);
+        let most = (self.pool.slots() / MAX_ENDING_DIVISOR).max(1);
+        let wanted = waiting.min(lacking).min(most) as usize;
+        for _ in self.ending.len()..wanted {
+            let Some(id) = self.youngest_to_checkpoint(now) else {
+                controls.extend(self.throttle_one());
+                return;
+            };
+            controls.extend(self.checkpoint(id, now));
+        }
+    }
+
+    /// Returns the long run that loses least, among a bounded number of the youngest.
+    fn youngest_to_checkpoint(&self, now: time::Instant) -> Option<model::TaskAttempt> {
+        let youngest = self.long_runs.iter().rev().take(MAX_PROBES);
+        let mut eligible = youngest.filter(|(started_at, id)| {
+            let run_time = now.saturating_duration_since(*started_at);
+            run_time >= MIN_RUN && id.attempt < MAX_ATTEMPTS
+        });
+        eligible.next().map(|(_, id)| *id)
+    }
+
+    fn checkpoint(
+        &mut self,
+        id: model::TaskAttempt,
+        now: time::Instant,
+    ) -> Option<control::Control> {
+        let run = self.runs.get_mut(&id)?;
+        run.ending_since = Some(now);
+        self.long_runs.remove(&(run.started_at, id));
+        self.ending.insert(id);
+        let worker_id = self.worker_of(&id)?.clone();
+        Some(control::Control::Checkpoint { run: id, worker_id })
+    }
+
+    /// Stops counting on runs that have not ended in time.
+    fn drop_stuck(&mut self, now: time::Instant) {
+        let runs = &self.runs;
+        self.ending.retain(|id| {
+            let since = runs.get(id).and_then(|run| run.ending_since);
+            since.is_some_and(|at| now.saturating_duration_since(at) < ENDING_TIMEOUT)
+        });
+    }
+
+    /// Throttles a long run on a worker that has a slot but no processors left for short tasks.
+    fn throttle_one(&mut self) -> Option<control::Control> {
+        let size = self.short_slots.size();
+        let candidates = self.long_once.iter().rev().take(MAX_PROBES);
+        let mut crowded = candidates.filter(|(_, id)| {
+            let Some(run) = self.runs.get(id) else {
+                return false;
+            };
+            let free = self.pool.get(run.worker).map(|worker| worker.free());
+            run.throttle.is_none()
+                && free.is_some_and(|free| {
+                    free.slots > 0 && free.resources.processors_milli < size.processors_milli
+                })
+        });
+        let id = crowded.next().map(|(_, id)| *id)?;
+        self.throttle(id, THROTTLE_PERCENT)
+    }
+
+    /// Limits a run; its reserved processors shrink once a usage report shows the effect.
+    pub(crate) fn throttle(
+        &mut self,
+        id: model::TaskAttempt,
+        percent: u8,
+    ) -> Option<control::Control> {
+        let run = self.runs.get_mut(&id)?;
+        let before = run.throttle.map(|throttle| throttle.processors_milli);
+        run.throttle = Some(run::Throttle {
+            percent,
+            processors_milli: before.unwrap_or(run.reserved.processors_milli),
+        });
+        self.throttled.insert(id);
+        let worker_id = self.worker_of(&id)?.clone();
+        Some(control::Control::Throttle {
+            run: id,
+            worker_id,
+            percent,
+        })
+    }
+
+    /// Lifts the limit from a run that was throttled for short tasks, where its processors are
+    /// free again.
+    fn unthrottle(&mut self, now: time::Instant, controls: &mut Vec<control::Control>) {
+        let candidates = self.throttled.iter().take(MAX_PROBES);
+        let id = candidates.copied().find(|id| self.can_unthrottle(id));
+        let Some(id) = id else {
+            return;
+        };
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let Some(throttle) = run.throttle.take() else {
+            return;
+        };
+        let added = throttle
+            .processors_milli
+            .saturating_sub(run.reserved.processors_milli);
+        run.reserved.processors_milli += added;
+        let index = run.worker;
+        self.throttled.swap_remove(&id);
+        self.pool.update(index, now, |worker| {
+            worker.reserved.processors_milli += added;
+        });
+        controls.extend(
+            self.worker_of(&id)
+                .map(|worker_id| control::Control::Throttle {
+                    run: id,
+                    worker_id: worker_id.clone(),
+                    percent: 100,
+                }),
+        );
+    }
+
+    fn can_unthrottle(&self, id: &model::TaskAttempt) -> bool {
+        let Some(run) = self.runs.get(id) else {
+            return false;
+        };
+        let Some(throttle) = run.throttle else {
+            return false;
+        };
+        let added = throttle
+            .processors_milli
+            .saturating_sub(run.reserved.processors_milli);
+        let free = self.pool.get(run.worker).map(|worker| worker.free());
+        run.overruns == 0 && free.is_some_and(|free| free.resources.processors_milli >= added)
+    }
+}
--- /dev/null
+++ b/crates/place/src/spread.rs
@@ -0,0 +1,67 @@
+//! Counts the members of each service by data centre and rack.
+
+use std::sync;
+
+/// A service: all tasks of class service of one customer and kind.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct ServiceKey {
+    pub(crate) customer_id: model::CustomerId,
+    pub(crate) kind: sync::Arc<str>,
+}
+
+impl ServiceKey {
+    pub(crate) fn of(task: &model::Task) -> Self {
+        Self {
+            customer_id: task.customer_id.clone(),
+            kind: task.spec.kind.clone(),
+        }
+    }
+}
+
+/// Members of one service in a data centre and in a rack of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Load {
+    pub(crate) data_centre: u32,
+    pub(crate) rack: u32,
+}
+
+/// Where the members of every service run.
+#[derive(Debug, Default)]
+pub(crate) struct Spread {
+    services: indexmap::IndexMap<ServiceKey, indexmap::IndexMap<model::Location, u32>>,
+}
+
+impl Spread {
+    pub(crate) fn add(&mut self, key: ServiceKey, location: &model::Location) {
+        let racks = self.services.entry(key).or_default();
+        *racks.entry(location.clone()).or_default() += 1;
+    }
+
+    pub(crate) fn remove(&mut self, key: &ServiceKey, location: &model::Location) {
+        let Some(racks) = self.services.get_mut(key) else {
+            return;
+        };
+        if let Some(count) = racks.get_mut(location) {
+            *count -= 1;
+            if *count == 0 {
+                racks.swap_remove(location);
+            }
+        }
+        if racks.is_empty() {
+            self.services.swap_remove(key);
+        }
+    }
+
+    pub(crate) fn load(&self, key: &ServiceKey, location: &model::Location) -> Load {
+        let Some(racks) = self.services.get(key) else {
+            return Load::default();
+        };
+        let near = racks.iter().filter(|(other, _)| {
+            other.region == location.region && other.data_centre == location.data_centre
+        });
+        Load {
+            data_centre: near.map(|(_, count)| count).sum(),
+            rack: racks.get(location).copied().unwrap_or(0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/worker.rs
@@ -0,0 +1,94 @@
+//! One worker and the runs on it.
+
+use std::time;
+
+use crate::fit_tree;
+use crate::health;
+
+/// Workers among which a request looks for room together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Group {
+    /// Without accelerators.
+    Plain,
+    /// With accelerators.
+    Accelerated,
+    /// On probation.
+    Trial,
+}
+
+/// A worker with what is reserved on it.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) worker_id: model::WorkerId,
+    pub(crate) location: model::Location,
+    pub(crate) capacity: model::WorkerCapacity,
+    pub(crate) leaving: bool,
+    /// Reserved by `runs`; beyond the capacity only if adopted runs were.
+    pub(crate) reserved: model::Demand,
+    /// Every run takes one slot.
+    pub(crate) runs: indexmap::IndexSet<model::TaskAttempt>,
+    pub(crate) health: health::Health,
+    /// Group in whose tree the worker is.
+    pub(crate) group: Group,
+    /// Room that the tree and the totals hold.
+    pub(crate) room: fit_tree::Room,
+    /// Typical short tasks that fit in `room`.
+    pub(crate) short_room: u32,
+}
+
+impl Worker {
+    pub(crate) fn new(
+        worker_id: model::WorkerId,
+        location: model::Location,
+        capacity: model::WorkerCapacity,
+        leaving: bool,
+    ) -> Self {
+        Self {
+            worker_id,
+            location,
+            capacity,
+            leaving,
+            reserved: model::Demand::default(),
+            runs: indexmap::IndexSet::new(),
+            health: health::Health::new(),
+            group: Group::Plain,
+            room: fit_tree::Room::default(),
+            short_room: 0,
+        }
+    }
+
+    /// Returns what is not reserved, whether or not it may be used.
+    pub(crate) fn free(&self) -> fit_tree::Room {
+        let runs = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
+        fit_tree::Room {
+            slots: self.capacity.slots.saturating_sub(runs),
+            resources: self.capacity.resources.minus(&self.reserved),
+        }
+    }
+
+    /// Returns the group that the worker belongs in now and the room that new runs may use.
+    pub(crate) fn standing(&self, now: time::Instant) -> (Group, fit_tree::Room) {
+        let mut room = self.free();
+        if self.leaving {
+            room.slots = 0;
+        }
+        if let Some(trials) = self.health.trials(now) {
+            let running = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
+            room.slots = room.slots.min(trials.saturating_sub(running));
+            return (Group::Trial, room);
+        }
+        if self.capacity.resources.accelerators > 0 {
+            (Group::Accelerated, room)
+        } else {
+            (Group::Plain, room)
+        }
+    }
+}
+
+/// Returns how many tasks of `size` fit in `room`.
+pub(crate) fn count_of(room: &fit_tree::Room, size: &model::Demand) -> u32 {
+    let by = |free: u32, each: u32| free.checked_div(each).unwrap_or(u32::MAX);
+    room.slots
+        .min(by(room.resources.processors_milli, size.processors_milli))
+        .min(by(room.resources.memory_mb, size.memory_mb))
+}
