--- /dev/null
+++ b/crates/owner/src/fence_rounds.rs
@@ -0,0 +1,159 @@
+//! Rounds of fences over the live members.
+//!
+//! Each fence carries the sequence number of the event that caused it, so that an answer is
+//! known to reflect everything before that event. A member has at most one fence outstanding.
+
+use std::time;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use model::InstanceId;
+use model::Partition;
+use model::WorkerId;
+
+/// Pause before a member that did not answer is fenced again.
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
+
+/// A fence to be sent.
+pub(crate) struct Round {
+    pub(crate) to: InstanceId,
+    pub(crate) partitions: Vec<Partition>,
+}
+
+/// Tracks which member has answered which fence.
+#[derive(Debug, Default)]
+pub(crate) struct FenceRounds {
+    /// Members whose last answer is older than this are asked; kept for every owned partition,
+    /// so that members that appear later are fenced too.
+    due: IndexMap<Partition, u64>,
+    /// Sequence of the fence that each member has not answered yet.
+    outstanding: IndexMap<InstanceId, u64>,
+    retry_at: IndexMap<InstanceId, time::Instant>,
+    acked: IndexMap<InstanceId, IndexMap<Partition, u64>>,
+    /// Latest fence in whose answer each worker was listed as held.
+    covered: IndexMap<Partition, IndexMap<WorkerId, u64>>,
+    /// Workers that named another holder, by the member that was told so.
+    elsewhere: IndexMap<InstanceId, Vec<(WorkerId, InstanceId)>>,
+}
+
+impl FenceRounds {
+    /// Asks every member anew.
+    pub(crate) fn request(&mut self, partition: Partition, sequence: u64) {
+        self.due.insert(partition, sequence);
+    }
+
+    pub(crate) fn forget(&mut self, partition: Partition) {
+        self.due.swap_remove(&partition);
+        self.covered.swap_remove(&partition);
+    }
+
+    /// Forgets the answers of members that are not live any more.
+    pub(crate) fn retain_members(&mut self, is_live: impl Fn(&InstanceId) -> bool) {
+        self.acked.retain(|member, _| is_live(member));
+        self.elsewhere.retain(|member, _| is_live(member));
+        self.retry_at.retain(|member, _| is_live(member));
+    }
+
+    /// Returns the fences to send to live members now, and notes them as sent.
+    pub(crate) fn take_due<'a>(
+        &mut self,
+        live: impl Iterator<Item = &'a InstanceId>,
+        sequence: u64,
+        now: time::Instant,
+    ) -> Vec<Round> {
+        let mut rounds = Vec::new();
+        for member in live {
+            let waits = self.retry_at.get(member).is_some_and(|at| now < *at);
+            if waits || self.outstanding.contains_key(member) {
+                continue;
+            }
+            let partitions = self.due_of(member);
+            if partitions.is_empty() {
+                continue;
+            }
+            self.outstanding.insert(member.clone(), sequence);
+            rounds.push(Round {
+                to: member.clone(),
+                partitions,
+            });
+        }
+        rounds
+    }
+
+    fn due_of(&self, member: &InstanceId) -> Vec<Partition> {
+        let acked = self.acked.get(member);
+        let is_due = |partition: &Partition, due: u64| {
+            let answered = acked.and_then(|acked| acked.get(partition));
+            answered.is_none_or(|sequence| *sequence < due)
+        };
+        self.due
+            .iter()
+            .filter(|(partition, due)| is_due(partition, **due))
+            .map(|(partition, _)| *partition)
+            .collect()
+    }
+
+    pub(crate) fn failed(&mut self, from: &InstanceId, now: time::Instant) {
+        if self.outstanding.swap_remove(from).is_some() {
+            self.retry_at.insert(from.clone(), now + RETRY_AFTER);
+        }
+    }
+
+    /// Notes an answer; returns whether one was outstanding.
+    pub(crate) fn answered(
+        &mut self,
+        from: &InstanceId,
+        partitions: &[Partition],
+        workers: &[WorkerId],
+        elsewhere: Vec<(WorkerId, InstanceId)>,
+    ) -> bool {
+        let Some(sequence) = self.outstanding.swap_remove(from) else {
+            return false;
+        };
+        self.retry_at.swap_remove(from);
+        self.elsewhere.insert(from.clone(), elsewhere);
+        let acked = self.acked.entry(from.clone()).or_default();
+        for partition in partitions {
+            acked.insert(*partition, sequence);
+            let covered = self.covered.entry(*partition).or_default();
+            for worker in workers {
+                covered.insert(worker.clone(), sequence);
+            }
+        }
+        true
+    }
+
+    /// Returns whether every member answered a fence of `since` or later.
+    pub(crate) fn all_answered<'a>(
+        &self,
+        partition: Partition,
+        since: u64,
+        mut live: impl Iterator<Item = &'a InstanceId>,
+    ) -> bool {
+        live.all(|member| {
+            let acked = self.acked.get(member);
+            let sequence = acked.and_then(|acked| acked.get(&partition));
+            sequence.is_some_and(|sequence| *sequence >= since)
+        })
+    }
+
+    /// Returns whether a member that answered a fence of `since` or later held `worker` then.
+    pub(crate) fn is_covered(&self, partition: Partition, worker: &WorkerId, since: u64) -> bool {
+        let covered = self.covered.get(&partition);
+        let sequence = covered.and_then(|covered| covered.get(worker));
+        sequence.is_some_and(|sequence| *sequence >= since)
+    }
+
+    /// Returns the workers that name a holder that is none of the live members.
+    pub(crate) fn held_by_strangers(
+        &self,
+        is_live: impl Fn(&InstanceId) -> bool,
+    ) -> IndexSet<WorkerId> {
+        self.elsewhere
+            .values()
+            .flatten()
+            .filter(|(_, holder)| !is_live(holder))
+            .map(|(worker, _)| worker.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/owner/src/journal_io.rs
@@ -0,0 +1,304 @@
+//! Writing and reading the journal.
+
+use model::NotRunReason;
+use model::Outcome;
+use model::Partition;
+use model::SubmitReply;
+use model::TaskId;
+use model::UnknownReason;
+use model::partition_of;
+
+use crate::Action;
+use crate::BatchId;
+use crate::JournalEntry;
+use crate::Owner;
+use crate::WriteResult;
+use crate::record;
+use crate::settled;
+use crate::tenancy;
+use crate::tickets;
+
+/// Journals read at once.
+const MAX_READS: usize = 16;
+
+/// Pause before a journal that could not be read is read again.
+const READ_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+
+impl Owner {
+    pub(crate) fn knows_journal(&self, task_id: TaskId) -> bool {
+        let tenancy = self.owned.get(&partition_of(task_id));
+        tenancy.is_some_and(tenancy::Tenancy::knows_journal)
+    }
+
+    pub(crate) fn put_entry(&mut self, task_id: TaskId) {
+        let expires_at = self.now + self.settings.journal_retention;
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        let task = &record.task;
+        let entry = JournalEntry {
+            task_id,
+            customer_id: task.customer_id.clone(),
+            digest: record.digest,
+            deadline_unix_ms: self.unix_ms(record.deadline),
+            expires_unix_ms: self.unix_ms(expires_at),
+            task: record::is_recorded_whole(task).then(|| task.clone()),
+        };
+        self.journal.put(entry, self.now);
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            record.journal_sent = true;
+        }
+    }
+
+    pub(crate) fn flush_journal(&mut self) {
+        if let Some(batch) = self.journal.next(self.now) {
+            self.out.push(Action::WriteJournal {
+                batch_id: batch.batch_id,
+                table_revision: self.table.revision(),
+                entries: batch.entries,
+                deletes: batch.deletes,
+            });
+        }
+    }
+
+    pub(crate) fn journal_written(&mut self, batch_id: BatchId, result: WriteResult) {
+        match result {
+            WriteResult::Written => {
+                if let Some(batch) = self.journal.written(batch_id) {
+                    for entry in batch.entries {
+                        self.entry_written(entry.task_id);
+                    }
+                }
+            }
+            WriteResult::Conflict => {
+                self.journal.not_written(batch_id, self.now);
+                self.table.read_soon(self.now);
+            }
+            WriteResult::Unknown | WriteResult::Unavailable => {
+                self.journal.not_written(batch_id, self.now);
+            }
+        }
+    }
+
+    /// Queues a task whose entry is in the journal now, and answers those who waited for that.
+    pub(crate) fn entry_written(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get_mut(&task_id) else {
+            return;
+        };
+        record.journalled = true;
+        if !matches!(record.state, record::State::Journalling) {
+            return;
+        }
+        let tickets = record.tickets.clone();
+        for ticket in tickets {
+            self.answer_accepted(ticket);
+        }
+        self.enqueue(task_id);
+    }
+
+    fn answer_accepted(&mut self, ticket: crate::Ticket) {
+        let waits = matches!(
+            self.tickets.get(&ticket),
+            Some(tickets::Waiting::Joined {
+                kind: tickets::JoinKind::Acceptance,
+                ..
+            })
+        );
+        if waits {
+            self.abandon(ticket);
+            self.answer_submit(ticket, SubmitReply::Accepted);
+        }
+    }
+
+    /// Refuses a task whose entry could not be written by its deadline: it was never queued.
+    pub(crate) fn journalling_due(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        let waits = matches!(record.state, record::State::Journalling);
+        if !waits || record.deadline > self.now {
+            return;
+        }
+        if record.task.spec.repeatable || self.knows_journal(task_id) {
+            self.settle_unstarted(task_id, NotRunReason::StoreUnavailable);
+        } else {
+            self.settle(task_id, Outcome::Unknown(UnknownReason::OwnerUnreachable));
+        }
+    }
+
+    pub(crate) fn read_journals(&mut self) {
+        let reading = self
+            .owned
+            .values()
+            .filter(|tenancy| matches!(tenancy.journal, tenancy::JournalState::Reading))
+            .count();
+        let now = self.now;
+        let due: Vec<_> = self
+            .owned
+            .iter_mut()
+            .filter(|(_, tenancy)| match tenancy.journal {
+                tenancy::JournalState::Unread(at) => at <= now,
+                _ => false,
+            })
+            .take(MAX_READS.saturating_sub(reading))
+            .collect();
+        for (partition, tenancy) in due {
+            tenancy.journal = tenancy::JournalState::Reading;
+            self.out.push(Action::ReadJournal {
+                partition: *partition,
+            });
+        }
+    }
+
+    pub(crate) fn journal_read_failed(&mut self, partition: Partition) {
+        let now = self.now;
+        if let Some(tenancy) = self.owned.get_mut(&partition) {
+            if matches!(tenancy.journal, tenancy::JournalState::Reading) {
+                tenancy.journal = tenancy::JournalState::Unread(now + READ_RETRY_AFTER);
+            }
+        }
+    }
+
+    pub(crate) fn journal_read(&mut self, partition: Partition, entries: Vec<JournalEntry>) {
+        let Some(tenancy) = self.owned.get_mut(&partition) else {
+            return;
+        };
+        if !matches!(tenancy.journal, tenancy::JournalState::Reading) {
+            return;
+        }
+        tenancy.journal = tenancy::JournalState::Read(entries);
+        if !tenancy.is_pending() {
+            self.apply_journal(partition);
+        }
+    }
+
+    /// Brings tasks and journal together, once all runs of the partition are known.
+    pub(crate) fn apply_journal(&mut self, partition: Partition) {
+        let Some(tenancy) = self.owned.get_mut(&partition) else {
+            return;
+        };
+        let delegated = tenancy.delegated;
+        let state = std::mem::replace(&mut tenancy.journal, tenancy::JournalState::Applied);
+        if let tenancy::JournalState::Read(entries) = state {
+            for entry in entries {
+                self.apply_entry(entry, delegated);
+            }
+        }
+        self.put_waiting_entries(partition);
+    }
+
+    /// Sends the entries of tasks that came in before the journal was known.
+    fn put_waiting_entries(&mut self, partition: Partition) {
+        let waiting: Vec<_> = self
+            .tasks
+            .iter()
+            .filter(|(task_id, record)| {
+                partition_of(**task_id) == partition
+                    && matches!(record.state, record::State::Journalling)
+                    && !record.journal_sent
+            })
+            .map(|(task_id, _)| *task_id)
+            .collect();
+        for task_id in waiting {
+            self.put_entry(task_id);
+        }
+    }
+
+    fn apply_entry(&mut self, entry: JournalEntry, delegated: bool) {
+        let task_id = entry.task_id;
+        if entry.expires_unix_ms <= self.unix_ms(self.now) {
+            self.journal.delete(task_id, self.now);
+        } else if let Some(record) = self.tasks.get_mut(&task_id) {
+            let is_own = std::mem::replace(&mut record.journal_sent, true);
+            if !matches!(record.state, record::State::Journalling) {
+                record.journalled = true;
+            } else if is_own {
+                self.entry_written(task_id);
+            } else {
+                self.entry_of_new_task(entry);
+            }
+        } else if self.memory.outcome(task_id).is_none() {
+            self.apply_unmatched(entry, delegated);
+        }
+    }
+
+    /// Handles an entry of a task that came in while the journal was not known yet.
+    fn entry_of_new_task(&mut self, entry: JournalEntry) {
+        let task_id = entry.task_id;
+        let Some(record) = self.tasks.get_mut(&task_id) else {
+            return;
+        };
+        if record.digest != entry.digest {
+            let tickets = std::mem::take(&mut record.tickets);
+            self.tasks.swap_remove(&task_id);
+            for ticket in tickets {
+                self.answer_conflict(ticket);
+            }
+            self.remember(&entry);
+        } else if record.task.spec.repeatable {
+            self.entry_written(task_id);
+        } else {
+            self.settle(task_id, Outcome::Unknown(UnknownReason::JournalledOnly));
+        }
+    }
+
+    fn answer_conflict(&mut self, ticket: crate::Ticket) {
+        match self.tickets.get(&ticket) {
+            Some(tickets::Waiting::Joined {
+                kind: tickets::JoinKind::Outcome | tickets::JoinKind::Acceptance,
+                ..
+            }) => self.answer_submit(ticket, SubmitReply::KeyConflict),
+            Some(_) => self.answer_status(ticket, model::TaskStatus::NotFound),
+            None => {}
+        }
+    }
+
+    /// Handles an entry of a task that runs nowhere and whose outcome is not known.
+    fn apply_unmatched(&mut self, entry: JournalEntry, delegated: bool) {
+        let restartable = entry.task.as_ref().filter(|task| task.spec.repeatable);
+        let Some(task) = restartable.cloned() else {
+            self.remember(&entry);
+            return;
+        };
+        if delegated {
+            // The former owner handed over every unsettled task, so this one is settled.
+            self.journal.delete(entry.task_id, self.now);
+            return;
+        }
+        let task_id = task.task_id;
+        let in_time = entry.deadline_unix_ms > self.unix_ms(self.now);
+        let restarts = in_time || task.spec.class == model::Class::Service;
+        let wait = std::time::Duration::from_millis(task.spec.deadline_ms);
+        let deadline = if in_time {
+            self.instant_of(entry.deadline_unix_ms)
+        } else {
+            self.now + wait
+        };
+        let mut record = self.new_record(task, deadline);
+        record.journalled = true;
+        record.journal_sent = true;
+        record.mark_run(UnknownReason::WorkerLost);
+        self.tasks.insert(task_id, record);
+        if restarts {
+            self.enqueue(task_id);
+        } else {
+            self.settle(task_id, Outcome::Unknown(UnknownReason::WorkerLost));
+        }
+    }
+
+    fn remember(&mut self, entry: &JournalEntry) {
+        let remembered = settled::Remembered {
+            customer_id: entry.customer_id.clone(),
+            digest: entry.digest,
+            reason: UnknownReason::JournalledOnly,
+            until: self.instant_of(entry.expires_unix_ms),
+        };
+        self.memory.remember(entry.task_id, remembered);
+    }
+
+    pub(crate) fn sweep_memory(&mut self) {
+        for task_id in self.memory.sweep(self.now) {
+            self.journal.delete(task_id, self.now);
+        }
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -4,11 +4,27 @@
 //! clock, so that one control thread can own it and property tests can drive it.
 
 mod action;
+mod delegation;
 mod event;
+mod fence_rounds;
 mod fences;
 mod journal;
+mod journal_io;
+mod journal_writer;
 mod owner;
+mod record;
+mod reports;
+mod runs;
 mod settings;
+mod settle;
+mod settled;
+mod submit;
+mod suspects;
+mod table;
+mod takeover;
+mod tenancy;
+mod tickets;
+mod timers;
 
 pub use action::Action;
 pub use action::Answer;
--- a/crates/owner/src/owner.rs
+++ b/crates/owner/src/owner.rs
@@ -1,41 +1,235 @@
-//! The owner's state machine.
+//! The owner's state machine: its state, and which part handles which event.
 
+use std::mem;
 use std::time;
 
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 use model::Generation;
 use model::InstanceId;
 use model::Partition;
 use model::PartitionTable;
 use model::Revision;
+use model::TaskId;
+use model::WorkerId;
 
 use crate::Action;
 use crate::Event;
+use crate::Member;
 use crate::OwnerSettings;
+use crate::Ticket;
+use crate::delegation;
+use crate::fence_rounds;
+use crate::journal_writer;
+use crate::record;
+use crate::settled;
+use crate::table;
+use crate::tenancy;
+use crate::tickets;
+use crate::timers;
 
 /// Decides for the partitions that an instance owns.
 #[derive(Debug)]
 pub struct Owner {
-    settings: OwnerSettings,
-    table: PartitionTable,
-    revision: Revision,
+    pub(crate) settings: OwnerSettings,
+    pub(crate) started_at: time::Instant,
+    /// Time of the event that is being handled.
+    pub(crate) now: time::Instant,
+    /// Number of the event that is being handled.
+    pub(crate) sequence: u64,
+    pub(crate) out: Vec<Action>,
+    pub(crate) table: table::TableView,
+    /// Live members with this instance; empty before the first `Members`.
+    pub(crate) members: IndexMap<InstanceId, Member>,
+    /// When each instance that is live no more was first missed.
+    pub(crate) missed_at: IndexMap<InstanceId, time::Instant>,
+    pub(crate) unreachable: Vec<InstanceId>,
+    /// Workers in the platform's list; `None` before the first.
+    pub(crate) workers: Option<Vec<WorkerId>>,
+    /// Partitions whose highest known tenure is this instance's, or that it is giving away.
+    pub(crate) owned: IndexMap<Partition, tenancy::Tenancy>,
+    pub(crate) fences: fence_rounds::FenceRounds,
+    pub(crate) grants: IndexMap<(model::PlanId, InstanceId), model::QuotaAsk>,
+    pub(crate) tasks: IndexMap<TaskId, record::Record>,
+    pub(crate) memory: settled::Memory,
+    pub(crate) tickets: IndexMap<Ticket, tickets::Waiting>,
+    pub(crate) timers: timers::Timers,
+    pub(crate) journal: journal_writer::JournalWriter,
+    /// Tasks with a missing run.
+    pub(crate) suspects: IndexSet<TaskId>,
+    /// Tasks with a run to be withdrawn.
+    pub(crate) withdrawing: IndexSet<TaskId>,
+    pub(crate) draining: bool,
+    pub(crate) delegations: IndexMap<InstanceId, delegation::Delegation>,
+    pub(crate) next_rebalance_at: time::Instant,
 }
 
 impl Owner {
     /// Creates an owner that has not read the partition table.
     #[must_use]
-    pub fn new(settings: OwnerSettings, _now: time::Instant) -> Self {
+    pub fn new(settings: OwnerSettings, now: time::Instant) -> Self {
+        let memory = settled::Memory::new(
+            settings.max_tasks.saturating_mul(OUTCOMES_PER_TASK),
+            settings.result_retention,
+            settings.journal_retention,
+        );
+        let journal = journal_writer::JournalWriter::new(
+            settings.journal_batch,
+            settings.journal_batch_entries.min(MAX_BATCH_ENTRIES),
+        );
         Self {
+            started_at: now,
+            now,
+            sequence: 0,
+            out: Vec::new(),
+            table: table::TableView::new(now),
+            members: IndexMap::new(),
+            missed_at: IndexMap::new(),
+            unreachable: Vec::new(),
+            workers: None,
+            owned: IndexMap::new(),
+            fences: fence_rounds::FenceRounds::default(),
+            grants: IndexMap::new(),
+            tasks: IndexMap::new(),
+            memory,
+            tickets: IndexMap::new(),
+            timers: timers::Timers::default(),
+            journal,
+            suspects: IndexSet::new(),
+            withdrawing: IndexSet::new(),
+            draining: false,
+            delegations: IndexMap::new(),
+            next_rebalance_at: now + settings.dead_after,
             settings,
-            table: PartitionTable::default(),
-            revision: 0,
         }
     }
 
     /// Takes `event` at `now` and returns what is to be done, in order.
+    ///
+    /// [`Event::Tick`] is due at least every 50 ms. Each `Withdraw`, `Fence`, `ReadTable`,
+    /// `WriteTable`, `WriteJournal`, `ReadJournal` and `Delegate` is answered by exactly one event,
+    /// also when the reply was lost, and so is each `Dispatched` by an event of the offer.
     #[must_use]
-    pub fn on(&mut self, event: Event, _now: time::Instant) -> Vec<Action> {
-        let _ = event;
-        Vec::new()
+    pub fn on(&mut self, event: Event, now: time::Instant) -> Vec<Action> {
+        self.now = now.max(self.now);
+        self.sequence += 1;
+        let cluster = self.handle(event);
+        self.advance(cluster);
+        mem::take(&mut self.out)
+    }
+
+    /// Handles `event`; returns whether it may let a change of ownership go on.
+    fn handle(&mut self, event: Event) -> bool {
+        match event {
+            Event::Submit {
+                ticket,
+                task,
+                deadline,
+                resent,
+            } => self.submit(ticket, task, deadline, resent),
+            Event::Lookup {
+                ticket,
+                customer_id,
+                task_id,
+                until,
+            } => self.lookup(ticket, customer_id, task_id, until),
+            Event::Cancel {
+                ticket,
+                customer_id,
+                task_id,
+            } => self.cancel(ticket, customer_id, task_id),
+            Event::Abandon { ticket } => self.abandon(ticket),
+            Event::Dispatched {
+                task_id,
+                attempt,
+                members,
+                holder,
+            } => self.dispatched(task_id, attempt, &members, &holder),
+            Event::OfferTaken {
+                task_id,
+                attempt,
+                members,
+                holder,
+                workers,
+            } => self.offer_taken(task_id, attempt, &members, &holder, &workers),
+            Event::OfferRefused {
+                task_id,
+                attempt,
+                members,
+                holder,
+            } => self.offer_refused(task_id, attempt, &members, &holder),
+            Event::OfferLost {
+                task_id,
+                attempt,
+                members,
+                holder,
+            } => self.offer_lost(task_id, attempt, &members, &holder),
+            Event::Reports(reports) => self.reports(reports),
+            Event::Withdrawn(report) => self.withdrawn(report),
+            Event::WithdrawFailed { run, holder } => self.withdraw_failed(run, &holder),
+            Event::QueueExpired { task_id } => self.queue_expired(task_id),
+            Event::QueueRefused {
+                task_id,
+                reason,
+                retry_after,
+            } => self.queue_refused(task_id, reason, retry_after),
+            other => {
+                self.handle_cluster(other);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn handle_cluster(&mut self, event: Event) {
+        match event {
+            Event::TableRead { table, revision } => self.table_read(table, revision),
+            Event::TableReadFailed => self.table.read_failed(self.now),
+            Event::TableWritten { result, revision } => self.table_written(result, revision),
+            Event::Members { live, unreachable } => self.members_changed(live, unreachable),
+            Event::FenceAcked {
+                from,
+                partitions,
+                ack,
+            } => self.fence_acked(&from, &partitions, ack),
+            Event::FenceFailed { from } => self.fences.failed(&from, self.now),
+            Event::Fenced { owner, partitions } => self.fenced(&owner, &partitions),
+            Event::JournalWritten { batch_id, result } => self.journal_written(batch_id, result),
+            Event::JournalRead { partition, entries } => self.journal_read(partition, entries),
+            Event::JournalReadFailed { partition } => self.journal_read_failed(partition),
+            Event::Workers(workers) => self.workers = Some(workers),
+            Event::Delegated {
+                from: _,
+                partitions,
+                started,
+                queued,
+            } => self.delegated(&partitions, started, queued),
+            Event::DelegateAcked { to } => self.delegate_acked(&to),
+            Event::DelegateFailed { to } => self.delegate_failed(&to),
+            Event::Drain => self.draining = true,
+            _ => {}
+        }
+    }
+
+    /// Does what is due after an event.
+    ///
+    /// Events of single tasks leave to the next tick what looks at all tasks or partitions.
+    fn advance(&mut self, cluster: bool) {
+        self.fire_timers();
+        self.send_withdrawals();
+        if cluster {
+            self.sweep_memory();
+            self.check_suspects();
+            self.check_takeovers();
+            self.advance_delegations();
+            self.claim_partitions();
+            self.send_fences();
+            self.read_journals();
+        }
+        self.flush_journal();
+        if self.table.take_read(self.now) {
+            self.out.push(Action::ReadTable);
+        }
     }
 
     /// Returns the instance itself.
@@ -47,58 +241,99 @@
     /// Returns the owner of `partition` as far as known.
     #[must_use]
     pub fn owner_of(&self, partition: Partition) -> Option<&InstanceId> {
-        self.table
-            .tenure(partition)
-            .map(|tenure| &tenure.instance_id)
+        let tenure = self.table.effective().tenure(partition);
+        tenure.map(|tenure| &tenure.instance_id)
     }
 
     /// Returns the highest generation of `partition` known; 0 before the first.
     #[must_use]
     pub fn generation(&self, partition: Partition) -> Generation {
-        self.table
-            .tenure(partition)
-            .map_or(0, |tenure| tenure.generation)
+        self.table.generation(partition)
+    }
+
+    /// Returns whether this instance is in charge of `partition`, serving it or not yet.
+    ///
+    /// Reports on tasks of any other partition must be refused with `NotOwner`, so that their
+    /// holder keeps them for the owner.
+    #[must_use]
+    pub fn owns(&self, partition: Partition) -> bool {
+        let tenancy = self.owned.get(&partition);
+        tenancy.is_some_and(|tenancy| !tenancy.is_given_away())
     }
 
     /// Returns whether this instance serves `partition` now.
     #[must_use]
-    pub fn serves(&self, _partition: Partition) -> bool {
-        false
+    pub fn serves(&self, partition: Partition) -> bool {
+        let tenancy = self.owned.get(&partition);
+        tenancy.is_some_and(tenancy::Tenancy::is_serving)
     }
 
     /// Returns the partitions that this instance serves now, for new task ids.
     #[must_use]
     pub fn serving(&self) -> Vec<Partition> {
-        Vec::new()
+        self.owned
+            .iter()
+            .filter(|(_, tenancy)| tenancy.is_serving())
+            .map(|(partition, _)| *partition)
+            .collect()
     }
 
     /// Returns how many partitions this instance owns but does not serve yet.
     #[must_use]
     pub fn pending_partitions(&self) -> u32 {
-        0
+        let pending = self.owned.values().filter(|tenancy| tenancy.is_pending());
+        u32::try_from(pending.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the table as known, with delegations that the store has not taken yet.
     #[must_use]
     pub fn table(&self) -> &PartitionTable {
-        &self.table
+        self.table.effective()
     }
 
     /// Returns the revision of the table as read from the store; 0 before the first.
     #[must_use]
     pub fn table_revision(&self) -> Revision {
-        self.revision
+        self.table.revision()
     }
 
     /// Returns how many unsettled tasks are kept.
     #[must_use]
     pub fn tasks(&self) -> usize {
-        0
+        self.tasks.len()
     }
 
     /// Returns whether a drained owner has given everything away and answered every ticket.
     #[must_use]
     pub fn drained(&self) -> bool {
-        false
+        self.draining
+            && self.tickets.is_empty()
+            && self.tasks.is_empty()
+            && self.delegations.is_empty()
+            && self.journal.is_idle()
+    }
+
+    pub(crate) fn is_live(&self, instance_id: &InstanceId) -> bool {
+        self.members.contains_key(instance_id)
+    }
+
+    /// Returns `at` as wall-clock time in milliseconds since the Unix epoch.
+    pub(crate) fn unix_ms(&self, at: time::Instant) -> u64 {
+        let elapsed = at.saturating_duration_since(self.started_at);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        self.settings.unix_ms.saturating_add(elapsed_ms)
+    }
+
+    /// Returns the instant of a wall-clock time, or now if that has passed.
+    pub(crate) fn instant_of(&self, unix_ms: u64) -> time::Instant {
+        let ahead_ms = unix_ms.saturating_sub(self.unix_ms(self.now));
+        let ahead = time::Duration::from_millis(ahead_ms);
+        self.now.checked_add(ahead).unwrap_or(self.now)
     }
 }
+
+/// Outcomes kept at most, for each task that may be unsettled.
+const OUTCOMES_PER_TASK: usize = 4;
+
+/// Entries and deletes that one transaction may have.
+const MAX_BATCH_ENTRIES: usize = 100;
--- /dev/null
+++ b/crates/owner/src/settle.rs
@@ -0,0 +1,229 @@
+//! The end of a task, or of one of its executions.
+
+use std::time;
+
+use model::NotRunReason;
+use model::Outcome;
+use model::SubmitReply;
+use model::TaskId;
+use model::TaskResult;
+use model::UnknownReason;
+
+use crate::Action;
+use crate::Owner;
+use crate::QueuedTask;
+use crate::SettledTask;
+use crate::record;
+use crate::settled;
+use crate::tickets;
+
+impl Owner {
+    /// Puts a task in the queue, or notes that it belongs there while its partition is not served.
+    pub(crate) fn enqueue(&mut self, task_id: TaskId) {
+        let partition = model::partition_of(task_id);
+        let Some(tenancy) = self.owned.get(&partition) else {
+            return;
+        };
+        let Some(record) = self.tasks.get_mut(&task_id) else {
+            return;
+        };
+        record.state = record::State::Queued;
+        if !tenancy.is_serving() {
+            return;
+        }
+        if record.deadline <= self.now {
+            self.settle_unstarted(task_id, NotRunReason::DeadlinePassed);
+            return;
+        }
+        self.out.push(Action::Enqueue(QueuedTask {
+            task: record.task.clone(),
+            attempt: record.attempt,
+            generation: tenancy.generation,
+            accepted_at: record.accepted_at,
+            deadline: record.deadline,
+            checkpoint: record.checkpoint.clone(),
+        }));
+    }
+
+    /// Gives back what a task occupied.
+    pub(crate) fn free(&mut self, task_id: TaskId) {
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            if record.occupied {
+                record.occupied = false;
+                let task = record.task.clone();
+                self.out.push(Action::Freed { task });
+            }
+        }
+    }
+
+    /// Notes that a task occupies resources without having been queued here.
+    pub(crate) fn adopt(&mut self, task_id: TaskId) {
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            if !record.occupied {
+                record.occupied = true;
+                let task = record.task.clone();
+                self.out.push(Action::Adopted { task });
+            }
+        }
+    }
+
+    /// Settles a task that has not started in this execution: as not run, unless an earlier one
+    /// may have run.
+    pub(crate) fn settle_unstarted(&mut self, task_id: TaskId, reason: NotRunReason) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        let outcome = match record.may_have_run {
+            None => Outcome::NotRun(reason),
+            Some(_) if record.cancelled => Outcome::Unknown(UnknownReason::CancelledWhileRunning),
+            Some(unknown) => Outcome::Unknown(unknown),
+        };
+        self.settle(task_id, outcome);
+    }
+
+    /// Gives a task its final outcome.
+    pub(crate) fn settle(&mut self, task_id: TaskId, outcome: Outcome) {
+        self.free(task_id);
+        let Some(record) = self.tasks.swap_remove(&task_id) else {
+            return;
+        };
+        self.suspects.swap_remove(&task_id);
+        self.withdrawing.swap_remove(&task_id);
+        for ticket in &record.tickets {
+            self.answer_outcome(*ticket, &outcome);
+        }
+        let keeps_entry = !record.task.spec.repeatable && !matches!(outcome, Outcome::NotRun(_));
+        if record.journal_sent && !keeps_entry {
+            self.journal.delete(task_id, self.now);
+        }
+        self.out.push(Action::Settled(Box::new(SettledTask {
+            task: record.task.clone(),
+            outcome: outcome.clone(),
+            accepted_at: record.accepted_at,
+            runs: record.facts,
+        })));
+        let settled = settled::Settled {
+            task: record.task,
+            digest: record.digest,
+            outcome,
+            attempt: record.attempt,
+        };
+        self.memory.insert(settled, self.now);
+    }
+
+    /// Settles a task whose members all finished.
+    pub(crate) fn settle_done(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        let runs: Vec<_> = record
+            .members()
+            .iter()
+            .filter_map(|member| match &member.phase {
+                record::Phase::Finished(run) => Some(run),
+                _ => None,
+            })
+            .collect();
+        let waited = record.waited.unwrap_or_default();
+        let result = TaskResult {
+            succeeded: runs.iter().all(|run| run.succeeded),
+            outputs: runs.iter().map(|run| run.output.clone()).collect(),
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            run_ms: runs.iter().map(|run| run.run_ms).max().unwrap_or_default(),
+            attempts: record.attempt,
+        };
+        self.settle(task_id, Outcome::Done(result));
+    }
+
+    /// Queues the next execution of a task, none of whose members runs.
+    ///
+    /// A task that has started may start again later than its first deadline.
+    pub(crate) fn requeue(&mut self, task_id: TaskId) {
+        self.free(task_id);
+        self.suspects.swap_remove(&task_id);
+        self.withdrawing.swap_remove(&task_id);
+        let now = self.now;
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            record.attempt += 1;
+            let restarts = record.may_have_run.is_some();
+            if restarts && (record.task.spec.repeatable || record.checkpoint.is_some()) {
+                let wait = time::Duration::from_millis(record.task.spec.deadline_ms);
+                record.deadline = record.deadline.max(now + wait);
+            }
+        }
+        self.enqueue(task_id);
+    }
+
+    pub(crate) fn queue_expired(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        if !record.is_queued() {
+            return;
+        }
+        let restarts = record.task.spec.class == model::Class::Service
+            && record.may_have_run.is_some()
+            && record.task.spec.repeatable;
+        if restarts {
+            self.requeue(task_id);
+        } else {
+            self.settle_unstarted(task_id, NotRunReason::DeadlinePassed);
+        }
+    }
+
+    /// Settles a task that the queue refused, or forgets it if its caller may try again.
+    pub(crate) fn queue_refused(
+        &mut self,
+        task_id: TaskId,
+        reason: NotRunReason,
+        retry_after: Option<time::Duration>,
+    ) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        if !record.is_queued() {
+            return;
+        }
+        let fresh = record.may_have_run.is_none() && record.task.wait;
+        match retry_after {
+            Some(wait) if fresh => self.send_back(task_id, reason, wait),
+            _ => self.settle_unstarted(task_id, reason),
+        }
+    }
+
+    /// Forgets a task that never started, and tells its callers when to try again.
+    fn send_back(&mut self, task_id: TaskId, reason: NotRunReason, wait: time::Duration) {
+        let Some(record) = self.tasks.swap_remove(&task_id) else {
+            return;
+        };
+        let outcome = Outcome::NotRun(reason);
+        let reply = SubmitReply::RetryLater {
+            reason,
+            retry_after_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        for ticket in record.tickets {
+            let joined = self.tickets.get(&ticket);
+            let submits = matches!(
+                joined,
+                Some(tickets::Waiting::Joined {
+                    kind: tickets::JoinKind::Outcome | tickets::JoinKind::Acceptance,
+                    ..
+                })
+            );
+            if submits {
+                self.answer_submit(ticket, reply.clone());
+            } else {
+                self.answer_outcome(ticket, &outcome);
+            }
+        }
+        if record.journal_sent {
+            self.journal.delete(task_id, self.now);
+        }
+        self.out.push(Action::Settled(Box::new(SettledTask {
+            task: record.task,
+            outcome,
+            accepted_at: record.accepted_at,
+            runs: record.facts,
+        })));
+    }
+}
--- /dev/null
+++ b/crates/owner/src/submit.rs
@@ -0,0 +1,338 @@
+//! Requests of callers: submissions, lookups and cancellations.
+
+use std::time;
+
+use model::CustomerId;
+use model::NotRunReason;
+use model::Outcome;
+use model::SubmitReply;
+use model::Task;
+use model::TaskId;
+use model::TaskStatus;
+use model::UnknownReason;
+use model::partition_of;
+
+use crate::Answer;
+use crate::Event;
+use crate::Owner;
+use crate::Ticket;
+use crate::record;
+use crate::tickets;
+use crate::timers;
+
+/// How long a cancellation waits for its partition to be served.
+const CANCEL_HOLD: time::Duration = time::Duration::from_secs(30);
+
+/// When a caller should try again after a refusal for lack of room.
+const OVERLOAD_RETRY_MS: u64 = 1_000;
+
+/// What to do with a request, by the state of its partition.
+enum Route {
+    Elsewhere,
+    Hold,
+    Handle,
+}
+
+impl Owner {
+    fn route(&self, task_id: TaskId) -> Route {
+        match self.owned.get(&partition_of(task_id)) {
+            None => Route::Elsewhere,
+            Some(tenancy) if tenancy.is_serving() => Route::Handle,
+            Some(_) => Route::Hold,
+        }
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        ticket: Ticket,
+        task: Task,
+        deadline: time::Instant,
+        resent: bool,
+    ) {
+        match self.route(task.task_id) {
+            Route::Elsewhere => self.answer(ticket, Answer::NotOwner),
+            Route::Hold => {
+                let event = Event::Submit {
+                    ticket,
+                    task,
+                    deadline,
+                    resent,
+                };
+                self.hold(ticket, event, deadline);
+            }
+            Route::Handle => self.submit_here(ticket, task, deadline, resent),
+        }
+    }
+
+    fn submit_here(&mut self, ticket: Ticket, task: Task, deadline: time::Instant, resent: bool) {
+        let digest = record::request_digest(&task);
+        if self.join_known(ticket, &task, digest) {
+            return;
+        }
+        if deadline <= self.now {
+            let outcome = self.refusal(&task, resent, NotRunReason::DeadlinePassed);
+            self.answer_submit(ticket, SubmitReply::Settled(outcome));
+            return;
+        }
+        if let Some(reason) = self.no_room() {
+            self.refuse_for_now(ticket, &task, resent, reason);
+            return;
+        }
+        let latest = self.now + self.settings.journal_retention;
+        let may_have_run = self.earlier_run(&task, resent);
+        let kind = join_kind(&task);
+        let task_id = task.task_id;
+        let mut record = self.new_record(task, deadline.min(latest));
+        record.may_have_run = may_have_run;
+        self.tasks.insert(task_id, record);
+        self.join(ticket, task_id, kind);
+        self.start_journalling(task_id);
+    }
+
+    /// Joins `ticket` to an earlier use of the id; returns whether there was one.
+    fn join_known(&mut self, ticket: Ticket, task: &Task, digest: [u8; 32]) -> bool {
+        let task_id = task.task_id;
+        let known = self
+            .tasks
+            .get(&task_id)
+            .map(|record| record.digest)
+            .or_else(|| self.memory.outcome(task_id).map(|settled| settled.digest))
+            .or_else(|| self.memory.remembered(task_id).map(|known| known.digest));
+        let Some(known) = known else {
+            return false;
+        };
+        if known != digest {
+            self.answer_submit(ticket, SubmitReply::KeyConflict);
+            return true;
+        }
+        let Some(record) = self.tasks.get(&task_id) else {
+            let status = self.past_status(&task.customer_id, task_id);
+            if let TaskStatus::Settled(outcome) = status {
+                self.answer_submit(ticket, SubmitReply::Settled(outcome));
+            }
+            return true;
+        };
+        if !task.wait && record.journalled {
+            self.answer_submit(ticket, SubmitReply::Accepted);
+            return true;
+        }
+        self.join(ticket, task_id, join_kind(task));
+        true
+    }
+
+    fn no_room(&self) -> Option<NotRunReason> {
+        if self.draining {
+            Some(NotRunReason::Draining)
+        } else if self.tasks.len() >= self.settings.max_tasks {
+            Some(NotRunReason::InstanceOverloaded)
+        } else {
+            None
+        }
+    }
+
+    fn refuse_for_now(&mut self, ticket: Ticket, task: &Task, resent: bool, reason: NotRunReason) {
+        let reply = match self.refusal(task, resent, reason) {
+            Outcome::NotRun(reason) => SubmitReply::RetryLater {
+                reason,
+                retry_after_ms: OVERLOAD_RETRY_MS,
+            },
+            outcome => SubmitReply::Settled(outcome),
+        };
+        self.answer_submit(ticket, reply);
+    }
+
+    /// Returns the answer to a submission that is refused, and that no record knows.
+    fn refusal(&self, task: &Task, resent: bool, reason: NotRunReason) -> Outcome {
+        match self.earlier_run(task, resent) {
+            Some(unknown) => Outcome::Unknown(unknown),
+            None if !task.spec.repeatable && !self.knows_journal(task.task_id) => {
+                Outcome::Unknown(UnknownReason::OwnerUnreachable)
+            }
+            None => Outcome::NotRun(reason),
+        }
+    }
+
+    /// Returns why a task without record may have run under an earlier owner, if it may.
+    ///
+    /// A non-repeatable task that the journal does not know has not.
+    fn earlier_run(&self, task: &Task, resent: bool) -> Option<UnknownReason> {
+        if !task.spec.repeatable {
+            return None;
+        }
+        let tenancy = self.owned.get(&partition_of(task.task_id))?;
+        let taken_over_at = tenancy.taken_over_at;
+        let recent = taken_over_at
+            .is_some_and(|at| self.now.duration_since(at) < self.settings.result_retention);
+        let keyed = task.spec.key.is_some();
+        (resent || (keyed && recent)).then_some(UnknownReason::OwnerUnreachable)
+    }
+
+    pub(crate) fn new_record(&self, task: Task, deadline: time::Instant) -> record::Record {
+        record::Record {
+            digest: record::request_digest(&task),
+            task,
+            accepted_at: self.now,
+            deadline,
+            attempt: 1,
+            failures: 0,
+            may_have_run: None,
+            state: record::State::Journalling,
+            checkpoint: None,
+            cancelled: false,
+            occupied: false,
+            journalled: false,
+            journal_sent: false,
+            waited: None,
+            tickets: Vec::new(),
+            facts: Vec::new(),
+        }
+    }
+
+    /// Sends a new task to the journal if it must be there first, else to the queue.
+    pub(crate) fn start_journalling(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            return;
+        };
+        if record.journalled || !record::needs_journal(&record.task) {
+            self.enqueue(task_id);
+            return;
+        }
+        self.timers
+            .set(record.deadline, timers::Timer::Journalling(task_id));
+        if self.knows_journal(task_id) {
+            self.put_entry(task_id);
+        }
+    }
+
+    pub(crate) fn lookup(
+        &mut self,
+        ticket: Ticket,
+        customer_id: CustomerId,
+        task_id: TaskId,
+        until: time::Instant,
+    ) {
+        match self.route(task_id) {
+            Route::Elsewhere => self.answer(ticket, Answer::NotOwner),
+            Route::Hold => {
+                let event = Event::Lookup {
+                    ticket,
+                    customer_id,
+                    task_id,
+                    until,
+                };
+                self.hold(ticket, event, until);
+            }
+            Route::Handle => self.lookup_here(ticket, &customer_id, task_id, until),
+        }
+    }
+
+    fn lookup_here(
+        &mut self,
+        ticket: Ticket,
+        customer_id: &CustomerId,
+        task_id: TaskId,
+        until: time::Instant,
+    ) {
+        let Some(record) = self.tasks.get(&task_id) else {
+            let status = self.past_status(customer_id, task_id);
+            self.answer_status(ticket, status);
+            return;
+        };
+        if record.task.customer_id != *customer_id {
+            self.answer_status(ticket, TaskStatus::NotFound);
+        } else if until <= self.now {
+            let status = self.status_of(task_id);
+            self.answer_status(ticket, status);
+        } else {
+            self.join(ticket, task_id, tickets::JoinKind::Status(until));
+            self.timers.set(until, timers::Timer::Ticket(ticket));
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, ticket: Ticket, customer_id: CustomerId, task_id: TaskId) {
+        match self.route(task_id) {
+            Route::Elsewhere => self.answer(ticket, Answer::NotOwner),
+            Route::Hold => {
+                let event = Event::Cancel {
+                    ticket,
+                    customer_id,
+                    task_id,
+                };
+                self.hold(ticket, event, self.now + CANCEL_HOLD);
+            }
+            Route::Handle => self.cancel_here(ticket, &customer_id, task_id),
+        }
+    }
+
+    fn cancel_here(&mut self, ticket: Ticket, customer_id: &CustomerId, task_id: TaskId) {
+        let now = self.now;
+        let Some(record) = self.tasks.get_mut(&task_id) else {
+            let status = self.past_status(customer_id, task_id);
+            self.answer_status(ticket, status);
+            return;
+        };
+        if record.task.customer_id != *customer_id {
+            self.answer_status(ticket, TaskStatus::NotFound);
+            return;
+        }
+        record.cancelled = true;
+        if let Some(members) = record.members_mut() {
+            for member in members {
+                member.want_withdrawal(now);
+            }
+        }
+        self.join(ticket, task_id, tickets::JoinKind::Cancellation);
+        self.evaluate(task_id);
+    }
+
+    /// Handles the requests that were held for partitions that are served now.
+    pub(crate) fn release_held(&mut self) {
+        let owned = &self.owned;
+        let serving: Vec<_> = owned
+            .iter()
+            .filter(|(_, tenancy)| tenancy.is_serving())
+            .map(|(partition, _)| *partition)
+            .collect();
+        let events = self.take_held(|partition| serving.contains(&partition));
+        self.replay(events);
+    }
+
+    /// Sends the requests that were held for `partition` elsewhere.
+    pub(crate) fn turn_away_held(&mut self, partition: model::Partition) {
+        let events = self.take_held(|other| other == partition);
+        self.replay(events);
+    }
+
+    fn replay(&mut self, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::Submit {
+                    ticket,
+                    task,
+                    deadline,
+                    resent,
+                } => self.submit(ticket, task, deadline, resent),
+                Event::Lookup {
+                    ticket,
+                    customer_id,
+                    task_id,
+                    until,
+                } => self.lookup(ticket, customer_id, task_id, until),
+                Event::Cancel {
+                    ticket,
+                    customer_id,
+                    task_id,
+                } => self.cancel(ticket, customer_id, task_id),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn join_kind(task: &Task) -> tickets::JoinKind {
+    if task.wait {
+        tickets::JoinKind::Outcome
+    } else {
+        tickets::JoinKind::Acceptance
+    }
+}
--- /dev/null
+++ b/crates/owner/src/table.rs
@@ -0,0 +1,209 @@
+//! The partition table as known here, and who should own which partition.
+
+use std::time;
+
+use indexmap::IndexMap;
+use model::Generation;
+use model::InstanceId;
+use model::PARTITIONS;
+use model::Partition;
+use model::PartitionTable;
+use model::Revision;
+use model::Tenure;
+use sha2::Digest as _;
+
+/// Distance between generations of claims; delegations take those in between, so that a claim and
+/// a delegation of the same partition never share a generation.
+const CLAIM_STEP: Generation = 1 << 16;
+
+/// Pause before a read or write of the table that failed is repeated.
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
+/// Interval at which the table is read again.
+const REFRESH_EVERY: time::Duration = time::Duration::from_secs(2);
+
+/// Returns the generation of a claim that follows `generation`.
+pub(crate) fn next_claim(generation: Generation) -> Generation {
+    (generation / CLAIM_STEP + 1) * CLAIM_STEP
+}
+
+/// Returns whether `generation` is of the first claim of a partition.
+pub(crate) fn is_first_claim(generation: Generation) -> bool {
+    generation == CLAIM_STEP
+}
+
+/// Keeps the table as read with what is newer than it.
+#[derive(Debug)]
+pub(crate) struct TableView {
+    stored: PartitionTable,
+    revision: Revision,
+    /// Tenures of higher generations than the stored ones: delegations that the store has not
+    /// taken yet, and those heard of in fences.
+    newer: IndexMap<Partition, Tenure>,
+    /// Both together.
+    effective: PartitionTable,
+    known: bool,
+    reading: bool,
+    next_read_at: time::Instant,
+    writing: Option<PartitionTable>,
+    next_write_at: time::Instant,
+}
+
+impl TableView {
+    pub(crate) fn new(now: time::Instant) -> Self {
+        Self {
+            stored: PartitionTable::default(),
+            revision: 0,
+            newer: IndexMap::new(),
+            effective: PartitionTable::default(),
+            known: false,
+            reading: false,
+            next_read_at: now,
+            writing: None,
+            next_write_at: now,
+        }
+    }
+
+    pub(crate) fn effective(&self) -> &PartitionTable {
+        &self.effective
+    }
+
+    pub(crate) fn stored(&self) -> &PartitionTable {
+        &self.stored
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub(crate) fn generation(&self, partition: Partition) -> Generation {
+        self.effective
+            .tenure(partition)
+            .map_or(0, |tenure| tenure.generation)
+    }
+
+    /// Returns whether the table has been read and no write of it is outstanding.
+    pub(crate) fn may_write(&self, now: time::Instant) -> bool {
+        self.known && self.writing.is_none() && !self.reading && now >= self.next_write_at
+    }
+
+    pub(crate) fn start_write(&mut self, table: PartitionTable) {
+        self.writing = Some(table);
+    }
+
+    /// Ends a write that took effect.
+    pub(crate) fn written(&mut self, revision: Revision) {
+        if let Some(table) = self.writing.take().filter(|_| revision > self.revision) {
+            self.merge(table, revision);
+        }
+    }
+
+    /// Ends a write that did not take effect, or may not have.
+    pub(crate) fn not_written(&mut self, now: time::Instant) {
+        self.writing = None;
+        self.next_write_at = now + RETRY_AFTER;
+    }
+
+    /// Lets the table be read at once.
+    pub(crate) fn read_soon(&mut self, now: time::Instant) {
+        self.next_read_at = now;
+    }
+
+    /// Returns whether the table should be read now, and notes that it is.
+    pub(crate) fn take_read(&mut self, now: time::Instant) -> bool {
+        let due = !self.reading && self.writing.is_none() && now >= self.next_read_at;
+        self.reading |= due;
+        due
+    }
+
+    pub(crate) fn read(&mut self, table: PartitionTable, revision: Revision, now: time::Instant) {
+        self.reading = false;
+        self.next_read_at = now + REFRESH_EVERY;
+        self.next_write_at = now;
+        self.known = true;
+        if revision > self.revision {
+            self.merge(table, revision);
+        }
+    }
+
+    pub(crate) fn read_failed(&mut self, now: time::Instant) {
+        self.reading = false;
+        self.next_read_at = now + RETRY_AFTER;
+    }
+
+    /// Notes a tenure that is newer than the stored one; an older one changes nothing.
+    pub(crate) fn note(&mut self, partition: Partition, tenure: Tenure) {
+        if tenure.generation > self.generation(partition) {
+            self.newer.insert(partition, tenure);
+            self.refresh();
+        }
+    }
+
+    /// Returns tenures of `instance_id` that the store does not have yet.
+    pub(crate) fn unwritten(&self, instance_id: &InstanceId) -> Vec<(Partition, Tenure)> {
+        self.newer
+            .iter()
+            .filter(|(_, tenure)| tenure.instance_id == *instance_id)
+            .map(|(partition, tenure)| (*partition, tenure.clone()))
+            .collect()
+    }
+
+    fn merge(&mut self, table: PartitionTable, revision: Revision) {
+        self.stored = table;
+        self.revision = revision;
+        self.newer.retain(|partition, tenure| {
+            self.stored
+                .tenure(*partition)
+                .is_none_or(|stored| stored.generation < tenure.generation)
+        });
+        self.refresh();
+    }
+
+    fn refresh(&mut self) {
+        self.effective = self.stored.clone();
+        for (partition, tenure) in &self.newer {
+            if let Some(entry) = self.effective.tenures.get_mut(usize::from(*partition)) {
+                *entry = tenure.clone();
+            }
+        }
+    }
+}
+
+/// Assigns every partition that `is_orphan` names to one of `candidates`, by rendezvous hashing
+/// among those with the room that an even division leaves them.
+///
+/// The same table and candidates give the same result on every instance.
+pub(crate) fn assign(
+    table: &PartitionTable,
+    candidates: &[InstanceId],
+    is_orphan: impl Fn(Partition) -> bool,
+) -> IndexMap<Partition, InstanceId> {
+    let mut loads: IndexMap<&InstanceId, usize> = candidates.iter().map(|id| (id, 0)).collect();
+    for partition in (0..PARTITIONS).filter(|partition| !is_orphan(*partition)) {
+        let tenure = table.tenure(partition);
+        if let Some(load) = tenure.and_then(|tenure| loads.get_mut(&tenure.instance_id)) {
+            *load += 1;
+        }
+    }
+    let share = usize::from(PARTITIONS).div_ceil(candidates.len().max(1));
+    let mut assigned = IndexMap::new();
+    for partition in (0..PARTITIONS).filter(|partition| is_orphan(*partition)) {
+        let best = loads
+            .iter()
+            .max_by_key(|(id, load)| (**load < share, score(partition, id)))
+            .map(|(id, _)| *id);
+        let Some(winner) = best else {
+            break;
+        };
+        loads[winner] += 1;
+        assigned.insert(partition, winner.clone());
+    }
+    assigned
+}
+
+fn score(partition: Partition, instance_id: &InstanceId) -> [u8; 32] {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(partition.to_be_bytes());
+    hasher.update(instance_id.as_bytes());
+    hasher.finalize().into()
+}
--- /dev/null
+++ b/crates/owner/src/takeover.rs
@@ -0,0 +1,463 @@
+//! Taking charge of partitions: claim, fence, gather, serve.
+
+use std::time;
+
+use indexmap::IndexSet;
+use model::Generation;
+use model::InstanceId;
+use model::Partition;
+use model::PartitionTable;
+use model::Revision;
+use model::Tenure;
+use model::WorkerId;
+use model::partition_of;
+use model::partition_of_plan;
+
+use crate::Action;
+use crate::Answer;
+use crate::Member;
+use crate::Owner;
+use crate::WriteResult;
+use crate::table;
+use crate::tenancy;
+
+/// Pause before the holders are asked again for workers that nobody held.
+const REPEAT_AFTER: time::Duration = time::Duration::from_millis(250);
+
+impl Owner {
+    pub(crate) fn table_read(&mut self, table: PartitionTable, revision: Revision) {
+        self.table.read(table, revision, self.now);
+        self.journal.retry_now();
+        self.follow_table();
+    }
+
+    pub(crate) fn table_written(&mut self, result: WriteResult, revision: Revision) {
+        match result {
+            WriteResult::Written => self.table.written(revision),
+            WriteResult::Conflict => {
+                self.table.not_written(self.now);
+                self.table.read_soon(self.now);
+            }
+            WriteResult::Unknown => {
+                self.table.not_written(self.now);
+                self.table.read_soon(self.now);
+            }
+            WriteResult::Unavailable => self.table.not_written(self.now),
+        }
+        self.follow_table();
+    }
+
+    /// Begins the tenures that the table gives this instance, and ends those that it takes.
+    pub(crate) fn follow_table(&mut self) {
+        let tenures: Vec<_> = self
+            .table
+            .effective()
+            .tenures
+            .iter()
+            .cloned()
+            .zip(0..)
+            .collect();
+        let mut lost = Vec::new();
+        for (tenure, partition) in tenures {
+            let held = self.owned.get(&partition).map(|held| held.generation);
+            if tenure.instance_id == self.settings.instance_id {
+                if held.is_none_or(|generation| generation < tenure.generation) {
+                    self.begin_takeover(partition, tenure.generation);
+                }
+            } else if held.is_some_and(|generation| generation < tenure.generation) {
+                lost.push(partition);
+            }
+        }
+        self.supersede(lost);
+    }
+
+    fn begin_takeover(&mut self, partition: Partition, generation: Generation) {
+        if self.owned.contains_key(&partition) {
+            self.drop_partition(partition);
+        }
+        let tenancy = tenancy::Tenancy {
+            generation,
+            phase: tenancy::TenancyPhase::TakingOver {
+                since: self.sequence,
+                silent_since: self.now,
+                repeat_at: self.now + REPEAT_AFTER,
+            },
+            taken_over_at: None,
+            delegated: false,
+            journal: tenancy::JournalState::Unread(self.now),
+        };
+        self.owned.insert(partition, tenancy);
+        self.fences.request(partition, self.sequence);
+    }
+
+    /// Ends the tenure of partitions that another instance owns now.
+    pub(crate) fn supersede(&mut self, partitions: Vec<Partition>) {
+        if partitions.is_empty() {
+            return;
+        }
+        for partition in &partitions {
+            self.drop_partition(*partition);
+        }
+        self.out.push(Action::Superseded { partitions });
+    }
+
+    /// Forgets a partition, and sends its tickets to the new owner.
+    pub(crate) fn drop_partition(&mut self, partition: Partition) {
+        self.owned.swap_remove(&partition);
+        self.fences.forget(partition);
+        self.journal.forget(partition);
+        self.memory.forget(partition);
+        let tasks: Vec<_> = self
+            .tasks
+            .keys()
+            .filter(|task_id| partition_of(**task_id) == partition)
+            .copied()
+            .collect();
+        for task_id in tasks {
+            self.drop_task(task_id);
+        }
+        self.turn_away_held(partition);
+    }
+
+    fn drop_task(&mut self, task_id: model::TaskId) {
+        self.free(task_id);
+        self.suspects.swap_remove(&task_id);
+        self.withdrawing.swap_remove(&task_id);
+        let Some(record) = self.tasks.swap_remove(&task_id) else {
+            return;
+        };
+        if record.is_queued() {
+            self.out.push(Action::Unqueue { task_id });
+        }
+        for ticket in record.tickets {
+            if self.tickets.contains_key(&ticket) {
+                self.answer(ticket, Answer::NotOwner);
+            }
+        }
+    }
+
+    pub(crate) fn members_changed(&mut self, live: Vec<Member>, unreachable: Vec<InstanceId>) {
+        let before: Vec<_> = self.members.keys().cloned().collect();
+        self.members = live
+            .into_iter()
+            .map(|member| (member.instance_id.clone(), member))
+            .collect();
+        self.unreachable = unreachable;
+        let members = &self.members;
+        self.missed_at.retain(|id, _| !members.contains_key(id));
+        let mut anyone_left = false;
+        for id in before {
+            if !self.members.contains_key(&id) {
+                anyone_left = true;
+                self.missed_at.entry(id).or_insert(self.now);
+            }
+        }
+        let members = &self.members;
+        self.fences.retain_members(|id| members.contains_key(id));
+        if anyone_left {
+            self.restart_silence();
+        }
+        self.suspect_runs_of_dead();
+    }
+
+    /// A holder that has just gone may have renewed a lease until now.
+    fn restart_silence(&mut self) {
+        let now = self.now;
+        for tenancy in self.owned.values_mut() {
+            if let tenancy::TenancyPhase::TakingOver { silent_since, .. } = &mut tenancy.phase {
+                *silent_since = now;
+            }
+        }
+    }
+
+    pub(crate) fn fenced(&mut self, owner: &InstanceId, partitions: &[(Partition, Generation)]) {
+        for (partition, generation) in partitions {
+            self.table.note(
+                *partition,
+                Tenure {
+                    instance_id: owner.clone(),
+                    generation: *generation,
+                },
+            );
+        }
+        self.follow_table();
+    }
+
+    pub(crate) fn send_fences(&mut self) {
+        let live = self.members.keys();
+        let rounds = self.fences.take_due(live, self.sequence, self.now);
+        for round in rounds {
+            let partitions: Vec<_> = round
+                .partitions
+                .into_iter()
+                .filter_map(|partition| {
+                    let tenancy = self.owned.get(&partition)?;
+                    Some((partition, tenancy.generation))
+                })
+                .collect();
+            self.out.push(Action::Fence {
+                to: round.to,
+                partitions,
+            });
+        }
+    }
+
+    pub(crate) fn fence_acked(
+        &mut self,
+        from: &InstanceId,
+        partitions: &[(Partition, Generation)],
+        ack: model::FenceAck,
+    ) {
+        let current: Vec<_> = partitions
+            .iter()
+            .filter(|(partition, generation)| {
+                let tenancy = self.owned.get(partition);
+                tenancy.is_some_and(|tenancy| tenancy.generation == *generation)
+            })
+            .map(|(partition, _)| *partition)
+            .collect();
+        if !self
+            .fences
+            .answered(from, &current, &ack.workers, ack.held_elsewhere)
+        {
+            return;
+        }
+        for grant in ack.grants {
+            let key = (grant.plan_id.clone(), grant.instance_id.clone());
+            self.grants.insert(key, grant);
+        }
+        self.reports(ack.runs);
+    }
+
+    /// Serves the partitions whose runs are all known.
+    pub(crate) fn check_takeovers(&mut self) {
+        let pending: Vec<_> = self
+            .owned
+            .iter()
+            .filter(|(_, tenancy)| tenancy.is_pending())
+            .map(|(partition, _)| *partition)
+            .collect();
+        if pending.is_empty() || self.members.is_empty() {
+            return;
+        }
+        let strangers = self.strangers();
+        let ready: Vec<_> = pending
+            .iter()
+            .filter(|partition| self.is_gathered(**partition, &strangers))
+            .copied()
+            .collect();
+        self.repeat_fences(&pending);
+        self.serve(ready);
+    }
+
+    /// Returns the workers that name a holder which is not live.
+    pub(crate) fn strangers(&self) -> IndexSet<WorkerId> {
+        let members = &self.members;
+        self.fences.held_by_strangers(|id| members.contains_key(id))
+    }
+
+    fn is_gathered(&self, partition: Partition, strangers: &IndexSet<WorkerId>) -> bool {
+        let Some(tenancy) = self.owned.get(&partition) else {
+            return false;
+        };
+        let tenancy::TenancyPhase::TakingOver {
+            since,
+            silent_since,
+            ..
+        } = tenancy.phase
+        else {
+            return false;
+        };
+        let journal_known = matches!(tenancy.journal, tenancy::JournalState::Read(_));
+        let live = self.members.keys();
+        if !journal_known || !self.fences.all_answered(partition, since, live) {
+            return false;
+        }
+        if table::is_first_claim(tenancy.generation) {
+            return true;
+        }
+        let silent = self.now >= silent_since + self.settings.run_expiry();
+        let expired = silent && self.unreachable.is_empty();
+        self.all_covered(partition, since, expired, strangers)
+    }
+
+    /// Returns whether no worker can run anything of `partition` that is not known here.
+    ///
+    /// A worker is covered once a fenced member has held it, or if it has been silent for so long
+    /// that it has stopped its runs, and no instance that nobody hears may still hold it.
+    pub(crate) fn all_covered(
+        &self,
+        partition: Partition,
+        since: u64,
+        expired: bool,
+        strangers: &IndexSet<WorkerId>,
+    ) -> bool {
+        let Some(workers) = &self.workers else {
+            return false;
+        };
+        workers.iter().all(|worker| {
+            self.fences.is_covered(partition, worker, since)
+                || (expired && !strangers.contains(worker))
+        })
+    }
+
+    fn repeat_fences(&mut self, pending: &[Partition]) {
+        for partition in pending {
+            let Some(tenancy) = self.owned.get_mut(partition) else {
+                continue;
+            };
+            let tenancy::TenancyPhase::TakingOver { repeat_at, .. } = &mut tenancy.phase else {
+                continue;
+            };
+            if *repeat_at <= self.now {
+                *repeat_at = self.now + REPEAT_AFTER;
+                self.fences.request(*partition, self.sequence);
+            }
+        }
+    }
+
+    fn serve(&mut self, partitions: Vec<Partition>) {
+        if partitions.is_empty() {
+            return;
+        }
+        let mut serving = Vec::new();
+        for partition in partitions {
+            if let Some(tenancy) = self.owned.get_mut(&partition) {
+                tenancy.phase = tenancy::TenancyPhase::Serving;
+                if !table::is_first_claim(tenancy.generation) {
+                    tenancy.taken_over_at = Some(self.now);
+                }
+                serving.push((partition, tenancy.generation));
+            }
+        }
+        let grants = self.take_grants(&serving);
+        self.out.push(Action::Serving {
+            partitions: serving.clone(),
+            grants,
+        });
+        for (partition, _) in serving {
+            self.close_gather(partition);
+            self.apply_journal(partition);
+        }
+        self.release_held();
+    }
+
+    fn take_grants(&mut self, serving: &[(Partition, Generation)]) -> Vec<model::QuotaAsk> {
+        let is_served = |plan_id: &str| {
+            let partition = partition_of_plan(plan_id);
+            serving.iter().any(|(served, _)| *served == partition)
+        };
+        let mut taken = Vec::new();
+        self.grants.retain(|(plan_id, _), grant| {
+            let takes = is_served(plan_id);
+            if takes {
+                taken.push(grant.clone());
+            }
+            !takes
+        });
+        taken
+    }
+
+    /// Claims partitions of dead owners, and tells the store of tenures that it does not have.
+    pub(crate) fn claim_partitions(&mut self) {
+        if self.members.is_empty() || !self.table.may_write(self.now) {
+            return;
+        }
+        let Some(table) = self.wanted_table() else {
+            return;
+        };
+        self.table.start_write(table.clone());
+        self.out.push(Action::WriteTable {
+            table,
+            expected_revision: self.table.revision(),
+        });
+    }
+
+    fn wanted_table(&self) -> Option<PartitionTable> {
+        let own_id = &self.settings.instance_id;
+        let effective = self.table.effective();
+        let unwritten = self.table.unwritten(own_id);
+        let claims = self.claims();
+        if unwritten.is_empty() && claims.is_empty() {
+            return None;
+        }
+        let mut table = self.table.stored().clone();
+        if table.tenures.is_empty() {
+            let vacant = Tenure {
+                instance_id: own_id.clone(),
+                generation: 0,
+            };
+            table.tenures = vec![vacant; usize::from(model::PARTITIONS)];
+        }
+        for (partition, tenure) in unwritten {
+            table.tenures[usize::from(partition)] = tenure;
+        }
+        for (partition, instance_id) in claims {
+            let generation = effective
+                .tenure(partition)
+                .map_or(0, |tenure| tenure.generation);
+            table.tenures[usize::from(partition)] = Tenure {
+                instance_id,
+                generation: table::next_claim(generation),
+            };
+        }
+        Some(table)
+    }
+
+    /// Returns the partitions to be claimed now, with their new owners.
+    ///
+    /// Each instance claims what the division gives itself, and what nobody has claimed for long.
+    /// The first claim of all sets up the whole table.
+    fn claims(&self) -> Vec<(Partition, InstanceId)> {
+        let age = self.now.duration_since(self.started_at);
+        let table = self.table.effective();
+        let is_empty = table.tenures.is_empty();
+        let patience = self.settings.dead_after;
+        if age < if is_empty { patience / 2 } else { patience } {
+            return Vec::new();
+        }
+        let mut candidates: Vec<_> = self
+            .members
+            .values()
+            .filter(|member| !member.draining)
+            .map(|member| member.instance_id.clone())
+            .filter(|id| !self.draining || *id != self.settings.instance_id)
+            .collect();
+        candidates.sort();
+        let orphans: IndexSet<_> = (0..model::PARTITIONS)
+            .filter(|partition| {
+                let tenure = table.tenure(*partition);
+                tenure.is_none_or(|tenure| !self.is_live(&tenure.instance_id))
+            })
+            .collect();
+        if orphans.is_empty() || candidates.is_empty() {
+            return Vec::new();
+        }
+        let assigned = table::assign(table, &candidates, |partition| orphans.contains(&partition));
+        assigned
+            .into_iter()
+            .filter(|(partition, winner)| {
+                is_empty
+                    || *winner == self.settings.instance_id
+                    || self.gave_away(*partition)
+                    || self.is_overdue(*partition)
+            })
+            .collect()
+    }
+
+    /// Returns whether this instance gave `partition` to a peer that has died since.
+    fn gave_away(&self, partition: Partition) -> bool {
+        let stored = self.table.stored().tenure(partition);
+        stored.is_some_and(|tenure| tenure.instance_id == self.settings.instance_id)
+    }
+
+    fn is_overdue(&self, partition: Partition) -> bool {
+        let tenure = self.table.effective().tenure(partition);
+        let missed_at = tenure.and_then(|tenure| self.missed_at.get(&tenure.instance_id));
+        let missed_at = missed_at.unwrap_or(&self.started_at);
+        self.now >= *missed_at + self.settings.dead_after * OVERDUE_FACTOR
+    }
+}
+
+/// Multiple of `dead_after` after which any instance claims a partition.
+const OVERDUE_FACTOR: u32 = 3;
--- /dev/null
+++ b/crates/owner/src/tickets.rs
@@ -0,0 +1,200 @@
+//! Answers that callers wait for.
+
+use std::time;
+
+use model::CustomerId;
+use model::NotRunReason;
+use model::Outcome;
+use model::SubmitReply;
+use model::Task;
+use model::TaskId;
+use model::TaskStatus;
+use model::UnknownReason;
+use model::partition_of;
+
+use crate::Action;
+use crate::Answer;
+use crate::Event;
+use crate::Owner;
+use crate::Ticket;
+use crate::record;
+use crate::timers;
+
+/// An outstanding answer.
+#[derive(Debug)]
+pub(crate) enum Waiting {
+    /// Its request is held until the partition is served.
+    Held(Box<Event>, time::Instant),
+    /// It joined a task.
+    Joined { task_id: TaskId, kind: JoinKind },
+}
+
+/// What a ticket that joined a task waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum JoinKind {
+    /// The outcome of a submission.
+    Outcome,
+    /// The acceptance of a submission that nobody waits for.
+    Acceptance,
+    /// The status after a cancellation.
+    Cancellation,
+    /// The status, at the latest at this time.
+    Status(time::Instant),
+}
+
+impl Owner {
+    pub(crate) fn answer(&mut self, ticket: Ticket, answer: Answer) {
+        self.tickets.swap_remove(&ticket);
+        self.out.push(Action::Answer { ticket, answer });
+    }
+
+    pub(crate) fn answer_status(&mut self, ticket: Ticket, status: TaskStatus) {
+        self.answer(ticket, Answer::Status(status));
+    }
+
+    pub(crate) fn answer_submit(&mut self, ticket: Ticket, reply: SubmitReply) {
+        self.answer(ticket, Answer::Submit(reply));
+    }
+
+    /// Gives `outcome` to a ticket, in the form that it waits for.
+    pub(crate) fn answer_outcome(&mut self, ticket: Ticket, outcome: &Outcome) {
+        let Some(Waiting::Joined { kind, .. }) = self.tickets.get(&ticket) else {
+            return;
+        };
+        match kind {
+            JoinKind::Outcome | JoinKind::Acceptance => {
+                self.answer_submit(ticket, SubmitReply::Settled(outcome.clone()));
+            }
+            JoinKind::Cancellation | JoinKind::Status(_) => {
+                self.answer_status(ticket, TaskStatus::Settled(outcome.clone()));
+            }
+        }
+    }
+
+    /// Makes `ticket` wait for a task.
+    pub(crate) fn join(&mut self, ticket: Ticket, task_id: TaskId, kind: JoinKind) {
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            record.tickets.push(ticket);
+            self.tickets
+                .insert(ticket, Waiting::Joined { task_id, kind });
+        }
+    }
+
+    pub(crate) fn abandon(&mut self, ticket: Ticket) {
+        let waiting = self.tickets.swap_remove(&ticket);
+        if let Some(Waiting::Joined { task_id, .. }) = waiting {
+            if let Some(record) = self.tasks.get_mut(&task_id) {
+                record.tickets.retain(|other| *other != ticket);
+            }
+        }
+    }
+
+    /// Keeps a request until its partition is served.
+    pub(crate) fn hold(&mut self, ticket: Ticket, event: Event, until: time::Instant) {
+        self.timers.set(until, timers::Timer::Ticket(ticket));
+        self.tickets
+            .insert(ticket, Waiting::Held(Box::new(event), until));
+    }
+
+    /// Takes the held requests of partitions for which `applies` holds.
+    pub(crate) fn take_held(&mut self, applies: impl Fn(model::Partition) -> bool) -> Vec<Event> {
+        let tickets: Vec<_> = self
+            .tickets
+            .iter()
+            .filter_map(|(ticket, waiting)| match waiting {
+                Waiting::Held(event, _) => Some((*ticket, task_id_of(event)?)),
+                Waiting::Joined { .. } => None,
+            })
+            .filter(|(_, task_id)| applies(partition_of(*task_id)))
+            .map(|(ticket, _)| ticket)
+            .collect();
+        tickets
+            .into_iter()
+            .filter_map(|ticket| match self.tickets.swap_remove(&ticket) {
+                Some(Waiting::Held(event, _)) => Some(*event),
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub(crate) fn fire_timers(&mut self) {
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                timers::Timer::Ticket(ticket) => self.ticket_due(ticket),
+                timers::Timer::Journalling(task_id) => self.journalling_due(task_id),
+            }
+        }
+    }
+
+    fn ticket_due(&mut self, ticket: Ticket) {
+        match self.tickets.get(&ticket) {
+            Some(Waiting::Held(event, until)) if *until <= self.now => {
+                let event = event.clone();
+                self.refuse_held(ticket, *event);
+            }
+            Some(Waiting::Joined {
+                task_id,
+                kind: JoinKind::Status(until),
+            }) if *until <= self.now => {
+                let task_id = *task_id;
+                if self.tasks.contains_key(&task_id) {
+                    let status = self.status_of(task_id);
+                    self.abandon(ticket);
+                    self.answer_status(ticket, status);
+                } else {
+                    self.answer(ticket, Answer::NotOwner);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn refuse_held(&mut self, ticket: Ticket, event: Event) {
+        if let Event::Submit { task, resent, .. } = event {
+            let outcome = unserved_outcome(&task, resent);
+            self.answer_submit(ticket, SubmitReply::Settled(outcome));
+        } else {
+            let outcome = Outcome::Unknown(UnknownReason::OwnerUnreachable);
+            self.answer_status(ticket, TaskStatus::Settled(outcome));
+        }
+    }
+
+    pub(crate) fn status_of(&self, task_id: TaskId) -> TaskStatus {
+        match self.tasks.get(&task_id).map(|record| &record.state) {
+            Some(record::State::Active(_)) => TaskStatus::Running,
+            Some(_) => TaskStatus::Queued,
+            None => TaskStatus::NotFound,
+        }
+    }
+
+    /// Returns the status of a task that is settled or forgotten, for its customer.
+    pub(crate) fn past_status(&self, customer_id: &CustomerId, task_id: TaskId) -> TaskStatus {
+        if let Some(settled) = self.memory.outcome(task_id) {
+            if settled.task.customer_id == *customer_id {
+                return TaskStatus::Settled(settled.outcome.clone());
+            }
+        } else if let Some(remembered) = self.memory.remembered(task_id) {
+            if remembered.customer_id == *customer_id {
+                return TaskStatus::Settled(Outcome::Unknown(remembered.reason));
+            }
+        }
+        TaskStatus::NotFound
+    }
+}
+
+/// Returns the answer to a submission whose partition was not served until its deadline.
+fn unserved_outcome(task: &Task, resent: bool) -> Outcome {
+    if task.spec.key.is_none() && !resent {
+        Outcome::NotRun(NotRunReason::OwnerUnavailable)
+    } else {
+        Outcome::Unknown(UnknownReason::OwnerUnreachable)
+    }
+}
+
+fn task_id_of(event: &Event) -> Option<TaskId> {
+    match event {
+        Event::Submit { task, .. } => Some(task.task_id),
+        Event::Lookup { task_id, .. } | Event::Cancel { task_id, .. } => Some(*task_id),
+        _ => None,
+    }
+}
