--- a/crates/peer/src/counts.rs
+++ b/crates/peer/src/counts.rs
@@ -1,4 +1,8 @@
-//! Counters of messages and bytes.
+//! Counters of messages, bytes, connections and refusals.
+
+use std::sync::atomic;
+
+use crate::error;
 
 /// Messages and bytes of one kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -22,18 +26,130 @@
     pub traffic: Volume,
     /// Connections opened (link) or accepted (server).
     pub connections: u64,
-    /// Connections dropped because they went silent.
+    /// Connections dropped because they went silent; links only.
     pub replaced: u64,
-    /// Connections and requests refused for another cluster name.
+    /// Connections refused for another cluster name.
     pub refused_wrong_cluster: u64,
-    /// Connections and requests refused for a wrong secret.
+    /// Connections refused for a wrong secret.
     pub refused_wrong_secret: u64,
-    /// Connections and requests refused for another protocol version.
+    /// Connections refused for another protocol version.
     pub refused_wrong_version: u64,
     /// Requests refused for their size.
     pub refused_too_large: u64,
-    /// Requests refused because they could not be read.
+    /// Connections and requests refused because they could not be read.
     pub refused_malformed: u64,
-    /// Requests refused because the receiver stops.
-    pub refused_stopping: u64,
+}
+
+/// What a message is counted as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Category {
+    Control,
+    Traffic,
+}
+
+impl Category {
+    pub(crate) fn of(request: &model::PeerRequest) -> Self {
+        match request {
+            model::PeerRequest::Heartbeat(_)
+            | model::PeerRequest::Quota(_)
+            | model::PeerRequest::Fence { .. }
+            | model::PeerRequest::Lists => Self::Control,
+            _ => Self::Traffic,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct VolumeCounters {
+    messages_sent: atomic::AtomicU64,
+    bytes_sent: atomic::AtomicU64,
+    messages_received: atomic::AtomicU64,
+    bytes_received: atomic::AtomicU64,
+}
+
+impl VolumeCounters {
+    fn read(&self) -> Volume {
+        Volume {
+            messages_sent: read(&self.messages_sent),
+            bytes_sent: read(&self.bytes_sent),
+            messages_received: read(&self.messages_received),
+            bytes_received: read(&self.bytes_received),
+        }
+    }
+}
+
+/// The counters behind [`Counts`], shared by tasks.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    control: VolumeCounters,
+    traffic: VolumeCounters,
+    connections: atomic::AtomicU64,
+    replaced: atomic::AtomicU64,
+    wrong_cluster: atomic::AtomicU64,
+    wrong_secret: atomic::AtomicU64,
+    wrong_version: atomic::AtomicU64,
+    too_large: atomic::AtomicU64,
+    malformed: atomic::AtomicU64,
+}
+
+impl Counters {
+    pub(crate) fn sent(&self, category: Category, bytes: usize) {
+        let volume = self.volume(category);
+        add(&volume.messages_sent, 1);
+        add(&volume.bytes_sent, bytes as u64);
+    }
+
+    pub(crate) fn received(&self, category: Category, bytes: usize) {
+        let volume = self.volume(category);
+        add(&volume.messages_received, 1);
+        add(&volume.bytes_received, bytes as u64);
+    }
+
+    pub(crate) fn connected(&self) {
+        add(&self.connections, 1);
+    }
+
+    pub(crate) fn replaced(&self) {
+        add(&self.replaced, 1);
+    }
+
+    pub(crate) fn refused(&self, reason: error::RefusalReason) {
+        let counter = match reason {
+            error::RefusalReason::WrongCluster => &self.wrong_cluster,
+            error::RefusalReason::WrongSecret => &self.wrong_secret,
+            error::RefusalReason::WrongVersion => &self.wrong_version,
+            error::RefusalReason::TooLarge => &self.too_large,
+            error::RefusalReason::Malformed => &self.malformed,
+        };
+        add(counter, 1);
+    }
+
+    pub(crate) fn read(&self) -> Counts {
+        Counts {
+            control: self.control.read(),
+            traffic: self.traffic.read(),
+            connections: read(&self.connections),
+            replaced: read(&self.replaced),
+            refused_wrong_cluster: read(&self.wrong_cluster),
+            refused_wrong_secret: read(&self.wrong_secret),
+            refused_wrong_version: read(&self.wrong_version),
+            refused_too_large: read(&self.too_large),
+            refused_malformed: read(&self.malformed),
+        }
+    }
+
+    fn volume(&self, category: Category) -> &VolumeCounters {
+        match category {
+            Category::Control => &self.control,
+            Category::Traffic => &self.traffic,
+        }
+    }
+}
+
+fn add(counter: &atomic::AtomicU64, amount: u64) {
+    counter.fetch_add(amount, atomic::Ordering::Relaxed);
+}
+
+fn read(counter: &atomic::AtomicU64) -> u64 {
+    counter.load(atomic::Ordering::Relaxed)
 }
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -16,8 +16,6 @@
     TooLarge,
     /// The request could not be read.
     Malformed,
-    /// It is stopping.
-    Stopping,
 }
 
 impl RefusalReason {
@@ -28,7 +26,6 @@
         Self::WrongVersion,
         Self::TooLarge,
         Self::Malformed,
-        Self::Stopping,
     ];
 
     /// Returns the name used in logs, headers and counters.
@@ -40,9 +37,14 @@
             Self::WrongVersion => "wrong_version",
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
-            Self::Stopping => "stopping",
         }
     }
+
+    /// Returns the reason of that name.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        let mut all = Self::ALL.iter().copied();
+        all.find(|reason| reason.as_str() == name)
+    }
 }
 
 impl fmt::Display for RefusalReason {
@@ -61,10 +63,10 @@
     Unanswered,
     /// The other end refused it and did not handle it.
     Refused(RefusalReason),
-    /// The message is larger than the limit. A request that is too large was not sent; if the
-    /// response is too large, the request was handled.
+    /// The request is larger than the link's limit; it was not sent.
     TooLarge,
-    /// The other end's answer could not be understood; the request may have been handled.
+    /// The other end's answer was too large or could not be understood; the request may have been
+    /// handled.
     Protocol,
 }
 
@@ -93,6 +95,9 @@
     /// Returns whether the other end surely has not handled the request and never will.
     #[must_use]
     pub fn is_unhandled(&self) -> bool {
-        matches!(self.kind, ErrorKind::NotSent | ErrorKind::Refused(_))
+        matches!(
+            self.kind,
+            ErrorKind::NotSent | ErrorKind::Refused(_) | ErrorKind::TooLarge
+        )
     }
 }
--- /dev/null
+++ b/crates/peer/src/exchange.rs
@@ -0,0 +1,95 @@
+//! One request and its response over an open connection.
+
+use h2::client;
+
+use crate::codec;
+use crate::error;
+use crate::handshake;
+
+/// How far a request has come; tells what a failure means.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// Connection in use, once there is one.
+    pub(crate) connection_id: Option<u64>,
+    /// Whether the end of the request was handed to the connection. Before that the receiver
+    /// cannot have handled it, and never will once the stream is dropped.
+    pub(crate) sent: bool,
+}
+
+impl Progress {
+    /// Returns the error of a request that failed here.
+    pub(crate) fn failure(self, context: impl Into<String>) -> error::Error {
+        let kind = if self.sent {
+            error::ErrorKind::Unanswered
+        } else {
+            error::ErrorKind::NotSent
+        };
+        error::Error::new(kind, context)
+    }
+
+    fn h2_failure(self, cause: &h2::Error) -> error::Error {
+        if cause.is_remote() && cause.reason() == Some(h2::Reason::REFUSED_STREAM) {
+            return error::Error::new(error::ErrorKind::NotSent, "stream was refused");
+        }
+        self.failure(format!("connection failed: {cause}"))
+    }
+}
+
+/// Sends `message` on a new stream and returns the whole response.
+pub(crate) async fn run(
+    sender: &mut client::SendRequest<bytes::Bytes>,
+    message: bytes::Bytes,
+    max_message_bytes: usize,
+    progress: &mut Progress,
+) -> Result<Vec<u8>, error::Error> {
+    let (response, mut stream) = sender
+        .send_request(request(), false)
+        .map_err(|cause| progress.h2_failure(&cause))?;
+    let sending = codec::send_all(&mut stream, message).await;
+    progress.sent = sending.is_ok();
+    // A receiver that refuses a request answers before it has read all of it.
+    let response = match (response.await, sending) {
+        (Ok(response), _) => response,
+        (Err(_), Err(cause)) | (Err(cause), Ok(())) => return Err(progress.h2_failure(&cause)),
+    };
+    if let Some(reason) = handshake::refusal_in(&response) {
+        return Err(refused(reason));
+    }
+    if response.status() != http::StatusCode::OK {
+        return Err(protocol(format!("unexpected status {}", response.status())));
+    }
+    read(response, max_message_bytes, *progress).await
+}
+
+/// Returns the error of a refused request.
+pub(crate) fn refused(reason: error::RefusalReason) -> error::Error {
+    error::Error::new(
+        error::ErrorKind::Refused(reason),
+        format!("refused by the other end: {reason}"),
+    )
+}
+
+/// Returns the error of a response that makes no sense.
+pub(crate) fn protocol(context: impl Into<String>) -> error::Error {
+    error::Error::new(error::ErrorKind::Protocol, context)
+}
+
+async fn read(
+    response: http::Response<h2::RecvStream>,
+    max_message_bytes: usize,
+    progress: Progress,
+) -> Result<Vec<u8>, error::Error> {
+    let mut stream = response.into_body();
+    match codec::read_all(&mut stream, max_message_bytes).await {
+        Ok(message) => Ok(message),
+        Err(codec::ReadError::BrokenOff(cause)) => Err(progress.h2_failure(&cause)),
+        Err(cause) => Err(protocol(format!("response: {cause}"))),
+    }
+}
+
+fn request() -> http::Request<()> {
+    let mut request = http::Request::new(());
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = http::Uri::from_static("http://peer/request");
+    request
+}
--- a/crates/peer/src/identity.rs
+++ b/crates/peer/src/identity.rs
@@ -1,23 +1,34 @@
 //! Who an instance says it is on a link.
 
 use std::fmt;
+use std::fmt::Write as _;
 
-/// What both ends of a link prove to each other.
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+
+const PROOF_CONTEXT: &[u8] = b"sapphireferry peer link";
+
+/// What an instance shows to the others on a link.
+///
+/// The proof of the shared secret is a digest that the connecting end sends as a bearer: it is
+/// the same for each connection, so whoever reads the traffic can repeat it. That is enough on a
+/// private network, and no more is claimed.
 #[derive(Clone)]
 pub struct Identity {
     instance_id: model::InstanceId,
     cluster: String,
-    secret: String,
+    /// Digest of the secret in hexadecimal; `None` without a secret, which matches nothing.
+    proof: Option<String>,
 }
 
 impl Identity {
-    /// Creates the identity of an instance, with empty cluster name and secret.
+    /// Creates the identity of an instance, without cluster name and secret.
     #[must_use]
     pub fn new(instance_id: impl Into<model::InstanceId>) -> Self {
         Self {
             instance_id: instance_id.into(),
             cluster: String::new(),
-            secret: String::new(),
+            proof: None,
         }
     }
 
@@ -28,10 +39,11 @@
         self
     }
 
-    /// Sets the secret, which both ends must have in common.
+    /// Sets the secret, which both ends must have in common; an empty one matches nothing.
     #[must_use]
-    pub fn secret(mut self, secret: impl Into<String>) -> Self {
-        self.secret = secret.into();
+    pub fn secret(mut self, secret: impl AsRef<[u8]>) -> Self {
+        let secret = secret.as_ref();
+        self.proof = (!secret.is_empty()).then(|| proof_of(secret));
         self
     }
 
@@ -45,8 +57,14 @@
         &self.cluster
     }
 
-    pub(crate) fn secret_text(&self) -> &str {
-        &self.secret
+    pub(crate) fn proof(&self) -> &str {
+        self.proof.as_deref().unwrap_or_default()
+    }
+
+    /// Compares in constant time.
+    pub(crate) fn accepts_proof(&self, shown: &[u8]) -> bool {
+        let own = self.proof.as_deref();
+        own.is_some_and(|own| own.as_bytes().ct_eq(shown).into())
     }
 }
 
@@ -58,3 +76,14 @@
             .finish_non_exhaustive()
     }
 }
+
+fn proof_of(secret: &[u8]) -> String {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(PROOF_CONTEXT);
+    hasher.update(secret);
+    let digest = hasher.finalize();
+    digest.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,12 +3,16 @@
 //! [`Server`] answers the requests of other instances through a [`Handler`]; [`Link`] sends
 //! requests to one other instance, many at a time over one connection.
 
+mod codec;
 mod counts;
 mod error;
+mod exchange;
 mod handler;
+mod handshake;
 mod identity;
 mod link;
 mod server;
+mod session;
 
 pub use counts::Counts;
 pub use counts::Volume;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,10 +1,26 @@
 //! The sending side.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
+use h2::client;
+use tokio::net;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task;
+
+use crate::codec;
 use crate::counts;
 use crate::error;
+use crate::exchange;
+use crate::handshake;
 use crate::identity;
+use crate::server;
+
+/// Requests that may be in flight on one connection before the other end states its own limit.
+const INITIAL_STREAMS: usize = 1024;
+/// Connections tried for one request: the first may be found closed.
+const TRIES: u32 = 2;
 
 /// Settings of a [`Link`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,44 +36,266 @@
 /// Clones share one connection, which is made at the first request and again after it was lost.
 #[derive(Clone, Debug)]
 pub struct Link {
-    address: String,
+    shared: sync::Arc<Shared>,
 }
 
 impl Link {
     /// Creates a link to the peer listener at `address`; connects at the first request.
     #[must_use]
     pub fn new(
-        _identity: identity::Identity,
+        identity: identity::Identity,
         address: impl Into<String>,
-        _settings: LinkSettings,
+        settings: LinkSettings,
     ) -> Self {
         Self {
-            address: address.into(),
+            shared: sync::Arc::new(Shared {
+                identity,
+                address: address.into(),
+                settings,
+                counters: counts::Counters::default(),
+                current: sync::Mutex::new(None),
+                connecting: tokio::sync::Mutex::new(()),
+                next_id: atomic::AtomicU64::new(0),
+                stop: CancellationToken::new(),
+                drivers: task::TaskTracker::new(),
+            }),
         }
     }
 
     /// Sends a request and waits for its response.
     ///
+    /// A heartbeat that is not answered in time replaces the connection, see [`Link::replace`].
+    ///
     /// # Errors
     ///
-    /// The kind says whether the other end may have handled the request.
+    /// The kind says whether the other end may have handled the request; see
+    /// [`error::Error::is_unhandled`].
     pub async fn request(
         &self,
-        _request: &model::PeerRequest,
-        _timeout: time::Duration,
+        request: &model::PeerRequest,
+        timeout: time::Duration,
     ) -> Result<model::PeerResponse, error::Error> {
-        Err(error::Error::new(
-            error::ErrorKind::NotSent,
-            format!("no connection to {}", self.address),
-        ))
+        let mut progress = exchange::Progress::default();
+        let answer = self.shared.exchange(request, &mut progress);
+        if let Ok(answer) = tokio::time::timeout(timeout, answer).await {
+            return answer;
+        }
+        if matches!(request, model::PeerRequest::Heartbeat(_)) {
+            self.shared.replace(progress.connection_id);
+        }
+        Err(progress.failure(format!(
+            "no answer from {} within {} ms",
+            self.shared.address,
+            timeout.as_millis()
+        )))
     }
 
     /// Drops the connection; requests in flight end as unanswered and the next one connects anew.
-    pub fn replace(&self) {}
+    pub fn replace(&self) {
+        let current = lock(&self.shared.current)
+            .as_ref()
+            .map(|current| current.id);
+        self.shared.replace(current);
+    }
 
-    /// Returns the counters since the link was created.
+    /// Drops the connection for good and waits until its task has ended.
+    pub async fn close(&self) {
+        self.shared.stop.cancel();
+        self.shared.drivers.close();
+        self.shared.drivers.wait().await;
+    }
+
+    /// Returns the address of the other end.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.shared.address
+    }
+
+    /// Returns the counters since the link was created; clones share them.
     #[must_use]
     pub fn counts(&self) -> counts::Counts {
-        counts::Counts::default()
+        self.shared.counters.read()
+    }
+}
+
+/// An open connection that the other end has accepted.
+#[derive(Clone, Debug)]
+struct Connection {
+    id: u64,
+    sender: client::SendRequest<bytes::Bytes>,
+    /// Ends the connection's task, and with it every request in flight.
+    stop: CancellationToken,
+}
+
+#[derive(Debug)]
+struct Shared {
+    identity: identity::Identity,
+    address: String,
+    settings: LinkSettings,
+    counters: counts::Counters,
+    current: sync::Mutex<Option<Connection>>,
+    /// Held while a connection is made, so that there is one at a time.
+    connecting: tokio::sync::Mutex<()>,
+    next_id: atomic::AtomicU64,
+    /// Parent of every connection's token.
+    stop: CancellationToken,
+    drivers: task::TaskTracker,
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Shared {
+    async fn exchange(
+        &self,
+        request: &model::PeerRequest,
+        progress: &mut exchange::Progress,
+    ) -> Result<model::PeerResponse, error::Error> {
+        let category = counts::Category::of(request);
+        let max_bytes = self.settings.max_message_bytes;
+        let message = codec::encode(request, max_bytes).ok_or_else(|| too_large(max_bytes))?;
+        let mut sender = self.ready_sender(progress).await?;
+        self.counters.sent(category, message.len());
+        let reply = exchange::run(&mut sender, message, max_bytes, progress).await?;
+        self.counters.received(category, reply.len());
+        codec::decode(&reply).ok_or_else(|| exchange::protocol("response cannot be decoded"))
+    }
+
+    async fn ready_sender(
+        &self,
+        progress: &mut exchange::Progress,
+    ) -> Result<client::SendRequest<bytes::Bytes>, error::Error> {
+        for _ in 0..TRIES {
+            let connection = self.connection().await?;
+            progress.connection_id = Some(connection.id);
+            match connection.sender.ready().await {
+                Ok(sender) => return Ok(sender),
+                Err(_) => drop(self.forget(connection.id)),
+            }
+        }
+        Err(not_sent(format!("{} closes connections", self.address)))
+    }
+
+    async fn connection(&self) -> Result<Connection, error::Error> {
+        if let Some(current) = self.current() {
+            return Ok(current);
+        }
+        let _connecting = self.connecting.lock().await;
+        if let Some(current) = self.current() {
+            return Ok(current);
+        }
+        let connect = tokio::time::timeout(self.settings.connect_timeout, self.connect());
+        let connection = match connect.await {
+            Ok(connected) => connected?,
+            Err(_) => return Err(not_sent(format!("{} does not accept", self.address))),
+        };
+        self.counters.connected();
+        *lock(&self.current) = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn connect(&self) -> Result<Connection, error::Error> {
+        if self.stop.is_cancelled() {
+            return Err(not_sent(format!("link to {} is closed", self.address)));
+        }
+        let stream = net::TcpStream::connect(&self.address)
+            .await
+            .map_err(|cause| not_sent(format!("cannot connect to {}: {cause}", self.address)))?;
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) = client::Builder::new()
+            .initial_window_size(server::STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(server::CONNECTION_WINDOW_BYTES)
+            .initial_max_send_streams(INITIAL_STREAMS)
+            .max_send_buffer_size(server::SEND_BUFFER_BYTES)
+            .enable_push(false)
+            .handshake::<_, bytes::Bytes>(stream)
+            .await
+            .map_err(|cause| not_sent(format!("{}: {cause}", self.address)))?;
+        let stop = self.stop.child_token();
+        // Ends the task if the hello fails or is given up.
+        let guard = stop.clone().drop_guard();
+        self.drivers.spawn(drive(driver, stop));
+        let sender = self.introduce(sender).await?;
+        Ok(Connection {
+            id: self.next_id.fetch_add(1, atomic::Ordering::Relaxed),
+            sender,
+            stop: guard.disarm(),
+        })
+    }
+
+    async fn introduce(
+        &self,
+        sender: client::SendRequest<bytes::Bytes>,
+    ) -> Result<client::SendRequest<bytes::Bytes>, error::Error> {
+        let failed = |cause: h2::Error| not_sent(format!("{}: {cause}", self.address));
+        let hello = handshake::hello(&self.identity)
+            .ok_or_else(|| not_sent("identity cannot be sent as header values"))?;
+        let mut sender = sender.ready().await.map_err(failed)?;
+        let (response, _) = sender.send_request(hello, true).map_err(failed)?;
+        let response = response.await.map_err(failed)?;
+        if let Some(reason) = handshake::refusal_in(&response) {
+            self.counters.refused(reason);
+            log::warn!(
+                "event=peer_refused_us address={} reason={reason}",
+                self.address
+            );
+            return Err(exchange::refused(reason));
+        }
+        if response.status() != http::StatusCode::OK {
+            let status = response.status();
+            return Err(not_sent(format!("{} answers {status}", self.address)));
+        }
+        Ok(sender)
+    }
+
+    fn current(&self) -> Option<Connection> {
+        lock(&self.current).clone()
     }
+
+    /// Makes the next request connect anew; requests in flight on the connection go on.
+    fn forget(&self, id: u64) -> Option<Connection> {
+        let mut current = lock(&self.current);
+        current.take_if(|connection| connection.id == id)
+    }
+
+    fn replace(&self, id: Option<u64>) {
+        let Some(connection) = id.and_then(|id| self.forget(id)) else {
+            return;
+        };
+        connection.stop.cancel();
+        self.counters.replaced();
+        log::info!("event=peer_connection_replaced address={}", self.address);
+    }
+}
+
+async fn drive(
+    connection: client::Connection<net::TcpStream, bytes::Bytes>,
+    stop: CancellationToken,
+) {
+    tokio::select! {
+        ended = connection => {
+            if let Err(cause) = ended {
+                log::debug!("event=peer_connection_ended cause={cause:?}");
+            }
+        }
+        () = stop.cancelled() => {}
+    }
+}
+
+fn lock(current: &sync::Mutex<Option<Connection>>) -> sync::MutexGuard<'_, Option<Connection>> {
+    current.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn not_sent(context: impl Into<String>) -> error::Error {
+    error::Error::new(error::ErrorKind::NotSent, context)
+}
+
+fn too_large(limit_bytes: usize) -> error::Error {
+    error::Error::new(
+        error::ErrorKind::TooLarge,
+        format!("request is larger than {limit_bytes} bytes"),
+    )
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,17 +1,36 @@
-//! The receiving side.
+//! The receiving side: accepts connections.
 
-use tokio::net;
-use tokio_util::sync;
+use std::net;
+use std::sync;
+use std::time;
+
+use tokio::task;
+use tokio_util::sync::CancellationToken;
 
 use crate::counts;
 use crate::handler;
 use crate::identity;
+use crate::session;
+
+/// Largest message unless set otherwise, in bytes.
+const DEFAULT_MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+/// Flow control window of a stream, in bytes: the largest message and room to spare.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 9 * 1024 * 1024;
+/// Flow control window of a connection, in bytes: some of the largest messages at once.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 36 * 1024 * 1024;
+/// Data buffered for sending on a stream, in bytes.
+pub(crate) const SEND_BUFFER_BYTES: usize = 1024 * 1024;
+/// Connections at once; there is one from each instance, and old ones until they are dropped.
+const MAX_CONNECTIONS: usize = 4096;
+/// Pause after a failed accept.
+const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(50);
 
-/// Answers the requests of other instances.
+/// Answers the requests of other instances; clones share the counters.
 #[derive(Clone, Debug)]
 pub struct Server {
     identity: identity::Identity,
     max_message_bytes: usize,
+    counters: sync::Arc<counts::Counters>,
 }
 
 impl Server {
@@ -20,7 +39,8 @@
     pub fn new(identity: identity::Identity) -> Self {
         Self {
             identity,
-            max_message_bytes: 8 * 1024 * 1024,
+            max_message_bytes: DEFAULT_MAX_MESSAGE_BYTES,
+            counters: sync::Arc::default(),
         }
     }
 
@@ -32,19 +52,58 @@
     }
 
     /// Serves connections until `shutdown`; returns once every open stream is answered.
+    ///
+    /// At the shutdown each connection is told that no new streams are taken. Requests that are
+    /// being handled are answered first, however long that takes. A handler is never cancelled,
+    /// also when its connection is lost.
     pub async fn serve<H: handler::Handler>(
         &self,
-        _listener: net::TcpListener,
-        _handler: H,
-        shutdown: sync::CancellationToken,
+        listener: tokio::net::TcpListener,
+        handler: H,
+        shutdown: CancellationToken,
     ) {
-        let _ = (self.identity.cluster_name(), self.identity.secret_text());
-        shutdown.cancelled().await;
+        let mut sessions = task::JoinSet::new();
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => break,
+                Some(_) = sessions.join_next() => {}
+                accepted = listener.accept(), if sessions.len() < MAX_CONNECTIONS => {
+                    match accepted {
+                        Ok((stream, remote)) => {
+                            let session = self.session(handler.clone(), remote, shutdown.clone());
+                            sessions.spawn(session.run(stream));
+                        }
+                        Err(cause) => {
+                            log::warn!("event=peer_accept_failed cause={cause:?}");
+                            tokio::time::sleep(ACCEPT_RETRY).await;
+                        }
+                    }
+                }
+            }
+        }
+        drop(listener);
+        while sessions.join_next().await.is_some() {}
     }
 
-    /// Returns the counters since the server was created; clones share them.
+    /// Returns the counters since the server was created.
     #[must_use]
     pub fn counts(&self) -> counts::Counts {
-        counts::Counts::default()
+        self.counters.read()
+    }
+
+    fn session<H: handler::Handler>(
+        &self,
+        handler: H,
+        remote: net::SocketAddr,
+        shutdown: CancellationToken,
+    ) -> session::Session<H> {
+        session::Session {
+            identity: self.identity.clone(),
+            max_message_bytes: self.max_message_bytes,
+            counters: sync::Arc::clone(&self.counters),
+            handler,
+            remote,
+            shutdown,
+        }
     }
 }
--- /dev/null
+++ b/crates/peer/src/session.rs
@@ -0,0 +1,209 @@
+//! One accepted connection.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use h2::server;
+use tokio::task;
+use tokio_util::sync::CancellationToken;
+
+use crate::codec;
+use crate::counts;
+use crate::error;
+use crate::handler;
+use crate::handshake;
+use crate::identity;
+use crate::server::CONNECTION_WINDOW_BYTES;
+use crate::server::SEND_BUFFER_BYTES;
+use crate::server::STREAM_WINDOW_BYTES;
+
+/// Requests at once on one connection.
+const MAX_STREAMS: u32 = 4096;
+/// Cancelled requests that may wait to be noticed on one connection.
+const MAX_PENDING_RESETS: usize = 4096;
+/// How long a connection may take to say hello.
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// How long one message may take to arrive or to leave.
+const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// How long a connection may stay without any request before it is closed.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// How long the other end may take to close a connection on which nothing is open any more.
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+type Connection = server::Connection<tokio::net::TcpStream, bytes::Bytes>;
+type Respond = server::SendResponse<bytes::Bytes>;
+type Request = http::Request<h2::RecvStream>;
+
+/// Serves one connection.
+pub(crate) struct Session<H> {
+    pub(crate) identity: identity::Identity,
+    pub(crate) max_message_bytes: usize,
+    pub(crate) counters: sync::Arc<counts::Counters>,
+    pub(crate) handler: H,
+    pub(crate) remote: net::SocketAddr,
+    pub(crate) shutdown: CancellationToken,
+}
+
+impl<H: handler::Handler> Session<H> {
+    /// Serves until the connection ends, or until `shutdown` and every open stream is answered.
+    pub(crate) async fn run(self, stream: tokio::net::TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let remote = self.remote;
+        let shutdown = self.shutdown.clone();
+        let opened = tokio::select! {
+            opened = tokio::time::timeout(HELLO_TIMEOUT, self.open(stream)) => opened,
+            () = shutdown.cancelled() => return,
+        };
+        match opened {
+            Ok(Ok(Some((connection, from)))) => self.serve(connection, from).await,
+            Ok(Ok(None)) => {}
+            Ok(Err(cause)) => log::debug!("event=peer_open_failed remote={remote} cause={cause:?}"),
+            Err(_) => log::debug!("event=peer_open_timed_out remote={remote}"),
+        }
+    }
+
+    /// Returns the connection and the instance at its other end, unless it was refused.
+    async fn open(
+        &self,
+        stream: tokio::net::TcpStream,
+    ) -> Result<Option<(Connection, model::InstanceId)>, h2::Error> {
+        let mut connection: Connection = server::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
+            .max_send_buffer_size(SEND_BUFFER_BYTES)
+            .handshake(stream)
+            .await?;
+        let Some(hello) = connection.accept().await else {
+            return Ok(None);
+        };
+        let (hello, mut respond) = hello?;
+        match handshake::check(&self.identity, &hello) {
+            Ok(from) => {
+                respond.send_response(http::Response::new(()), true)?;
+                self.counters.connected();
+                Ok(Some((connection, from)))
+            }
+            Err(reason) => {
+                self.counters.refused(reason);
+                log::warn!("event=peer_refused remote={} reason={reason}", self.remote);
+                respond.send_response(handshake::refusal(reason), true)?;
+                connection.graceful_shutdown();
+                while connection.accept().await.is_some() {}
+                Ok(None)
+            }
+        }
+    }
+
+    async fn serve(self, mut connection: Connection, from: model::InstanceId) {
+        let session = sync::Arc::new(self);
+        let mut streams = task::JoinSet::new();
+        let mut closing = false;
+        loop {
+            // Waiting for the other end to close, or for it to send anything at all.
+            let limit = if closing { CLOSE_TIMEOUT } else { IDLE_TIMEOUT };
+            let idle = streams.is_empty();
+            tokio::select! {
+                accepted = connection.accept() => match accepted {
+                    Some(Ok((request, respond))) => {
+                        let session = sync::Arc::clone(&session);
+                        streams.spawn(session.answer(from.clone(), request, respond));
+                    }
+                    Some(Err(_)) | None => break,
+                },
+                Some(joined) = streams.join_next() => note_panic(joined),
+                () = session.shutdown.cancelled(), if !closing => {
+                    connection.graceful_shutdown();
+                    closing = true;
+                }
+                () = tokio::time::sleep(limit), if idle => {
+                    if closing {
+                        break;
+                    }
+                    connection.graceful_shutdown();
+                    closing = true;
+                }
+            }
+        }
+        drop(connection);
+        while let Some(joined) = streams.join_next().await {
+            note_panic(joined);
+        }
+    }
+
+    async fn answer(
+        self: sync::Arc<Self>,
+        from: model::InstanceId,
+        request: Request,
+        mut respond: Respond,
+    ) {
+        let (request, category) = match self.read(request).await {
+            Ok(Some(read)) => read,
+            Ok(None) => return,
+            Err(reason) => {
+                self.counters.refused(reason);
+                log::warn!("event=peer_request_refused from={from:?} reason={reason}");
+                let _ = respond.send_response(handshake::refusal(reason), true);
+                return;
+            }
+        };
+        let response = self.handler.handle(from, request).await;
+        let sending = self.send(response, category, respond);
+        if tokio::time::timeout(TRANSFER_TIMEOUT, sending)
+            .await
+            .is_err()
+        {
+            log::debug!("event=peer_response_timed_out remote={}", self.remote);
+        }
+    }
+
+    /// Returns the request, or `None` if it did not arrive whole.
+    async fn read(
+        &self,
+        request: Request,
+    ) -> Result<Option<(model::PeerRequest, counts::Category)>, error::RefusalReason> {
+        let mut stream = request.into_body();
+        let reading = codec::read_all(&mut stream, self.max_message_bytes);
+        let message = match tokio::time::timeout(TRANSFER_TIMEOUT, reading).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(codec::ReadError::TooLarge { .. })) => {
+                return Err(error::RefusalReason::TooLarge);
+            }
+            Ok(Err(codec::ReadError::BrokenOff(_))) | Err(_) => return Ok(None),
+        };
+        let request = codec::decode(&message).ok_or(error::RefusalReason::Malformed)?;
+        let category = counts::Category::of(&request);
+        self.counters.received(category, message.len());
+        Ok(Some((request, category)))
+    }
+
+    async fn send(
+        &self,
+        response: model::PeerResponse,
+        category: counts::Category,
+        mut respond: Respond,
+    ) {
+        let Some(message) = codec::encode(&response, self.max_message_bytes) else {
+            log::error!("event=peer_response_too_large remote={}", self.remote);
+            let mut failure = http::Response::new(());
+            *failure.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+            let _ = respond.send_response(failure, true);
+            return;
+        };
+        let bytes = message.len();
+        let Ok(mut stream) = respond.send_response(http::Response::new(()), false) else {
+            return;
+        };
+        if codec::send_all(&mut stream, message).await.is_ok() {
+            self.counters.sent(category, bytes);
+        }
+    }
+}
+
+fn note_panic(joined: Result<(), task::JoinError>) {
+    if let Err(cause) = joined {
+        log::error!("event=peer_handler_failed cause={cause}");
+    }
+}
