Decide about worker leases

Claim in the order of rendezvous hashing with bounded loads, renew, hand over after the members settled, drop and count as gone by time. Not yet tested.

--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -37,7 +37,8 @@
 /// An input of the lease decisions.
 ///
 /// Every `Claim`, `Renew` and `Release` action is answered by exactly one of `Granted`, `Held`,
-/// `Lapsed`, `Failed` and `Released`.
+/// `Lapsed`, `Failed`, `Unsent` and `Released`; a call is given up early enough to leave room for
+/// another one in the lease's duration.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// The platform's list, which may lag; nothing is sent while the list is unavailable.
@@ -67,6 +68,11 @@
         /// When the request was sent.
         sent_at: time::Instant,
     },
+    /// A request was surely not sent, as when no connection could be made.
+    Unsent {
+        /// The worker.
+        worker_id: model::WorkerId,
+    },
     /// A worker took its lease back.
     Released {
         /// The worker.
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,9 +5,13 @@
 //! whom to ask, and how long it may rely on the last answer.
 
 mod action;
+mod decider;
 mod event;
 mod leases;
+mod placement;
+mod replies;
 mod settings;
+mod worker;
 
 pub use action::Acquired;
 pub use action::Action;
--- a/crates/lease/src/settings.rs
+++ b/crates/lease/src/settings.rs
@@ -24,3 +24,20 @@
     /// Least time between two hand-overs.
     pub hand_over_every: time::Duration,
 }
+
+impl LeaseSettings {
+    /// Returns how long a lease can be relied on, counted from the sending of its request.
+    pub(crate) fn valid_for(&self) -> time::Duration {
+        self.ttl.saturating_sub(self.margin)
+    }
+
+    /// Returns how long after its last renewal a worker has surely stopped the runs of a holder.
+    pub(crate) fn silent_for(&self) -> time::Duration {
+        self.ttl + self.grace + self.margin
+    }
+
+    /// Returns how long each instance in the order for a worker waits for the one before it.
+    pub(crate) fn turn(&self) -> time::Duration {
+        self.ttl + self.margin
+    }
+}
