--- /dev/null
+++ b/crates/entry/src/api/gateway.rs
@@ -0,0 +1,237 @@
+//! Authenticates callers, checks their requests and asks the control thread.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use axum::extract;
+use axum::response;
+use axum::routing;
+use http::StatusCode;
+use http::header;
+use serde::Deserialize;
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+use tokio::sync::watch;
+
+use crate::api::answer;
+use crate::api::operators;
+use crate::api::request;
+use crate::control;
+use crate::drive;
+
+const BEARER: &str = "Bearer ";
+const MAX_LOOKUP_WAIT_MS: u64 = 60_000;
+
+/// What the handlers of one instance share.
+#[derive(Clone)]
+pub(crate) struct Gateway {
+    shared: sync::Arc<Shared>,
+}
+
+struct Shared {
+    asker: drive::Asker,
+    lists: watch::Receiver<sync::Arc<lists::Lists>>,
+    board: sync::Arc<drive::Board>,
+    metrics: telemetry::Metrics,
+    secret_sha256: [u8; 32],
+    limits: request::Limits,
+    max_body_bytes: usize,
+}
+
+/// Query of a lookup.
+#[derive(Debug, Default, Deserialize)]
+struct LookupQuery {
+    /// How long to wait for the outcome, in milliseconds.
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// What a [`Gateway`] is made of.
+pub(crate) struct Parts {
+    /// Asks the control thread.
+    pub(crate) asker: drive::Asker,
+    /// Lists in force.
+    pub(crate) lists: watch::Receiver<sync::Arc<lists::Lists>>,
+    /// What the control thread tells.
+    pub(crate) board: sync::Arc<drive::Board>,
+    /// Counters.
+    pub(crate) metrics: telemetry::Metrics,
+    /// Secret of operators.
+    pub(crate) secret: String,
+    /// Limits of callers.
+    pub(crate) callers: settings::Callers,
+}
+
+impl Gateway {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let shared = Shared {
+            asker: parts.asker,
+            lists: parts.lists,
+            board: parts.board,
+            metrics: parts.metrics,
+            secret_sha256: sha2::Sha256::digest(parts.secret.as_bytes()).into(),
+            limits: request::Limits {
+                max_deadline: parts.callers.max_deadline,
+                default_deadline: parts.callers.default_deadline,
+            },
+            max_body_bytes: parts.callers.max_body_bytes,
+        };
+        Self {
+            shared: sync::Arc::new(shared),
+        }
+    }
+
+    /// Returns the router of every path.
+    pub(crate) fn router(self) -> axum::Router {
+        axum::Router::new()
+            .route("/v1/tasks", routing::post(submit))
+            .route("/v1/tasks/{id}", routing::get(lookup).delete(cancel))
+            .route("/healthz", routing::get(operators::healthz))
+            .route("/readyz", routing::get(operators::readyz))
+            .route("/v1/operator/status", routing::get(operators::status))
+            .route("/v1/operator/drain", routing::post(operators::drain))
+            .with_state(self)
+    }
+
+    pub(super) fn ready(&self) -> bool {
+        self.shared.board.ready.load(atomic::Ordering::Acquire)
+    }
+
+    pub(super) async fn status(&self) -> Option<control::Status> {
+        self.shared.asker.status().await
+    }
+
+    pub(super) fn tell(&self, input: control::Input) {
+        self.shared.asker.tell(input);
+    }
+
+    pub(super) fn is_operator(&self, headers: &http::HeaderMap) -> bool {
+        let Some(token) = bearer(headers) else {
+            return false;
+        };
+        let digest = sha2::Sha256::digest(token.as_bytes());
+        digest.as_slice().ct_eq(&self.shared.secret_sha256).into()
+    }
+
+    pub(super) fn denied(&self, whom: &str) -> response::Response {
+        self.shared.metrics.count(&format!("refused.token_{whom}"));
+        answer::error(StatusCode::UNAUTHORIZED, "wrong_token")
+    }
+
+    fn customer(&self, headers: &http::HeaderMap) -> Option<lists::Customer> {
+        let token = bearer(headers)?;
+        let lists = self.shared.lists.borrow();
+        lists.authenticate(token).cloned()
+    }
+
+    fn too_large(&self) -> response::Response {
+        self.shared.metrics.count("refused.body_too_large");
+        answer::error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
+    }
+}
+
+fn bearer(headers: &http::HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix(BEARER)
+}
+
+fn stopping() -> response::Response {
+    answer::error(StatusCode::SERVICE_UNAVAILABLE, "stopping")
+}
+
+fn respond(answer: Option<drive::CallerAnswer>) -> response::Response {
+    let Some(answer) = answer else {
+        return stopping();
+    };
+    match answer.answer {
+        control::Answer::Submit(reply) => answer::submitted(answer.task_id, reply),
+        control::Answer::Status(status) => answer::status(answer.task_id, status),
+    }
+}
+
+async fn submit(
+    extract::State(gateway): extract::State<Gateway>,
+    headers: http::HeaderMap,
+    body: axum::body::Body,
+) -> response::Response {
+    let Some(customer) = gateway.customer(&headers) else {
+        return gateway.denied("customer");
+    };
+    let Ok(body) = axum::body::to_bytes(body, gateway.shared.max_body_bytes).await else {
+        return gateway.too_large();
+    };
+    let request = match request::parse(&body, gateway.shared.limits) {
+        Ok(request) => request,
+        Err(errors) => {
+            gateway.shared.metrics.count("refused.bad_request");
+            return answer::findings(&errors);
+        }
+    };
+    let answer = gateway.shared.asker.caller(|ticket| {
+        control::Input::Submit(control::Submit {
+            ticket,
+            customer_id: customer.customer_id,
+            plan_id: customer.plan_id,
+            region: customer.region,
+            spec: sync::Arc::new(request.spec),
+            wait: request.wait,
+            random: rand::random(),
+        })
+    });
+    respond(answer.await)
+}
+
+async fn lookup(
+    extract::State(gateway): extract::State<Gateway>,
+    extract::Path(id): extract::Path<String>,
+    extract::Query(query): extract::Query<LookupQuery>,
+    headers: http::HeaderMap,
+) -> response::Response {
+    let Some(customer) = gateway.customer(&headers) else {
+        return gateway.denied("customer");
+    };
+    let Ok(task_id) = id.parse() else {
+        return bad_id();
+    };
+    let wait_ms = query.wait_ms.min(MAX_LOOKUP_WAIT_MS);
+    let answer = gateway
+        .shared
+        .asker
+        .caller(|ticket| control::Input::Lookup {
+            ticket,
+            customer_id: customer.customer_id,
+            task_id,
+            wait: time::Duration::from_millis(wait_ms),
+        });
+    respond(answer.await)
+}
+
+async fn cancel(
+    extract::State(gateway): extract::State<Gateway>,
+    extract::Path(id): extract::Path<String>,
+    headers: http::HeaderMap,
+) -> response::Response {
+    let Some(customer) = gateway.customer(&headers) else {
+        return gateway.denied("customer");
+    };
+    let Ok(task_id) = id.parse() else {
+        return bad_id();
+    };
+    let answer = gateway
+        .shared
+        .asker
+        .caller(|ticket| control::Input::Cancel {
+            ticket,
+            customer_id: customer.customer_id,
+            task_id,
+        });
+    respond(answer.await)
+}
+
+fn bad_id() -> response::Response {
+    answer::findings(&[request::FieldError {
+        field: "id".to_owned(),
+        expected: "a task id as answered to the submission".to_owned(),
+    }])
+}
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -1,4 +1,11 @@
 //! The interface for callers and operators: JSON over HTTP.
 
 pub mod answer;
+mod gateway;
+mod operators;
+mod peers;
 pub mod request;
+
+pub(crate) use gateway::Gateway;
+pub(crate) use gateway::Parts;
+pub(crate) use peers::PeerGateway;
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -348,11 +348,10 @@
     }
 
     pub(super) fn abandon(&mut self, ticket: input::Ticket, now: time::Instant) {
-        let Some(waiting) = self.callers.waiting.swap_remove(&ticket) else {
-            return;
-        };
         self.metrics.count("caller.abandoned");
-        if waiting.place == Place::Owner {
+        let waiting = self.callers.waiting.swap_remove(&ticket);
+        // A ticket that is not a caller's is a peer's, which waits at the owner decisions.
+        if waiting.is_none_or(|waiting| waiting.place == Place::Owner) {
             self.owner_event(owner::Event::Abandon { ticket }, now);
         }
     }
--- /dev/null
+++ b/crates/entry/src/drive/asker.rs
@@ -0,0 +1,106 @@
+//! Lets traffic threads ask the control thread.
+
+use std::sync;
+use std::sync::atomic;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::control;
+use crate::drive::message;
+
+/// Asks the control thread for answers; clones share the tickets.
+#[derive(Clone)]
+pub(crate) struct Asker {
+    messages: mpsc::UnboundedSender<message::Message>,
+    tickets: sync::Arc<atomic::AtomicU64>,
+}
+
+/// Tells the control thread when the asking side goes away before its answer.
+struct Abandon {
+    messages: mpsc::UnboundedSender<message::Message>,
+    ticket: control::Ticket,
+    answered: bool,
+}
+
+impl Drop for Abandon {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let ticket = self.ticket;
+        let input = control::Input::Abandon { ticket };
+        let _ = self.messages.send(message::Message::Input(input));
+    }
+}
+
+impl Asker {
+    pub(super) fn new(messages: mpsc::UnboundedSender<message::Message>) -> Self {
+        Self {
+            messages,
+            tickets: sync::Arc::default(),
+        }
+    }
+
+    /// Asks on behalf of a caller; `None` if the instance has stopped.
+    pub(crate) async fn caller(
+        &self,
+        input: impl FnOnce(control::Ticket) -> control::Input,
+    ) -> Option<message::CallerAnswer> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(answer, |ticket| message::Message::Caller {
+            ticket,
+            input: input(ticket),
+            reply,
+        })
+        .await
+    }
+
+    /// Asks on behalf of a peer; `None` if the instance has stopped.
+    pub(crate) async fn peer(
+        &self,
+        from: model::InstanceId,
+        request: model::PeerRequest,
+    ) -> Option<model::PeerResponse> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(answer, |ticket| message::Message::Peer {
+            ticket,
+            input: control::Input::Peer {
+                ticket,
+                from,
+                request,
+            },
+            reply,
+        })
+        .await
+    }
+
+    /// Asks for the state that operators see; `None` if the instance has stopped.
+    pub(crate) async fn status(&self) -> Option<control::Status> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.messages.send(message::Message::Status { reply });
+        answer.await.ok()
+    }
+
+    /// Tells the control state something that has no answer.
+    pub(crate) fn tell(&self, input: control::Input) {
+        let _ = self.messages.send(message::Message::Input(input));
+    }
+
+    async fn ask<T>(
+        &self,
+        answer: oneshot::Receiver<T>,
+        message: impl FnOnce(control::Ticket) -> message::Message,
+    ) -> Option<T> {
+        let ticket = self.tickets.fetch_add(1, atomic::Ordering::Relaxed);
+        let mut abandon = Abandon {
+            messages: self.messages.clone(),
+            ticket,
+            answered: false,
+        };
+        let _ = self.messages.send(message(ticket));
+        let answer = answer.await.ok();
+        abandon.answered = true;
+        answer
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/brain.rs
@@ -0,0 +1,126 @@
+//! The control thread: owns the control state and feeds it.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::control;
+use crate::drive::message;
+use crate::drive::platform;
+use crate::drive::traffic;
+
+/// Messages taken in before their effects are carried out.
+const MAX_BATCH: usize = 1024;
+
+/// What the control thread tells the rest of the process.
+#[derive(Debug)]
+pub(crate) struct Board {
+    /// Whether the instance serves callers.
+    pub(crate) ready: atomic::AtomicBool,
+    /// Whether a stopping instance has nothing left to do.
+    pub(crate) drained: atomic::AtomicBool,
+}
+
+/// The control state with the answers that are waited for.
+pub(super) struct Brain<P: platform::Platform> {
+    pub(super) control: control::Control,
+    pub(super) messages: mpsc::UnboundedReceiver<message::Message>,
+    pub(super) traffic: traffic::Traffic<P>,
+    pub(super) lists: watch::Sender<sync::Arc<lists::Lists>>,
+    pub(super) board: sync::Arc<Board>,
+    pub(super) callers:
+        collections::HashMap<control::Ticket, oneshot::Sender<message::CallerAnswer>>,
+    pub(super) peers: collections::HashMap<control::Ticket, oneshot::Sender<model::PeerResponse>>,
+}
+
+impl<P: platform::Platform> Brain<P> {
+    /// Runs until it is told to stop.
+    pub(super) fn run(mut self) {
+        while let Some(first) = self.messages.blocking_recv() {
+            if !self.take(first) {
+                return;
+            }
+            for _ in 1..MAX_BATCH {
+                let Ok(next) = self.messages.try_recv() else {
+                    break;
+                };
+                if !self.take(next) {
+                    return;
+                }
+            }
+            let effects = self.control.finish(time::Instant::now());
+            for effect in effects {
+                self.carry_out(effect);
+            }
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, message: message::Message) -> bool {
+        let now = time::Instant::now();
+        match message {
+            message::Message::Input(input) => {
+                if let control::Input::Abandon { ticket } = &input {
+                    self.callers.remove(ticket);
+                    self.peers.remove(ticket);
+                }
+                self.control.take(input, now);
+            }
+            message::Message::Caller {
+                ticket,
+                input,
+                reply,
+            } => {
+                self.callers.insert(ticket, reply);
+                self.control.take(input, now);
+            }
+            message::Message::Peer {
+                ticket,
+                input,
+                reply,
+            } => {
+                self.peers.insert(ticket, reply);
+                self.control.take(input, now);
+            }
+            message::Message::Status { reply } => {
+                let _ = reply.send(self.control.status(now));
+            }
+            message::Message::Stop => return false,
+        }
+        true
+    }
+
+    fn carry_out(&mut self, effect: control::Effect) {
+        match effect {
+            control::Effect::Answer {
+                ticket,
+                task_id,
+                answer,
+            } => {
+                if let Some(reply) = self.callers.remove(&ticket) {
+                    let _ = reply.send(message::CallerAnswer { task_id, answer });
+                }
+            }
+            control::Effect::Respond { ticket, response } => {
+                if let Some(reply) = self.peers.remove(&ticket) {
+                    let _ = reply.send(response);
+                }
+            }
+            control::Effect::PublishLists(lists) => {
+                self.lists.send_replace(lists);
+            }
+            effect => self.traffic.perform(effect),
+        }
+    }
+
+    fn publish(&mut self) {
+        let order = atomic::Ordering::Release;
+        self.board.ready.store(self.control.ready(), order);
+        self.board.drained.store(self.control.drained(), order);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/feeds.rs
@@ -0,0 +1,69 @@
+//! Periodic inputs: time, and the platform's list of machines.
+
+use std::time;
+
+use tokio_util::sync;
+use worker::Directory;
+
+use crate::control;
+use crate::drive::asker;
+use crate::drive::platform;
+use crate::drive::traffic;
+
+/// Interval of [`control::Input::Tick`].
+const TICK: time::Duration = time::Duration::from_millis(25);
+
+/// Interval at which volumes are published.
+const VOLUMES_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Sends ticks until `stop`.
+pub(super) async fn ticks(asker: asker::Asker, stop: sync::CancellationToken) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    while stop.run_until_cancelled(interval.tick()).await.is_some() {
+        asker.tell(control::Input::Tick);
+    }
+}
+
+/// Reads the platform's list of machines until `stop`.
+pub(super) async fn machines<D: Directory>(
+    directory: D,
+    every: time::Duration,
+    asker: asker::Asker,
+    stop: sync::CancellationToken,
+) {
+    let mut interval = tokio::time::interval(every);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while stop.run_until_cancelled(interval.tick()).await.is_some() {
+        match stop.run_until_cancelled(directory.list()).await {
+            Some(Ok(entries)) => asker.tell(control::Input::Machines(entries)),
+            Some(Err(error)) => log::warn!("list of machines not read error={error}"),
+            None => return,
+        }
+    }
+}
+
+/// Publishes what the links to peers carry until `stop`.
+pub(super) async fn volumes<P: platform::Platform>(
+    traffic: traffic::Traffic<P>,
+    metrics: telemetry::Metrics,
+    stop: sync::CancellationToken,
+) {
+    let mut interval = tokio::time::interval(VOLUMES_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    while stop.run_until_cancelled(interval.tick()).await.is_some() {
+        let counts = traffic.link_counts();
+        let sum = |of: fn(&peer::Counts) -> u64| counts.iter().map(of).sum();
+        metrics.gauge("peer.control_bytes_sent", sum(|c| c.control.bytes_sent));
+        metrics.gauge(
+            "peer.control_bytes_received",
+            sum(|c| c.control.bytes_received),
+        );
+        metrics.gauge("peer.traffic_bytes_sent", sum(|c| c.traffic.bytes_sent));
+        metrics.gauge(
+            "peer.traffic_bytes_received",
+            sum(|c| c.traffic.bytes_received),
+        );
+        metrics.gauge("peer.connections_replaced", sum(|c| c.replaced));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/instance.rs
@@ -0,0 +1,301 @@
+//! One running instance.
+
+use std::collections;
+use std::io;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use tokio::net;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync as stop;
+use tokio_util::task;
+
+use crate::api;
+use crate::control;
+use crate::drive::asker;
+use crate::drive::brain;
+use crate::drive::feeds;
+use crate::drive::keeper;
+use crate::drive::platform;
+use crate::drive::server;
+use crate::drive::traffic;
+
+/// How long a stopping instance keeps its listeners open, so that balancers notice.
+const LINGER: time::Duration = time::Duration::from_secs(1);
+/// Interval at which a stopping instance looks whether it is done.
+const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
+/// Share set aside for a departed instance, in multiples of the time its runs can outlive it.
+const ORPHAN_HOLD_FACTOR: u32 = 2;
+/// Least time between two renewals of one worker's lease.
+const RENEW_SPACING: time::Duration = time::Duration::from_millis(5);
+/// Least time between two hand-overs of workers.
+const HAND_OVER_EVERY: time::Duration = time::Duration::from_millis(200);
+/// Time that the members must be unchanged before workers are handed over, in heartbeats.
+const SETTLE_HEARTBEATS: u32 = 8;
+const JOURNAL_BATCH_ENTRIES: usize = 100;
+
+/// Failure to start an instance.
+#[derive(Debug, thiserror::Error)]
+#[error("{context}: {source}")]
+pub struct Error {
+    context: String,
+    source: io::Error,
+}
+
+/// A running instance; see [`Instance::start`].
+pub struct Instance {
+    asker: asker::Asker,
+    board: sync::Arc<brain::Board>,
+    stop_feeds: stop::CancellationToken,
+    stop_servers: stop::CancellationToken,
+    messages: mpsc::UnboundedSender<crate::drive::message::Message>,
+    tracker: task::TaskTracker,
+    control_thread: thread::JoinHandle<()>,
+    callers_address: std::net::SocketAddr,
+    peer_address: std::net::SocketAddr,
+}
+
+impl Instance {
+    /// Starts an instance on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener cannot be opened or the control thread cannot be started.
+    pub async fn start<P: platform::Platform>(
+        settings: settings::Entry,
+        secret: String,
+        platform: P,
+        metrics: telemetry::Metrics,
+    ) -> Result<Self, Error> {
+        let callers = bind(settings.instance.callers_address).await?;
+        let peers = bind(settings.instance.peer_address).await?;
+        let callers_address = local_address(&callers)?;
+        let peer_address = local_address(&peers)?;
+        let control_settings = control_settings(&settings, &peer_address);
+        let instance_id = control_settings.instance_id.clone();
+        log::info!(
+            "starting instance={instance_id} callers={callers_address} peers={peer_address}"
+        );
+
+        let (messages, receiver) = mpsc::unbounded_channel();
+        let tracker = task::TaskTracker::new();
+        let identity = peer::Identity::new(instance_id.clone())
+            .cluster(settings.cluster.name.clone())
+            .secret(secret.clone());
+        let retention = settings.owner.journal_retention;
+        let traffic = traffic::Traffic {
+            keeper: keeper::Keeper::new(platform.store().clone(), retention),
+            platform: platform.clone(),
+            identity: identity.clone(),
+            link_settings: peer::LinkSettings {
+                connect_timeout: settings.peer.deadline,
+                max_message_bytes: settings.peer.max_message_bytes,
+            },
+            links: sync::Arc::default(),
+            inputs: messages.clone(),
+            tracker: tracker.clone(),
+            runtime: tokio::runtime::Handle::current(),
+            call_timeout: settings.workers.call_timeout,
+            instance_id,
+        };
+        let board = sync::Arc::new(brain::Board {
+            ready: atomic::AtomicBool::new(false),
+            drained: atomic::AtomicBool::new(false),
+        });
+        let (lists, lists_seen) = watch::channel(sync::Arc::default());
+        let now = time::Instant::now();
+        let brain = brain::Brain {
+            control: control::Control::new(control_settings, metrics.clone(), now),
+            messages: receiver,
+            traffic: traffic.clone(),
+            lists,
+            board: board.clone(),
+            callers: collections::HashMap::new(),
+            peers: collections::HashMap::new(),
+        };
+        let control_thread = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || brain.run())
+            .map_err(|source| failed("control thread not started", source))?;
+
+        let asker = asker::Asker::new(messages.clone());
+        let stop_feeds = stop::CancellationToken::new();
+        let stop_servers = stop::CancellationToken::new();
+        tracker.spawn(feeds::ticks(asker.clone(), stop_feeds.clone()));
+        tracker.spawn(feeds::machines(
+            platform.directory().clone(),
+            settings.platform.directory_poll,
+            asker.clone(),
+            stop_feeds.clone(),
+        ));
+        let peer_server =
+            peer::Server::new(identity).max_message_bytes(settings.peer.max_message_bytes);
+        let gateway = api::Gateway::new(api::Parts {
+            asker: asker.clone(),
+            lists: lists_seen,
+            board: board.clone(),
+            metrics: metrics.clone(),
+            secret,
+            callers: settings.callers.clone(),
+        });
+        tracker.spawn(feeds::volumes(
+            traffic.clone(),
+            metrics.clone(),
+            stop_feeds.clone(),
+        ));
+        let stop = stop_servers.clone();
+        let handler = api::PeerGateway::new(asker.clone());
+        tracker.spawn(async move { peer_server.serve(peers, handler, stop).await });
+        let limits = server::ServerLimits {
+            max_header_bytes: settings.callers.max_header_bytes,
+            max_connections: settings.callers.max_connections,
+        };
+        let stop = stop_servers.clone();
+        tracker.spawn(server::serve(
+            callers,
+            gateway.router(),
+            limits,
+            metrics,
+            stop,
+        ));
+        Ok(Self {
+            asker,
+            board,
+            stop_feeds,
+            stop_servers,
+            messages,
+            tracker,
+            control_thread,
+            callers_address,
+            peer_address,
+        })
+    }
+
+    /// Returns the address of the listener for callers and operators.
+    #[must_use]
+    pub fn callers_address(&self) -> std::net::SocketAddr {
+        self.callers_address
+    }
+
+    /// Returns the address of the listener for peers.
+    #[must_use]
+    pub fn peer_address(&self) -> std::net::SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns whether the instance serves callers.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.board.ready.load(atomic::Ordering::Acquire)
+    }
+
+    /// Gives partitions and workers away, answers every request in flight and stops.
+    pub async fn drain(self) {
+        self.asker.tell(control::Input::Drain);
+        tokio::time::sleep(LINGER).await;
+        while !self.board.drained.load(atomic::Ordering::Acquire) {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.stop().await;
+    }
+
+    /// Stops without giving anything away, as if the process had died after its last answer.
+    pub async fn stop(self) {
+        self.stop_feeds.cancel();
+        self.stop_servers.cancel();
+        self.tracker.close();
+        self.tracker.wait().await;
+        let _ = self.messages.send(crate::drive::message::Message::Stop);
+        if self.control_thread.join().is_err() {
+            log::error!("control thread panicked");
+        }
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> Result<net::TcpListener, Error> {
+    net::TcpListener::bind(address)
+        .await
+        .map_err(|source| failed(&format!("no listener at {address}"), source))
+}
+
+fn local_address(listener: &net::TcpListener) -> Result<std::net::SocketAddr, Error> {
+    listener
+        .local_addr()
+        .map_err(|source| failed("listener without address", source))
+}
+
+fn failed(context: &str, source: io::Error) -> Error {
+    Error {
+        context: context.to_owned(),
+        source,
+    }
+}
+
+fn control_settings(
+    settings: &settings::Entry,
+    peer_address: &std::net::SocketAddr,
+) -> control::ControlSettings {
+    let boot: u32 = rand::random();
+    let name = &settings.instance.name;
+    let instance_id: model::InstanceId = format!("{name}#{boot:08x}").into();
+    let location = model::Location {
+        region: settings.instance.region.as_str().into(),
+        data_centre: settings.instance.data_centre.as_str().into(),
+        rack: "".into(),
+    };
+    let unix = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let run_expiry = settings.lease.ttl + settings.lease.grace + settings.lease.margin;
+    let policy = match settings.queue.policy {
+        settings::Policy::Fair => place::Policy::Fair,
+        settings::Policy::Baseline => place::Policy::Baseline,
+    };
+    control::ControlSettings {
+        address: peer_address.to_string(),
+        lease: lease::LeaseSettings {
+            instance_id: instance_id.clone(),
+            location: location.clone(),
+            ttl: settings.lease.ttl,
+            grace: settings.lease.grace,
+            margin: settings.lease.margin,
+            renew_every: RENEW_SPACING,
+            settle_after: SETTLE_HEARTBEATS * settings.peer.heartbeat,
+            hand_over_every: HAND_OVER_EVERY,
+        },
+        lease_wait: settings.lease.renew_every,
+        owner: owner::OwnerSettings {
+            instance_id: instance_id.clone(),
+            unix_ms: unix.map_or(0, |since| since.as_millis() as u64),
+            max_tasks: settings.owner.max_tasks,
+            max_attempts: settings.queue.max_attempts,
+            result_retention: settings.owner.result_retention,
+            journal_retention: settings.owner.journal_retention,
+            journal_batch: settings.owner.journal_batch,
+            journal_batch_entries: JOURNAL_BATCH_ENTRIES,
+            lease_ttl: settings.lease.ttl,
+            grace: settings.lease.grace,
+            margin: settings.lease.margin,
+            offer_validity: settings.queue.offer_validity,
+            dead_after: settings.peer.dead_after,
+        },
+        queue: place::QueueSettings {
+            policy,
+            max_queued: settings.queue.max_queued,
+            max_queued_of_plan: settings.queue.max_queued_of_plan,
+            ..place::QueueSettings::default()
+        },
+        fleet: place::FleetSettings {
+            policy,
+            ..place::FleetSettings::default()
+        },
+        orphan_hold: ORPHAN_HOLD_FACTOR * run_expiry,
+        heartbeat: settings.peer.heartbeat,
+        heartbeat_deadline: settings.peer.deadline,
+        dead_after: settings.peer.dead_after,
+        max_waiting: settings.callers.max_waiting,
+        instance_id,
+        location,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drive/keeper.rs
@@ -0,0 +1,256 @@
+//! Reads and writes the partition table, the journal and the lists in the platform's service.
+
+use std::sync;
+use std::time;
+
+use store::Store;
+
+use crate::control;
+
+const TABLE_KEY: &str = "/ferry/table";
+const LISTS_PREFIX: &str = "/ferry/lists/";
+const JOURNAL_PREFIX: &str = "/ferry/journal/";
+const JOURNAL_PAGE_ENTRIES: u32 = 500;
+const LISTS_PAGE_ENTRIES: u32 = 8;
+/// How long one lease of the service is attached to new journal entries.
+const LEASE_USE: time::Duration = time::Duration::from_secs(60);
+
+/// A lease of the service that ends the life of journal entries.
+#[derive(Clone, Copy, Debug)]
+struct JournalLease {
+    lease_id: store::LeaseId,
+    granted_at: time::Instant,
+}
+
+/// Keeps what must outlive instances in the platform's service.
+#[derive(Clone)]
+pub(super) struct Keeper<S> {
+    store: S,
+    retention: time::Duration,
+    lease: sync::Arc<tokio::sync::Mutex<Option<JournalLease>>>,
+}
+
+impl<S: Store> Keeper<S> {
+    pub(super) fn new(store: S, retention: time::Duration) -> Self {
+        Self {
+            store,
+            retention,
+            lease: sync::Arc::default(),
+        }
+    }
+
+    pub(super) async fn read_table(&self) -> owner::Event {
+        match self.store.get(TABLE_KEY).await {
+            Ok(None) => owner::Event::TableRead {
+                table: model::PartitionTable::default(),
+                revision: 0,
+            },
+            Ok(Some(entry)) => match serde_json::from_slice(&entry.value) {
+                Ok(table) => owner::Event::TableRead {
+                    table,
+                    revision: entry.modified_revision,
+                },
+                Err(error) => {
+                    log::error!("partition table unreadable error={error}");
+                    owner::Event::TableReadFailed
+                }
+            },
+            Err(error) => {
+                log::warn!("partition table not read error={error}");
+                owner::Event::TableReadFailed
+            }
+        }
+    }
+
+    pub(super) async fn write_table(
+        &self,
+        table: &model::PartitionTable,
+        expected: model::Revision,
+    ) -> owner::Event {
+        let (result, revision) = self.try_write_table(table, expected).await;
+        owner::Event::TableWritten { result, revision }
+    }
+
+    async fn try_write_table(
+        &self,
+        table: &model::PartitionTable,
+        expected: model::Revision,
+    ) -> (owner::WriteResult, model::Revision) {
+        let Ok(value) = serde_json::to_vec(table) else {
+            return (owner::WriteResult::Unavailable, 0);
+        };
+        let put = store::Put {
+            key: TABLE_KEY.to_owned(),
+            value,
+            lease_id: None,
+        };
+        let txn = store::Txn {
+            compares: vec![table_at(expected)],
+            puts: vec![put.clone()],
+            deletes: Vec::new(),
+        };
+        match self.store.commit(txn).await {
+            Ok(committed) if committed.succeeded => {
+                (owner::WriteResult::Written, committed.revision)
+            }
+            Ok(_) => (owner::WriteResult::Conflict, 0),
+            Err(error) if error.kind() == store::ErrorKind::Timeout => {
+                let expected = (expected > 0).then_some(expected);
+                settled(store::settle_put(&self.store, &put, expected).await)
+            }
+            Err(_) => (owner::WriteResult::Unavailable, 0),
+        }
+    }
+
+    pub(super) async fn write_journal(
+        &self,
+        table_revision: model::Revision,
+        entries: Vec<owner::JournalEntry>,
+        deletes: Vec<model::TaskId>,
+    ) -> owner::WriteResult {
+        let Some(txn) = self.journal_txn(table_revision, entries, deletes).await else {
+            return owner::WriteResult::Unavailable;
+        };
+        let probe = txn.puts.first().cloned();
+        match self.store.commit(txn).await {
+            Ok(committed) if committed.succeeded => owner::WriteResult::Written,
+            Ok(_) => owner::WriteResult::Conflict,
+            Err(error) if error.kind() == store::ErrorKind::Timeout => self.read_back(probe).await,
+            Err(_) => owner::WriteResult::Unavailable,
+        }
+    }
+
+    async fn journal_txn(
+        &self,
+        table_revision: model::Revision,
+        entries: Vec<owner::JournalEntry>,
+        deletes: Vec<model::TaskId>,
+    ) -> Option<store::Txn> {
+        let mut puts = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let lease_id = if expires(&entry) {
+                Some(self.journal_lease().await?)
+            } else {
+                None
+            };
+            puts.push(store::Put {
+                key: journal_key(entry.task_id),
+                value: serde_json::to_vec(&entry).ok()?,
+                lease_id,
+            });
+        }
+        Some(store::Txn {
+            compares: vec![table_at(table_revision)],
+            puts,
+            deletes: deletes.into_iter().map(journal_key).collect(),
+        })
+    }
+
+    async fn journal_lease(&self) -> Option<store::LeaseId> {
+        let mut lease = self.lease.lock().await;
+        if let Some(lease) = *lease
+            && lease.granted_at.elapsed() < LEASE_USE
+        {
+            return Some(lease.lease_id);
+        }
+        let granted_at = time::Instant::now();
+        let ttl = self.retention + 2 * LEASE_USE;
+        let lease_id = self.store.grant_lease(ttl).await.ok()?;
+        *lease = Some(JournalLease {
+            lease_id,
+            granted_at,
+        });
+        Some(lease_id)
+    }
+
+    async fn read_back(&self, probe: Option<store::Put>) -> owner::WriteResult {
+        let Some(probe) = probe else {
+            return owner::WriteResult::Unknown;
+        };
+        match self.store.get(&probe.key).await {
+            Ok(Some(entry)) if entry.value == probe.value => owner::WriteResult::Written,
+            _ => owner::WriteResult::Unknown,
+        }
+    }
+
+    pub(super) async fn read_journal(&self, partition: model::Partition) -> owner::Event {
+        let prefix = journal_prefix(partition);
+        let mut entries = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self
+                .store
+                .range(&prefix, JOURNAL_PAGE_ENTRIES, after.as_deref())
+                .await;
+            let Ok(page) = page else {
+                return owner::Event::JournalReadFailed { partition };
+            };
+            after = page.entries.last().map(|entry| entry.key.clone());
+            for entry in &page.entries {
+                match serde_json::from_slice(&entry.value) {
+                    Ok(entry) => entries.push(entry),
+                    Err(error) => {
+                        log::error!("journal entry unreadable key={} error={error}", entry.key);
+                        return owner::Event::JournalReadFailed { partition };
+                    }
+                }
+            }
+            if !page.more {
+                return owner::Event::JournalRead { partition, entries };
+            }
+        }
+    }
+
+    pub(super) async fn read_lists(&self) -> control::Input {
+        let page = self
+            .store
+            .range(LISTS_PREFIX, LISTS_PAGE_ENTRIES, None)
+            .await;
+        match page {
+            Ok(page) => control::Input::Lists(model::ListsState {
+                customers: list_text(&page, lists::CUSTOMERS_KEY),
+                plans: list_text(&page, lists::PLANS_KEY),
+            }),
+            Err(_) => control::Input::ListsUnavailable,
+        }
+    }
+}
+
+fn settled(
+    settlement: Result<store::Settlement, store::Error>,
+) -> (owner::WriteResult, model::Revision) {
+    match settlement {
+        Ok(store::Settlement::Applied(revision)) => (owner::WriteResult::Written, revision),
+        Ok(store::Settlement::Superseded(_)) => (owner::WriteResult::Conflict, 0),
+        Ok(store::Settlement::Unchanged) | Err(_) => (owner::WriteResult::Unknown, 0),
+    }
+}
+
+fn table_at(revision: model::Revision) -> store::Compare {
+    let key = TABLE_KEY.to_owned();
+    if revision == 0 {
+        store::Compare::Absent { key }
+    } else {
+        store::Compare::ModifiedAt { key, revision }
+    }
+}
+
+fn expires(entry: &owner::JournalEntry) -> bool {
+    entry.expires_unix_ms != u64::MAX
+}
+
+fn journal_prefix(partition: model::Partition) -> String {
+    format!("{JOURNAL_PREFIX}{partition:04x}/")
+}
+
+fn journal_key(task_id: model::TaskId) -> String {
+    format!("{}{task_id}", journal_prefix(model::partition_of(task_id)))
+}
+
+fn list_text(page: &store::Page, key: &str) -> model::ListText {
+    let entry = page.entries.iter().find(|entry| entry.key == key);
+    entry.map_or_else(model::ListText::default, |entry| model::ListText {
+        revision: entry.modified_revision,
+        text: String::from_utf8_lossy(&entry.value).into(),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/drive/mod.rs
@@ -0,0 +1,19 @@
+//! Runs the control state: threads, sockets and clients.
+
+mod asker;
+mod brain;
+mod feeds;
+mod instance;
+mod keeper;
+mod message;
+mod platform;
+mod server;
+mod traffic;
+
+pub(crate) use asker::Asker;
+pub(crate) use brain::Board;
+pub use instance::Error;
+pub use instance::Instance;
+pub(crate) use message::CallerAnswer;
+pub use platform::NetworkPlatform;
+pub use platform::Platform;
--- /dev/null
+++ b/crates/entry/src/drive/platform.rs
@@ -0,0 +1,71 @@
+//! The outside systems that an instance uses.
+
+/// Names the clients of the platform and of the workers.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// Client of the key-value service.
+    type Store: store::Store;
+    /// Client of workers.
+    type Workers: worker::WorkerApi;
+    /// Client of the list of machines.
+    type Directory: worker::Directory;
+
+    /// Returns the client of the key-value service.
+    fn store(&self) -> &Self::Store;
+
+    /// Returns the client of workers.
+    fn workers(&self) -> &Self::Workers;
+
+    /// Returns the client of the list of machines.
+    fn directory(&self) -> &Self::Directory;
+}
+
+/// The platform over the network, as the settings name it.
+#[derive(Clone)]
+pub struct NetworkPlatform {
+    store: store::Etcd,
+    workers: worker::HttpWorkers,
+    directory: worker::HttpDirectory,
+}
+
+impl NetworkPlatform {
+    /// Creates the clients that `settings` name; nothing is connected yet.
+    #[must_use]
+    pub fn new(settings: &settings::Entry) -> Self {
+        let platform = &settings.platform;
+        let addresses = platform.store_addresses.iter().map(ToString::to_string);
+        let store = store::Etcd::builder()
+            .addresses(addresses)
+            .timeout(platform.store_timeout)
+            .build();
+        let workers = worker::HttpWorkers::builder()
+            .connections(settings.workers.connections_per_worker)
+            .build();
+        let directory = worker::HttpDirectory::new(
+            platform.directory_address.to_string(),
+            platform.store_timeout,
+        );
+        Self {
+            store,
+            workers,
+            directory,
+        }
+    }
+}
+
+impl Platform for NetworkPlatform {
+    type Store = store::Etcd;
+    type Workers = worker::HttpWorkers;
+    type Directory = worker::HttpDirectory;
+
+    fn store(&self) -> &Self::Store {
+        &self.store
+    }
+
+    fn workers(&self) -> &Self::Workers {
+        &self.workers
+    }
+
+    fn directory(&self) -> &Self::Directory {
+        &self.directory
+    }
+}
