--- a/crates/standin/src/listen.rs
+++ b/crates/standin/src/listen.rs
@@ -106,6 +106,7 @@
             if *self.wanted.borrow() {
                 continue;
             }
+            drop(listener.take());
             self.report.send_replace(false);
             if !self.wait_for_change().await {
                 break;
