--- a/crates/lease/src/leases.rs
+++ b/crates/lease/src/leases.rs
@@ -199,8 +199,12 @@
             let is_first = self.placement.preferred(worker_id) == Some(&own_id);
             let holder = worker.elsewhere.as_ref();
             let is_orphan = holder.is_some_and(|holder| !is_serving(&self.members, holder));
-            if is_first || is_orphan {
+            if is_first {
                 worker.unheld_from = worker.unheld_from.min(now);
+            } else if is_orphan {
+                worker.unheld_from = now;
+            }
+            if is_first || is_orphan {
                 worker.not_before = worker.not_before.min(now);
             }
         }
