--- a/crates/lease/tests/leases.rs
+++ b/crates/lease/tests/leases.rs
@@ -74,6 +74,10 @@
         world.feed(number, Event::Members(members.clone()));
     }
     world.run(common::TTL, |_| {});
+    assert_eq!(shares(&world).iter().sum::<usize>(), 48);
+
+    // Hand-overs even out the load once the members have settled.
+    world.run(seconds(10), |_| {});
     let shares = shares(&world);
     assert_eq!(shares.iter().sum::<usize>(), 48);
     assert!(shares.iter().all(|share| *share <= 12), "{shares:?}");
