--- a/crates/standin/src/clock.rs
+++ b/crates/standin/src/clock.rs
@@ -5,13 +5,14 @@
 
 static STARTED: sync::OnceLock<time::Instant> = sync::OnceLock::new();
 
-/// Returns the milliseconds from a fixed instant of this process to `at`.
-pub(crate) fn to_ms(at: time::Instant) -> u64 {
+/// Returns the microseconds from a fixed instant of this process to `at`.
+pub(crate) fn to_us(at: time::Instant) -> u64 {
     let started = *STARTED.get_or_init(time::Instant::now);
-    whole_ms(at.saturating_duration_since(started))
+    let passed = at.saturating_duration_since(started);
+    u64::try_from(passed.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Fixes the instant that [`to_ms`] counts from, unless that was done before.
+/// Fixes the instant that [`to_us`] counts from, unless that was done before.
 pub(crate) fn start() {
     STARTED.get_or_init(time::Instant::now);
 }
--- a/crates/standin/src/worker/executions.rs
+++ b/crates/standin/src/worker/executions.rs
@@ -27,10 +27,10 @@
     pub run: model::TaskAttempt,
     /// Where.
     pub worker_id: model::WorkerId,
-    /// Start, in milliseconds on the clock of this process.
-    pub started_ms: u64,
-    /// End, in milliseconds on the clock of this process; `None` while it runs.
-    pub ended_ms: Option<u64>,
+    /// Start, in microseconds on the clock of this process.
+    pub started_us: u64,
+    /// End, in microseconds on the clock of this process; `None` while it runs.
+    pub ended_us: Option<u64>,
     /// How it ended; `None` while it runs.
     pub end: Option<ExecutionEnd>,
 }
@@ -85,7 +85,7 @@
             members: members.len() as u64,
             running: executions
                 .iter()
-                .filter(|run| run.ended_ms.is_none())
+                .filter(|run| run.ended_us.is_none())
                 .count() as u64,
             repeated,
         }
@@ -101,10 +101,10 @@
 /// Returns whether two of `runs` shared a time; an end equal to the next start is none.
 fn overlap(runs: &[&Execution]) -> bool {
     let mut sorted = runs.to_vec();
-    sorted.sort_by_key(|run| run.started_ms);
+    sorted.sort_by_key(|run| run.started_us);
     sorted.windows(2).any(|pair| {
         pair[0]
-            .ended_ms
-            .is_none_or(|ended_ms| ended_ms > pair[1].started_ms)
+            .ended_us
+            .is_none_or(|ended_us| ended_us > pair[1].started_us)
     })
 }
--- a/crates/standin/src/worker/table.rs
+++ b/crates/standin/src/worker/table.rs
@@ -218,7 +218,7 @@
 
     fn log_end(&mut self, index: usize, at: time::Instant, end: executions::ExecutionEnd) {
         if let Some(execution) = self.log.get_mut(index) {
-            execution.ended_ms = Some(clock::to_ms(at));
+            execution.ended_us = Some(clock::to_us(at));
             execution.end = Some(end);
         }
     }
@@ -412,8 +412,8 @@
         self.log.push(executions::Execution {
             run: id,
             worker_id: self.config.worker_id.clone(),
-            started_ms: clock::to_ms(now),
-            ended_ms: None,
+            started_us: clock::to_us(now),
+            ended_us: None,
             end: None,
         });
         let run = runs::Running::new(start, &self.faults, now, self.log.len() - 1);
--- a/crates/store/tests/etcd.rs
+++ b/crates/store/tests/etcd.rs
@@ -1,5 +1,7 @@
 //! The client against the stand-in of the key-value service.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::time;
 
 use store::Store as _;
