--- a/crates/standin/src/worker/capacity.rs
+++ b/crates/standin/src/worker/capacity.rs
@@ -23,6 +23,8 @@
     pub overcommits: u64,
     /// Starts after which the runs used more memory in truth than the worker has.
     pub memory_overruns: u64,
+    /// Most connections that were open at once.
+    pub most_connections: u32,
     /// Connections closed at once because there were too many.
     pub refused_connections: u64,
 }
@@ -43,6 +45,7 @@
             stopped_after_grace: self.stopped_after_grace + other.stopped_after_grace,
             overcommits: self.overcommits + other.overcommits,
             memory_overruns: self.memory_overruns + other.memory_overruns,
+            most_connections: self.most_connections.max(other.most_connections),
             refused_connections: self.refused_connections + other.refused_connections,
         }
     }
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -175,7 +175,10 @@
         self.with_table(|table, _| {
             let limit = table.config().capacity.connections;
             let admission = answer::Admission::new(&self.connections, limit);
-            table.counts_mut().refused_connections += u64::from(admission.is_none());
+            let open = self.connections.load(atomic::Ordering::Relaxed);
+            let counts = table.counts_mut();
+            counts.most_connections = counts.most_connections.max(open);
+            counts.refused_connections += u64::from(admission.is_none());
             admission
         })
     }
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -158,7 +158,7 @@
     let address = control.address();
     let store = control.platform().store.as_ref().unwrap().address();
     call(store, "POST", "/v3/kv/range", r#"{"key":"YQ=="}"#).await;
-    expect![[r#"HTTP/1.1 200 OK {"store":{"reads":1,"writes":0,"leases":0,"watches":0},"workers":{"started":0,"started_again":0,"finished":0,"refused_full":0,"refused_stale_epoch":0,"refused_wrong_incarnation":0,"refused_tombstoned":0,"stopped_after_grace":0,"overcommits":0,"memory_overruns":0,"refused_connections":0},"relays":{"store":{"connections":0,"forward_bytes":0,"backward_bytes":0}}}"#]].assert_eq(&call(address, "GET", "/counts", "").await);
+    expect![[r#"HTTP/1.1 200 OK {"store":{"reads":1,"writes":0,"leases":0,"watches":0},"workers":{"started":0,"started_again":0,"finished":0,"refused_full":0,"refused_stale_epoch":0,"refused_wrong_incarnation":0,"refused_tombstoned":0,"stopped_after_grace":0,"overcommits":0,"memory_overruns":0,"most_connections":0,"refused_connections":0},"relays":{"store":{"connections":0,"forward_bytes":0,"backward_bytes":0}}}"#]].assert_eq(&call(address, "GET", "/counts", "").await);
     expect![[r#"HTTP/1.1 200 OK {"executions":0,"members":0,"running":0,"repeated":[]}"#]]
         .assert_eq(&call(address, "GET", "/executions/summary", "").await);
     expect!["HTTP/1.1 200 OK []"].assert_eq(&call(address, "GET", "/executions", "").await);
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`HttpWorkers`] and [`HttpDirectory`] implement them with JSON over HTTP.
 
 mod api;
+mod connector;
 mod directory;
 mod error;
 mod http_workers;
--- a/crates/worker/src/transport.rs
+++ b/crates/worker/src/transport.rs
@@ -7,10 +7,11 @@
 use hyper_util::client::legacy;
 use hyper_util::rt;
 
+use crate::connector;
 use crate::error;
 use crate::traffic;
 
-type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
+type Client = legacy::Client<connector::BoundedConnector, http_body_util::Full<bytes::Bytes>>;
 
 /// Bounds of a [`Transport`].
 #[derive(Clone, Copy, Debug)]
@@ -45,9 +46,8 @@
 impl Transport {
     /// Creates a transport with no connection yet.
     pub(crate) fn new(limits: Limits) -> Self {
-        let mut connector = legacy::connect::HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(limits.connect_timeout));
+        let connector =
+            connector::BoundedConnector::new(limits.connections, limits.connect_timeout);
         let client = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_timer(rt::TokioTimer::new())
             .pool_max_idle_per_host(limits.connections)
--- a/crates/worker/tests/connections.rs
+++ b/crates/worker/tests/connections.rs
@@ -104,6 +104,33 @@
     bench.server.shutdown().await;
 }
 
+#[tokio::test]
+async fn many_calls_share_the_connections_of_a_worker() {
+    let bench = common::Bench::start().await;
+    let client = worker::HttpWorkers::builder().connections(3_usize).build();
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..400_u64 {
+        let (client, address) = (client.clone(), bench.address.clone());
+        calls.spawn(async move {
+            // Calls come in bursts, so that some connect while others give a connection back.
+            tokio::time::sleep(time::Duration::from_millis(number / 20)).await;
+            client
+                .lease(&address, &common::claim("a"), common::PATIENT)
+                .await
+                .unwrap();
+        });
+    }
+    while let Some(called) = calls.join_next().await {
+        called.unwrap();
+    }
+    assert!(
+        bench.server.counts().most_connections <= 3,
+        "{:?}",
+        bench.server.counts()
+    );
+    bench.server.shutdown().await;
+}
+
 #[tokio::test]
 async fn a_worker_closes_connections_beyond_its_limit() {
     let capacity = model::WorkerCapacity {
