--- /dev/null
+++ b/crates/standin/src/worker/table/lease.rs
@@ -0,0 +1,136 @@
+//! Grants of the lease and the answers to its holder.
+
+use std::time;
+
+use super::Authority;
+use super::Grant;
+use super::Lease;
+use super::Table;
+use crate::clock;
+use crate::worker::runs;
+
+impl Table {
+    /// Claims or renews the lease.
+    pub(in crate::worker) fn grant(
+        &mut self,
+        request: &model::LeaseRequest,
+        now: time::Instant,
+    ) -> Result<Grant, model::LeaseReply> {
+        let claimed = match request.epoch {
+            Some(epoch)
+                if self.allows(
+                    Authority {
+                        instance_id: &request.instance_id,
+                        epoch,
+                    },
+                    now,
+                ) =>
+            {
+                false
+            }
+            Some(_) => {
+                self.counts.refused_stale_epoch += 1;
+                return Err(model::LeaseReply::Lapsed);
+            }
+            None => {
+                self.check_free_for(&request.instance_id, now)?;
+                self.epoch += 1;
+                true
+            }
+        };
+        self.lease = Some(Lease {
+            holder: request.instance_id.clone(),
+            holder_address: request.instance_address.clone(),
+            ends: now + time::Duration::from_millis(request.ttl_ms),
+            grace: time::Duration::from_millis(request.grace_ms),
+        });
+        self.acknowledge(&request.acknowledged, now);
+        Ok(Grant {
+            epoch: self.epoch,
+            claimed,
+        })
+    }
+
+    /// Refuses a claim while another instance holds the lease.
+    fn check_free_for(
+        &self,
+        instance_id: &model::InstanceId,
+        now: time::Instant,
+    ) -> Result<(), model::LeaseReply> {
+        let Some(lease) = self.lease.as_ref().filter(|lease| lease.is_live(now)) else {
+            return Ok(());
+        };
+        if lease.holder == *instance_id {
+            return Ok(());
+        }
+        Err(model::LeaseReply::Held {
+            holder: lease.holder.clone(),
+            holder_address: lease.holder_address.clone(),
+            remaining_ms: clock::whole_ms(lease.ends - now),
+        })
+    }
+
+    fn acknowledge(&mut self, acknowledged: &[model::TaskAttempt], now: time::Instant) {
+        for run in acknowledged {
+            if let Some(finished) = self.unacknowledged.shift_remove(run) {
+                self.settle(*run, runs::Settled::Finished(Box::new(finished)), now);
+            }
+        }
+    }
+
+    /// Answers a grant, possibly some time after it.
+    pub(in crate::worker) fn lease_reply(
+        &mut self,
+        grant: Grant,
+        now: time::Instant,
+    ) -> model::LeaseReply {
+        let live = self.lease.as_ref().is_some_and(|lease| lease.is_live(now));
+        if grant.epoch != self.epoch || !live {
+            return model::LeaseReply::Lapsed;
+        }
+        self.reported_changes = self.changes;
+        let running = self.running.values().filter(|_| grant.claimed);
+        model::LeaseReply::Granted {
+            epoch: grant.epoch,
+            incarnation: self.incarnation,
+            capacity: self.config.capacity,
+            leaving: self.leaving,
+            running: running.map(|run| run.report(now)).collect(),
+            finished: self.finished_reports(grant.claimed),
+            usage: self.usage(now),
+        }
+    }
+
+    fn finished_reports(&self, with_task: bool) -> Vec<model::FinishedRun> {
+        let copies = if self.faults.doubled_answers { 2 } else { 1 };
+        self.unacknowledged
+            .values()
+            .flat_map(|finished| {
+                let report = finished.report(with_task, &self.faults);
+                std::iter::repeat_n(report, copies)
+            })
+            .collect()
+    }
+
+    fn usage(&self, now: time::Instant) -> Vec<model::RunUsage> {
+        self.running
+            .values()
+            .filter(|run| run.started + self.config.usage_lag <= now)
+            .map(|run| model::RunUsage {
+                run: run.start.run,
+                used: run.used(),
+            })
+            .collect()
+    }
+
+    /// Gives the lease back; its runs live on for the grace time.
+    pub(in crate::worker) fn release(&mut self, authority: Authority<'_>, now: time::Instant) {
+        if !self.allows(authority, now) {
+            return;
+        }
+        if let Some(lease) = &mut self.lease {
+            lease.ends = now;
+        }
+        self.changes += 1;
+    }
+}
