Test whole sessions of ferryctl

A fake of the store loses replies and lets another writer in between read and write; small fakes of instances answer operators and callers. Customers are checked against the plans that could be read, also when those have faults.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -39,9 +39,9 @@
         let Some(text) = text else {
             return Ok(None);
         };
-        let value = text.parse().map_err(|reason| {
-            error::Error::usage(format!("{name}: '{text}' given, which fails: {reason}"))
-        })?;
+        let value = text
+            .parse()
+            .map_err(|reason| error::Error::usage(format!("{name}: '{text}' given: {reason}")))?;
         Ok(Some(value))
     }
 
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -21,9 +21,7 @@
         match text {
             "table" => Ok(Self::Table),
             "json" => Ok(Self::Json),
-            _ => Err(error::Error::usage(format!(
-                "format '{text}' given, expected table or json"
-            ))),
+            _ => Err(error::Error::usage("expected table or json")),
         }
     }
 }
--- /dev/null
+++ b/crates/ctl/tests/common/fake_store.rs
@@ -0,0 +1,191 @@
+//! A store in memory that loses replies and lets another writer in.
+
+use std::collections::VecDeque;
+use std::future;
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+
+/// What happens to the next transactions.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// The transaction arrives and its reply is lost.
+    ReplyLost,
+    /// The transaction is lost, and its sender does not know.
+    RequestLost,
+    /// No connection can be made.
+    Unavailable,
+    /// Another writer changes a key first.
+    WriterFirst(&'static str, &'static str),
+    /// The transaction arrives, its reply is lost, and another writer changes a key afterwards.
+    ReplyLostThenWriter(&'static str, &'static str),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: IndexMap<String, store::Entry>,
+    revision: store::Revision,
+    events: VecDeque<Event>,
+    commits: usize,
+    unreadable_reads: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakeStore(sync::Arc<sync::Mutex<State>>);
+
+/// The fake has no watches.
+pub(crate) struct NoWatch;
+
+impl FakeStore {
+    pub(crate) fn new(events: impl IntoIterator<Item = Event>) -> Self {
+        let fake = Self::default();
+        fake.0.lock().unwrap().events = events.into_iter().collect();
+        fake
+    }
+
+    /// Sets a key as another writer does.
+    pub(crate) fn set(&self, key: &str, text: &str) -> store::Revision {
+        self.0.lock().unwrap().set(key, text.as_bytes())
+    }
+
+    /// Lets the next `count` reads fail, once a transaction was sent.
+    pub(crate) fn fail_reads(&self, count: usize) {
+        self.0.lock().unwrap().unreadable_reads = count;
+    }
+
+    pub(crate) fn text(&self, key: &str) -> Option<(store::Revision, String)> {
+        let state = self.0.lock().unwrap();
+        let entry = state.entries.get(key)?;
+        let text = String::from_utf8(entry.value.clone()).unwrap();
+        Some((entry.modified_revision, text))
+    }
+
+    pub(crate) fn commits(&self) -> usize {
+        self.0.lock().unwrap().commits
+    }
+}
+
+impl State {
+    fn set(&mut self, key: &str, value: &[u8]) -> store::Revision {
+        self.revision += 1;
+        self.put(key, value);
+        self.revision
+    }
+
+    fn put(&mut self, key: &str, value: &[u8]) {
+        let entry = store::Entry {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            modified_revision: self.revision,
+        };
+        self.entries.insert(key.to_owned(), entry);
+    }
+
+    fn holds(&self, compare: &store::Compare) -> bool {
+        match compare {
+            store::Compare::ModifiedAt { key, revision } => {
+                let entry = self.entries.get(key);
+                entry.is_some_and(|entry| entry.modified_revision == *revision)
+            }
+            store::Compare::Absent { key } => !self.entries.contains_key(key),
+            store::Compare::ValueIs { key, value } => {
+                let entry = self.entries.get(key);
+                entry.is_some_and(|entry| entry.value == *value)
+            }
+        }
+    }
+
+    fn apply(&mut self, txn: &store::Txn) -> store::Committed {
+        let succeeded = txn.compares.iter().all(|compare| self.holds(compare));
+        if succeeded {
+            self.revision += 1;
+            for put in &txn.puts {
+                self.put(&put.key, &put.value);
+            }
+        }
+        store::Committed {
+            succeeded,
+            revision: self.revision,
+        }
+    }
+
+    fn commit(&mut self, txn: &store::Txn) -> Result<store::Committed, store::Error> {
+        self.commits += 1;
+        let lost = || {
+            Err(store::Error::new(
+                store::ErrorKind::Timeout,
+                "no answer in time",
+            ))
+        };
+        match self.events.pop_front() {
+            None => Ok(self.apply(txn)),
+            Some(Event::ReplyLost) => {
+                self.apply(txn);
+                lost()
+            }
+            Some(Event::RequestLost) => lost(),
+            Some(Event::Unavailable) => Err(store::Error::new(
+                store::ErrorKind::Unavailable,
+                "no connection",
+            )),
+            Some(Event::WriterFirst(key, text)) => {
+                self.set(key, text.as_bytes());
+                Ok(self.apply(txn))
+            }
+            Some(Event::ReplyLostThenWriter(key, text)) => {
+                self.apply(txn);
+                self.set(key, text.as_bytes());
+                lost()
+            }
+        }
+    }
+
+    fn get(&mut self, key: &str) -> Result<Option<store::Entry>, store::Error> {
+        if self.commits > 0 && self.unreadable_reads > 0 {
+            self.unreadable_reads -= 1;
+            let context = "no connection";
+            return Err(store::Error::new(store::ErrorKind::Unavailable, context));
+        }
+        Ok(self.entries.get(key).cloned())
+    }
+}
+
+impl store::Store for FakeStore {
+    type Watch = NoWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<store::Entry>, store::Error> {
+        self.0.lock().unwrap().get(key)
+    }
+
+    async fn range(
+        &self,
+        _prefix: &str,
+        _limit: u32,
+        _after: Option<&str>,
+    ) -> Result<store::Page, store::Error> {
+        Ok(store::Page::default())
+    }
+
+    async fn commit(&self, txn: store::Txn) -> Result<store::Committed, store::Error> {
+        self.0.lock().unwrap().commit(&txn)
+    }
+
+    async fn grant_lease(&self, _ttl: time::Duration) -> Result<store::LeaseId, store::Error> {
+        Ok(1)
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        _from_revision: store::Revision,
+    ) -> Result<NoWatch, store::Error> {
+        Ok(NoWatch)
+    }
+}
+
+impl store::Watch for NoWatch {
+    async fn next(&mut self) -> Result<Vec<store::Entry>, store::Error> {
+        future::pending().await
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/instances.rs
@@ -0,0 +1,253 @@
+//! Golden sessions of the commands that call instances, against small fakes of them.
+
+mod common;
+
+use std::fs;
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+
+use axum::http;
+use axum::response::IntoResponse as _;
+use axum::routing;
+use expect_test::expect_file;
+
+/// Nobody listens at this reserved port.
+const CLOSED: &str = "127.0.0.1:1";
+const SECRET: &str = "operators-secret";
+
+/// A fake instance, which reaches its new revision after it was asked a few times.
+struct Instance {
+    name: &'static str,
+    /// Times that the status was asked for.
+    asked: atomic::AtomicI64,
+    /// Times after which revision 9 is in force.
+    reached_after: i64,
+    draining: atomic::AtomicBool,
+}
+
+impl Instance {
+    fn new(name: &'static str, reached_after: i64) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
+            name,
+            asked: atomic::AtomicI64::new(0),
+            reached_after,
+            draining: atomic::AtomicBool::new(false),
+        })
+    }
+
+    fn status(&self) -> ctl::OperatorStatus {
+        let asked = self.asked.fetch_add(1, atomic::Ordering::SeqCst);
+        let revision = if asked < self.reached_after { 4 } else { 9 };
+        let draining = self.draining.load(atomic::Ordering::SeqCst);
+        let dead = ctl::PeerStatus {
+            instance_id: "atyrau-1#dead".to_owned(),
+            alive: false,
+            customers_revision: 2,
+            plans_revision: 2,
+        };
+        ctl::OperatorStatus {
+            instance_id: format!("{}#1", self.name),
+            region: self.name.to_owned(),
+            data_centre: format!("{}-a", self.name),
+            draining,
+            customers_revision: revision,
+            plans_revision: 9,
+            table_revision: 3,
+            partitions_owned: if draining { 0 } else { 128 },
+            partitions_pending: 0,
+            workers_held: 24,
+            queued: 0,
+            running: if draining && asked < self.reached_after {
+                2
+            } else {
+                0
+            },
+            peers: vec![dead],
+            counters: [("not_run.queue_full".to_owned(), 2)].into_iter().collect(),
+        }
+    }
+}
+
+fn allowed(headers: &http::HeaderMap) -> bool {
+    let expected = format!("Bearer {SECRET}");
+    headers
+        .get(http::header::AUTHORIZATION)
+        .is_some_and(|value| value.as_bytes() == expected.as_bytes())
+}
+
+async fn serve(app: axum::Router) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    address
+}
+
+async fn serve_instance(instance: sync::Arc<Instance>) -> net::SocketAddr {
+    let drained = instance.clone();
+    let status = move |headers: http::HeaderMap| async move {
+        if !allowed(&headers) {
+            return http::StatusCode::UNAUTHORIZED.into_response();
+        }
+        axum::Json(instance.status()).into_response()
+    };
+    let drain = move || async move {
+        drained.draining.store(true, atomic::Ordering::SeqCst);
+    };
+    let app = axum::Router::new()
+        .route("/v1/operator/status", routing::get(status))
+        .route("/v1/operator/drain", routing::post(drain));
+    serve(app).await
+}
+
+/// Writes a file for this test run and returns its path.
+fn scratch(name: &str, text: &str) -> path::PathBuf {
+    let path = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+/// Runs sessions and replaces what differs between runs.
+async fn sessions(lines: &[String], names: &[(String, &str)]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        text.push_str(&common::session(line).await);
+    }
+    for (found, name) in names {
+        text = text.replace(found, name);
+    }
+    text
+}
+
+#[tokio::test]
+async fn operators_look_wait_and_drain() {
+    let almaty = serve_instance(Instance::new("almaty", 3)).await;
+    let astana = serve_instance(Instance::new("astana", 0)).await;
+    let secret = scratch("operator.secret", SECRET);
+    let wrong = scratch("wrong.secret", "another");
+    let (secret, wrong) = (secret.display(), wrong.display());
+    let both = format!("--instances {almaty},{astana} --secret-file {secret} --poll-ms 1");
+    let lines = [
+        format!("status --instances {almaty},{astana},{CLOSED} --secret-file {secret} --counters"),
+        format!("status --instances {almaty} --secret-file {wrong}"),
+        format!("wait --revision 9 {both}"),
+        format!("wait --revision 9 --list plans {both} --format json"),
+        format!("wait --revision 10 {both} --timeout-ms 0"),
+        format!("drain --instances {CLOSED} --secret-file {secret}"),
+        format!("drain --wait {both}"),
+    ];
+    let names = [
+        (almaty.to_string(), "ALMATY"),
+        (astana.to_string(), "ASTANA"),
+        (CLOSED.to_owned(), "CLOSED"),
+        (secret.to_string(), "SECRET"),
+        (wrong.to_string(), "WRONG"),
+    ];
+    let text = sessions(&lines, &names).await;
+    assert!(!text.contains(SECRET), "{text}");
+    expect_file!["golden/operators.txt"].assert_eq(&text);
+}
+
+/// Answers as an instance does, by the kind that is asked for.
+async fn answer_task(body: String) -> axum::response::Response {
+    let request: serde_json::Value = serde_json::from_str(&body).unwrap();
+    let (status, answer) = match request["kind"].as_str().unwrap() {
+        "badge-form" if request["wait"] == false => {
+            (202, r#"{"task_id":"ab-1","outcome":"queued"}"#)
+        }
+        "badge-form" => (
+            200,
+            r#"{"task_id":"ab-1","outcome":"done","succeeded":true,"outputs":["badge 7"],
+                "waited_ms":3,"run_ms":41,"attempts":1}"#,
+        ),
+        "exhibitor-pack" => (
+            429,
+            r#"{"task_id":"ab-2","outcome":"not_run","reason":"queue_full","retry_after_ms":800}"#,
+        ),
+        "start-list" => (
+            504,
+            r#"{"task_id":"ab-3","outcome":"unknown","reason":"worker_lost"}"#,
+        ),
+        _ => (
+            400,
+            r#"{"error":"missing","field":"key","expected":"a key, as the task is not repeatable"}"#,
+        ),
+    };
+    let status = http::StatusCode::from_u16(status).unwrap();
+    (status, answer).into_response()
+}
+
+/// Answers `GET` and `DELETE` of one task.
+fn task_routes() -> routing::MethodRouter {
+    let running = r#"{"task_id":"ab-1","outcome":"running"}"#;
+    let cancelled = r#"{"task_id":"ab-1","outcome":"not_run","reason":"cancelled"}"#;
+    let get = move || async move { (http::StatusCode::ACCEPTED, running) };
+    let cancel = move || async move { (http::StatusCode::GONE, cancelled) };
+    routing::get(get).delete(cancel)
+}
+
+#[tokio::test]
+async fn callers_submit_look_and_cancel() {
+    let app = axum::Router::new()
+        .route("/v1/tasks", routing::post(answer_task))
+        .route("/v1/tasks/ab-1", task_routes());
+    let instance = serve(app).await;
+    let token = scratch("caller.token", "qazfair-print-token\n");
+    let who = format!(
+        "--instances {CLOSED},{instance} --token-file {}",
+        token.display()
+    );
+    let mut lines = Vec::new();
+    for kind in ["badge-form", "exhibitor-pack", "start-list", "registration"] {
+        let request = scratch(&format!("{kind}.json"), &format!("{{\"kind\":\"{kind}\"}}"));
+        lines.push(format!("submit {who} --request {}", request.display()));
+    }
+    lines.push(format!("{} --no-wait --format json", lines[0]));
+    let no_object = scratch("list.json", "[1]");
+    lines.push(format!("submit {who} --request {}", no_object.display()));
+    lines.push(format!("get ab-1 {who}"));
+    lines.push(format!("get ab-2 {who}"));
+    lines.push(format!("cancel ab-1 {who}"));
+    lines.push(format!(
+        "get ab-1 --instances {CLOSED} --token-file {}",
+        token.display()
+    ));
+    let names = [
+        (instance.to_string(), "INSTANCE"),
+        (CLOSED.to_owned(), "CLOSED"),
+        (env!("CARGO_TARGET_TMPDIR").to_owned(), "TMP"),
+    ];
+    let text = sessions(&lines, &names).await;
+    assert!(!text.contains("qazfair-print-token"), "{text}");
+    expect_file!["golden/callers.txt"].assert_eq(&text);
+}
+
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_unknown_and_not_sent_again() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 16];
+        tokio::io::AsyncReadExt::read(&mut stream, &mut buffer)
+            .await
+            .unwrap();
+        drop(stream);
+    });
+    let unused = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = unused.local_addr().unwrap();
+    let token = scratch("broken.token", "t");
+    let request = scratch("broken.json", "{}");
+    let line = format!(
+        "submit --instances {address},{second} --token-file {} --request {}",
+        token.display(),
+        request.display()
+    );
+    let text = common::session(&line).await;
+    accepted.await.unwrap();
+    assert!(
+        text.ends_with("before the answer was whole\nexit code 4\n"),
+        "{text}"
+    );
+}
--- a/crates/lists/src/lists.rs
+++ b/crates/lists/src/lists.rs
@@ -55,13 +55,14 @@
         customers: document::Document<'_>,
         plans: document::Document<'_>,
     ) -> Result<Self, settings::Findings> {
-        let plans = plan::parse_plans(plans.file, plans.text);
+        let mut plans_loader = settings::Loader::new(plans.file, plans.text);
+        let plans = plan::read_plans(&mut plans_loader);
         let mut loader = settings::Loader::new(customers.file, customers.text);
         let customers = customer::read_customers(&mut loader);
-        if let Ok(plans) = &plans {
-            check_plans(&mut loader, &customers, plans);
+        if plans_loader.is_readable() {
+            check_plans(&mut loader, &customers, &plans);
         }
-        match (loader.finish(customers), plans) {
+        match (loader.finish(customers), plans_loader.finish(plans)) {
             (Ok(customers), Ok(plans)) => Ok(Self::new(customers, plans)),
             (customers, plans) => {
                 let mut findings = customers.err().unwrap_or_default();
--- a/crates/lists/src/plan.rs
+++ b/crates/lists/src/plan.rs
@@ -62,7 +62,7 @@
     loader.finish(plans)
 }
 
-fn read_plans(loader: &mut settings::Loader) -> IndexMap<model::PlanId, Plan> {
+pub(crate) fn read_plans(loader: &mut settings::Loader) -> IndexMap<model::PlanId, Plan> {
     let mut plans = IndexMap::new();
     for name in loader.section_names() {
         let plan = read_plan(&name, loader.section(&name));
--- a/crates/lists/tests/lists.rs
+++ b/crates/lists/tests/lists.rs
@@ -91,6 +91,7 @@
         customers [a] removed
         plans [house] weight: 4 -> 5, memory_mb: 2097152 -> 1024
         plans [guest] tasks_at_once: no limit -> 9
-        plans [late] added"#]].assert_eq(&lines.join("\n"));
+        plans [late] added"#]]
+    .assert_eq(&lines.join("\n"));
     assert_eq!(lists::diff(&new, &new), []);
 }
--- a/crates/settings/src/loader.rs
+++ b/crates/settings/src/loader.rs
@@ -44,7 +44,7 @@
     sections: IndexMap<String, Body>,
     findings: Vec<finding::Finding>,
     /// Whether the text could be read; if not, missing keys are no findings of their own.
-    pub(crate) readable: bool,
+    readable: bool,
 }
 
 impl Loader {
@@ -82,6 +82,12 @@
         self.sections.keys().cloned().collect()
     }
 
+    /// Returns whether the text could be split into sections and keys.
+    #[must_use]
+    pub fn is_readable(&self) -> bool {
+        self.readable
+    }
+
     /// Adds a finding about `key` of `section`, at its place in the text if it has one.
     pub fn reject(&mut self, section: &str, key: Option<&str>, message: impl Into<String>) {
         let line = self.line_of(section, key);
@@ -148,7 +154,8 @@
             self.push(Some(place.line), "", Some(&place.key), message);
             return;
         }
-        let text = document.get_from(Some(place.section.as_str()), &place.key);
+        let mut sections = document.section_all(Some(place.section.as_str()));
+        let text = sections.find_map(|section| section.get(&place.key));
         let value = Value {
             text: text.unwrap_or_default().to_owned(),
             line: Some(place.line),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -170,7 +170,7 @@
 
     fn required(&mut self, key: &str, expected: &str) -> Option<String> {
         let text = self.optional_text(key);
-        if text.is_none() && self.loader.readable {
+        if text.is_none() && self.loader.is_readable() {
             self.reject(key, format!("the key is missing, expected {expected}"));
         }
         text
