--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -19,7 +19,7 @@
 ";
 
 fn file(text: &str) -> Option<ctl::ListFile> {
-    Some(ctl::ListFile::parse("list.ini", text.to_owned()).unwrap())
+    Some(ctl::ListFile::parse("list.ini", text.to_owned()).expect("the fake works"))
 }
 
 /// Returns an order for plans that were edited from `revision`.
@@ -36,7 +36,7 @@
 }
 
 async fn fails(store: &FakeStore, order: &ctl::Apply) -> (ctl::ErrorKind, String) {
-    let error = ctl::apply(store, order).await.unwrap_err();
+    let error = ctl::apply(store, order).await.expect_err("the order fails");
     (error.kind(), error.to_string())
 }
 
--- a/crates/ctl/tests/common/fake_store.rs
+++ b/crates/ctl/tests/common/fake_store.rs
@@ -40,29 +40,32 @@
 impl FakeStore {
     pub(crate) fn new(events: impl IntoIterator<Item = Event>) -> Self {
         let fake = Self::default();
-        fake.0.lock().unwrap().events = events.into_iter().collect();
+        fake.0.lock().expect("the fake works").events = events.into_iter().collect();
         fake
     }
 
     /// Sets a key as another writer does.
     pub(crate) fn set(&self, key: &str, text: &str) -> store::Revision {
-        self.0.lock().unwrap().set(key, text.as_bytes())
+        self.0
+            .lock()
+            .expect("the fake works")
+            .set(key, text.as_bytes())
     }
 
     /// Lets the next `count` reads fail, once a transaction was sent.
     pub(crate) fn fail_reads(&self, count: usize) {
-        self.0.lock().unwrap().unreadable_reads = count;
+        self.0.lock().expect("the fake works").unreadable_reads = count;
     }
 
     pub(crate) fn text(&self, key: &str) -> Option<(store::Revision, String)> {
-        let state = self.0.lock().unwrap();
+        let state = self.0.lock().expect("the fake works");
         let entry = state.entries.get(key)?;
-        let text = String::from_utf8(entry.value.clone()).unwrap();
+        let text = String::from_utf8(entry.value.clone()).expect("the fake works");
         Some((entry.modified_revision, text))
     }
 
     pub(crate) fn commits(&self) -> usize {
-        self.0.lock().unwrap().commits
+        self.0.lock().expect("the fake works").commits
     }
 }
 
@@ -155,7 +158,7 @@
     type Watch = NoWatch;
 
     async fn get(&self, key: &str) -> Result<Option<store::Entry>, store::Error> {
-        self.0.lock().unwrap().get(key)
+        self.0.lock().expect("the fake works").get(key)
     }
 
     async fn range(
@@ -168,7 +171,7 @@
     }
 
     async fn commit(&self, txn: store::Txn) -> Result<store::Committed, store::Error> {
-        self.0.lock().unwrap().commit(&txn)
+        self.0.lock().expect("the fake works").commit(&txn)
     }
 
     async fn grant_lease(&self, _ttl: time::Duration) -> Result<store::LeaseId, store::Error> {
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -78,8 +78,10 @@
 }
 
 async fn serve(app: axum::Router) -> net::SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the fake works");
+    let address = listener.local_addr().expect("the fake works");
     tokio::spawn(async move { axum::serve(listener, app).await });
     address
 }
@@ -104,7 +106,7 @@
 /// Writes a file for this test run and returns its path.
 fn scratch(name: &str, text: &str) -> path::PathBuf {
     let path = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, text).unwrap();
+    fs::write(&path, text).expect("the fake works");
     path
 }
 
@@ -151,8 +153,8 @@
 
 /// Answers as an instance does, by the kind that is asked for.
 async fn answer_task(body: String) -> axum::response::Response {
-    let request: serde_json::Value = serde_json::from_str(&body).unwrap();
-    let (status, answer) = match request["kind"].as_str().unwrap() {
+    let request: serde_json::Value = serde_json::from_str(&body).expect("the fake works");
+    let (status, answer) = match request["kind"].as_str().expect("the fake works") {
         "badge-form" if request["wait"] == false => {
             (202, r#"{"task_id":"ab-1","outcome":"queued"}"#)
         }
@@ -174,7 +176,7 @@
             r#"{"error":"missing","field":"key","expected":"a key, as the task is not repeatable"}"#,
         ),
     };
-    let status = http::StatusCode::from_u16(status).unwrap();
+    let status = http::StatusCode::from_u16(status).expect("the fake works");
     (status, answer).into_response()
 }
 
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -11,13 +11,13 @@
 
 impl Output {
     fn text(&self) -> String {
-        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+        String::from_utf8(self.0.lock().expect("the fake works").clone()).expect("the fake works")
     }
 }
 
 impl io::Write for Output {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().write(bytes)
+        self.0.lock().expect("the fake works").write(bytes)
     }
 
     fn flush(&mut self) -> io::Result<()> {
