--- a/crates/ctl/src/answer.rs
+++ b/crates/ctl/src/answer.rs
@@ -71,14 +71,34 @@
     pub(crate) field: Option<String>,
     /// What was expected.
     pub(crate) expected: Option<String>,
+    /// Every field that is wrong, if there are several.
+    #[serde(default)]
+    pub(crate) findings: Vec<FieldFinding>,
+}
+
+/// One field that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+pub(crate) struct FieldFinding {
+    /// The field; empty for the request as a whole.
+    pub(crate) field: String,
+    /// What was expected.
+    pub(crate) expected: String,
 }
 
 impl BadRequest {
     pub(crate) fn describe(&self) -> String {
-        let field = self.field.as_deref().map(|field| format!("{field}: "));
-        let expected = self.expected.as_deref();
-        let expected = expected.map(|expected| format!(", expected {expected}"));
-        let (field, expected) = (field.unwrap_or_default(), expected.unwrap_or_default());
-        format!("{field}{}{expected}", self.error)
+        let mut text = self.error.clone();
+        for finding in &self.findings {
+            let field = match finding.field.as_str() {
+                "" => "request",
+                field => field,
+            };
+            text.push_str(&format!("\n{field}: expected {}", finding.expected));
+        }
+        if let (true, Some(expected)) = (self.findings.is_empty(), &self.expected) {
+            let field = self.field.as_deref().unwrap_or("request");
+            text.push_str(&format!("\n{field}: expected {expected}"));
+        }
+        text
     }
 }
--- a/crates/ctl/src/commands/drain.rs
+++ b/crates/ctl/src/commands/drain.rs
@@ -67,7 +67,10 @@
     loop {
         let left = match operator.status(address).await {
             Ok(status) if is_empty(&status) => return Ok(()),
-            Ok(status) => format!("{} queued, {} running", status.queued, status.running),
+            Ok(status) => format!(
+                "{} queued, {} running, {} waiting",
+                status.queued, status.running, status.waiting
+            ),
             // The process ends after its last answer, so its listener goes away.
             Err(reason) if reason.kind() == error::ErrorKind::Unreachable => return Ok(()),
             Err(reason) => reason.to_string(),
@@ -83,5 +86,6 @@
 
 fn is_empty(status: &status::OperatorStatus) -> bool {
     let partitions = status.partitions_owned + status.partitions_pending;
-    status.draining && status.queued == 0 && status.running == 0 && partitions == 0
+    let tasks = status.queued + status.running + status.waiting;
+    status.draining && partitions == 0 && tasks == 0
 }
--- a/crates/ctl/src/commands/status.rs
+++ b/crates/ctl/src/commands/status.rs
@@ -19,6 +19,7 @@
     "WORKERS",
     "QUEUED",
     "RUNNING",
+    "WAITING",
     "PEERS",
 ];
 
@@ -90,7 +91,11 @@
 }
 
 fn row(status: &status::OperatorStatus) -> Vec<String> {
-    let state = if status.draining { "draining" } else { "live" };
+    let state = match (status.draining, status.ready) {
+        (true, _) => "draining",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
     let alive = status.peers.iter().filter(|peer| peer.alive).count();
     vec![
         status.instance_id.clone(),
@@ -105,6 +110,7 @@
         status.workers_held.to_string(),
         status.queued.to_string(),
         status.running.to_string(),
+        status.waiting.to_string(),
         format!("{alive}/{}", status.peers.len()),
     ]
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -37,6 +37,8 @@
     pub region: String,
     /// Data centre it stands in.
     pub data_centre: String,
+    /// Whether it serves callers.
+    pub ready: bool,
     /// Whether it is stopping.
     pub draining: bool,
     /// Revision of the customers list in force; 0 if there is none.
@@ -53,8 +55,10 @@
     pub workers_held: u64,
     /// Tasks that wait to start.
     pub queued: u64,
-    /// Tasks that run.
+    /// Runs on the workers it holds.
     pub running: u64,
+    /// Requests of callers that wait at it for an answer.
+    pub waiting: u64,
     /// What it knows of the other instances.
     #[serde(default)]
     pub peers: Vec<PeerStatus>,
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -51,6 +51,7 @@
             instance_id: format!("{}#1", self.name),
             region: self.name.to_owned(),
             data_centre: format!("{}-a", self.name),
+            ready: !draining,
             draining,
             customers_revision: revision,
             plans_revision: 9,
@@ -64,8 +65,9 @@
             } else {
                 0
             },
+            waiting: 0,
             peers: vec![dead],
-            counters: [("not_run.queue_full".to_owned(), 2)].into_iter().collect(),
+            counters: [("refused.queue_full".to_owned(), 2)].into_iter().collect(),
         }
     }
 }
@@ -173,7 +175,8 @@
         ),
         _ => (
             400,
-            r#"{"error":"missing","field":"key","expected":"a key, as the task is not repeatable"}"#,
+            r#"{"error":"bad_request","field":"key","expected":"a key","findings":[
+                {"field":"key","expected":"a key"},{"field":"","expected":"a body"}]}"#,
         ),
     };
     let status = http::StatusCode::from_u16(status).expect("the fake works");
