--- /dev/null
+++ b/crates/ctl/tests/docs.rs
@@ -0,0 +1,216 @@
+//! The documents and examples agree with the code.
+
+use std::collections;
+use std::fs;
+use std::path;
+
+const DEPLOYMENTS: [&str; 2] = ["nusqa", "sulina"];
+
+fn read(file: &str) -> String {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join(file)).expect("the file is part of the repository")
+}
+
+/// Returns the cells of every table row that starts with `` | `first` ``.
+fn rows<'a>(text: &'a str, first: &str) -> Vec<Vec<&'a str>> {
+    let start = format!("| `{first}` |");
+    let lines = text.lines().filter(|line| line.starts_with(&start));
+    let cells = lines.map(|line| line.trim_matches('|').split('|').map(str::trim));
+    cells.map(Iterator::collect).collect()
+}
+
+/// Returns every key that the settings know, by section, from the loader's own findings.
+fn known_keys() -> collections::BTreeSet<(String, String)> {
+    let unknown = settings::Entry::load("x", "[unknown]\n").expect_err("the section is unknown");
+    let sections = expected(&unknown, "unknown section");
+    let text: String = sections
+        .iter()
+        .map(|name| format!("[{name}]\nx = 1\n"))
+        .collect();
+    let findings = settings::Entry::load("x", &text).expect_err("the keys are unknown");
+    let mut known = collections::BTreeSet::new();
+    for finding in findings.iter().filter(|it| it.key.as_deref() == Some("x")) {
+        let keys = finding
+            .message
+            .split_once("one of: ")
+            .expect("the keys are named")
+            .1;
+        for key in keys.split(", ") {
+            known.insert((finding.section.clone(), key.to_owned()));
+        }
+    }
+    known
+}
+
+fn expected(findings: &settings::Findings, start: &str) -> Vec<String> {
+    let mut found = findings.iter().filter(|it| it.message.starts_with(start));
+    let message = &found.next().expect("there is such a finding").message;
+    let names = message.split_once("one of: ").expect("names are listed").1;
+    names.split(", ").map(str::to_owned).collect()
+}
+
+/// Returns the keys that stand in an INI text, by section.
+fn present_keys(text: &str) -> collections::BTreeSet<(String, String)> {
+    let mut section = "";
+    let mut keys = collections::BTreeSet::new();
+    for line in text.lines().filter(|line| !line.starts_with(';')) {
+        if let Some(name) = line.strip_prefix('[') {
+            section = name.trim_end_matches(']');
+        } else if let Some((key, _)) = line.split_once(" = ") {
+            keys.insert((section.to_owned(), key.to_owned()));
+        }
+    }
+    keys
+}
+
+#[test]
+fn every_reason_has_one_row() {
+    let text = read("docs/API.md");
+    let not_run = model::NotRunReason::ALL.iter();
+    let not_run = not_run.map(|reason| (reason.as_str(), "refused", not_run_status(*reason)));
+    let unknown = model::UnknownReason::ALL.iter();
+    let unknown = unknown.map(|reason| (reason.as_str(), "unknown", "504"));
+    for (reason, family, status) in not_run.chain(unknown) {
+        let found = rows(&text, reason);
+        assert_eq!(found.len(), 1, "{reason}");
+        assert_eq!(found[0][1], status, "{reason}");
+        assert_eq!(found[0][2], format!("`{family}.{reason}`"), "{reason}");
+        assert!(!found[0][3].is_empty(), "{reason}");
+    }
+}
+
+fn not_run_status(reason: model::NotRunReason) -> &'static str {
+    use model::NotRunReason as Reason;
+    match reason {
+        Reason::Cancelled => "410",
+        Reason::NeverFits | Reason::ExceedsPlanLimit | Reason::ClassNotAllowed => "422",
+        Reason::RateLimited
+        | Reason::QueueFull
+        | Reason::CannotStartInTime
+        | Reason::InstanceOverloaded => "429",
+        _ => "503",
+    }
+}
+
+#[test]
+fn every_setting_is_documented_and_shown() {
+    let known = known_keys();
+    let text = read("docs/OPERATING.md");
+    for (section, key) in &known {
+        let row = format!("| `[{section}]` | `{key}` |");
+        assert_eq!(text.matches(&row).count(), 1, "{row}");
+    }
+    assert_eq!(text.matches("\n| `[").count(), known.len());
+    for deployment in DEPLOYMENTS {
+        let entry = read(&format!("examples/{deployment}/entry.ini"));
+        assert_eq!(present_keys(&entry), known, "{deployment}");
+    }
+}
+
+#[test]
+fn settings_with_defaults_only_equal_those_that_show_them() {
+    for deployment in DEPLOYMENTS {
+        let text = read(&format!("examples/{deployment}/entry.ini"));
+        let shown = settings::Entry::load("entry.ini", &text).unwrap();
+        let mut least = String::new();
+        let mut default_follows = false;
+        for line in text.lines() {
+            if !(default_follows && line.contains(" = ")) {
+                least.push_str(&format!("{line}\n"));
+            }
+            default_follows = line.contains("(default ");
+        }
+        assert_eq!(settings::Entry::load("entry.ini", &least).unwrap(), shown);
+    }
+}
+
+#[test]
+fn example_lists_have_no_faults_and_know_their_tokens() {
+    for deployment in DEPLOYMENTS {
+        let lists = lists::Lists::parse(
+            &read(&format!("examples/{deployment}/customers.ini")),
+            &read(&format!("examples/{deployment}/plans.ini")),
+        )
+        .unwrap();
+        let entry = read(&format!("examples/{deployment}/entry.ini"));
+        let entry = settings::Entry::load("entry.ini", &entry).unwrap();
+        for customer in lists.customers().values() {
+            let token = format!("{}-token", customer.customer_id);
+            assert_eq!(lists.authenticate(&token), Some(customer));
+            let region = customer.region.to_string();
+            assert!(entry.cluster.regions.contains(&region), "{region}");
+        }
+    }
+}
+
+/// One line of the samples.
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Sample {
+    customer: String,
+    request: Request,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Request {
+    kind: String,
+    class: model::Class,
+    processors_milli: u32,
+    memory_mb: u32,
+    accelerators: u32,
+    members: u16,
+    #[serde(rename = "urgency")]
+    _urgency: model::Urgency,
+    deadline_ms: u64,
+    repeatable: bool,
+    key: Option<String>,
+    #[serde(default, rename = "declared_run_ms")]
+    _declared_run_ms: Option<u64>,
+    wait: bool,
+    body: Body,
+}
+
+#[derive(serde::Deserialize)]
+struct Body {
+    run_ms: u64,
+    output_bytes: u64,
+}
+
+#[test]
+fn samples_are_allowed_by_their_plans() {
+    for deployment in DEPLOYMENTS {
+        let lists = lists::Lists::parse(
+            &read(&format!("examples/{deployment}/customers.ini")),
+            &read(&format!("examples/{deployment}/plans.ini")),
+        )
+        .unwrap();
+        let text = read(&format!("examples/{deployment}/samples.jsonl"));
+        assert_eq!(text.lines().count(), 30);
+        for line in text.lines() {
+            let sample: Sample = serde_json::from_str(line).unwrap();
+            let customer = &lists.customers()[sample.customer.as_str()];
+            let plan = lists.plan_of(customer).unwrap();
+            check_sample(&sample.request, plan);
+        }
+    }
+}
+
+fn check_sample(request: &Request, plan: &lists::Plan) {
+    let kind = &request.kind;
+    assert!(plan.allows(request.class), "{kind}");
+    assert!(request.repeatable || request.key.is_some(), "{kind}");
+    assert_eq!(request.members > 1, request.class == model::Class::Gang);
+    assert_eq!(request.wait, request.class != model::Class::Service);
+    assert!((1..=600_000).contains(&request.deadline_ms), "{kind}");
+    assert!(request.body.run_ms > 0 && request.body.output_bytes > 0);
+    let members = u32::from(request.members);
+    let within = |limit: Option<u32>, amount| limit.is_none_or(|limit| amount <= limit);
+    let limits = &plan.limits;
+    assert!(within(
+        limits.processors_milli,
+        request.processors_milli * members
+    ));
+    assert!(within(limits.memory_mb, request.memory_mb * members));
+    assert!(within(limits.accelerators, request.accelerators * members));
+}
