--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -19,6 +19,14 @@
     pub stderr: String,
 }
 
+/// A failed command, as JSON output tells it.
+#[derive(Debug, serde::Serialize)]
+struct Failure<'a> {
+    error: &'a str,
+    message: &'a str,
+    findings: Vec<report::Fault>,
+}
+
 /// Runs `ferryctl` with `args`, which do not include the program's name.
 pub async fn run(args: Vec<ffi::OsString>) -> Finished {
     let mut args = arguments::Arguments::new(args);
@@ -93,10 +101,13 @@
         report::Format::Table if error.findings().is_empty() => format!("ferryctl: {error}\n"),
         report::Format::Table => format!("{error}\n"),
         report::Format::Json => {
-            let json = serde_json::json!({
-                "error": error.kind().as_str(),
-                "message": error.to_string(),
-            });
+            let failure = Failure {
+                error: error.kind().as_str(),
+                message: error.context(),
+                findings: report::faults(error.findings()),
+            };
+            // Nothing in it can fail to be written as JSON.
+            let json = serde_json::to_string(&failure).unwrap_or_default();
             format!("{json}\n")
         }
     };
--- a/crates/ctl/src/commands/check.rs
+++ b/crates/ctl/src/commands/check.rs
@@ -5,21 +5,11 @@
 use crate::list_file;
 use crate::report;
 
-/// One fault.
-#[derive(Debug, serde::Serialize)]
-struct Fault {
-    file: String,
-    line: Option<usize>,
-    section: String,
-    key: Option<String>,
-    message: String,
-}
-
 /// What was found.
 #[derive(Debug, serde::Serialize)]
 pub(crate) struct CheckReport {
     files: Vec<String>,
-    findings: Vec<Fault>,
+    findings: Vec<report::Fault>,
     #[serde(skip)]
     text: String,
 }
@@ -88,16 +78,9 @@
 }
 
 fn report_on(files: Vec<String>, findings: &settings::Findings) -> CheckReport {
-    let faults = findings.iter().map(|finding| Fault {
-        file: finding.file.clone(),
-        line: finding.line,
-        section: finding.section.clone(),
-        key: finding.key.clone(),
-        message: finding.message.clone(),
-    });
     CheckReport {
         files,
-        findings: faults.collect(),
+        findings: report::faults(findings),
         text: if findings.is_empty() {
             String::new()
         } else {
--- a/crates/ctl/src/connect.rs
+++ b/crates/ctl/src/connect.rs
@@ -6,7 +6,7 @@
 use crate::arguments;
 use crate::error;
 
-const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Connects to the addresses of `--store`.
 pub(crate) fn store(args: &mut arguments::Arguments) -> Result<store::Etcd, error::Error> {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -79,6 +79,12 @@
         self.kind
     }
 
+    /// Returns what was wrong and what was expected, without the faults of documents.
+    #[must_use]
+    pub fn context(&self) -> &str {
+        &self.context
+    }
+
     /// Returns the faults of documents; empty unless the kind is [`ErrorKind::Findings`].
     #[must_use]
     pub fn findings(&self) -> &settings::Findings {
--- a/crates/ctl/src/report.rs
+++ b/crates/ctl/src/report.rs
@@ -37,6 +37,28 @@
     }
 }
 
+/// One fault of a document.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct Fault {
+    file: String,
+    line: Option<usize>,
+    section: String,
+    key: Option<String>,
+    message: String,
+}
+
+/// Returns `findings` for JSON output.
+pub(crate) fn faults(findings: &settings::Findings) -> Vec<Fault> {
+    let faults = findings.iter().map(|finding| Fault {
+        file: finding.file.clone(),
+        line: finding.line,
+        section: finding.section.clone(),
+        key: finding.key.clone(),
+        message: finding.message.clone(),
+    });
+    faults.collect()
+}
+
 /// Lines up `rows` under `header`.
 pub(crate) fn columns(header: &[&str], rows: &[Vec<String>]) -> String {
     let mut widths: Vec<usize> = header.iter().map(|cell| cell.len()).collect();
