--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -10,6 +10,7 @@
 use crate::error;
 use crate::list_file;
 use crate::report;
+use crate::report::Report as _;
 use crate::status;
 
 /// What to write.
@@ -86,12 +87,19 @@
     let mut applied = apply(&store, &order).await?;
     if let Some((operator, timing)) = waiting {
         let goal = goal_of(&applied);
-        wait::until_in_force(&operator, goal, timing).await?;
+        let waited = wait::until_in_force(&operator, goal, timing).await;
+        waited.map_err(|reason| not_in_force(&applied, &reason))?;
         applied.in_force = Some(true);
     }
     Ok(applied)
 }
 
+/// Tells that the lists were written all the same.
+fn not_in_force(applied: &ApplyReport, reason: &error::Error) -> error::Error {
+    let written = applied.table();
+    error::Error::new(reason.kind(), format!("{written}{reason}"))
+}
+
 fn goal_of(applied: &ApplyReport) -> wait::Goal {
     let revision_of = |list: lists::List| {
         let mut found = applied.lists.iter();
--- a/crates/ctl/src/commands/apply/commit.rs
+++ b/crates/ctl/src/commands/apply/commit.rs
@@ -31,7 +31,8 @@
 /// Writes every list that has a new text, if all lists are as they were read.
 ///
 /// After a lost reply the lists are read back, and the same conditional transaction is repeated
-/// while nothing has changed; it cannot take effect twice.
+/// while nothing has changed; it cannot take effect twice. The same text from another writer counts
+/// as written, because it is in force as wanted.
 pub(super) async fn commit<S: store::Store>(
     store: &S,
     sides: &[apply::Side<'_>],
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -126,13 +126,20 @@
 
 #[tokio::test]
 async fn operators_look_wait_and_drain() {
-    let almaty = serve_instance(Instance::new("almaty", 3)).await;
+    let almaty = serve_instance(Instance::new("almaty", 4)).await;
     let astana = serve_instance(Instance::new("astana", 0)).await;
+    let store = standin::StoreServer::start("127.0.0.1:0".parse().unwrap());
+    let store = store.await.unwrap();
+    let store_address = store.address().to_string();
     let secret = scratch("operator.secret", SECRET);
     let wrong = scratch("wrong.secret", "another");
     let (secret, wrong) = (secret.display(), wrong.display());
     let both = format!("--instances {almaty},{astana} --secret-file {secret} --poll-ms 1");
+    let plans = "--plans ../../examples/nusqa/plans.ini --expect-revision 0 --wait";
+    let apply = format!("apply --store {store_address} {plans}");
     let lines = [
+        format!("{apply} --instances {CLOSED} --secret-file {secret} --timeout-ms 0"),
+        format!("{apply} {both}"),
         format!("status --instances {almaty},{astana},{CLOSED} --secret-file {secret} --counters"),
         format!("status --instances {almaty} --secret-file {wrong}"),
         format!("wait --revision 9 {both}"),
@@ -144,6 +151,7 @@
     let names = [
         (almaty.to_string(), "ALMATY"),
         (astana.to_string(), "ASTANA"),
+        (store_address.clone(), "STORE"),
         (CLOSED.to_owned(), "CLOSED"),
         (secret.to_string(), "SECRET"),
         (wrong.to_string(), "WRONG"),
