--- /dev/null
+++ b/crates/load/src/arrivals.rs
@@ -0,0 +1,85 @@
+//! The intended moments of sending.
+
+use std::time;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::rngs;
+
+use crate::experiment;
+
+/// One request to send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// Intended moment, from the start of the experiment.
+    pub at: time::Duration,
+    /// Index of the kind in the experiment.
+    pub kind: usize,
+    /// Run time, in milliseconds.
+    pub run_ms: u64,
+}
+
+/// Random arrivals at the experiment's rate; the same for the same seed.
+#[derive(Debug)]
+pub struct Arrivals<'a> {
+    experiment: &'a experiment::Experiment,
+    random: rngs::StdRng,
+    at_s: f64,
+}
+
+impl<'a> Arrivals<'a> {
+    /// Starts at the beginning of the experiment.
+    #[must_use]
+    pub fn new(experiment: &'a experiment::Experiment) -> Self {
+        Self {
+            experiment,
+            random: rngs::StdRng::seed_from_u64(experiment.seed),
+            at_s: 0.0,
+        }
+    }
+
+    fn kind(&mut self) -> usize {
+        let kinds = &self.experiment.kinds;
+        let total: u64 = kinds.iter().map(|kind| kind.share).sum();
+        let mut drawn = self.random.random_range(0..total.max(1));
+        for (index, kind) in kinds.iter().enumerate() {
+            if drawn < kind.share {
+                return index;
+            }
+            drawn -= kind.share;
+        }
+        0
+    }
+
+    fn run_ms(&mut self, kind: usize) -> u64 {
+        let kind = &self.experiment.kinds[kind];
+        if self.random.random_bool(kind.straggler_share) {
+            kind.run_ms * kind.straggler_factor
+        } else {
+            kind.run_ms
+        }
+    }
+}
+
+impl Iterator for Arrivals<'_> {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let highest = self.experiment.highest_rate();
+        // A process at the highest rate is thinned out to the rate of the moment.
+        loop {
+            let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+            self.at_s -= uniform.ln() / highest;
+            let at = time::Duration::from_secs_f64(self.at_s);
+            if at >= self.experiment.duration {
+                return None;
+            }
+            let rate = self.experiment.rate_at(at);
+            if self.random.random_bool((rate / highest).clamp(0.0, 1.0)) {
+                let kind = self.kind();
+                let run_ms = self.run_ms(kind);
+                return Some(Arrival { at, kind, run_ms });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,195 @@
+//! The command line.
+
+use std::ffi;
+use std::fs;
+use std::net;
+
+use indexmap::IndexMap;
+
+use crate::compare;
+use crate::error;
+use crate::experiment;
+use crate::replay;
+use crate::report;
+use crate::runner;
+
+/// Exit code when every answer was as it should be.
+const SOUND: u8 = 0;
+/// Exit code when an answer was wrong or missing.
+const UNSOUND: u8 = 1;
+/// Exit code when the arguments or files are wrong.
+const USAGE: u8 = 2;
+/// Samples sent at once unless set otherwise.
+const DEFAULT_AT_ONCE: usize = 64;
+/// Most samples sent at once.
+const MAX_AT_ONCE: usize = 10_000;
+
+const HELP: &str = "\
+Sends tasks to instances on this machine and checks every answer
+
+Usage: ferry-load run --experiment FILE [--instances A:P,..] [--csv FILE] [--report FILE]
+       ferry-load run --experiment FILE --check-settings
+       ferry-load compare FIRST.csv SECOND.csv
+       ferry-load replay --samples FILE --instances A:P,.. [--tokens-file FILE] [--at-once N]
+
+  --experiment FILE   experiment in INI, see examples/
+  --instances LIST    addresses of instances, all loopback; go before those of the experiment
+  --csv FILE          where to write the results as CSV
+  --report FILE       where to write the text report, which is printed too
+  --samples FILE      one JSON object a line: {\"customer\": .., \"request\": {..}}
+  --tokens-file FILE  a line CUSTOMER=TOKEN each; without it tokens are CUSTOMER-token
+  --at-once N         samples in flight at once, 64 if not given
+
+Exit codes: 0 every answer was right, 1 an answer was wrong or missing, 2 wrong usage
+";
+
+/// What a command prints, and its exit code.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// For the standard output.
+    pub stdout: String,
+    /// For the standard error.
+    pub stderr: String,
+    /// Exit code of the process.
+    pub code: u8,
+}
+
+/// Runs `ferry-load` with `args`, those after the program's name.
+pub async fn run_command(args: Vec<ffi::OsString>) -> Finished {
+    match dispatch(pico_args::Arguments::from_vec(args)).await {
+        Ok(finished) => finished,
+        Err(cause) => Finished {
+            stdout: String::new(),
+            stderr: format!("ferry-load: {cause}\n"),
+            code: USAGE,
+        },
+    }
+}
+
+async fn dispatch(mut args: pico_args::Arguments) -> Result<Finished, error::Error> {
+    if args.contains(["-h", "--help"]) {
+        return Ok(printed(HELP.to_owned(), true));
+    }
+    let command = args.subcommand().map_err(usage)?;
+    match command.as_deref() {
+        Some("run") => run(args).await,
+        Some("compare") => compare_files(args),
+        Some("replay") => replay_file(args).await,
+        Some(other) => Err(error::Error::usage(format!(
+            "'{other}' given, expected run, compare or replay; see --help"
+        ))),
+        None => Err(error::Error::usage("expected a command; see --help")),
+    }
+}
+
+async fn run(mut args: pico_args::Arguments) -> Result<Finished, error::Error> {
+    let path: String = args.value_from_str("--experiment").map_err(usage)?;
+    let instances: Option<String> = args.opt_value_from_str("--instances").map_err(usage)?;
+    let csv_path: Option<String> = args.opt_value_from_str("--csv").map_err(usage)?;
+    let report_path: Option<String> = args.opt_value_from_str("--report").map_err(usage)?;
+    let is_check = args.contains("--check-settings");
+    finish(args)?;
+    let parsed = experiment::Experiment::parse(&path, &read(&path)?);
+    let mut experiment = parsed.map_err(|findings| error::Error::file(findings.to_string()))?;
+    if let Some(instances) = instances {
+        experiment.instances = parse_instances(&instances)?;
+    }
+    if is_check {
+        return Ok(printed(format!("{path}: no findings\n"), true));
+    }
+    let results = runner::run(&experiment, rand::random()).await;
+    let text = report::text(&results);
+    if let Some(path) = csv_path {
+        write(&path, &report::csv(&results))?;
+    }
+    if let Some(path) = report_path {
+        write(&path, &text)?;
+    }
+    Ok(printed(text, results.is_sound()))
+}
+
+fn compare_files(mut args: pico_args::Arguments) -> Result<Finished, error::Error> {
+    let left: String = args.free_from_str().map_err(usage)?;
+    let right: String = args.free_from_str().map_err(usage)?;
+    finish(args)?;
+    let text = compare::compare(&read(&left)?, &read(&right)?)?;
+    Ok(printed(text, true))
+}
+
+async fn replay_file(mut args: pico_args::Arguments) -> Result<Finished, error::Error> {
+    let path: String = args.value_from_str("--samples").map_err(usage)?;
+    let instances: String = args.value_from_str("--instances").map_err(usage)?;
+    let tokens_path: Option<String> = args.opt_value_from_str("--tokens-file").map_err(usage)?;
+    let at_once: Option<usize> = args.opt_value_from_str("--at-once").map_err(usage)?;
+    finish(args)?;
+    let at_once = at_once.unwrap_or(DEFAULT_AT_ONCE);
+    if !(1..=MAX_AT_ONCE).contains(&at_once) {
+        let context = format!("--at-once {at_once} given, expected 1 to {MAX_AT_ONCE}");
+        return Err(error::Error::usage(context));
+    }
+    let instances = parse_instances(&instances)?;
+    let tokens = match tokens_path {
+        Some(path) => parse_tokens(&path, &read(&path)?)?,
+        None => IndexMap::new(),
+    };
+    let samples = replay::parse_samples(&path, &read(&path)?)?;
+    let replayed = replay::replay(samples, &instances, &tokens, at_once).await;
+    Ok(printed(replayed.text, replayed.is_sound))
+}
+
+fn parse_instances(text: &str) -> Result<Vec<net::SocketAddr>, error::Error> {
+    let addresses = text.split(',').map(|address| {
+        let address = address.trim();
+        let parsed = address.parse::<net::SocketAddr>().ok();
+        parsed
+            .filter(|parsed| parsed.ip().is_loopback())
+            .ok_or_else(|| {
+                let expected = "expected a loopback address such as 127.0.0.1:8080";
+                error::Error::usage(format!("--instances: '{address}' given, {expected}"))
+            })
+    });
+    addresses.collect()
+}
+
+fn parse_tokens(path: &str, text: &str) -> Result<IndexMap<String, String>, error::Error> {
+    let lines = text.lines().enumerate();
+    let lines = lines.filter(|(_, line)| !line.trim().is_empty());
+    let pairs = lines.map(|(index, line)| {
+        let pair = line.split_once('=');
+        let pair = pair.map(|(customer, token)| (customer.trim(), token.trim()));
+        let (customer, token) = pair.ok_or_else(|| {
+            error::Error::file(format!("{path}:{}: expected CUSTOMER=TOKEN", index + 1))
+        })?;
+        Ok((customer.to_owned(), token.to_owned()))
+    });
+    pairs.collect()
+}
+
+fn finish(args: pico_args::Arguments) -> Result<(), error::Error> {
+    let rest = args.finish();
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let context = format!("unexpected arguments: {rest:?}; see --help");
+    Err(error::Error::usage(context))
+}
+
+fn read(path: &str) -> Result<String, error::Error> {
+    fs::read_to_string(path).map_err(|cause| error::Error::file(format!("{path}: {cause}")))
+}
+
+fn write(path: &str, text: &str) -> Result<(), error::Error> {
+    fs::write(path, text).map_err(|cause| error::Error::file(format!("{path}: {cause}")))
+}
+
+fn usage(cause: pico_args::Error) -> error::Error {
+    error::Error::usage(format!("{cause}; see --help"))
+}
+
+fn printed(stdout: String, is_sound: bool) -> Finished {
+    Finished {
+        stdout,
+        stderr: String::new(),
+        code: if is_sound { SOUND } else { UNSOUND },
+    }
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,12 @@
-//! Open-loop load with latency histograms.
+//! Open-loop load and sample replay against instances on this machine.
 
-fn main() {}
+use std::env;
+use std::process;
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> process::ExitCode {
+    let finished = load::run_command(env::args_os().skip(1).collect()).await;
+    print!("{}", finished.stdout);
+    eprint!("{}", finished.stderr);
+    process::ExitCode::from(finished.code)
+}
--- /dev/null
+++ b/crates/load/src/runner.rs
@@ -0,0 +1,141 @@
+//! Sends an experiment's requests at their intended moments.
+
+use std::sync;
+use std::time;
+
+use tokio::task;
+
+use crate::arrivals;
+use crate::client;
+use crate::experiment;
+use crate::request;
+use crate::stats;
+use crate::verify;
+
+/// Requests in flight at once; beyond it a request counts as missing.
+const MAX_IN_FLIGHT: usize = 100_000;
+
+/// Runs an experiment; `run_id` sets its idempotency keys apart from those of other runs.
+pub async fn run(experiment: &experiment::Experiment, run_id: u64) -> stats::Results {
+    let client = client::Client::new(&experiment.instances, experiment.connections);
+    let mut results = stats::Results::new(experiment);
+    let mut requests = task::JoinSet::new();
+    let kinds: sync::Arc<[experiment::Kind]> = experiment.kinds.clone().into();
+    let start = tokio::time::Instant::now();
+    for (number, arrival) in arrivals::Arrivals::new(experiment).enumerate() {
+        let intended = start + arrival.at;
+        collect_until(intended, &mut requests, &mut results).await;
+        if requests.len() >= MAX_IN_FLIGHT {
+            results.record(&unsent(arrival.kind));
+            continue;
+        }
+        let plan = Plan {
+            number,
+            run_id,
+            arrival,
+            timeout: experiment.timeout,
+        };
+        let (client, kinds) = (client.clone(), sync::Arc::clone(&kinds));
+        requests.spawn(async move { observe(&client, &kinds[arrival.kind], plan, intended).await });
+    }
+    while let Some(joined) = requests.join_next().await {
+        record(joined, &mut results);
+    }
+    results
+}
+
+/// What sets one request apart.
+#[derive(Clone, Copy)]
+struct Plan {
+    number: usize,
+    run_id: u64,
+    arrival: arrivals::Arrival,
+    timeout: time::Duration,
+}
+
+/// Takes in finished requests until `moment`.
+async fn collect_until(
+    moment: tokio::time::Instant,
+    requests: &mut task::JoinSet<stats::Observation>,
+    results: &mut stats::Results,
+) {
+    loop {
+        tokio::select! {
+            biased;
+            () = tokio::time::sleep_until(moment) => return,
+            Some(joined) = requests.join_next() => record(joined, results),
+        }
+    }
+}
+
+fn record(joined: Result<stats::Observation, task::JoinError>, results: &mut stats::Results) {
+    match joined {
+        Ok(observation) => results.record(&observation),
+        Err(cause) => results
+            .notes
+            .push(format!("a request's task failed: {cause}")),
+    }
+}
+
+async fn observe(
+    client: &client::Client,
+    kind: &experiment::Kind,
+    plan: Plan,
+    intended: tokio::time::Instant,
+) -> stats::Observation {
+    let Some(prepared) = prepare(kind, plan) else {
+        return unsent(plan.arrival.kind);
+    };
+    let judged = client.submit(&prepared).await;
+    stats::Observation {
+        kind: plan.arrival.kind,
+        verdict: judged.verdict,
+        latency: intended.elapsed(),
+        waited_ms: judged.answer.waited_ms,
+    }
+}
+
+fn prepare(kind: &experiment::Kind, plan: Plan) -> Option<client::Prepared> {
+    let run_ms = plan.arrival.run_ms;
+    // The number makes each body, and so each expected output, differ from every other.
+    let body = format!(
+        r#"{{"number":{},"run":{},"run_ms":{run_ms},"output_bytes":{}}}"#,
+        plan.number, plan.run_id, kind.output_bytes
+    );
+    let wait = kind.class != model::Class::Service;
+    let request = request::TaskRequest {
+        kind: kind.name.clone(),
+        class: kind.class,
+        processors_milli: kind.processors_milli,
+        memory_mb: kind.memory_mb,
+        accelerators: 0,
+        members: kind.members,
+        urgency: kind.urgency,
+        deadline_ms: kind.deadline_ms,
+        repeatable: kind.repeatable,
+        key: (!kind.repeatable).then(|| format!("load-{:x}-{}", plan.run_id, plan.number)),
+        declared_run_ms: Some(kind.run_ms),
+        wait,
+        body: serde_json::value::RawValue::from_string(body.clone()).ok()?,
+    };
+    let limit_ms = kind.deadline_ms + run_ms;
+    Some(client::Prepared {
+        instance: plan.number,
+        token: kind.token.clone(),
+        kind: kind.name.clone(),
+        members: kind.members,
+        wait,
+        body,
+        json: serde_json::to_vec(&request).ok()?,
+        timeout: time::Duration::from_millis(limit_ms) + plan.timeout,
+    })
+}
+
+fn unsent(kind: usize) -> stats::Observation {
+    stats::Observation {
+        kind,
+        verdict: verify::Verdict::Missing("not sent: too many requests in flight".to_owned()),
+        latency: time::Duration::ZERO,
+        waited_ms: None,
+    }
+}
