Test leases under pauses, losses, restarts and deaths

The tests of single cases found that a drain waited for the time of the next renewal; it releases at once now.

--- a/crates/lease/src/leases.rs
+++ b/crates/lease/src/leases.rs
@@ -257,8 +257,7 @@
                 worker_id: worker_id.clone(),
             });
         }
-        let is_waiting = worker.call.is_some() || now < worker.not_before;
-        if is_waiting || worker.is_quiet(&self.settings, now) {
+        if worker.call.is_some() || worker.is_quiet(&self.settings, now) {
             return;
         }
         let decider = decider::Decider {
@@ -271,6 +270,11 @@
             return;
         };
         let kind = kind_of(&action);
+        // A first release need not wait for the time of the next renewal.
+        let is_prompt = kind == worker::CallKind::Release && worker.failures == 0;
+        if now < worker.not_before && !is_prompt {
+            return;
+        }
         if kind == worker::CallKind::Release && !self.draining {
             self.handed_over_at = Some(now);
         }
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -31,14 +31,6 @@
         self.holder.as_ref().filter(|_| now < self.ends)
     }
 
-    /// Returns whether a start is accepted.
-    pub(crate) fn accepts(&self, epoch: u64, incarnation: u64, now: time::Instant) -> bool {
-        self.is_alive
-            && incarnation == self.incarnation
-            && epoch == self.epoch
-            && self.holder(now).is_some()
-    }
-
     pub(crate) fn restart(&mut self, now: time::Instant) {
         self.incarnation += 1;
         self.epoch = 0;
@@ -118,6 +110,8 @@
     /// Instance and worker that cannot connect.
     pub(crate) cut: Vec<(usize, usize)>,
     pub(crate) calls: u64,
+    /// Workers that were called gone although a lease of the same instance kept their runs alive.
+    pub(crate) early_gone: Vec<model::WorkerId>,
     deliveries: Vec<(time::Instant, Delivery)>,
     random: u64,
 }
@@ -194,6 +188,7 @@
             faults: Faults::default(),
             cut: Vec::new(),
             calls: 0,
+            early_gone: Vec::new(),
             deliveries: Vec::new(),
             random: seed,
         };
@@ -228,6 +223,7 @@
         let actions = instance.leases.on(event, now);
         instance.log.extend(actions.iter().cloned());
         for action in actions {
+            self.check_gone(number, &action);
             self.send(number, action);
         }
     }
@@ -271,6 +267,17 @@
         (self.random >> 33) % limit
     }
 
+    fn check_gone(&mut self, number: usize, action: &Action) {
+        let Action::Gone { worker_id } = action else {
+            return;
+        };
+        let worker = &self.workers[self.worker_number(worker_id)].1;
+        let is_own = worker.holder.as_ref() == Some(&self.instances[number].id);
+        if is_own && self.now < worker.stops {
+            self.early_gone.push(worker_id.clone());
+        }
+    }
+
     fn worker_number(&self, worker_id: &str) -> usize {
         let mut workers = self.workers.iter();
         workers
