Test fall-back claims and messages above the flow control window

Large messages passed without releasing the window, since none exceeded a stream's; one of 24 MiB does now.

--- a/crates/lease/tests/leases.rs
+++ b/crates/lease/tests/leases.rs
@@ -253,3 +253,23 @@
         "at least {fewest} of 48 workers could be started on"
     ));
 }
+
+#[test]
+fn the_next_in_order_claims_what_the_preferred_holder_cannot_reach() {
+    let mut world = one_worker(2);
+    let preferred = world.instances[0].leases.preferred_holder("w0");
+    let preferred = usize::from(preferred != Some(&world.instances[0].id));
+    world.cut.push((preferred, 0));
+    // The first claims were sent before the cut; that lease has to end first.
+    world.run((common::TTL + common::MARGIN) * 2, |_| {});
+    assert_eq!(shares(&world)[1 - preferred], 1);
+    // The preferred one cannot take it over, so it comes back, and is kept longer each time.
+    world.run(seconds(600), |_| {});
+    let log = log_of(&mut world, 1 - preferred);
+    let releases = log.lines().filter(|line| line.starts_with("release"));
+    expect_test::expect!["released 7 times in 600 s"]
+        .assert_eq(&format!("released {} times in 600 s", releases.count()));
+    world.cut.clear();
+    world.run(seconds(200), |_| {});
+    assert_eq!(shares(&world)[preferred], 1);
+}
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -38,23 +38,43 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn large_messages_pass_both_ways_many_times() {
+async fn large_messages_pass_both_ways_at_once() {
     let running = common::Running::start(peer::Server::new(common::identity("server#1"))).await;
     let link = common::link(common::identity("client#1"), &running.address);
     let body = "b".repeat(common::MAX_MESSAGE_BYTES - 1024);
-    // More than the connection's window in all, so windows must be released.
-    for _ in 0..6 {
-        let request = common::submission(body.clone());
-        let response = link
-            .request(&request, common::LONG)
-            .await
-            .expect("answered");
+    let request = common::submission(body.clone());
+    // More than the connection's window in all.
+    let mut requests = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        let (link, request) = (link.clone(), request.clone());
+        requests.spawn(async move { link.request(&request, common::LONG).await });
+    }
+    while let Some(joined) = requests.join_next().await {
+        let response = joined.expect("no panic").expect("answered");
         assert!(response == common::text_response(&body));
     }
     running.stop().await;
     link.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_message_larger_than_the_window_passes_as_it_is_read() {
+    let max_message_bytes = 3 * common::MAX_MESSAGE_BYTES;
+    let server = peer::Server::new(common::identity("server#1"));
+    let running = common::Running::start(server.max_message_bytes(max_message_bytes)).await;
+    let settings = peer::LinkSettings {
+        connect_timeout: common::LONG,
+        max_message_bytes,
+    };
+    let link = peer::Link::new(common::identity("client#1"), &*running.address, settings);
+    let body = "b".repeat(max_message_bytes - 1024);
+    let request = common::submission(body.clone());
+    let response = link.request(&request, common::LONG).await;
+    assert!(response.expect("answered") == common::text_response(&body));
+    running.stop().await;
+    link.close().await;
+}
+
 #[tokio::test]
 async fn oversize_requests_are_refused_at_both_ends() {
     let server = peer::Server::new(common::identity("server#1")).max_message_bytes(1024_usize);
