--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -134,7 +134,8 @@
            2 customer           booklet            done waited_ms=4 run_ms=5
 
              2 done
-        waited: median 4 ms, longest 4 ms"#]].assert_eq(&text.join("\n"));
+        waited: median 4 ms, longest 4 ms"#]]
+    .assert_eq(&text.join("\n"));
 
     let (address, _serving) = common::start(Manner::Crossed).await;
     let replayed = load::replay(samples, &[address], &tokens, 2).await;
@@ -175,6 +176,7 @@
         badge   done     10       5  -50.0%
         pack    sent              1
         pack    done              1
-    "#]].assert_eq(&text);
+    "#]]
+    .assert_eq(&text);
     assert!(load::compare(first, "no result").is_err());
 }
--- /dev/null
+++ b/crates/peer/benches/requests.rs
@@ -0,0 +1,59 @@
+//! Requests a second over one link, and their round trip with one at a time and with many.
+
+// The tests use what the measurement does not.
+#[allow(dead_code)]
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::time;
+
+use hdrhistogram::Histogram;
+
+const REQUESTS: u64 = 50_000;
+const MAX_TIME_US: u64 = 60_000_000;
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() {
+    let running = common::Running::start(peer::Server::new(common::identity("server#1"))).await;
+    let link = common::link(common::identity("client#1"), &running.address);
+    for at_once in [1, 16, 256] {
+        measure(&link, at_once).await;
+    }
+    link.close().await;
+    running.stop().await;
+}
+
+async fn measure(link: &peer::Link, at_once: u64) {
+    let start = time::Instant::now();
+    let mut senders = tokio::task::JoinSet::new();
+    for _ in 0..at_once {
+        let link = link.clone();
+        senders.spawn(async move { send(&link, REQUESTS / at_once).await });
+    }
+    let mut all = histogram();
+    while let Some(joined) = senders.join_next().await {
+        all.add(joined.expect("no panic")).expect("same bounds");
+    }
+    let rate = all.len() as f64 / start.elapsed().as_secs_f64();
+    println!(
+        "{at_once:>4} at once: {rate:>8.0} requests/s, p50 {} us, p99 {} us",
+        all.value_at_quantile(0.5),
+        all.value_at_quantile(0.99)
+    );
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_TIME_US, 3).expect("valid bounds")
+}
+
+async fn send(link: &peer::Link, count: u64) -> Histogram<u64> {
+    let mut times = histogram();
+    let request = common::submission("b".repeat(200));
+    for _ in 0..count {
+        let start = time::Instant::now();
+        let response = link.request(&request, common::LONG).await;
+        response.expect("answered");
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    times
+}
