--- a/crates/lease/src/action.rs
+++ b/crates/lease/src/action.rs
@@ -69,7 +69,11 @@
     },
     /// The worker is out of contact for so long that it has stopped the runs of this instance.
     ///
-    /// Another instance may have adopted them: ask the live ones before counting them as lost.
+    /// That rests on two things: a request arrives at most the margin after it was given up, and the
+    /// worker ends what has outlived its grace before it reads a request. Another instance may have
+    /// adopted the runs. Ask the live ones for what [`crate::Leases::possibly_held`] returns there
+    /// before counting the runs as lost. Comes once in a silence, for any worker that this instance
+    /// has asked, held before or not.
     Gone {
         /// The worker.
         worker_id: model::WorkerId,
--- a/crates/lease/src/settings.rs
+++ b/crates/lease/src/settings.rs
@@ -15,7 +15,8 @@
     pub grace: time::Duration,
     /// Allowance for clock rates and for messages under way.
     ///
-    /// Less than `ttl`.
+    /// Less than `ttl`. What is left of `ttl` after it has room for a call that gets no answer and for
+    /// the next one, with the time for which a worker may hold a reply back.
     pub margin: time::Duration,
     /// Least time between the sending of two renewals for one worker.
     pub renew_every: time::Duration,
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -100,6 +100,19 @@
         }
     }
 
+    /// Cancels an accepted task; a failure is not reported, since the answer was right.
+    pub(crate) async fn cancel(&self, prepared: &Prepared, task_id: &str) {
+        let target = &self.instances[prepared.instance % self.instances.len()];
+        let path = format!("/v1/tasks/{task_id}");
+        let call = self.call(target, http::Method::DELETE, &path, prepared, Vec::new());
+        if !matches!(
+            tokio::time::timeout(prepared.timeout, call).await,
+            Ok(Ok(_))
+        ) {
+            log::warn!("event=cancel_failed task_id={task_id}");
+        }
+    }
+
     async fn settle(&self, prepared: &Prepared) -> Result<Reply, String> {
         let target = &self.instances[prepared.instance % self.instances.len()];
         let json = prepared.json.clone();
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -28,8 +28,10 @@
 /// One kind of work in the mix.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Kind {
-    /// Name of the kind.
+    /// Name in the report.
     pub name: String,
+    /// Kind of work that is submitted.
+    pub kind: String,
     /// Customer that submits it.
     pub customer: String,
     /// Token of the customer.
@@ -171,6 +173,7 @@
     let straggler_share = part(&mut section, "straggler_share");
     Kind {
         name: name.to_owned(),
+        kind: section.text("kind", name),
         customer: section.required_text("customer"),
         token: section.required_text("token"),
         share: section.whole("share", 1, 0..=MAX_NUMBER),
--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -87,10 +87,16 @@
         return unsent(plan.arrival.kind);
     };
     let judged = client.submit(&prepared).await;
+    let latency = intended.elapsed();
+    if judged.verdict == verify::Verdict::Accepted {
+        // A service runs until it is cancelled.
+        tokio::time::sleep(time::Duration::from_millis(plan.arrival.run_ms)).await;
+        client.cancel(&prepared, &judged.answer.task_id).await;
+    }
     stats::Observation {
         kind: plan.arrival.kind,
         verdict: judged.verdict,
-        latency: intended.elapsed(),
+        latency,
         waited_ms: judged.answer.waited_ms,
     }
 }
@@ -104,7 +110,7 @@
     );
     let wait = kind.class != model::Class::Service;
     let request = request::TaskRequest {
-        kind: kind.name.clone(),
+        kind: kind.kind.clone(),
         class: kind.class,
         processors_milli: kind.processors_milli,
         memory_mb: kind.memory_mb,
@@ -122,7 +128,7 @@
     Some(client::Prepared {
         instance: plan.number,
         token: kind.token.clone(),
-        kind: kind.name.clone(),
+        kind: kind.kind.clone(),
         members: kind.members,
         wait,
         body,
--- a/crates/load/tests/common/mod.rs
+++ b/crates/load/tests/common/mod.rs
@@ -51,6 +51,9 @@
 ) -> Result<Reply, std::io::Error> {
     let token = request.headers().get(http::header::AUTHORIZATION).cloned();
     assert_eq!(token.expect("a token"), "Bearer customer-token");
+    if request.method() == http::Method::DELETE {
+        return Ok(reply(200, r#"{"outcome":"running"}"#.to_owned()));
+    }
     if request.method() == http::Method::GET {
         let path = request.uri().path().to_owned();
         let body = path.trim_start_matches("/v1/tasks/").replace('~', "\"");
--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -42,6 +42,16 @@
     }
 }
 
+#[tokio::test]
+async fn a_service_is_accepted_and_not_waited_for() {
+    let (address, _serving) = common::start(Manner::Late).await;
+    let mut experiment = experiment(address);
+    experiment.kinds[0].class = model::Class::Service;
+    let total = load::run(&experiment, 1).await.total();
+    assert!(total.sent > 0);
+    assert_eq!(total.accepted, total.sent);
+}
+
 #[tokio::test]
 async fn crossed_and_short_answers_are_wrong() {
     for manner in [Manner::Crossed, Manner::Short] {
@@ -180,3 +190,14 @@
     .assert_eq(&text);
     assert!(load::compare(first, "no result").is_err());
 }
+
+#[test]
+fn the_committed_experiments_have_no_findings() {
+    for name in ["nusqa", "sulina"] {
+        let path = format!("{}/experiments/{name}.ini", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(path).expect("a file");
+        let parsed = load::Experiment::parse(name, &text);
+        let experiment = parsed.unwrap_or_else(|findings| panic!("{findings}"));
+        assert!(load::Arrivals::new(&experiment).count() > 10_000);
+    }
+}
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -55,7 +55,8 @@
     ///
     /// At the shutdown each connection is told that no new streams are taken. Requests that are
     /// being handled are answered first, however long that takes. A handler is never cancelled,
-    /// also when its connection is lost.
+    /// also when its connection is lost. The listener is closed first, so that heartbeats of other
+    /// instances fail from here on: a planned stop does this last.
     pub async fn serve<H: handler::Handler>(
         &self,
         listener: tokio::net::TcpListener,
