--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -79,6 +79,7 @@
             reserve: spec.demand,
             members: u32::from(spec.members),
             short,
+            trial: spec.repeatable,
             short_slots_only: false,
             cross_region: true,
             avoid: &[],
--- a/crates/place/src/lanes.rs
+++ b/crates/place/src/lanes.rs
@@ -17,6 +17,7 @@
     pub(crate) class: model::Class,
     pub(crate) members: u16,
     pub(crate) demand: model::Demand,
+    pub(crate) repeatable: bool,
     pub(crate) avoid: Vec<model::InstanceId>,
 }
 
@@ -28,6 +29,7 @@
             class: spec.class,
             members: spec.members,
             demand: spec.demand,
+            repeatable: spec.repeatable,
             avoid: avoid.to_vec(),
         }
     }
@@ -241,6 +243,7 @@
         class: key.class,
         members: 0,
         demand: model::Demand::default(),
+        repeatable: true,
         avoid: Vec::new(),
     }
 }
--- a/crates/place/src/next.rs
+++ b/crates/place/src/next.rs
@@ -205,6 +205,7 @@
             reserve,
             members: u32::from(spec.members),
             short: prediction.short,
+            trial: spec.repeatable,
             short_slots_only: pass == Pass::ShortSlots,
             cross_region: false,
             avoid: &entry.queued.avoid,
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -115,6 +115,7 @@
                 reserve: dispatch.reserve,
                 members: u32::from(members),
                 short: dispatch.short,
+                trial: dispatch.queued.task.spec.repeatable,
             },
             now,
         );
@@ -124,6 +125,7 @@
         let lane = self.insert(dispatch.queued, dispatch.seq, now);
         let lane = self.plans[plan].lanes.get_mut(lane);
         lane.starts.take_back(1);
+        lane.offer_again_at = Some(now + self.settings.gang_offer_interval);
     }
 
     /// Forgets a task and returns whether it was queued.
--- a/crates/place/src/targets.rs
+++ b/crates/place/src/targets.rs
@@ -4,8 +4,8 @@
 
 use crate::dispatch;
 
-const MAX_EXHAUSTED_SIZES: usize = 16;
-const REFUSAL_MEMORY: time::Duration = time::Duration::from_millis(100);
+const MAX_EXHAUSTED_SIZES: usize = 256;
+const REFUSAL_MEMORY: time::Duration = time::Duration::from_millis(5);
 
 /// What a task needs of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -13,6 +13,8 @@
     pub(crate) reserve: model::Demand,
     pub(crate) members: u32,
     pub(crate) short: bool,
+    /// Whether workers on probation may try it.
+    pub(crate) trial: bool,
     /// Whether only slots kept for short tasks count.
     pub(crate) short_slots_only: bool,
     /// Whether fleets in other regions count.
@@ -28,6 +30,17 @@
     pub(crate) reserve: model::Demand,
     pub(crate) members: u32,
     pub(crate) short: bool,
+    pub(crate) trial: bool,
+}
+
+impl Size {
+    /// Returns whether a fleet that refused `self` would refuse `other` too.
+    fn implies(&self, other: &Self) -> bool {
+        self.reserve.fits_in(&other.reserve)
+            && self.members <= other.members
+            && (self.short || !other.short)
+            && (self.trial || !other.trial)
+    }
 }
 
 /// Room taken for a dispatch, to be given back if it is refused.
@@ -67,11 +80,13 @@
     }
 
     fn is_exhausted(&self, need: &Need<'_>) -> bool {
-        self.exhausted.iter().any(|size| {
-            size.reserve.fits_in(&need.reserve)
-                && size.members <= need.members
-                && (size.short || !need.short)
-        })
+        let size = Size {
+            reserve: need.reserve,
+            members: need.members,
+            short: need.short,
+            trial: need.trial,
+        };
+        self.exhausted.iter().any(|refused| refused.implies(&size))
     }
 
     fn take(&mut self, need: &Need<'_>) -> Taken {
@@ -174,10 +189,11 @@
         };
         fleet.give_back(taken);
         fleet.refused_at = Some(now);
-        if fleet.exhausted.len() == MAX_EXHAUSTED_SIZES {
-            fleet.exhausted.remove(0);
-        }
+        fleet.exhausted.retain(|other| !size.implies(other));
         fleet.exhausted.push(size);
+        if fleet.exhausted.len() > MAX_EXHAUSTED_SIZES {
+            fleet.left = model::CapacitySummary::default();
+        }
     }
 
     /// Gives back room that was taken for a task that is not offered.
