--- a/crates/place/src/place.rs
+++ b/crates/place/src/place.rs
@@ -61,8 +61,7 @@
         if request.short || self.is_exempt(request) {
             return Some(worker);
         }
-        let lost = self.pool.short_room_lost(worker, &request.reserve);
-        (lost <= self.long_room()).then_some(worker)
+        (self.long_room() > 0).then_some(worker)
     }
 
     pub(crate) fn new_run(
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -191,19 +191,6 @@
         }
     }
 
-    /// Returns by how much the number of typical short tasks that fit shrinks when `reserve` is
-    /// taken on the worker at `index`.
-    pub(crate) fn short_room_lost(&self, index: usize, reserve: &model::Demand) -> u32 {
-        let Some(worker) = self.get(index) else {
-            return 0;
-        };
-        let left = fit_tree::Room {
-            slots: worker.room.slots.saturating_sub(1),
-            resources: worker.room.resources.minus(reserve),
-        };
-        worker.short_room - worker::count_of(&left, &self.short_size)
-    }
-
     /// Brings the index up to date with the worker at `index`.
     pub(crate) fn refresh(&mut self, index: usize, now: time::Instant) {
         let Some(mut worker) = self.workers[index].take() else {
