--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -89,11 +89,12 @@
     #[must_use]
     pub fn new(settings: fleet_settings::FleetSettings) -> Self {
         let set_apart = settings.policy == queue_settings::Policy::Fair;
+        let short_slots = short_slots::ShortSlots::new(settings.short_spread);
         Self {
             settings,
             pool: pool::Pool::new(set_apart),
             runs: indexmap::IndexMap::new(),
-            short_slots: short_slots::ShortSlots::new(),
+            short_slots,
             latest: None,
             short_running: 0,
             placed: 0,
--- a/crates/place/src/fleet_settings.rs
+++ b/crates/place/src/fleet_settings.rs
@@ -17,6 +17,8 @@
     pub demote_after: time::Duration,
     /// Largest share of the slots that is kept for short tasks, in percent.
     pub max_short_percent: u32,
+    /// Slots kept for short tasks above the mean number they keep busy, in square roots of it.
+    pub short_spread: f64,
     /// One in this many workers may be on probation.
     pub probation_divisor: usize,
     /// Customers and kinds whose failures are told from those of workers.
@@ -31,6 +33,7 @@
             drain_timeout: time::Duration::from_secs(60),
             demote_after: time::Duration::from_secs(4),
             max_short_percent: 50,
+            short_spread: 2.0,
             probation_divisor: 4,
             max_kinds: 4096,
         }
--- a/crates/place/src/predictor.rs
+++ b/crates/place/src/predictor.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Takes back [`Predictor::start_short`] for a task that did not start.
+    pub(crate) fn undo_start_short(&mut self, index: KindIndex) {
+        let kind = &mut self.kinds[index];
+        kind.trials = kind.trials.saturating_sub(1);
+    }
+
     fn unknown(&self, kind: &Kind, spec: &model::TaskSpec) -> Prediction {
         let declared = spec.declared_run_ms.map(time::Duration::from_millis);
         let run = declared.unwrap_or(self.short_run * UNKNOWN_RUN_FACTOR);
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -119,6 +119,11 @@
             },
             now,
         );
+        if dispatch.short {
+            let task = &dispatch.queued.task;
+            let kind = self.predictor.index(&task.customer_id, &task.spec.kind);
+            self.predictor.undo_start_short(kind);
+        }
         let plan = self.plan_index(&dispatch.queued.task.plan_id);
         let cost = self.plans[plan].cost(dispatch.expected_run, members);
         self.charge(plan, dispatch.short, |charge| charge.saturating_sub(cost));
--- a/crates/place/src/short_slots.rs
+++ b/crates/place/src/short_slots.rs
@@ -9,7 +9,6 @@
 const RECENT_WINDOW_SECONDS: usize = 3;
 const SIZE_PERCENT: u32 = 90;
 const MIN_SIZES: u32 = 8;
-const SPREAD: f64 = 2.0;
 
 /// Measures the slots that short tasks keep busy.
 #[derive(Debug)]
@@ -22,16 +21,19 @@
     size: model::Demand,
     /// Slots to keep.
     slots: u32,
+    /// Standard deviations above the mean number busy that are kept.
+    spread: f64,
 }
 
 impl ShortSlots {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(spread: f64) -> Self {
         Self {
             run_us: rate::RecentSum::default(),
             processors_milli: histogram::Histogram::new(),
             memory_mb: histogram::Histogram::new(),
             size: model::Demand::default(),
             slots: 0,
+            spread,
         }
     }
 
@@ -54,7 +56,7 @@
         let recent = self.run_us.mean(RECENT_WINDOW_SECONDS, now);
         let second_us = time::Duration::from_secs(1).as_micros() as f64;
         let busy = long.max(recent) as f64 / second_us;
-        let wanted = (busy + SPREAD * busy.sqrt()).ceil() as u32;
+        let wanted = (busy + self.spread * busy.sqrt()).ceil() as u32;
         self.slots = wanted.saturating_add(waiting).min(max_slots);
         if self.memory_mb.count() >= MIN_SIZES {
             self.size = model::Demand {
--- a/crates/place/tests/queue.rs
+++ b/crates/place/tests/queue.rs
@@ -388,3 +388,25 @@
     assert!(queue.is_empty());
     assert!(queue.expire(now + ms(60_000)).is_empty());
 }
+
+#[test]
+fn a_fleet_that_refuses_every_size_is_asked_a_bounded_number_of_times() {
+    let now = time::Instant::now();
+    let mut queue = queue(48, 0, now);
+    for number in 0..400 {
+        let spec = model::TaskSpec {
+            demand: support::demand(400 - number, 1 + number, 0),
+            ..batch()
+        };
+        push(&mut queue, u128::from(number), "a", spec, now);
+    }
+    let mut limits = support::Limits::default();
+    let mut offers = 0;
+    while let Some(dispatch) = queue.next(&mut limits, now) {
+        offers += 1;
+        assert!(offers <= 400, "each size is offered once at most");
+        queue.returned(dispatch, now);
+        queue.set_capacity(&LOCAL, NEAR, support::summary(48, 0), now);
+    }
+    assert_eq!(queue.len(), 400);
+}
