--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -115,15 +115,22 @@
                 reserve: dispatch.reserve,
                 members: u32::from(members),
                 short: dispatch.short,
+                trial: dispatch.queued.task.spec.repeatable,
             },
             now,
         );
+        if dispatch.short {
+            let task = &dispatch.queued.task;
+            let kind = self.predictor.index(&task.customer_id, &task.spec.kind);
+            self.predictor.undo_start_short(kind);
+        }
         let plan = self.plan_index(&dispatch.queued.task.plan_id);
         let cost = self.plans[plan].cost(dispatch.expected_run, members);
         self.charge(plan, dispatch.short, |charge| charge.saturating_sub(cost));
         let lane = self.insert(dispatch.queued, dispatch.seq, now);
         let lane = self.plans[plan].lanes.get_mut(lane);
         lane.starts.take_back(1);
+        lane.offer_again_at = Some(now + self.settings.gang_offer_interval);
     }
 
     /// Forgets a task and returns whether it was queued.
