Divide plan limits into grants

The grantor reserves for each instance the largest of granted, held and used, so that a lost or late reply never lets two instances spend the same part; a spender takes only the reply to its latest ask. Shares grow by whole average tasks (max-min), the rest goes to one instance in turn, so that contested large tasks all get to run; what is left is a baseline for idle instances.

First try: a baseline of half an even share for everybody, taken before what others want. It left a sole user of a plan 7,500 of 12,000 milli-processors; the baseline now comes out of what is left.

--- /dev/null
+++ b/crates/quota/src/bucket.rs
@@ -0,0 +1,72 @@
+//! A token bucket for task starts.
+
+use std::time;
+
+/// Tokens of one task start, in thousandths.
+const START_MILLI: u64 = 1_000;
+
+/// Longest time for which unused starts are saved up.
+const BURST_MS: u64 = 1_000;
+
+/// Limits starts to a rate, with a short burst.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    rate_milli: u64,
+    /// Tokens, in millionths of a start.
+    tokens_micro: u64,
+    /// When tokens were last added; `None` before the first rate.
+    filled_at: Option<time::Instant>,
+}
+
+impl Bucket {
+    /// Creates a bucket that holds one start.
+    pub(crate) fn full(now: time::Instant) -> Self {
+        Self {
+            rate_milli: 0,
+            tokens_micro: START_MILLI * 1_000,
+            filled_at: Some(now),
+        }
+    }
+
+    /// Creates a bucket without tokens.
+    pub(crate) fn empty() -> Self {
+        Self {
+            rate_milli: 0,
+            tokens_micro: 0,
+            filled_at: None,
+        }
+    }
+
+    /// Sets the rate in thousandths of a start a second.
+    pub(crate) fn set_rate(&mut self, rate_milli: u32, now: time::Instant) {
+        self.fill(now);
+        self.rate_milli = u64::from(rate_milli);
+    }
+
+    pub(crate) fn try_take(&mut self, starts: u32, now: time::Instant) -> bool {
+        self.fill(now);
+        if self.rate_milli == 0 {
+            return false;
+        }
+        let cost = u64::from(starts) * START_MILLI * 1_000;
+        if cost > self.tokens_micro {
+            return false;
+        }
+        self.tokens_micro -= cost;
+        true
+    }
+
+    fn fill(&mut self, now: time::Instant) {
+        let filled_at = self.filled_at.unwrap_or(now);
+        let elapsed = now.saturating_duration_since(filled_at);
+        let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let gained = elapsed_us.saturating_mul(self.rate_milli) / 1_000;
+        let capacity = (self.rate_milli * BURST_MS).max(START_MILLI * 1_000);
+        // Time too short for a token is left to count later.
+        if gained > 0 || self.rate_milli == 0 {
+            self.filled_at = Some(now);
+        }
+        self.filled_at.get_or_insert(now);
+        self.tokens_micro = self.tokens_micro.saturating_add(gained).min(capacity);
+    }
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -5,6 +5,8 @@
 //! exceeds the limit, so the sum of use does not either.
 
 mod amount;
+mod bucket;
+mod divide;
 mod grantor;
 mod limits;
 mod spender;
--- a/crates/quota/src/spender.rs
+++ b/crates/quota/src/spender.rs
@@ -10,50 +10,136 @@
 use model::QuotaReply;
 
 use crate::Limits;
+use crate::amount;
+use crate::bucket;
 
 /// Spends the shares granted to one instance.
 #[derive(Debug)]
 pub struct Spender {
     instance_id: InstanceId,
+    plans: IndexMap<PlanId, Account>,
+}
+
+/// What the instance has of one plan.
+#[derive(Debug)]
+struct Account {
+    /// Limits of the plan; `None` once it has been removed from the list.
+    limits: Option<Limits>,
+    /// Sequence of the latest ask; only the reply to it counts.
+    sequence: u64,
+    held: QuotaAmount,
+    used: amount::Levels,
+    wanted: QuotaAmount,
+    starts: bucket::Bucket,
 }
 
 impl Spender {
     /// Creates a spender without any share.
     #[must_use]
     pub fn new(instance_id: InstanceId, _now: time::Instant) -> Self {
-        Self { instance_id }
+        Self {
+            instance_id,
+            plans: IndexMap::new(),
+        }
     }
 
     /// Replaces the limits of every plan.
-    pub fn set_limits(&mut self, _limits: IndexMap<PlanId, Limits>, _now: time::Instant) {}
+    pub fn set_limits(&mut self, limits: IndexMap<PlanId, Limits>, now: time::Instant) {
+        for (plan_id, account) in &mut self.plans {
+            account.limits = limits.get(plan_id).copied();
+        }
+        for (plan_id, limits) in limits {
+            let account = self.account(&plan_id, now);
+            account.limits = Some(limits);
+        }
+        self.plans
+            .retain(|_, account| account.limits.is_some() || !account.is_idle());
+    }
 
     /// Takes `amount` if the share has room for it; `amount.tasks` also counts as starts
     /// against the rate, and `amount.rate_milli` is ignored.
-    pub fn try_take(&mut self, _plan: &PlanId, _amount: QuotaAmount, _now: time::Instant) -> bool {
-        false
+    pub fn try_take(&mut self, plan: &PlanId, amount: QuotaAmount, now: time::Instant) -> bool {
+        let Some(account) = self.plans.get_mut(plan) else {
+            return false;
+        };
+        let Some(limits) = account.limits else {
+            return false;
+        };
+        let used = amount::plus(account.used, amount::levels(&amount));
+        let held = amount::levels(&account.held);
+        let bounds = amount::limit_levels(&limits);
+        let bounds = std::array::from_fn(|index| bounds[index].map(|_| held[index]));
+        if !amount::within(&used, &bounds) {
+            return false;
+        }
+        if limits.rate_milli.is_some() && !account.starts.try_take(amount.tasks, now) {
+            return false;
+        }
+        account.used = used;
+        true
     }
 
     /// Gives back what was taken; starts stay counted against the rate.
-    pub fn give_back(&mut self, _plan: &PlanId, _amount: QuotaAmount) {}
+    pub fn give_back(&mut self, plan: &PlanId, amount: QuotaAmount) {
+        if let Some(account) = self.plans.get_mut(plan) {
+            account.used = amount::minus(account.used, amount::levels(&amount));
+        }
+    }
 
     /// Takes `amount` for a task that runs already, even beyond the share.
-    pub fn force_take(&mut self, _plan: &PlanId, _amount: QuotaAmount) {}
+    pub fn force_take(&mut self, plan: &PlanId, amount: QuotaAmount) {
+        let account = self
+            .plans
+            .entry(plan.clone())
+            .or_insert_with(|| Account::new(bucket::Bucket::empty()));
+        account.used = amount::plus(account.used, amount::levels(&amount));
+    }
 
     /// Sets the share that would be useful now: what is in use and what is queued.
-    pub fn set_wanted(&mut self, _plan: &PlanId, _amount: QuotaAmount) {}
+    ///
+    /// A `rate_milli` of 0 stands for as much as possible if any tasks are wanted.
+    pub fn set_wanted(&mut self, plan: &PlanId, amount: QuotaAmount) {
+        if let Some(account) = self.plans.get_mut(plan) {
+            account.wanted = amount;
+        }
+    }
 
     /// Returns an ask for each plan.
     pub fn asks(&mut self, _now: time::Instant) -> Vec<QuotaAsk> {
-        Vec::new()
+        for account in self.plans.values_mut() {
+            account.sequence += 1;
+        }
+        self.held()
     }
 
-    /// Takes a grantor's reply.
-    pub fn on_reply(&mut self, _reply: QuotaReply, _now: time::Instant) {}
+    /// Takes a grantor's reply; only the reply to the latest ask counts.
+    pub fn on_reply(&mut self, reply: QuotaReply, now: time::Instant) {
+        let Some(account) = self.plans.get_mut(&reply.plan_id) else {
+            return;
+        };
+        let Some(granted) = reply.granted else {
+            return;
+        };
+        if reply.sequence == account.sequence {
+            account.held = granted;
+            account.starts.set_rate(granted.rate_milli, now);
+        }
+    }
 
     /// Returns the shares held, for the answer to a fence.
     #[must_use]
     pub fn held(&self) -> Vec<QuotaAsk> {
-        Vec::new()
+        self.plans
+            .iter()
+            .map(|(plan_id, account)| QuotaAsk {
+                plan_id: plan_id.clone(),
+                instance_id: self.instance_id.clone(),
+                sequence: account.sequence,
+                held: account.held,
+                used: amount::amount(account.used, 0),
+                wanted: account.wanted,
+            })
+            .collect()
     }
 
     /// Returns the instance itself.
@@ -61,4 +147,27 @@
     pub fn instance_id(&self) -> &InstanceId {
         &self.instance_id
     }
+
+    fn account(&mut self, plan: &PlanId, now: time::Instant) -> &mut Account {
+        self.plans
+            .entry(plan.clone())
+            .or_insert_with(|| Account::new(bucket::Bucket::full(now)))
+    }
+}
+
+impl Account {
+    fn new(starts: bucket::Bucket) -> Self {
+        Self {
+            limits: None,
+            sequence: 0,
+            held: QuotaAmount::default(),
+            used: amount::Levels::default(),
+            wanted: QuotaAmount::default(),
+            starts,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.used == amount::Levels::default()
+    }
 }
--- /dev/null
+++ b/crates/quota/tests/sum_of_use.rs
@@ -0,0 +1,417 @@
+//! Generated asks, lost, late and doubled messages, deaths and changes of grantor.
+
+use std::time;
+
+use indexmap::IndexMap;
+use model::Demand;
+use model::PlanId;
+use model::QuotaAmount;
+use model::QuotaAsk;
+use model::QuotaReply;
+use proptest::prelude::*;
+use quota::Grantor;
+use quota::GrantorSettings;
+use quota::Limits;
+use quota::Spender;
+
+const INSTANCES: usize = 3;
+const HOLD: time::Duration = time::Duration::from_secs(10);
+const LIMIT_TASKS: u32 = 12;
+/// Every instance reports to a new grantor, gets its smaller share, confirms it; then the share is
+/// free for the next ask.
+const ROUNDS: usize = 4;
+const LIMIT_MILLI: u32 = 12_000;
+
+#[derive(Clone, Debug)]
+enum Step {
+    TakeAll(usize),
+    GiveBack(usize, usize),
+    Want(usize, u32),
+    /// An ask and its reply, both delivered.
+    Exchange(usize),
+    /// An ask that is delivered; its reply may come late, doubled or never.
+    ExchangeSlowly(usize),
+    Ask(usize),
+    DeliverAsk {
+        index: usize,
+        keep: bool,
+    },
+    DeliverReply {
+        index: usize,
+        keep: bool,
+    },
+    DropAsk(usize),
+    DropReply(usize),
+    Die(usize),
+    Adopt(usize),
+    ChangeGrantor,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let id = 0..INSTANCES;
+    prop_oneof![
+        6 => id.clone().prop_map(Step::TakeAll),
+        3 => (id.clone(), 1..8_usize).prop_map(|(id, count)| Step::GiveBack(id, count)),
+        4 => (id.clone(), prop::sample::select(vec![0, 2, LIMIT_TASKS]))
+            .prop_map(|(id, tasks)| Step::Want(id, tasks)),
+        6 => id.clone().prop_map(Step::Exchange),
+        4 => id.clone().prop_map(Step::ExchangeSlowly),
+        1 => id.clone().prop_map(Step::Ask),
+        2 => (0..32_usize, prop::bool::weighted(0.2))
+            .prop_map(|(index, keep)| Step::DeliverAsk { index, keep }),
+        4 => (0..32_usize, prop::bool::weighted(0.2))
+            .prop_map(|(index, keep)| Step::DeliverReply { index, keep }),
+        1 => (0..32_usize).prop_map(Step::DropAsk),
+        1 => (0..32_usize).prop_map(Step::DropReply),
+        1 => id.clone().prop_map(Step::Die),
+        1 => id.prop_map(Step::Adopt),
+        1 => Just(Step::ChangeGrantor),
+        1 => (100..4_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// A cluster of spenders with two grantors, one of which is in charge.
+struct Cluster {
+    now: time::Instant,
+    plan: PlanId,
+    spenders: IndexMap<usize, Spender>,
+    taken: IndexMap<usize, Vec<QuotaAmount>>,
+    boots: usize,
+    orphans: Vec<(time::Instant, QuotaAmount)>,
+    grantors: [Grantor; 2],
+    active: usize,
+    asks: Vec<QuotaAsk>,
+    replies: Vec<(usize, QuotaReply)>,
+}
+
+fn limits() -> Limits {
+    Limits {
+        processors_milli: Some(LIMIT_MILLI),
+        memory_mb: None,
+        accelerators: None,
+        tasks: Some(LIMIT_TASKS),
+        rate_milli: None,
+    }
+}
+
+fn of_tasks(tasks: u32) -> QuotaAmount {
+    QuotaAmount {
+        resources: Demand {
+            processors_milli: tasks * 1_000,
+            memory_mb: tasks,
+            accelerators: 0,
+        },
+        tasks,
+        rate_milli: 0,
+    }
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let now = time::Instant::now();
+        let plan: PlanId = "plan".into();
+        let grantor = || {
+            let mut grantor = Grantor::new(GrantorSettings { orphan_hold: HOLD });
+            grantor.set_limits([(PlanId::from("plan"), limits())].into_iter().collect());
+            grantor
+        };
+        let mut cluster = Self {
+            now,
+            plan,
+            spenders: IndexMap::new(),
+            taken: IndexMap::new(),
+            boots: 0,
+            orphans: Vec::new(),
+            grantors: [grantor(), grantor()],
+            active: 0,
+            asks: Vec::new(),
+            replies: Vec::new(),
+        };
+        for id in 0..INSTANCES {
+            cluster.boot(id);
+        }
+        cluster.tell_instances();
+        cluster.grantors[0].begin(vec![cluster.plan.clone()], Vec::new(), now);
+        cluster
+    }
+
+    fn boot(&mut self, id: usize) {
+        self.boots += 1;
+        let name = format!("i{id}#{}", self.boots);
+        let mut spender = Spender::new(name.into(), self.now);
+        let all = [(self.plan.clone(), limits())].into_iter().collect();
+        spender.set_limits(all, self.now);
+        self.spenders.insert(id, spender);
+        self.taken.insert(id, Vec::new());
+    }
+
+    fn tell_instances(&mut self) {
+        let live: Vec<_> = self
+            .spenders
+            .values()
+            .map(|spender| spender.instance_id().clone())
+            .collect();
+        for grantor in &mut self.grantors {
+            grantor.set_table_instances(live.clone(), Vec::new(), self.now);
+        }
+    }
+
+    fn take(&mut self, id: usize, amount: QuotaAmount) -> bool {
+        let taken = self.spenders[&id].try_take(&self.plan, amount, self.now);
+        if taken {
+            self.taken[&id].push(amount);
+        }
+        taken
+    }
+
+    fn give_back(&mut self, id: usize) {
+        if let Some(amount) = self.taken[&id].pop() {
+            self.spenders[&id].give_back(&self.plan, amount);
+        }
+    }
+
+    fn exchange(&mut self, id: usize, replies: bool) {
+        self.ask(id);
+        self.deliver_ask(self.asks.len() - 1, false);
+        if replies {
+            self.deliver_reply(self.replies.len() - 1, false);
+        }
+    }
+
+    fn ask(&mut self, id: usize) {
+        let asks = self.spenders[&id].asks(self.now);
+        self.asks.extend(asks);
+    }
+
+    fn deliver_ask(&mut self, index: usize, keep: bool) {
+        if self.asks.is_empty() {
+            return;
+        }
+        let index = index % self.asks.len();
+        let ask = self.asks[index].clone();
+        if !keep {
+            self.asks.remove(index);
+        }
+        let asker = self
+            .spenders
+            .iter()
+            .find(|(_, spender)| *spender.instance_id() == ask.instance_id);
+        let Some((id, _)) = asker else {
+            return;
+        };
+        let id = *id;
+        let reply = self.grantors[self.active].on_ask(ask, self.now);
+        self.replies.push((id, reply));
+    }
+
+    fn deliver_reply(&mut self, index: usize, keep: bool) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let index = index % self.replies.len();
+        let (id, reply) = self.replies[index].clone();
+        if !keep {
+            self.replies.remove(index);
+        }
+        self.spenders[&id].on_reply(reply, self.now);
+    }
+
+    fn die(&mut self, id: usize) {
+        for amount in self.taken[&id].drain(..) {
+            self.orphans.push((self.now, amount));
+        }
+        self.replies.retain(|(to, _)| *to != id);
+        self.boot(id);
+        self.tell_instances();
+    }
+
+    /// Adopts every orphan, and has the adopting instance ask.
+    fn adopt(&mut self, id: usize) {
+        for (_, amount) in std::mem::take(&mut self.orphans) {
+            self.spenders[&id].force_take(&self.plan, amount);
+            self.taken[&id].push(amount);
+        }
+        for ask in self.spenders[&id].asks(self.now) {
+            let reply = self.grantors[self.active].on_ask(ask, self.now);
+            self.replies.push((id, reply));
+        }
+    }
+
+    fn change_grantor(&mut self) {
+        let plan = self.plan.clone();
+        self.grantors[self.active].retire(&plan);
+        self.active = 1 - self.active;
+        self.asks.clear();
+        let grants = self.spenders.values().flat_map(Spender::held).collect();
+        self.grantors[self.active].begin(vec![plan], grants, self.now);
+    }
+
+    fn wait(&mut self, millis: u64) {
+        self.now += time::Duration::from_millis(millis);
+        let overdue = |(at, _): &(time::Instant, QuotaAmount)| self.now > *at + HOLD / 3;
+        if self.orphans.iter().any(overdue) {
+            self.adopt(0);
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::TakeAll(id) => while self.take(id, of_tasks(1)) {},
+            Step::GiveBack(id, count) => {
+                for _ in 0..count.min(self.taken[&id].len()) {
+                    self.give_back(id);
+                }
+            }
+            Step::Exchange(id) => self.exchange(id, true),
+            Step::ExchangeSlowly(id) => self.exchange(id, false),
+            Step::Want(id, tasks) => self.spenders[&id].set_wanted(&self.plan, of_tasks(tasks)),
+            Step::Ask(id) => self.ask(id),
+            Step::DeliverAsk { index, keep } => self.deliver_ask(index, keep),
+            Step::DeliverReply { index, keep } => self.deliver_reply(index, keep),
+            Step::DropAsk(index) if index < self.asks.len() => {
+                self.asks.remove(index);
+            }
+            Step::DropReply(index) if index < self.replies.len() => {
+                self.replies.remove(index);
+            }
+            Step::DropAsk(_) | Step::DropReply(_) => {}
+            Step::Die(id) => self.die(id),
+            Step::Adopt(id) => self.adopt(id),
+            Step::ChangeGrantor => self.change_grantor(),
+            Step::Wait(millis) => self.wait(millis),
+        }
+    }
+
+    fn used_tasks(&self) -> u32 {
+        let taken = self.taken.values().flatten();
+        let orphans = self.orphans.iter().map(|(_, amount)| amount);
+        taken.chain(orphans).map(|amount| amount.tasks).sum()
+    }
+
+    fn round(&mut self) {
+        self.wait(200);
+        for id in 0..INSTANCES {
+            self.exchange(id, true);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn sum_of_use_stays_within_the_limit(steps in prop::collection::vec(step(), 1..160)) {
+        let mut cluster = Cluster::new();
+        for (index, step) in steps.into_iter().enumerate() {
+            let text = format!("{step:?}");
+            cluster.apply(step);
+            let used = cluster.used_tasks();
+            prop_assert!(used <= LIMIT_TASKS, "step {index}, {text}: {used} tasks in use");
+        }
+    }
+
+    #[test]
+    fn unused_share_comes_back(steps in prop::collection::vec(step(), 1..80), who in 0..INSTANCES) {
+        let mut cluster = Cluster::new();
+        for step in steps {
+            cluster.apply(step);
+        }
+        cluster.adopt(0);
+        for id in 0..INSTANCES {
+            cluster.apply(Step::GiveBack(id, usize::MAX));
+            cluster.apply(Step::Want(id, 0));
+        }
+        cluster.wait(20_000);
+        let wanted = LIMIT_TASKS;
+        cluster.apply(Step::Want(who, wanted));
+        for _ in 0..ROUNDS {
+            cluster.round();
+        }
+        let plan = cluster.plan.clone();
+        let taken = cluster.spenders[&who].try_take(&plan, of_tasks(wanted), cluster.now);
+        let held = &cluster.spenders[&who].held()[0].held;
+        prop_assert!(taken, "instance {who} holds {held:?} after {ROUNDS} rounds");
+    }
+
+    #[test]
+    fn contested_whole_tasks_make_progress(size in 3..12_u32) {
+        let mut cluster = Cluster::new();
+        for id in 0..INSTANCES {
+            cluster.apply(Step::Want(id, 0));
+            let large = QuotaAmount { tasks: 1, ..of_tasks(size) };
+            cluster.spenders[&id].set_wanted(&cluster.plan, large);
+        }
+        let mut started = [false; INSTANCES];
+        for _ in 0..60 {
+            cluster.round();
+            for (id, started) in started.iter_mut().enumerate() {
+                let large = QuotaAmount { tasks: 1, ..of_tasks(size) };
+                if cluster.take(id, large) {
+                    *started = true;
+                    cluster.give_back(id);
+                }
+            }
+        }
+        prop_assert_eq!(started, [true; INSTANCES]);
+    }
+}
+
+#[test]
+fn idle_instances_have_a_baseline() {
+    let mut cluster = Cluster::new();
+    for _ in 0..2 {
+        cluster.round();
+    }
+    for id in 0..INSTANCES {
+        assert!(cluster.take(id, of_tasks(1)), "instance {id} has no share");
+    }
+}
+
+#[test]
+fn unlimited_dimensions_never_block() {
+    let now = time::Instant::now();
+    let plan = PlanId::from("free");
+    let mut spender = Spender::new("a#1".into(), now);
+    let unlimited = [(plan.clone(), Limits::default())].into_iter().collect();
+    spender.set_limits(unlimited, now);
+    assert!(spender.try_take(&plan, of_tasks(100_000), now));
+    assert!(!spender.try_take(&PlanId::from("none"), of_tasks(1), now));
+}
+
+#[test]
+fn starts_are_limited_to_the_granted_rate() {
+    let mut now = time::Instant::now();
+    let plan = PlanId::from("slow");
+    let rate = Limits {
+        rate_milli: Some(5_000),
+        ..Limits::default()
+    };
+    let limits: IndexMap<_, _> = [(plan.clone(), rate)].into_iter().collect();
+    let mut spender = Spender::new("a#1".into(), now);
+    spender.set_limits(limits.clone(), now);
+    let mut grantor = Grantor::new(GrantorSettings { orphan_hold: HOLD });
+    grantor.set_limits(limits);
+    grantor.set_table_instances(vec!["a#1".into()], Vec::new(), now);
+    grantor.begin(vec![plan.clone()], Vec::new(), now);
+    spender.set_wanted(&plan, of_tasks(100));
+    for ask in spender.asks(now) {
+        spender.on_reply(grantor.on_ask(ask, now), now);
+    }
+    let mut starts = 0;
+    for _ in 0..1_000 {
+        now += time::Duration::from_millis(10);
+        if spender.try_take(&plan, of_tasks(1), now) {
+            starts += 1;
+        }
+    }
+    assert!(
+        (49..=56).contains(&starts),
+        "{starts} starts in 10 s at 5/s"
+    );
+}
