--- a/crates/owner/src/action.rs
+++ b/crates/owner/src/action.rs
@@ -121,6 +121,9 @@
         partitions: Vec<(Partition, Generation)>,
     },
     /// Write to the journal, in one transaction.
+    ///
+    /// The transaction also keeps the latest batch of this instance: one that is written already
+    /// is answered as written and changes nothing, so that a late copy undoes no newer batch.
     WriteJournal {
         /// The batch; a batch whose result is unknown is sent again with the same id.
         batch_id: BatchId,
--- a/crates/owner/src/delegation.rs
+++ b/crates/owner/src/delegation.rs
@@ -335,6 +335,9 @@
     }
 
     fn pack_task(&self, record: &record::Record, message: &mut Message) {
+        if matches!(record.state, record::State::Retracting(_)) {
+            return;
+        }
         if record.members().is_empty() {
             message.queued.push((record.task.clone(), record.deadline));
             if record.is_queued() {
@@ -588,7 +591,9 @@
             return;
         };
         match &record.state {
-            record::State::Journalling => self.start_journalling(task_id),
+            record::State::Journalling | record::State::Retracting(_) => {
+                self.start_journalling(task_id);
+            }
             record::State::Queued => self.enqueue(task_id),
             record::State::Active(runs) => {
                 let finished = |run: &record::MemberRun| matches!(&run.phase, record::Phase::Finished(done) if done.checkpoint.is_none());
--- a/crates/owner/src/journal_io.rs
+++ b/crates/owner/src/journal_io.rs
@@ -68,6 +68,9 @@
                     for entry in batch.entries {
                         self.entry_written(entry.task_id);
                     }
+                    for task_id in batch.deletes {
+                        self.entry_deleted(task_id);
+                    }
                 }
             }
             WriteResult::Conflict => {
@@ -115,11 +118,21 @@
         let Some(record) = self.tasks.get(&task_id) else {
             return;
         };
+        if matches!(record.state, record::State::Retracting(_)) {
+            self.settle(task_id, Outcome::Unknown(UnknownReason::OwnerUnreachable));
+            return;
+        }
         let waits = matches!(record.state, record::State::Journalling);
         if !waits || record.deadline > self.now {
             return;
         }
-        if record.task.spec.repeatable || self.knows_journal(task_id) {
+        let unsent = !record.journal_sent || self.journal.retract(task_id);
+        if record::is_restartable(&record.task) && !unsent {
+            self.settle(task_id, Outcome::Unknown(UnknownReason::OwnerUnreachable));
+        } else if record.task.spec.repeatable || self.knows_journal(task_id) {
+            if let Some(record) = self.tasks.get_mut(&task_id) {
+                record.journal_sent &= !unsent;
+            }
             self.settle_unstarted(task_id, NotRunReason::StoreUnavailable);
         } else {
             self.settle(task_id, Outcome::Unknown(UnknownReason::OwnerUnreachable));
--- a/crates/owner/src/journal_writer.rs
+++ b/crates/owner/src/journal_writer.rs
@@ -63,6 +63,15 @@
         self.due_at.get_or_insert(now + self.wait);
     }
 
+    /// Takes back an entry that has not been sent; returns whether it was so.
+    pub(crate) fn retract(&mut self, task_id: TaskId) -> bool {
+        let sent = self.batch.as_ref().is_some_and(|batch| {
+            let mut ids = batch.entries.iter().map(|entry| entry.task_id);
+            ids.any(|id| id == task_id)
+        });
+        !sent && self.puts.swap_remove(&task_id).is_some()
+    }
+
     pub(crate) fn delete(&mut self, task_id: TaskId, now: time::Instant) {
         self.puts.swap_remove(&task_id);
         self.deletes.insert(task_id);
--- a/crates/owner/src/record.rs
+++ b/crates/owner/src/record.rs
@@ -45,6 +45,9 @@
 pub(crate) enum State {
     /// Its journal entry is being written.
     Journalling,
+    /// It will not run, which is answered once its journal entry is deleted: until then a new
+    /// owner would queue it.
+    Retracting(model::NotRunReason),
     /// It waits in the queue, or would if its partition were not being given away.
     Queued,
     /// Its members were offered to holders; one entry for each member.
@@ -190,6 +193,11 @@
     !task.wait || task.spec.class == model::Class::Service
 }
 
+/// Returns whether a new owner that finds the journal entry of a task queues the task.
+pub(crate) fn is_restartable(task: &Task) -> bool {
+    task.spec.repeatable && is_recorded_whole(task)
+}
+
 /// Returns the digest that every use of a key must share.
 ///
 /// Deadline, urgency and expected run time may differ between uses.
--- a/crates/owner/src/runs.rs
+++ b/crates/owner/src/runs.rs
@@ -207,7 +207,7 @@
         let Some(record) = self.tasks.get(&task_id) else {
             return;
         };
-        if !record.cancelled {
+        if !record.cancelled || matches!(record.state, record::State::Retracting(_)) {
             return;
         }
         if record.is_queued() {
--- a/crates/owner/src/settle.rs
+++ b/crates/owner/src/settle.rs
@@ -16,6 +16,10 @@
 use crate::record;
 use crate::settled;
 use crate::tickets;
+use crate::timers;
+
+/// How long the answer "not run" waits for a journal entry to be deleted.
+const RETRACT_WAIT: time::Duration = time::Duration::from_secs(5);
 
 impl Owner {
     /// Puts a task in the queue, or notes that it belongs there while its partition is not served.
@@ -73,6 +77,11 @@
         let Some(record) = self.tasks.get(&task_id) else {
             return;
         };
+        let entry_exists = record.journal_sent && record::is_restartable(&record.task);
+        if entry_exists && record.may_have_run.is_none() {
+            self.retract(task_id, reason);
+            return;
+        }
         let outcome = match record.may_have_run {
             None => Outcome::NotRun(reason),
             Some(_) if record.cancelled => Outcome::Unknown(UnknownReason::CancelledWhileRunning),
@@ -81,6 +90,31 @@
         self.settle(task_id, outcome);
     }
 
+    /// Deletes the journal entry of a task that will not run, before that is answered.
+    fn retract(&mut self, task_id: TaskId, reason: NotRunReason) {
+        if let Some(record) = self.tasks.get_mut(&task_id) {
+            record.state = record::State::Retracting(reason);
+        }
+        if self.journal.retract(task_id) {
+            self.entry_deleted(task_id);
+            return;
+        }
+        self.journal.delete(task_id, self.now);
+        let latest = self.now + RETRACT_WAIT;
+        self.timers.set(latest, timers::Timer::Journalling(task_id));
+    }
+
+    /// Answers a task as not run, now that no other owner can find its entry.
+    pub(crate) fn entry_deleted(&mut self, task_id: TaskId) {
+        let Some(record) = self.tasks.get_mut(&task_id) else {
+            return;
+        };
+        if let record::State::Retracting(reason) = record.state {
+            record.journal_sent = false;
+            self.settle(task_id, Outcome::NotRun(reason));
+        }
+    }
+
     /// Gives a task its final outcome.
     pub(crate) fn settle(&mut self, task_id: TaskId, outcome: Outcome) {
         self.free(task_id);
@@ -184,7 +218,8 @@
         if !record.is_queued() {
             return;
         }
-        let fresh = record.may_have_run.is_none() && record.task.wait;
+        let restartable = record::is_restartable(&record.task);
+        let fresh = record.may_have_run.is_none() && !restartable;
         match retry_after {
             Some(wait) if fresh => self.send_back(task_id, reason, wait),
             _ => self.settle_unstarted(task_id, reason),
--- /dev/null
+++ b/crates/owner/tests/cluster/mod.rs
@@ -0,0 +1,310 @@
+//! A small cluster around `Owner`: a store, workers, holders and messages that are lost or late.
+
+mod net;
+mod node;
+mod store;
+mod workers;
+
+use std::time;
+
+use indexmap::IndexMap;
+use model::Outcome;
+use model::SubmitReply;
+use model::TaskId;
+use model::TaskStatus;
+use owner::Action;
+use owner::Answer;
+use owner::Event;
+use owner::Ticket;
+
+pub(crate) use net::Message;
+pub(crate) use net::Request;
+pub(crate) use node::Node;
+pub(crate) use workers::Worker;
+
+pub(crate) const NODES: usize = 3;
+pub(crate) const WORKERS: usize = 3;
+pub(crate) const LEASE_TTL: time::Duration = time::Duration::from_millis(1_000);
+pub(crate) const GRACE: time::Duration = time::Duration::from_millis(500);
+pub(crate) const MARGIN: time::Duration = time::Duration::from_millis(100);
+pub(crate) const OFFER_VALIDITY: time::Duration = time::Duration::from_millis(300);
+pub(crate) const DEAD_AFTER: time::Duration = time::Duration::from_millis(700);
+
+/// A caller's request, which may be sent to several instances in turn.
+pub(crate) struct Call {
+    pub(crate) task: model::Task,
+    pub(crate) cancels: bool,
+    pub(crate) deadline: time::Instant,
+    /// Instance and ticket that it waits at.
+    pub(crate) at: Option<(usize, Ticket)>,
+    pub(crate) answer: Option<Answer>,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) now: time::Instant,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) store: store::Store,
+    pub(crate) net: Vec<Message>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) tickets: IndexMap<Ticket, usize>,
+    pub(crate) boots: usize,
+    pub(crate) next_id: u64,
+    /// Executions of each task.
+    pub(crate) starts: IndexMap<TaskId, usize>,
+    /// Number of calls made when a task was last answered as not run.
+    pub(crate) not_run: IndexMap<TaskId, usize>,
+    pub(crate) faults: Vec<String>,
+}
+
+impl Cluster {
+    pub(crate) fn new() -> Self {
+        let now = time::Instant::now();
+        let mut cluster = Self {
+            now,
+            nodes: Vec::new(),
+            workers: (0..WORKERS).map(|id| Worker::new(id, now)).collect(),
+            store: store::Store::default(),
+            net: Vec::new(),
+            calls: Vec::new(),
+            tickets: IndexMap::new(),
+            boots: 0,
+            next_id: 0,
+            starts: IndexMap::new(),
+            not_run: IndexMap::new(),
+            faults: Vec::new(),
+        };
+        for id in 0..NODES {
+            cluster.boots += 1;
+            let boot = cluster.boots;
+            cluster.nodes.push(Node::new(id, boot, now));
+        }
+        for _ in 0..20 {
+            cluster.wait(100);
+            cluster.deliver_all();
+        }
+        cluster
+    }
+
+    pub(crate) fn fault(&mut self, text: String) {
+        self.faults.push(text);
+    }
+
+    /// Passes an event to an instance and does what it asks for.
+    pub(crate) fn on(&mut self, id: usize, event: Event) {
+        let actions = self.nodes[id].owner.on(event, self.now);
+        for action in actions {
+            self.perform(id, action);
+        }
+    }
+
+    fn perform(&mut self, id: usize, action: Action) {
+        match action {
+            Action::Answer { ticket, answer } => self.answered(ticket, answer),
+            Action::Enqueue(task) => {
+                let known = self.nodes[id].queued(task.task.task_id);
+                if known {
+                    self.fault(format!("queued twice: {:?}", task.task.task_id));
+                }
+                self.nodes[id].queue.push(task);
+            }
+            Action::Unqueue { task_id } => self.nodes[id].unqueue(task_id),
+            Action::Withdraw { holder, run } => {
+                let request = Request::Withdraw { holder, run };
+                self.send(id, request);
+            }
+            Action::ReadTable => self.send(id, Request::ReadTable),
+            Action::WriteTable {
+                table,
+                expected_revision,
+            } => self.send(id, Request::WriteTable(table, expected_revision)),
+            Action::Fence { to, partitions } => self.send(id, Request::Fence { to, partitions }),
+            Action::WriteJournal {
+                batch_id,
+                table_revision,
+                entries,
+                deletes,
+            } => self.send(
+                id,
+                Request::WriteJournal {
+                    batch_id,
+                    table_revision,
+                    entries,
+                    deletes,
+                },
+            ),
+            Action::ReadJournal { partition } => self.send(id, Request::ReadJournal(partition)),
+            Action::Delegate {
+                to,
+                partitions,
+                started,
+                queued,
+            } => self.send(
+                id,
+                Request::Delegate {
+                    to,
+                    partitions,
+                    started,
+                    queued,
+                },
+            ),
+            Action::Settled(_) | Action::Freed { .. } | Action::Adopted { .. } => {}
+            Action::Serving { .. } | Action::Superseded { .. } => {}
+        }
+    }
+
+    /// Makes a call at the owner of its task, as far as the receiving instance knows it.
+    pub(crate) fn call(&mut self, receiver: usize, task: model::Task, cancels: bool) {
+        self.calls.push(Call {
+            task,
+            cancels,
+            deadline: self.now + time::Duration::from_secs(4),
+            at: None,
+            answer: None,
+        });
+        self.route(self.calls.len() - 1, receiver, false);
+    }
+
+    fn route(&mut self, call: usize, receiver: usize, resent: bool) {
+        let task_id = self.calls[call].task.task_id;
+        let partition = model::partition_of(task_id);
+        let owner = self.nodes[receiver].owner.owner_of(partition).cloned();
+        let target = owner.and_then(|owner| self.node_of(&owner));
+        let Some(target) = target.filter(|id| self.reaches(receiver, *id)) else {
+            return;
+        };
+        self.next_id += 1;
+        let ticket = self.next_id;
+        self.tickets.insert(ticket, call);
+        self.calls[call].at = Some((target, ticket));
+        let Call {
+            task,
+            cancels,
+            deadline,
+            ..
+        } = &self.calls[call];
+        let event = if *cancels {
+            Event::Cancel {
+                ticket,
+                customer_id: task.customer_id.clone(),
+                task_id,
+            }
+        } else {
+            Event::Submit {
+                ticket,
+                task: task.clone(),
+                deadline: *deadline,
+                resent,
+            }
+        };
+        if self.nodes[target].paused {
+            self.nodes[target].inbox.push(event);
+        } else {
+            self.on(target, event);
+        }
+    }
+
+    fn answered(&mut self, ticket: Ticket, answer: Answer) {
+        let Some(call) = self.tickets.get(&ticket).copied() else {
+            self.fault(format!("ticket {ticket} was answered twice"));
+            return;
+        };
+        self.tickets.swap_remove(&ticket);
+        let current = self.calls[call].at.map(|(_, ticket)| ticket);
+        if current != Some(ticket) {
+            return;
+        }
+        self.calls[call].at = None;
+        if answer == Answer::NotOwner {
+            return;
+        }
+        if is_not_run(&answer) {
+            self.check_not_run(call);
+        }
+        self.calls[call].answer = Some(answer);
+    }
+
+    fn check_not_run(&mut self, call: usize) {
+        let task_id = self.calls[call].task.task_id;
+        if self.calls[call].cancels {
+            return;
+        }
+        if self.starts.get(&task_id).is_some_and(|starts| *starts > 0) {
+            let answer = "answered as not run, but it ran";
+            self.fault(format!("call {call} of task {task_id}: {answer}"));
+        }
+        self.not_run.insert(task_id, self.calls.len());
+    }
+
+    /// Sends the calls again whose instance has died, or that turned them away.
+    pub(crate) fn resend(&mut self) {
+        for call in 0..self.calls.len() {
+            if self.calls[call].answer.is_some() || self.calls[call].at.is_some() {
+                continue;
+            }
+            if let Some(receiver) = self.nodes.iter().position(Node::is_up) {
+                self.route(call, receiver, true);
+            }
+        }
+    }
+
+    pub(crate) fn wait(&mut self, millis: u64) {
+        self.now += time::Duration::from_millis(millis);
+        self.run_workers();
+        self.tell_members();
+        self.time_out();
+        for id in 0..NODES {
+            if self.nodes[id].paused {
+                continue;
+            }
+            self.expire_queue(id);
+            self.on(id, Event::Tick);
+        }
+        self.report_runs();
+        self.resend();
+    }
+
+    /// Ends every fault and lets the cluster come to rest.
+    pub(crate) fn settle(&mut self) {
+        self.store.down = false;
+        for id in 0..NODES {
+            self.nodes[id].cut = false;
+            self.resume(id);
+        }
+        for round in 0..200 {
+            if round > 20 && self.unanswered().is_empty() {
+                return;
+            }
+            self.wait(100);
+            self.deliver_all();
+            for id in 0..NODES {
+                while !self.nodes[id].queue.is_empty() {
+                    let before = self.nodes[id].queue.len();
+                    self.dispatch(id, id);
+                    self.deliver_all();
+                    if self.nodes[id].queue.len() >= before {
+                        break;
+                    }
+                }
+            }
+            for worker in 0..WORKERS {
+                self.finish(worker, true);
+            }
+        }
+    }
+
+    pub(crate) fn unanswered(&self) -> Vec<usize> {
+        (0..self.calls.len())
+            .filter(|call| self.calls[*call].answer.is_none())
+            .collect()
+    }
+}
+
+pub(crate) fn is_not_run(answer: &Answer) -> bool {
+    match answer {
+        Answer::Submit(SubmitReply::Settled(outcome))
+        | Answer::Status(TaskStatus::Settled(outcome)) => matches!(outcome, Outcome::NotRun(_)),
+        Answer::Submit(SubmitReply::RetryLater { .. }) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/owner/tests/interleavings.rs
@@ -0,0 +1,142 @@
+//! Generated interleavings of steps, pauses, deaths, lost and late messages over three owners.
+
+mod cluster;
+
+use std::sync;
+
+use model::Class;
+use model::Demand;
+use model::Task;
+use model::TaskSpec;
+use model::Urgency;
+use proptest::prelude::*;
+
+use cluster::Cluster;
+use cluster::NODES;
+use cluster::WORKERS;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit { receiver: usize, key: u8, kind: u8 },
+    Cancel { receiver: usize, key: u8, kind: u8 },
+    Dispatch(usize, usize),
+    Deliver(usize),
+    DeliverAll,
+    Lose { index: usize, late: bool },
+    Wait(u64),
+    Finish(usize, bool),
+    Kill(usize),
+    KillWorker(usize),
+    Pause(usize),
+    Resume(usize),
+    Cut(usize, bool),
+    Store(bool),
+    Drain(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..NODES;
+    let worker = 0..WORKERS;
+    prop_oneof![
+        6 => (node.clone(), 0..3_u8, 0..4_u8)
+            .prop_map(|(receiver, key, kind)| Step::Submit { receiver, key, kind }),
+        1 => (node.clone(), 0..3_u8, 0..4_u8)
+            .prop_map(|(receiver, key, kind)| Step::Cancel { receiver, key, kind }),
+        6 => (node.clone(), node.clone()).prop_map(|(id, holder)| Step::Dispatch(id, holder)),
+        6 => (0..64_usize).prop_map(Step::Deliver),
+        6 => Just(Step::DeliverAll),
+        3 => (0..64_usize, any::<bool>()).prop_map(|(index, late)| Step::Lose { index, late }),
+        8 => prop::sample::select(vec![20, 100, 350, 800, 1_700]).prop_map(Step::Wait),
+        3 => (worker.clone(), prop::bool::weighted(0.8))
+            .prop_map(|(id, succeeds)| Step::Finish(id, succeeds)),
+        2 => node.clone().prop_map(Step::Kill),
+        1 => worker.prop_map(Step::KillWorker),
+        2 => node.clone().prop_map(Step::Pause),
+        2 => node.clone().prop_map(Step::Resume),
+        2 => (node.clone(), any::<bool>()).prop_map(|(id, cut)| Step::Cut(id, cut)),
+        1 => any::<bool>().prop_map(Step::Store),
+        1 => node.prop_map(Step::Drain),
+    ]
+}
+
+/// Returns the task of a key; kinds differ in whether they may be repeated and are waited for.
+fn task(key: u8, kind: u8) -> Task {
+    let name = format!("k{key}-{kind}");
+    Task {
+        task_id: model::keyed_task_id("customer", &name),
+        customer_id: "customer".into(),
+        plan_id: "plan".into(),
+        region: "r".into(),
+        spec: sync::Arc::new(TaskSpec {
+            kind: "form".into(),
+            class: Class::Batch,
+            demand: Demand::default(),
+            members: 1,
+            urgency: Urgency::Normal,
+            deadline_ms: 4_000,
+            repeatable: kind % 2 == 0,
+            key: Some(name),
+            declared_run_ms: None,
+            body: "{}".into(),
+        }),
+        wait: kind < 2,
+    }
+}
+
+fn apply(cluster: &mut Cluster, step: Step) {
+    match step {
+        Step::Submit {
+            receiver,
+            key,
+            kind,
+        } => cluster.call(receiver, task(key, kind), false),
+        Step::Cancel {
+            receiver,
+            key,
+            kind,
+        } => cluster.call(receiver, task(key, kind), true),
+        Step::Dispatch(id, holder) => cluster.dispatch(id, holder),
+        Step::Deliver(index) if !cluster.net.is_empty() => {
+            cluster.deliver(index % cluster.net.len());
+        }
+        Step::Lose { index, late } if !cluster.net.is_empty() => {
+            cluster.lose(index % cluster.net.len(), late);
+        }
+        Step::Deliver(_) | Step::Lose { .. } => {}
+        Step::DeliverAll => cluster.deliver_all(),
+        Step::Wait(millis) => cluster.wait(millis),
+        Step::Finish(worker, succeeds) => cluster.finish(worker, succeeds),
+        Step::Kill(id) => cluster.kill(id),
+        Step::KillWorker(worker) => cluster.kill_worker(worker),
+        Step::Pause(id) => cluster.nodes[id].paused = true,
+        Step::Resume(id) => cluster.resume(id),
+        Step::Cut(id, cut) => cluster.nodes[id].cut = cut,
+        Step::Store(down) => cluster.store.down = down,
+        Step::Drain(id) if !cluster.nodes[id].paused => cluster.on(id, owner::Event::Drain),
+        Step::Drain(_) => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        max_shrink_iters: 200,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(42),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn promises_hold(steps in prop::collection::vec(step(), 1..120)) {
+        let mut cluster = Cluster::new();
+        for (index, step) in steps.into_iter().enumerate() {
+            let text = format!("{step:?}");
+            apply(&mut cluster, step);
+            prop_assert!(cluster.faults.is_empty(), "step {index}, {text}: {:?}", cluster.faults);
+        }
+        cluster.settle();
+        prop_assert!(cluster.faults.is_empty(), "settling: {:?}", cluster.faults);
+        let unanswered = cluster.unanswered();
+        prop_assert!(unanswered.is_empty(), "calls without an answer: {unanswered:?}");
+    }
+}
