--- a/crates/owner/tests/cluster/mod.rs
+++ b/crates/owner/tests/cluster/mod.rs
@@ -249,6 +249,15 @@
     }
 
     pub(crate) fn wait(&mut self, millis: u64) {
+        let mut left = millis;
+        while left > 0 {
+            let part = left.min(450);
+            self.pass(part);
+            left -= part;
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
         self.now += time::Duration::from_millis(millis);
         self.run_workers();
         self.tell_members();
@@ -278,6 +287,9 @@
             self.wait(100);
             self.deliver_all();
             for id in 0..NODES {
+                if round == 10 && self.nodes[id].draining {
+                    self.kill(id);
+                }
                 while !self.nodes[id].queue.is_empty() {
                     let before = self.nodes[id].queue.len();
                     self.dispatch(id, id);
