--- a/crates/entry/src/control/placing.rs
+++ b/crates/entry/src/control/placing.rs
@@ -23,6 +23,7 @@
             let Some(dispatch) = self.queue.next(&mut self.shares, now) else {
                 return;
             };
+            self.shares.charge(dispatch.queued.task.task_id);
             self.send(dispatch, now);
         }
     }
--- a/crates/entry/src/control/shares.rs
+++ b/crates/entry/src/control/shares.rs
@@ -23,6 +23,12 @@
     grantor: quota::Grantor,
     /// Plans that this instance grants.
     granting: IndexSet<model::PlanId>,
+    /// Limits of every plan.
+    limits: IndexMap<model::PlanId, quota::Limits>,
+    /// What was taken last, until the task it was taken for is known.
+    taken: Option<model::QuotaAmount>,
+    /// What the tasks of this instance have taken.
+    charged: IndexMap<model::TaskId, model::QuotaAmount>,
     /// Whether a task was held back for want of a share since the last asks.
     short: bool,
     asked_at: time::Instant,
@@ -37,17 +43,32 @@
             spender: quota::Spender::new(settings.instance_id.clone(), now),
             grantor: quota::Grantor::new(grantor),
             granting: IndexSet::new(),
+            limits: IndexMap::new(),
+            taken: None,
+            charged: IndexMap::new(),
             short: false,
             asked_at: now,
         }
     }
 
     pub(super) fn free(&mut self, task: &model::Task) {
-        self.spender.give_back(&task.plan_id, amount_of(task));
+        if let Some(amount) = self.charged.swap_remove(&task.task_id) {
+            self.spender.give_back(&task.plan_id, amount);
+        }
+    }
+
+    /// Attaches what was taken last to the task that it was taken for.
+    pub(super) fn charge(&mut self, task_id: model::TaskId) {
+        if let Some(amount) = self.taken.take() {
+            self.charged.insert(task_id, amount);
+        }
     }
 
     pub(super) fn force(&mut self, task: &model::Task) {
-        self.spender.force_take(&task.plan_id, amount_of(task));
+        let amount = amount_of(task);
+        if self.charged.insert(task.task_id, amount).is_none() {
+            self.spender.force_take(&task.plan_id, amount);
+        }
     }
 
     pub(super) fn held(&self) -> Vec<model::QuotaAsk> {
@@ -71,8 +92,14 @@
         amount: &model::QuotaAmount,
         now: time::Instant,
     ) -> bool {
-        let taken = self.spender.try_take(plan_id, *amount, now);
+        // A learned reserve may exceed the limit of a plan that allows the declared size.
+        let amount = match self.limits.get(plan_id) {
+            Some(limits) => clamped(amount, limits),
+            None => *amount,
+        };
+        let taken = self.spender.try_take(plan_id, amount, now);
         self.short |= !taken;
+        self.taken = taken.then_some(amount);
         taken
     }
 }
@@ -138,6 +165,7 @@
             .map(|(plan_id, plan)| (plan_id.clone(), plan.weight))
             .collect();
         self.queue.set_plans(&weights);
+        self.shares.limits = limits.clone();
         self.shares.spender.set_limits(limits.clone(), now);
         self.shares.grantor.set_limits(limits);
         let own = self.owner.serving();
@@ -226,3 +254,17 @@
         || above(amount.resources.accelerators, limits.accelerators)
         || above(amount.tasks, limits.tasks)
 }
+
+/// Returns `amount` with each resource at most its limit.
+fn clamped(amount: &model::QuotaAmount, limits: &quota::Limits) -> model::QuotaAmount {
+    let within = |amount: u32, limit: Option<u32>| limit.map_or(amount, |limit| amount.min(limit));
+    model::QuotaAmount {
+        resources: model::Demand {
+            processors_milli: within(amount.resources.processors_milli, limits.processors_milli),
+            memory_mb: within(amount.resources.memory_mb, limits.memory_mb),
+            accelerators: within(amount.resources.accelerators, limits.accelerators),
+        },
+        tasks: within(amount.tasks, limits.tasks),
+        rate_milli: amount.rate_milli,
+    }
+}
--- a/crates/entry/src/drive/feeds.rs
+++ b/crates/entry/src/drive/feeds.rs
@@ -65,5 +65,6 @@
             sum(|c| c.traffic.bytes_received),
         );
         metrics.gauge("peer.connections_replaced", sum(|c| c.replaced));
+        metrics.flush();
     }
 }
--- /dev/null
+++ b/crates/entry/tests/common/instance.rs
@@ -0,0 +1,104 @@
+//! One instance as a process of its own.
+
+use std::io;
+use std::io::BufRead as _;
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+
+/// A running `ferry-entry`; killed when dropped.
+pub(crate) struct InstanceProcess {
+    child: process::Child,
+    log: Option<thread::JoinHandle<()>>,
+    pub(crate) name: String,
+    pub(crate) callers: net::SocketAddr,
+    pub(crate) peers: net::SocketAddr,
+}
+
+impl InstanceProcess {
+    /// Starts an instance and waits until it tells its addresses.
+    pub(crate) fn start(name: &str, settings: &path::Path) -> Self {
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_ferry-entry"))
+            .arg("--settings")
+            .arg(settings)
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .expect("ferry-entry starts");
+        let stderr = child.stderr.take().expect("stderr is a pipe");
+        let mut lines = io::BufReader::new(stderr).lines();
+        let (callers, peers) = lines
+            .by_ref()
+            .map_while(Result::ok)
+            .find_map(|line| addresses(&line))
+            .expect("ferry-entry tells its addresses");
+        let echo = std::env::var_os("FERRY_TEST_LOGS").is_some();
+        let prefix = name.to_owned();
+        let log = thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if echo {
+                    eprintln!("{prefix}: {line}");
+                }
+            }
+        });
+        Self {
+            child,
+            log: Some(log),
+            name: name.to_owned(),
+            callers,
+            peers,
+        }
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        self.join();
+    }
+
+    /// Asks for a planned stop.
+    pub(crate) fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Freezes the process.
+    pub(crate) fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub(crate) fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Returns whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let _ = process::Command::new("kill").args([signal, &pid]).status();
+    }
+
+    fn join(&mut self) {
+        let _ = self.child.wait();
+        if let Some(log) = self.log.take() {
+            let _ = log.join();
+        }
+    }
+}
+
+impl Drop for InstanceProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn addresses(line: &str) -> Option<(net::SocketAddr, net::SocketAddr)> {
+    let field = |name: &str| {
+        let (_, rest) = line.split_once(name)?;
+        rest.split([' ', '"']).next()?.parse().ok()
+    };
+    Some((field("callers=")?, field("peers=")?))
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,30 @@
+//! A small cluster for tests: instances as processes, stand-ins within the test.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod cluster;
+mod http;
+mod instance;
+
+pub(crate) use cluster::Cluster;
+pub(crate) use cluster::ClusterOptions;
+pub(crate) use http::Answer;
+pub(crate) use http::TOKEN;
+pub(crate) use http::request;
+pub(crate) use instance::InstanceProcess;
+
+use std::time;
+
+/// Polls `condition` until it holds; a test that waits in vain is ended after a minute.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let poll = async {
+        while !condition().await {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    let limit = time::Duration::from_secs(60);
+    assert!(
+        tokio::time::timeout(limit, poll).await.is_ok(),
+        "{what} did not come about"
+    );
+}
