--- a/crates/owner/src/delegation.rs
+++ b/crates/owner/src/delegation.rs
@@ -601,6 +601,11 @@
                     self.file_finished(task_id);
                     return;
                 }
+                let missing =
+                    |run: &record::MemberRun| matches!(run.phase, record::Phase::Missing(_));
+                if runs.iter().any(missing) {
+                    self.suspect(task_id);
+                }
                 self.adopt(task_id);
                 self.suspect_task_of_dead(task_id);
                 self.evaluate(task_id);
