--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -137,6 +137,10 @@
         holder: InstanceId,
     },
     /// A holder reports on runs.
+    ///
+    /// A report of a run that may be unknown here carries the task. A holder that loses the lease
+    /// of a worker reports the runs there as lost once lease, grace and margin have passed
+    /// without contact, unless another holder has adopted them.
     Reports(Vec<RunReport>),
     /// A holder answered a `Withdraw`.
     Withdrawn(RunReport),
--- /dev/null
+++ b/crates/owner/tests/gangs.rs
@@ -0,0 +1,231 @@
+//! Gangs: all members finish, or the whole gang is stopped and started again.
+
+use std::sync;
+use std::time;
+
+use model::Class;
+use model::Demand;
+use model::FenceAck;
+use model::FinishedRun;
+use model::InstanceId;
+use model::Outcome;
+use model::RunReport;
+use model::RunState;
+use model::SubmitReply;
+use model::Task;
+use model::TaskAttempt;
+use model::TaskSpec;
+use owner::Action;
+use owner::Answer;
+use owner::Event;
+use owner::Fences;
+use owner::Member;
+use owner::Owner;
+use owner::OwnerSettings;
+use owner::WriteResult;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+/// An owner of every partition, alone in its cluster.
+struct Single {
+    now: time::Instant,
+    id: InstanceId,
+    owner: Owner,
+    out: Vec<Action>,
+}
+
+impl Single {
+    fn new() -> Self {
+        let now = time::Instant::now();
+        let id = InstanceId::from("a#1");
+        let settings = OwnerSettings {
+            instance_id: id.clone(),
+            unix_ms: 0,
+            max_tasks: 10,
+            max_attempts: 3,
+            result_retention: 60 * SECOND,
+            journal_retention: 600 * SECOND,
+            journal_batch: SECOND / 100,
+            journal_batch_entries: 100,
+            lease_ttl: SECOND,
+            grace: SECOND,
+            margin: SECOND,
+            offer_validity: SECOND,
+            dead_after: SECOND,
+        };
+        let mut single = Self {
+            now,
+            id: id.clone(),
+            owner: Owner::new(settings, now),
+            out: Vec::new(),
+        };
+        single.now += 2 * SECOND;
+        single.on(Event::Workers(vec!["w".into()]));
+        let location = model::Location {
+            region: "r".into(),
+            data_centre: "d".into(),
+            rack: "".into(),
+        };
+        let live = vec![Member {
+            instance_id: id,
+            location,
+            draining: false,
+        }];
+        let unreachable = Vec::new();
+        single.on(Event::Members { live, unreachable });
+        for _ in 0..20 {
+            single.on(Event::Tick);
+        }
+        single
+    }
+
+    /// Passes an event on and answers for the store and the holder.
+    fn on(&mut self, event: Event) {
+        let actions = self.owner.on(event, self.now);
+        for action in actions {
+            match action {
+                Action::ReadTable => self.on(Event::TableRead {
+                    table: model::PartitionTable::default(),
+                    revision: 0,
+                }),
+                Action::WriteTable { .. } => {
+                    self.on(Event::TableWritten {
+                        result: WriteResult::Written,
+                        revision: 1,
+                    });
+                }
+                Action::ReadJournal { partition } => self.on(Event::JournalRead {
+                    partition,
+                    entries: Vec::new(),
+                }),
+                Action::Fence { to, partitions } => {
+                    let ack = FenceAck {
+                        workers: vec!["w".into()],
+                        ..FenceAck::default()
+                    };
+                    self.on(Event::FenceAcked {
+                        from: to,
+                        partitions,
+                        ack,
+                    });
+                }
+                other => self.out.push(other),
+            }
+        }
+    }
+
+    fn start(&mut self, task: &Task, attempt: u32) {
+        let task_id = task.task_id;
+        let holder = self.id.clone();
+        self.on(Event::Dispatched {
+            task_id,
+            attempt,
+            members: vec![0, 1],
+            holder: holder.clone(),
+        });
+        self.on(Event::OfferTaken {
+            task_id,
+            attempt,
+            members: vec![0, 1],
+            holder,
+            workers: vec!["w".into(), "w".into()],
+        });
+    }
+
+    fn report(&self, run: TaskAttempt, state: RunState) -> RunReport {
+        RunReport {
+            run,
+            task: None,
+            holder: self.id.clone(),
+            worker_id: "w".into(),
+            state,
+        }
+    }
+}
+
+fn gang() -> Task {
+    Task {
+        task_id: model::task_id_in(7, 1),
+        customer_id: "c".into(),
+        plan_id: "p".into(),
+        region: "r".into(),
+        spec: sync::Arc::new(TaskSpec {
+            kind: "pack".into(),
+            class: Class::Gang,
+            demand: Demand::default(),
+            members: 2,
+            urgency: model::Urgency::Normal,
+            deadline_ms: 5_000,
+            repeatable: true,
+            key: None,
+            declared_run_ms: None,
+            body: "{}".into(),
+        }),
+        wait: true,
+    }
+}
+
+fn run(task: &Task, member: u16, attempt: u32) -> TaskAttempt {
+    TaskAttempt {
+        task_id: task.task_id,
+        member,
+        attempt,
+    }
+}
+
+#[test]
+fn a_lost_member_stops_the_others_before_the_gang_is_queued_again() {
+    let mut single = Single::new();
+    let task = gang();
+    single.on(Event::Submit {
+        ticket: 1,
+        task: task.clone(),
+        deadline: single.now + 5 * SECOND,
+        resent: false,
+    });
+    single.start(&task, 1);
+    single.out.clear();
+
+    let stopped = single.report(run(&task, 0, 1), RunState::Stopped);
+    single.on(Event::Reports(vec![stopped]));
+    let withdraw = Action::Withdraw {
+        holder: single.id.clone(),
+        run: run(&task, 1, 1),
+    };
+    assert_eq!(single.out, [withdraw]);
+
+    let withdrawn = single.report(run(&task, 1, 1), RunState::Stopped);
+    single.on(Event::Withdrawn(withdrawn));
+    let attempt = single.out.iter().find_map(|action| match action {
+        Action::Enqueue(queued) => Some(queued.attempt),
+        _ => None,
+    });
+    assert_eq!(attempt, Some(2));
+
+    single.start(&task, 2);
+    for (member, output) in [(1, "second"), (0, "first")] {
+        let run = run(&task, member, 2);
+        let end = FinishedRun::whole(run, true, output.into(), 3);
+        let report = single.report(run, RunState::Finished(end));
+        single.on(Event::Reports(vec![report]));
+    }
+    let outputs = single.out.iter().find_map(|action| match action {
+        Action::Answer {
+            answer: Answer::Submit(SubmitReply::Settled(Outcome::Done(result))),
+            ..
+        } => Some(result.outputs.clone()),
+        _ => None,
+    });
+    assert_eq!(outputs, Some(vec!["first".into(), "second".into()]));
+}
+
+#[test]
+fn fences_are_never_lowered() {
+    let mut fences = Fences::new();
+    assert!(fences.admits(3, 1));
+    fences.raise(3, 5);
+    fences.raise(3, 4);
+    assert!(!fences.admits(3, 4));
+    assert!(fences.admits(3, 5));
+    assert_eq!(fences.highest(3), 5);
+}
