Stop an instance that has no successor once its callers are answered

Cause: when all instances were stopped at once none could give its partitions and workers away, so none ever counted as drained; the demo left six processes behind. Ruled out: a lost signal (the log shows the drain). A stopping instance without a live peer that stays now ends as soon as its callers are answered; what it held is taken over through the store and the workers. Before: whole_stop.rs did not end.

--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -78,6 +78,7 @@
     pub(super) peers: IndexMap<String, Peer>,
     own_location: model::Location,
     live: usize,
+    successors: usize,
     told_at: Option<time::Instant>,
     told: Vec<model::InstanceId>,
 }
@@ -88,6 +89,7 @@
             peers: IndexMap::new(),
             own_location: settings.location.clone(),
             live: 1,
+            successors: 0,
             told_at: None,
             told: Vec::new(),
         }
@@ -98,6 +100,11 @@
         self.live
     }
 
+    /// Returns whether a live peer could take partitions and workers over.
+    pub(super) fn has_successor(&self) -> bool {
+        self.successors > 0
+    }
+
     pub(super) fn address_of(&self, instance_id: &str) -> Option<String> {
         self.peer(instance_id).map(|(address, _)| address.clone())
     }
@@ -338,6 +345,11 @@
         }
         self.members.told_at = Some(now);
         self.members.live = ids.len();
+        let own_id = self.own_id().clone();
+        let successors = live
+            .iter()
+            .filter(|m| !m.draining && m.instance_id != own_id);
+        self.members.successors = successors.count();
         self.members.told = ids.clone();
         self.tell_grantor_members(ids, unreachable.clone(), now);
         let lease_members = live.iter().map(lease_member).collect();
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -138,11 +138,13 @@
     /// Returns whether a draining instance has nothing left to do.
     #[must_use]
     pub fn drained(&self) -> bool {
-        self.draining
-            && self.owner.drained()
-            && self.callers.is_empty()
-            && self.outbox.is_empty()
-            && self.leases.held().next().is_none()
+        if !self.draining || !self.callers.is_empty() {
+            return false;
+        }
+        // Without a successor nothing can be given away: the store and the workers keep it.
+        let handed_over =
+            self.owner.drained() && self.outbox.is_empty() && self.leases.held().next().is_none();
+        handed_over || !self.members.has_successor()
     }
 
     /// Returns whether the instance can serve callers.
--- a/crates/entry/src/control/status.rs
+++ b/crates/entry/src/control/status.rs
@@ -55,6 +55,8 @@
     pub peers: Vec<PeerStatus>,
     /// Counters since it started.
     pub counters: IndexMap<String, u64>,
+    /// Latest gauges.
+    pub gauges: IndexMap<String, u64>,
 }
 
 impl state::Control {
@@ -78,6 +80,7 @@
             waiting: self.callers.len(),
             peers: self.peer_statuses(now),
             counters: self.metrics.snapshot(),
+            gauges: self.metrics.gauges(),
         }
     }
 
--- a/crates/entry/src/drive/feeds.rs
+++ b/crates/entry/src/drive/feeds.rs
@@ -46,13 +46,15 @@
 /// Publishes what the links to peers carry until `stop`.
 pub(super) async fn volumes<P: platform::Platform>(
     traffic: traffic::Traffic<P>,
+    server: peer::Server,
     metrics: telemetry::Metrics,
     stop: sync::CancellationToken,
 ) {
     let mut interval = tokio::time::interval(VOLUMES_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     while stop.run_until_cancelled(interval.tick()).await.is_some() {
-        let counts = traffic.link_counts();
+        let mut counts = traffic.link_counts();
+        counts.push(server.counts());
         let sum = |of: fn(&peer::Counts) -> u64| counts.iter().map(of).sum();
         metrics.gauge("peer.control_bytes_sent", sum(|c| c.control.bytes_sent));
         metrics.gauge(
@@ -65,6 +67,13 @@
             sum(|c| c.traffic.bytes_received),
         );
         metrics.gauge("peer.connections_replaced", sum(|c| c.replaced));
+        let workers = traffic.platform.worker_traffic();
+        metrics.gauge("worker.calls", workers.calls);
+        metrics.gauge("worker.bytes_sent", workers.sent_bytes);
+        metrics.gauge("worker.bytes_received", workers.received_bytes);
+        let store = traffic.platform.store_calls();
+        metrics.gauge("store.reads", store.reads);
+        metrics.gauge("store.writes", store.writes);
         metrics.flush();
     }
 }
--- a/crates/entry/src/drive/instance.rs
+++ b/crates/entry/src/drive/instance.rs
@@ -143,6 +143,7 @@
         });
         tracker.spawn(feeds::volumes(
             traffic.clone(),
+            peer_server.clone(),
             metrics.clone(),
             stop_feeds.clone(),
         ));
--- a/crates/entry/src/drive/platform.rs
+++ b/crates/entry/src/drive/platform.rs
@@ -17,6 +17,12 @@
 
     /// Returns the client of the list of machines.
     fn directory(&self) -> &Self::Directory;
+
+    /// Returns what was exchanged with workers so far.
+    fn worker_traffic(&self) -> worker::Traffic;
+
+    /// Returns how often the key-value service was called so far.
+    fn store_calls(&self) -> store::Calls;
 }
 
 /// The platform over the network, as the settings name it.
@@ -68,4 +74,12 @@
     fn directory(&self) -> &Self::Directory {
         &self.directory
     }
+
+    fn worker_traffic(&self) -> worker::Traffic {
+        self.workers.traffic()
+    }
+
+    fn store_calls(&self) -> store::Calls {
+        self.store.calls()
+    }
 }
--- /dev/null
+++ b/crates/entry/tests/whole_stop.rs
@@ -0,0 +1,32 @@
+//! Stopping every instance at once.
+
+mod common;
+
+#[tokio::test]
+async fn a_cluster_whose_instances_all_stop_at_once_ends() {
+    let mut cluster = common::Cluster::start(common::ClusterOptions::default()).await;
+    let body = r#"{"kind":"exhibitor-pack","body":{"run_ms":800}}"#;
+    let address = cluster.instances[0].callers;
+    let waiting = tokio::spawn(common::request(
+        address,
+        "POST",
+        "/v1/tasks",
+        common::TOKEN,
+        body,
+    ));
+    common::until("a start", || async {
+        !cluster.fleet.executions().is_empty()
+    })
+    .await;
+    for instance in &cluster.instances {
+        instance.terminate();
+    }
+    let answer = waiting.await.expect("request ends");
+    assert!(answer.is_done(), "{answer:?}");
+    let instances = std::sync::Mutex::new(&mut cluster.instances);
+    common::until("the end of every process", || async {
+        let mut instances = instances.lock().expect("not poisoned");
+        instances.iter_mut().all(common::InstanceProcess::has_ended)
+    })
+    .await;
+}
