--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use axum::extract;
+use axum::extract::rejection;
 use axum::response;
 use axum::routing;
 use http::StatusCode;
@@ -39,8 +40,12 @@
     max_body_bytes: usize,
 }
 
+/// The id in a path, or why it is no text.
+type PathId = Result<extract::Path<String>, rejection::PathRejection>;
+
 /// Query of a lookup.
 #[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
 struct LookupQuery {
     /// How long to wait for the outcome, in milliseconds.
     #[serde(default)]
@@ -91,6 +96,8 @@
             .route("/readyz", routing::get(operators::readyz))
             .route("/v1/operator/status", routing::get(operators::status))
             .route("/v1/operator/drain", routing::post(operators::drain))
+            .fallback(unknown_path)
+            .method_not_allowed_fallback(wrong_method)
             .with_state(self)
     }
 
@@ -125,6 +132,11 @@
         lists.authenticate(token).cloned()
     }
 
+    fn bad_request(&self, errors: &[request::FieldError]) -> response::Response {
+        self.shared.metrics.count("refused.bad_request");
+        answer::findings(errors)
+    }
+
     fn too_large(&self) -> response::Response {
         self.shared.metrics.count("refused.body_too_large");
         answer::error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
@@ -163,10 +175,7 @@
     };
     let request = match request::parse(&body, gateway.shared.limits) {
         Ok(request) => request,
-        Err(errors) => {
-            gateway.shared.metrics.count("refused.bad_request");
-            return answer::findings(&errors);
-        }
+        Err(errors) => return gateway.bad_request(&errors),
     };
     let answer = gateway.shared.asker.caller(|ticket| {
         control::Input::Submit(control::Submit {
@@ -184,15 +193,18 @@
 
 async fn lookup(
     extract::State(gateway): extract::State<Gateway>,
-    extract::Path(id): extract::Path<String>,
-    extract::Query(query): extract::Query<LookupQuery>,
+    id: PathId,
+    query: Result<extract::Query<LookupQuery>, rejection::QueryRejection>,
     headers: http::HeaderMap,
 ) -> response::Response {
     let Some(customer) = gateway.customer(&headers) else {
         return gateway.denied("customer");
     };
-    let Ok(task_id) = id.parse() else {
-        return bad_id();
+    let Some(task_id) = parse_id(id) else {
+        return gateway.bad_request(&[bad_id()]);
+    };
+    let Ok(extract::Query(query)) = query else {
+        return gateway.bad_request(&[bad_query()]);
     };
     let wait_ms = query.wait_ms.min(MAX_LOOKUP_WAIT_MS);
     let answer = gateway
@@ -209,14 +221,14 @@
 
 async fn cancel(
     extract::State(gateway): extract::State<Gateway>,
-    extract::Path(id): extract::Path<String>,
+    id: PathId,
     headers: http::HeaderMap,
 ) -> response::Response {
     let Some(customer) = gateway.customer(&headers) else {
         return gateway.denied("customer");
     };
-    let Ok(task_id) = id.parse() else {
-        return bad_id();
+    let Some(task_id) = parse_id(id) else {
+        return gateway.bad_request(&[bad_id()]);
     };
     let answer = gateway
         .shared
@@ -229,9 +241,29 @@
     respond(answer.await)
 }
 
-fn bad_id() -> response::Response {
-    answer::findings(&[request::FieldError {
+fn parse_id(id: PathId) -> Option<model::TaskId> {
+    let extract::Path(id) = id.ok()?;
+    id.parse().ok()
+}
+
+fn bad_id() -> request::FieldError {
+    request::FieldError {
         field: "id".to_owned(),
         expected: "a task id as answered to the submission".to_owned(),
-    }])
+    }
+}
+
+fn bad_query() -> request::FieldError {
+    request::FieldError {
+        field: "wait_ms".to_owned(),
+        expected: "a whole number of milliseconds, and no other parameter".to_owned(),
+    }
+}
+
+async fn unknown_path() -> response::Response {
+    answer::error(StatusCode::NOT_FOUND, "unknown_path")
+}
+
+async fn wrong_method() -> response::Response {
+    answer::error(StatusCode::METHOD_NOT_ALLOWED, "wrong_method")
 }
