--- a/crates/entry/src/api/request.rs
+++ b/crates/entry/src/api/request.rs
@@ -50,6 +50,7 @@
 ];
 const MAX_KIND_BYTES: usize = 64;
 const MAX_KEY_BYTES: usize = 128;
+const MIN_MEMBERS: u64 = 2;
 const MAX_MEMBERS: u64 = 1024;
 const MAX_RESOURCE: u64 = 1 << 30;
 const MAX_DECLARED_RUN_MS: u64 = 30 * 24 * 3600 * 1000;
@@ -185,18 +186,32 @@
     }
 
     fn members(&mut self, class: model::Class) -> u16 {
-        let least = if class == model::Class::Gang { 2 } else { 1 };
-        let most = if class == model::Class::Gang {
-            MAX_MEMBERS
+        if class == model::Class::Gang {
+            self.gang_members()
         } else {
-            1
-        };
-        if class == model::Class::Gang && !self.fields.contains_key("members") {
-            let expected = format!("a whole number from {least} to {most} for class gang");
+            self.single_member()
+        }
+    }
+
+    fn gang_members(&mut self) -> u16 {
+        if !self.fields.contains_key("members") {
+            let expected =
+                format!("a whole number from {MIN_MEMBERS} to {MAX_MEMBERS} for class gang");
             self.errors.push(error("members", expected));
         }
-        let members = self.optional_whole("members", least, most).unwrap_or(least);
-        u16::try_from(members).unwrap_or(u16::MAX)
+        let members = self.optional_whole("members", MIN_MEMBERS, MAX_MEMBERS);
+        u16::try_from(members.unwrap_or(MIN_MEMBERS)).unwrap_or(u16::MAX)
+    }
+
+    fn single_member(&mut self) -> u16 {
+        const EXPECTED: &str = "1, because class is not gang";
+        if self
+            .read("members", EXPECTED)
+            .is_some_and(|members: u64| members != 1)
+        {
+            self.errors.push(error("members", EXPECTED));
+        }
+        1
     }
 
     fn deadline_ms(&mut self, limits: Limits) -> u64 {
--- a/crates/entry/tests/callers_api.rs
+++ b/crates/entry/tests/callers_api.rs
@@ -257,8 +257,6 @@
 }
 
 async fn refusals(session: &mut Session) {
-    session.title("larger than every worker");
-    session.submit(r#"{"kind":"a","memory_mb":16384}"#).await;
     session.title("class that the plan does not allow");
     let body = r#"{"kind":"a","class":"gang","members":2}"#;
     session.step("POST /v1/tasks", OTHER_TOKEN, body).await;
@@ -283,3 +281,11 @@
     session.submit(r#"{"kind":"badge-form","body":1}"#).await;
     expect_test::expect_file!["golden/callers_api.txt"].assert_eq(&session.text);
 }
+
+#[tokio::test]
+async fn work_larger_than_every_worker_is_refused_at_once() {
+    let session = Session::start().await;
+    let body = r#"{"kind":"a","memory_mb":16384,"deadline_ms":2000}"#;
+    let answer = session.send("POST", "/v1/tasks", common::TOKEN, body).await;
+    assert_eq!((answer.status, answer.text("reason")), (422, "never_fits"));
+}
