--- /dev/null
+++ b/crates/owner/examples/fences.rs
@@ -0,0 +1,22 @@
+//! Shows how a holder refuses the orders of a superseded owner.
+
+const PARTITION: model::Partition = 7;
+
+fn main() {
+    let mut fences = owner::Fences::new();
+    println!(
+        "before any fence, generation 3: {}",
+        fences.admits(PARTITION, 3)
+    );
+    fences.raise(PARTITION, 4);
+    for generation in [3, 4, 5] {
+        let verdict = if fences.admits(PARTITION, generation) {
+            "admitted"
+        } else {
+            "refused"
+        };
+        println!("generation {generation}: {verdict}");
+    }
+    fences.raise(PARTITION, 2);
+    println!("a late fence lowers nothing: {}", fences.highest(PARTITION));
+}
