--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -39,6 +39,7 @@
             .map(|entry| entry.id.clone())
             .collect();
         let ids: Vec<_> = workers.iter().map(|entry| entry.id.clone()).collect();
+        self.listed_workers = Some(ids.len());
         for worker_id in &ids {
             self.update_leaving(worker_id);
         }
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -36,6 +36,8 @@
     pub(super) runs: runs::Runs,
     pub(super) workers: IndexMap<model::WorkerId, holder::HeldWorker>,
     pub(super) listed_leaving: IndexSet<model::WorkerId>,
+    /// Workers in the platform's list; `None` before the first.
+    pub(super) listed_workers: Option<usize>,
     pub(super) outbox: reports::Outbox,
 }
 
@@ -67,6 +69,7 @@
             runs: runs::Runs::default(),
             workers: IndexMap::new(),
             listed_leaving: IndexSet::new(),
+            listed_workers: None,
             outbox: reports::Outbox::default(),
             settings,
         }
@@ -144,7 +147,7 @@
         // Without a successor nothing can be given away: the store and the workers keep it.
         let handed_over =
             self.owner.drained() && self.outbox.is_empty() && self.leases.held().next().is_none();
-        handed_over || !self.members.has_successor()
+        handed_over || (!self.members.has_successor() && !self.owner.is_attended())
     }
 
     /// Returns whether the instance can serve callers.
--- a/crates/owner/src/owner.rs
+++ b/crates/owner/src/owner.rs
@@ -303,6 +303,12 @@
         self.tasks.len()
     }
 
+    /// Returns whether a caller waits here, or may come back here, for the outcome of a task.
+    #[must_use]
+    pub fn is_attended(&self) -> bool {
+        !self.tickets.is_empty() || self.tasks.values().any(|record| record.task.wait)
+    }
+
     /// Returns whether a drained owner has given everything away and answered every ticket.
     #[must_use]
     pub fn drained(&self) -> bool {
