--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -105,6 +105,17 @@
         self.successors > 0
     }
 
+    /// Notes that a peer takes nothing over any more, ahead of its next heartbeat.
+    pub(super) fn note_draining(&mut self, instance_id: &str) {
+        let heartbeats = self
+            .peers
+            .values_mut()
+            .filter_map(|peer| peer.heartbeat.as_mut());
+        for heartbeat in heartbeats.filter(|h| *h.instance_id == *instance_id) {
+            heartbeat.draining = true;
+        }
+    }
+
     pub(super) fn address_of(&self, instance_id: &str) -> Option<String> {
         self.peer(instance_id).map(|(address, _)| address.clone())
     }
--- a/crates/entry/src/control/owned.rs
+++ b/crates/entry/src/control/owned.rs
@@ -67,7 +67,7 @@
                 };
                 let context = effect::Context::Delegate { to: to.clone() };
                 if !self.call(&to, request, OWNER_CALL_TIMEOUT, context) {
-                    self.owner_event(owner::Event::DelegateFailed { to }, now);
+                    self.owner_event(owner::Event::DelegateRefused { to }, now);
                 }
             }
             owner::Action::Settled(settled) => self.settled(&settled, now),
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -229,6 +229,10 @@
             effect::Context::Delegate { to } => {
                 let event = match result {
                     Ok(model::PeerResponse::Accepted) => owner::Event::DelegateAcked { to },
+                    Ok(model::PeerResponse::NotOwner) | Err(input::CallError::NotHandled) => {
+                        self.members.note_draining(&to);
+                        owner::Event::DelegateRefused { to }
+                    }
                     _ => owner::Event::DelegateFailed { to },
                 };
                 self.owner_event(event, now);
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -182,7 +182,9 @@
         log::info!("draining instance={}", self.settings.instance_id);
         self.update_members(now);
         self.owner_event(owner::Event::Drain, now);
-        self.lease_event(lease::Event::Drain, now);
+        if self.members.has_successor() {
+            self.lease_event(lease::Event::Drain, now);
+        }
     }
 
     fn tick(&mut self, now: time::Instant) {
--- a/crates/owner/src/delegation.rs
+++ b/crates/owner/src/delegation.rs
@@ -42,6 +42,8 @@
     asked: bool,
     /// Whether it has been sent: from then on only the peer may serve the partitions.
     sent: bool,
+    /// Whether the peer may have taken it although no answer came.
+    doubted: bool,
     retry_at: time::Instant,
     message: Option<Message>,
     /// Tickets of the tasks handed over; they are sent to the peer once it has answered.
@@ -164,6 +166,7 @@
             partitions: Vec::new(),
             asked: false,
             sent: false,
+            doubted: false,
             retry_at: now,
             message: None,
             tickets: Vec::new(),
@@ -284,10 +287,37 @@
         let retry_at = self.now + RETRY_AFTER;
         if let Some(delegation) = self.delegations.get_mut(to) {
             delegation.asked = false;
+            delegation.doubted = true;
             delegation.retry_at = retry_at;
         }
     }
 
+    /// Takes partitions back that the peer surely has not taken.
+    pub(crate) fn delegate_refused(&mut self, to: &InstanceId) {
+        let taken_back = |delegation: &Delegation| delegation.sent && !delegation.doubted;
+        if !self.delegations.get(to).is_some_and(taken_back) {
+            self.delegate_failed(to);
+            return;
+        }
+        let Some(delegation) = self.delegations.swap_remove(to) else {
+            return;
+        };
+        for task in delegation.occupying {
+            self.out.push(Action::Freed { task });
+        }
+        if let Some(message) = delegation.message {
+            let now = self.now;
+            let queued = message.queued.into_iter();
+            let queued = queued.map(|(task, deadline)| (task, remaining_ms(deadline, now)));
+            self.delegated(&message.partitions, message.started, queued.collect());
+        }
+        for ticket in delegation.tickets {
+            if self.tickets.contains_key(&ticket) {
+                self.answer(ticket, Answer::NotOwner);
+            }
+        }
+    }
+
     fn forget_given_away(&mut self, to: &InstanceId, delegation: Delegation) {
         for task in delegation.occupying {
             self.out.push(Action::Freed { task });
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -246,7 +246,12 @@
         /// The peer.
         to: InstanceId,
     },
-    /// The peer refused, or its answer was lost.
+    /// The peer has not taken what was delegated and never will.
+    DelegateRefused {
+        /// The peer.
+        to: InstanceId,
+    },
+    /// The answer of the peer was lost: it may have taken what was delegated.
     DelegateFailed {
         /// The peer.
         to: InstanceId,
--- a/crates/owner/src/owner.rs
+++ b/crates/owner/src/owner.rs
@@ -206,6 +206,7 @@
             } => self.delegated(&partitions, started, queued),
             Event::DelegateAcked { to } => self.delegate_acked(&to),
             Event::DelegateFailed { to } => self.delegate_failed(&to),
+            Event::DelegateRefused { to } => self.delegate_refused(&to),
             Event::Drain => self.draining = true,
             _ => {}
         }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -21,9 +21,18 @@
 }
 
 stop_cluster() {
-  local pid
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  local pid n try
+  # Instances in turn, then the stand-ins, which were started first.
+  for ((n = ${#pids[@]} - 1; n >= 0; n--)); do
+    pid=${pids[n]}
+    kill -TERM "$pid" 2>/dev/null || true
+    for ((try = 0; try < 100; try++)); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
   pids=()
 }
 
