--- a/crates/entry/tests/common/cluster.rs
+++ b/crates/entry/tests/common/cluster.rs
@@ -12,7 +12,7 @@
 
 static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
-const SECRET: &str = "test-secret";
+pub(crate) const SECRET: &str = "test-secret";
 const PLANS: &str = "[manuals]\nweight = 1\nclasses = service, batch, gang\n";
 
 /// What a cluster is made of.
@@ -87,8 +87,13 @@
 
     /// Starts one more instance and puts it into the list of machines.
     pub(crate) fn add_instance(&mut self, name: &str) {
+        self.add_instance_with(name, &[]);
+    }
+
+    /// Starts one more instance with some settings of its own.
+    pub(crate) fn add_instance_with(&mut self, name: &str, own: &[(&'static str, String)]) {
         let settings = self.folder.join(format!("{name}.ini"));
-        std::fs::write(&settings, self.settings(name)).expect("settings file");
+        std::fs::write(&settings, self.settings(name, own)).expect("settings file");
         let started = instance::InstanceProcess::start(name, &settings);
         self.directory.put(model::DirectoryEntry {
             id: name.into(),
@@ -142,7 +147,7 @@
         answer.body
     }
 
-    fn settings(&self, name: &str) -> String {
+    fn settings(&self, name: &str, own: &[(&'static str, String)]) -> String {
         let example = include_str!("../../../../examples/nusqa/entry.ini");
         let secret = self.folder.join("secret").display().to_string();
         let mut changes = vec![
@@ -163,6 +168,7 @@
             ("dead_after_ms", "800".to_owned()),
         ];
         changes.extend(self.options.settings.iter().cloned());
+        changes.extend(own.iter().cloned());
         let mut section = "";
         let lines = example.lines().map(|line| {
             if line.starts_with('[') {
--- a/crates/entry/tests/common/instance.rs
+++ b/crates/entry/tests/common/instance.rs
@@ -6,6 +6,7 @@
 use std::path;
 use std::process;
 use std::thread;
+use std::time;
 
 /// A running `ferry-entry`; killed when dropped.
 pub(crate) struct InstanceProcess {
@@ -76,6 +77,21 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Waits until the process has ended by itself and returns whether it reported success.
+    pub(crate) async fn ended(&mut self) -> bool {
+        let wait = async {
+            loop {
+                if let Ok(Some(status)) = self.child.try_wait() {
+                    return status.success();
+                }
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        };
+        let limit = time::Duration::from_secs(60);
+        let ended = tokio::time::timeout(limit, wait).await;
+        ended.unwrap_or_else(|_| panic!("{} did not end by itself", self.name))
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let _ = process::Command::new("kill").args([signal, &pid]).status();
--- /dev/null
+++ b/crates/entry/tests/common/load.rs
@@ -0,0 +1,95 @@
+//! Callers that send one task after the other.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use crate::common::http;
+
+/// Added to the run time of each further caller.
+const SPREAD_MS: u64 = 100;
+
+/// One answered request.
+#[derive(Clone, Debug)]
+pub(crate) struct Served {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) work: String,
+    pub(crate) answer: http::Answer,
+}
+
+impl Served {
+    /// Returns whether the answer is the whole result of this very request.
+    pub(crate) fn is_whole(&self) -> bool {
+        let expected = standin::expected_output("pack", &self.work);
+        self.answer.is_done() && self.answer.body["outputs"][0] == expected.as_str()
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    addresses: sync::Mutex<Vec<net::SocketAddr>>,
+    stopped: atomic::AtomicBool,
+    run_ms: u64,
+}
+
+/// Callers whose requests go to the addresses in turn, as a balancer would send them.
+pub(crate) struct Load {
+    shared: sync::Arc<Shared>,
+    callers: tokio::task::JoinSet<Vec<Served>>,
+}
+
+impl Load {
+    /// Starts `callers` that each have one task of `run_ms` or a little more at a time.
+    pub(crate) fn start(callers: usize, run_ms: u64, addresses: Vec<net::SocketAddr>) -> Self {
+        let shared = sync::Arc::new(Shared {
+            addresses: sync::Mutex::new(addresses),
+            stopped: atomic::AtomicBool::new(false),
+            run_ms,
+        });
+        let mut set = tokio::task::JoinSet::new();
+        for caller in 0..callers {
+            set.spawn(call(caller, shared.clone()));
+        }
+        Self {
+            shared,
+            callers: set,
+        }
+    }
+
+    /// Replaces the addresses that requests are sent to.
+    pub(crate) fn route(&self, addresses: Vec<net::SocketAddr>) {
+        *self.shared.addresses.lock().expect("addresses") = addresses;
+    }
+
+    /// Sends no further request and returns all once they are answered.
+    pub(crate) async fn finish(mut self) -> Vec<Served> {
+        self.shared.stopped.store(true, atomic::Ordering::SeqCst);
+        let mut all = Vec::new();
+        while let Some(served) = self.callers.join_next().await {
+            all.extend(served.expect("caller"));
+        }
+        all
+    }
+}
+
+async fn call(caller: usize, shared: sync::Arc<Shared>) -> Vec<Served> {
+    let mut all = Vec::new();
+    while !shared.stopped.load(atomic::Ordering::SeqCst) {
+        let number = all.len();
+        let address = {
+            let addresses = shared.addresses.lock().expect("addresses");
+            addresses[(caller + number) % addresses.len()]
+        };
+        let run_ms = shared.run_ms + SPREAD_MS * caller as u64;
+        let work = format!(r#"{{"run_ms":{run_ms},"caller":{caller},"number":{number}}}"#);
+        let body =
+            format!(r#"{{"kind":"pack","processors_milli":500,"memory_mb":128,"body":{work}}}"#);
+        let answer = http::request(address, "POST", "/v1/tasks", http::TOKEN, &body).await;
+        all.push(Served {
+            address,
+            work,
+            answer,
+        });
+    }
+    all
+}
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -5,13 +5,17 @@
 mod cluster;
 mod http;
 mod instance;
+mod load;
 
 pub(crate) use cluster::Cluster;
 pub(crate) use cluster::ClusterOptions;
+pub(crate) use cluster::SECRET;
 pub(crate) use http::Answer;
 pub(crate) use http::TOKEN;
 pub(crate) use http::request;
 pub(crate) use instance::InstanceProcess;
+pub(crate) use load::Load;
+pub(crate) use load::Served;
 
 use std::time;
 
