--- a/crates/entry/tests/common/http.rs
+++ b/crates/entry/tests/common/http.rs
@@ -1,11 +1,16 @@
 //! Requests of callers.
 
+use std::time;
+
 use http_body_util::BodyExt as _;
 use hyper_util::rt;
 
 /// Token of the customer `press` in the lists of the test cluster.
 pub(crate) const TOKEN: &str = "press-token";
 
+/// A request that is not answered within this time counts as broken.
+const LONGEST_WAIT: time::Duration = time::Duration::from_secs(60);
+
 /// An answer: status code, 0 if the connection broke, and JSON body.
 #[derive(Clone, Debug)]
 pub(crate) struct Answer {
@@ -38,8 +43,9 @@
     token: &str,
     body: &str,
 ) -> Answer {
-    let sent = try_request(address, method, path, token, body).await;
-    sent.unwrap_or_else(Answer::broken)
+    let sent = try_request(address, method, path, token, body);
+    let answer = tokio::time::timeout(LONGEST_WAIT, sent).await;
+    answer.ok().flatten().unwrap_or_else(Answer::broken)
 }
 
 async fn try_request(
