--- a/crates/entry/src/control/shares.rs
+++ b/crates/entry/src/control/shares.rs
@@ -16,6 +16,60 @@
 /// How long a grantor may take to answer.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 
+/// Weight of the latest interval in the smoothed rate, per second of its length.
+const RATE_SMOOTHING_PER_S: f64 = 2.0;
+/// Rate wanted, as a multiple of the smoothed rate.
+const RATE_HEADROOM: f64 = 2.0;
+const MILLI: f64 = 1000.0;
+
+/// Starts of one plan's tasks at this instance.
+///
+/// A share sized from the queue alone is given back whenever the queue is empty, and short work
+/// then waits for the next one.
+#[derive(Debug, Default)]
+struct PlanDemand {
+    /// Starts since the last asks.
+    starts: u32,
+    /// Smoothed starts a second.
+    rate_per_s: f64,
+    /// What is taken now.
+    in_use: model::QuotaAmount,
+}
+
+impl PlanDemand {
+    fn update(&mut self, elapsed: time::Duration) {
+        let seconds = elapsed.as_secs_f64();
+        if seconds <= 0.0 {
+            return;
+        }
+        let weight = (seconds * RATE_SMOOTHING_PER_S).min(1.0);
+        let latest = f64::from(self.starts) / seconds;
+        self.rate_per_s += weight * (latest - self.rate_per_s);
+        self.starts = 0;
+    }
+
+    fn wanted_rate_milli(&self, queued_tasks: u32) -> u32 {
+        let wanted_per_s = self.rate_per_s * RATE_HEADROOM + f64::from(queued_tasks);
+        (wanted_per_s * MILLI) as u32
+    }
+
+    /// Returns what tasks may take that arrive before the answer to an ask.
+    fn headroom(&self) -> model::QuotaAmount {
+        let tasks = (self.rate_per_s * ASK_INTERVAL.as_secs_f64()).ceil() as u32;
+        let each = |sum: u32| sum.div_ceil(self.in_use.tasks.max(1));
+        let resources = model::Demand {
+            processors_milli: each(self.in_use.resources.processors_milli),
+            memory_mb: each(self.in_use.resources.memory_mb),
+            accelerators: each(self.in_use.resources.accelerators),
+        };
+        model::QuotaAmount {
+            resources: resources.times(tasks),
+            tasks,
+            rate_milli: 0,
+        }
+    }
+}
+
 /// Both sides of the shares of plans.
 #[derive(Debug)]
 pub(super) struct Shares {
@@ -29,6 +83,8 @@
     taken: Option<model::QuotaAmount>,
     /// What the tasks of this instance have taken.
     charged: IndexMap<model::TaskId, model::QuotaAmount>,
+    /// Recent demand of each plan.
+    demand: IndexMap<model::PlanId, PlanDemand>,
     /// Whether a task was held back for want of a share since the last asks.
     short: bool,
     asked_at: time::Instant,
@@ -46,6 +102,7 @@
             limits: IndexMap::new(),
             taken: None,
             charged: IndexMap::new(),
+            demand: IndexMap::new(),
             short: false,
             asked_at: now,
         }
@@ -53,6 +110,9 @@
 
     pub(super) fn free(&mut self, task: &model::Task) {
         if let Some(amount) = self.charged.swap_remove(&task.task_id) {
+            if let Some(demand) = self.demand.get_mut(&task.plan_id) {
+                demand.in_use = minus(&demand.in_use, &amount);
+            }
             self.spender.give_back(&task.plan_id, amount);
         }
     }
@@ -67,6 +127,8 @@
     pub(super) fn force(&mut self, task: &model::Task) {
         let amount = amount_of(task);
         if self.charged.insert(task.task_id, amount).is_none() {
+            let demand = self.demand.entry(task.plan_id.clone()).or_default();
+            demand.in_use = plus(&demand.in_use, &amount);
             self.spender.force_take(&task.plan_id, amount);
         }
     }
@@ -100,6 +162,11 @@
         let taken = self.spender.try_take(plan_id, amount, now);
         self.short |= !taken;
         self.taken = taken.then_some(amount);
+        if taken {
+            let demand = self.demand.entry(plan_id.clone()).or_default();
+            demand.starts = demand.starts.saturating_add(amount.tasks);
+            demand.in_use = plus(&demand.in_use, &amount);
+        }
         taken
     }
 }
@@ -109,11 +176,17 @@
         if !self.shares.asks_due(now) {
             return;
         }
+        let elapsed = now.saturating_duration_since(self.shares.asked_at);
         self.shares.asked_at = now;
         self.shares.short = false;
         let lists = self.lists.lists();
         for plan_id in lists.plans().keys() {
-            let wanted = self.queue.wanted(plan_id);
+            let mut wanted = self.queue.wanted(plan_id);
+            let demand = self.shares.demand.entry(plan_id.clone()).or_default();
+            demand.update(elapsed);
+            let rate_milli = demand.wanted_rate_milli(wanted.tasks);
+            wanted = plus(&plus(&wanted, &demand.in_use), &demand.headroom());
+            wanted.rate_milli = rate_milli;
             self.shares.spender.set_wanted(plan_id, wanted);
         }
         let mut by_grantor: IndexMap<model::InstanceId, Vec<model::QuotaAsk>> = IndexMap::new();
@@ -268,3 +341,19 @@
         rate_milli: amount.rate_milli,
     }
 }
+
+fn plus(a: &model::QuotaAmount, b: &model::QuotaAmount) -> model::QuotaAmount {
+    model::QuotaAmount {
+        resources: a.resources.plus(&b.resources),
+        tasks: a.tasks.saturating_add(b.tasks),
+        rate_milli: 0,
+    }
+}
+
+fn minus(a: &model::QuotaAmount, b: &model::QuotaAmount) -> model::QuotaAmount {
+    model::QuotaAmount {
+        resources: a.resources.minus(&b.resources),
+        tasks: a.tasks.saturating_sub(b.tasks),
+        rate_milli: 0,
+    }
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -20,9 +20,11 @@
 
 # Prints the gauge $2 of instance $1.
 gauge_of() {
-  "$bin/ferryctl" status --instances "127.0.0.1:$((callers_port + $1))" \
-    --secret-file "$work/cluster.secret" --format json |
-    sed -n "s/.*\"$2\": *\([0-9]*\).*/\1/p"
+  local value
+  value=$(curl -s -H "Authorization: Bearer $(cat "$work/cluster.secret")" \
+    "http://127.0.0.1:$((callers_port + $1))/v1/operator/status" |
+    grep -o "\"$2\":[0-9]*" | cut -d: -f2)
+  echo "${value:-0}"
 }
 
 gauges=(peer.control_bytes_sent peer.control_bytes_received peer.traffic_bytes_sent
