--- a/crates/entry/tests/common/cluster.rs
+++ b/crates/entry/tests/common/cluster.rs
@@ -135,6 +135,29 @@
         http::request(address, "POST", "/v1/tasks", http::TOKEN, body).await
     }
 
+    /// Returns where the instances listen for callers.
+    pub(crate) fn callers(&self) -> Vec<net::SocketAddr> {
+        let instances = self.instances.iter();
+        instances.map(|instance| instance.callers).collect()
+    }
+
+    /// Returns a number of the status of the instance with this index; 0 if it does not answer.
+    pub(crate) async fn number(&self, index: usize, field: &str) -> u64 {
+        self.status(index).await[field].as_u64().unwrap_or_default()
+    }
+
+    /// Returns the index of an instance that holds a worker, once there is one among `indexes`.
+    pub(crate) async fn holder(&self, indexes: &[usize]) -> usize {
+        loop {
+            for index in indexes {
+                if self.number(*index, "workers_held").await > 0 {
+                    return *index;
+                }
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
     /// Returns the operators' status of the instance with this index.
     pub(crate) async fn status(&self, index: usize) -> serde_json::Value {
         let address = self.instances[index].callers;
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -2,10 +2,14 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+mod burst;
 mod cluster;
 mod http;
 mod instance;
 
+pub(crate) use burst::Answers;
+pub(crate) use burst::Burst;
+pub(crate) use burst::Order;
 pub(crate) use cluster::Cluster;
 pub(crate) use cluster::ClusterOptions;
 pub(crate) use http::Answer;
--- /dev/null
+++ b/crates/entry/tests/overcommit.rs
@@ -0,0 +1,134 @@
+//! No worker is given more than it has.
+//!
+//! The worker is the arbiter, so a start that it refuses as `Full` already shows that a holder
+//! has counted wrongly.
+
+mod common;
+
+use std::sync::atomic;
+use std::time;
+
+use serde_json::json;
+
+static ORDERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+/// Orders of a quarter of a worker each.
+fn orders(count: usize, run_ms: u64) -> Vec<common::Order> {
+    let order = |_| {
+        let number = ORDERS.fetch_add(1, atomic::Ordering::Relaxed);
+        let work = json!({"run_ms": run_ms, "number": number});
+        common::Order::new("booklet", &work, &json!({}))
+    };
+    (0..count).map(order).collect()
+}
+
+fn options(instances: usize, workers: usize) -> common::ClusterOptions {
+    common::ClusterOptions {
+        instances,
+        workers,
+        ..common::ClusterOptions::default()
+    }
+}
+
+fn assert_never_overcommitted(cluster: &common::Cluster) {
+    let counts = cluster.fleet.counts();
+    assert_eq!(
+        (counts.overcommits, counts.refused_full),
+        (0, 0),
+        "{counts:?}"
+    );
+    assert_eq!(counts.memory_overruns, 0, "{counts:?}");
+    assert!(cluster.fleet.summary().never_overlapped());
+}
+
+#[tokio::test]
+async fn instances_that_claim_one_worker_and_a_holder_that_was_paused() {
+    let cluster = common::Cluster::start(options(3, 1)).await;
+    let first = cluster.holder(&[0, 1, 2]).await;
+    let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+    let burst = common::Burst::start(&cluster.callers(), orders(30, 60));
+    common::until("the first starts", || async {
+        cluster.fleet.counts().started > 4
+    })
+    .await;
+    cluster.instances[first].pause();
+    cluster.holder(&others).await;
+    let started = cluster.fleet.counts().started;
+    let addresses = others.iter().map(|index| cluster.instances[*index].callers);
+    let more = common::Burst::start(&addresses.collect::<Vec<_>>(), orders(20, 60));
+    common::until("starts of the next holder", || async {
+        cluster.fleet.counts().started > started
+    })
+    .await;
+    cluster.instances[first].resume();
+    let mut answers = burst.answers().await;
+    answers.extend(more.answers().await);
+    assert_never_overcommitted(&cluster);
+    let done = answers.iter().filter(|(_, answer)| answer.is_done());
+    assert!(done.count() > 30, "{answers:?}");
+}
+
+#[tokio::test]
+async fn a_worker_that_restarts_and_start_replies_that_are_lost() {
+    let cluster = common::Cluster::start(options(2, 2)).await;
+    let burst = common::Burst::start(&cluster.callers(), orders(60, 60));
+    common::until("the first starts", || async {
+        cluster.fleet.counts().started > 4
+    })
+    .await;
+    let lost = standin::WorkerFaults {
+        lose_start_replies: 3,
+        ..standin::WorkerFaults::default()
+    };
+    cluster.fleet.set_faults(lost).await;
+    let started = cluster.fleet.counts().started;
+    common::until("more starts", || async {
+        cluster.fleet.counts().started > started + 8
+    })
+    .await;
+    cluster.fleet.workers()[0].restart().await;
+    let answers = burst.answers().await;
+    assert_never_overcommitted(&cluster);
+    for (order, answer) in answers {
+        assert!(answer.is_done(), "{answer:?}");
+        assert_eq!(answer.body["outputs"][0], order.output.as_str());
+    }
+}
+
+#[tokio::test]
+async fn tasks_that_use_more_memory_than_they_declared() {
+    let cluster = common::Cluster::start(options(2, 1)).await;
+    let greedy = |number: u32| {
+        let work = json!({"run_ms": 800, "use_memory_mb": 3000, "number": number});
+        common::Order::new("results", &work, &json!({"memory_mb": 2048}))
+    };
+    let callers = cluster.callers();
+    let first = common::Burst::start(&callers, (0..2).map(greedy).collect());
+    first.answers().await;
+    // Now the peak of the kind is known: four of them would take 12,000 MB of 8,192 MB.
+    let burst = common::Burst::start(&callers, (2..10).map(greedy).collect());
+    let answers = burst.answers().await;
+    assert_never_overcommitted(&cluster);
+    for (_, answer) in answers {
+        assert!(answer.is_done(), "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_holder_that_pauses_again_and_again_under_load() {
+    let cluster = common::Cluster::start(options(2, 2)).await;
+    let burst = common::Burst::start(&cluster.callers(), orders(80, 80));
+    for round in 0..3 {
+        let index = round % 2;
+        cluster.instances[index].pause();
+        let other = 1 - index;
+        common::until("the other to hold every worker", || async {
+            cluster.number(other, "workers_held").await == 2
+        })
+        .await;
+        cluster.instances[index].resume();
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    burst.answers().await;
+    assert_never_overcommitted(&cluster);
+}
