--- a/crates/entry/tests/common/burst.rs
+++ b/crates/entry/tests/common/burst.rs
@@ -1,6 +1,7 @@
 //! Many submissions at once, while faults are caused.
 
 use std::net;
+use std::time;
 
 use tokio::task;
 
@@ -53,9 +54,16 @@
         Self { tasks }
     }
 
-    /// Waits for every answer.
-    pub(crate) async fn answers(self) -> Answers {
-        let mut answers = self.tasks.join_all().await;
+    /// Waits for every answer; fails if one is still missing after a minute.
+    pub(crate) async fn answers(mut self) -> Answers {
+        let limit = tokio::time::Instant::now() + time::Duration::from_secs(60);
+        let mut answers = Vec::new();
+        while !self.tasks.is_empty() {
+            let next = tokio::time::timeout_at(limit, self.tasks.join_next()).await;
+            let missing = self.tasks.len();
+            let next = next.unwrap_or_else(|_| panic!("{missing} submissions stay unanswered"));
+            answers.extend(next.map(|joined| joined.expect("a submission")));
+        }
         answers.sort_by_key(|(index, _, _)| *index);
         let ordered = answers.into_iter();
         ordered.map(|(_, order, answer)| (order, answer)).collect()
--- /dev/null
+++ b/crates/entry/tests/whole_answers.rs
@@ -0,0 +1,86 @@
+//! Each caller gets the whole answer to their own request.
+
+mod common;
+
+use serde_json::json;
+
+fn orders(count: u32, run_ms: u64) -> Vec<common::Order> {
+    let order = |number| {
+        let work = json!({"run_ms": run_ms, "output_bytes": 3000, "number": number});
+        common::Order::new("badge-form", &work, &json!({}))
+    };
+    (0..count).map(order).collect()
+}
+
+/// Asserts that each answer with a result is the order's own; returns how many there are.
+fn assert_own(answers: &common::Answers) -> usize {
+    let done = answers.iter().filter(|(_, answer)| answer.is_done());
+    let checked = done.map(|(order, answer)| {
+        assert_eq!(answer.body["outputs"], json!([order.output]));
+    });
+    checked.count()
+}
+
+async fn with_faults(faults: standin::WorkerFaults) -> (common::Cluster, common::Answers) {
+    let options = common::ClusterOptions {
+        workers: 3,
+        ..common::ClusterOptions::default()
+    };
+    let cluster = common::Cluster::start(options).await;
+    cluster.fleet.workers()[0].set_faults(faults).await;
+    let answers = common::Burst::start(&cluster.callers(), orders(60, 10))
+        .answers()
+        .await;
+    (cluster, answers)
+}
+
+#[tokio::test]
+async fn answers_that_are_cut_short() {
+    let faults = standin::WorkerFaults {
+        cut_answers: true,
+        ..standin::WorkerFaults::default()
+    };
+    let (cluster, answers) = with_faults(faults).await;
+    assert!(cluster.fleet.workers()[0].counts().finished > 0);
+    assert!(assert_own(&answers) > 0);
+}
+
+#[tokio::test]
+async fn answers_that_are_crossed_with_others() {
+    let faults = standin::WorkerFaults {
+        crossed_answers: true,
+        ..standin::WorkerFaults::default()
+    };
+    let (cluster, answers) = with_faults(faults).await;
+    assert!(cluster.fleet.workers()[0].counts().finished > 0);
+    assert!(assert_own(&answers) > 0);
+}
+
+#[tokio::test]
+async fn answers_that_come_twice() {
+    let faults = standin::WorkerFaults {
+        doubled_answers: true,
+        ..standin::WorkerFaults::default()
+    };
+    let (cluster, answers) = with_faults(faults).await;
+    assert_eq!(assert_own(&answers), answers.len(), "{answers:?}");
+    assert_eq!(cluster.fleet.summary().repeated, []);
+}
+
+#[tokio::test]
+async fn the_owner_dies_while_callers_wait_elsewhere() {
+    let mut cluster = common::Cluster::start(common::ClusterOptions::default()).await;
+    let keyed = |number: u32| {
+        let work = json!({"run_ms": 300, "number": number});
+        let fields = json!({"key": format!("stand-{number}")});
+        common::Order::new("badge-form", &work, &fields)
+    };
+    let callers = cluster.callers();
+    let burst = common::Burst::start(&callers[..2], (0..20).map(keyed).collect());
+    common::until("starts", || async { cluster.fleet.counts().started > 0 }).await;
+    cluster.instances[2].kill();
+    let answers = burst.answers().await;
+    assert!(assert_own(&answers) > 0);
+    assert!(answers.iter().all(|(_, answer)| answer.status != 0));
+    assert!(cluster.fleet.summary().never_overlapped());
+}
