Report runs that the next holder of a worker may have, and damaged results

Cause: a start without an answer stayed doubtful for ever once another instance held the worker, and a damaged result first seen by the next holder was dropped, so their callers never got an answer. Ruled out: the owner's gather (it asks only about reported or dead holders). The old holder reports such runs as lost 2 s after it lost the worker, and the owner asks every holder before it believes that; damaged results are counted by run and acknowledged once given up. A lookup refused for want of room no longer says not run.

--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -269,7 +269,10 @@
             Asked::Submit(task) if task.spec.key.is_some() => {
                 model::Outcome::Unknown(model::UnknownReason::OwnerUnreachable)
             }
-            _ => {
+            Asked::Lookup(_) | Asked::Cancel(_) => {
+                model::Outcome::Unknown(model::UnknownReason::OwnerUnreachable)
+            }
+            Asked::Submit(_) => {
                 self.metrics.count(&format!("refused.{reason}"));
                 model::Outcome::NotRun(reason)
             }
--- a/crates/entry/src/control/holder.rs
+++ b/crates/entry/src/control/holder.rs
@@ -12,6 +12,8 @@
 
 /// Pause before a start without an answer is sent again.
 const START_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time within which the next holder of a worker has read its runs.
+const ADOPTION_TIME: time::Duration = time::Duration::from_secs(2);
 /// Deliveries of a damaged result after which the run counts as lost.
 const MAX_DAMAGED: u32 = 3;
 
@@ -76,6 +78,7 @@
                 log::info!("lease dropped worker={worker_id}");
                 self.metrics.count("lease.dropped");
                 self.fleet.remove_worker(&worker_id);
+                self.runs.dropped.insert(worker_id, now);
             }
             lease::Action::Gone { worker_id } => self.worker_gone(&worker_id),
         }
@@ -203,6 +206,7 @@
             acquired.running.len()
         );
         self.metrics.count("lease.acquired");
+        self.runs.dropped.swap_remove(&worker_id);
         let worker = self
             .workers
             .entry(worker_id.clone())
@@ -279,6 +283,33 @@
         }
     }
 
+    /// Reports the runs on workers that another instance has held for a while as lost.
+    ///
+    /// That instance has read the worker's runs by then. The owner asks every holder before it
+    /// counts a run as lost, so a run that was adopted stays.
+    pub(super) fn leave_dropped(&mut self, now: time::Instant) {
+        let elsewhere: IndexSet<_> = self
+            .leases
+            .held_elsewhere()
+            .map(|(worker_id, _)| worker_id.clone())
+            .collect();
+        let due: Vec<_> = self
+            .runs
+            .dropped
+            .iter()
+            .filter(|(_, at)| now.saturating_duration_since(**at) >= ADOPTION_TIME)
+            .map(|(worker_id, _)| worker_id.clone())
+            .filter(|worker_id| elsewhere.contains(worker_id))
+            .collect();
+        for worker_id in due {
+            self.runs.dropped.swap_remove(&worker_id);
+            for run in self.runs.on_worker(&worker_id) {
+                self.metrics.count("run.left_to_next_holder");
+                self.end_run(run, model::RunState::Lost);
+            }
+        }
+    }
+
     fn worker_gone(&mut self, worker_id: &model::WorkerId) {
         log::warn!("worker lost worker={worker_id}");
         self.metrics.count("worker.gone");
@@ -334,9 +365,10 @@
             return;
         }
         if !finished.is_whole() {
-            self.damaged(run);
+            self.damaged(worker_id, finished);
             return;
         }
+        self.runs.damaged.swap_remove(&run);
         let facts = place::Finished {
             succeeded: finished.succeeded,
             worker_fault: finished.worker_fault,
@@ -362,15 +394,30 @@
         self.outbox.push(report);
     }
 
-    fn damaged(&mut self, run: model::TaskAttempt) {
+    /// Waits for the result to be delivered again, and gives the run up after a few deliveries.
+    fn damaged(&mut self, worker_id: &model::WorkerId, finished: model::FinishedRun) {
         self.metrics.count("retry.result_damaged");
-        let Some(held) = self.runs.live.get_mut(&run) else {
+        let run = finished.run;
+        let deliveries = self.runs.damaged.entry(run).or_default();
+        *deliveries += 1;
+        if *deliveries < MAX_DAMAGED {
             return;
-        };
-        held.damaged += 1;
-        if held.damaged >= MAX_DAMAGED {
-            self.end_run(run, model::RunState::Lost);
         }
+        self.runs.damaged.swap_remove(&run);
+        self.fleet.release(run);
+        let held = self.runs.live.swap_remove(&run);
+        let task = held.as_ref().map(|held| held.start.task.clone());
+        let task = task.or(finished.task);
+        let report = self.report_of(run, task, worker_id.clone(), model::RunState::Lost);
+        if let Some(held) = held {
+            self.answer_withdrawers(&held.withdrawers, &report);
+        }
+        let kept = runs::FinishedRun {
+            worker_id: worker_id.clone(),
+            report: report.clone(),
+        };
+        self.runs.finished.insert(run, kept);
+        self.outbox.push(report);
     }
 
     /// Forgets finished runs that the worker no longer repeats.
@@ -699,7 +746,10 @@
             })
             .collect();
         let finished = self.runs.finished.iter().filter(|(run, _)| concerns(run));
-        reports.extend(finished.map(|(_, kept)| kept.report.clone()));
+        let whole = finished
+            .map(|(_, kept)| &kept.report)
+            .filter(|report| matches!(report.state, model::RunState::Finished(_)));
+        reports.extend(whole.cloned());
         model::FenceAck {
             runs: reports,
             workers: self.leases.held().cloned().collect(),
--- a/crates/entry/src/control/reports.rs
+++ b/crates/entry/src/control/reports.rs
@@ -123,8 +123,7 @@
     /// Lets workers forget the results that an owner has accepted.
     fn accepted(&mut self, reports: &[model::RunReport]) {
         for report in reports {
-            let finished = matches!(report.state, model::RunState::Finished(_));
-            if !finished {
+            if !self.runs.finished.contains_key(&report.run) {
                 continue;
             }
             if let Some(worker) = self.workers.get_mut(&report.worker_id) {
--- a/crates/entry/src/control/runs.rs
+++ b/crates/entry/src/control/runs.rs
@@ -31,8 +31,6 @@
     pub(super) doubted: bool,
     /// Incarnation of the worker that the start was meant for.
     pub(super) incarnation: model::Incarnation,
-    /// Results that did not have their declared length and digest.
-    pub(super) damaged: u32,
     /// Who waits for the end of a stop: tickets of peers, and this instance's owner decisions.
     pub(super) withdrawers: Vec<Withdrawer>,
 }
@@ -60,6 +58,10 @@
     pub(super) live: IndexMap<model::TaskAttempt, HeldRun>,
     /// Finished runs that their worker still repeats.
     pub(super) finished: IndexMap<model::TaskAttempt, FinishedRun>,
+    /// Workers that are no longer held, with the time since when.
+    pub(super) dropped: IndexMap<model::WorkerId, time::Instant>,
+    /// Deliveries of results that did not have their declared length and digest.
+    pub(super) damaged: IndexMap<model::TaskAttempt, u32>,
     /// Runs whose start is to be sent.
     pub(super) unsent: Vec<model::TaskAttempt>,
     /// Ends of withdrawals that this instance's owner decisions have not heard yet.
@@ -89,7 +91,6 @@
             state: StartState::Unsent,
             doubted: false,
             incarnation: 0,
-            damaged: 0,
             withdrawers: Vec::new(),
         };
         self.live.insert(run, held);
@@ -115,7 +116,6 @@
             state: StartState::Confirmed,
             doubted: false,
             incarnation,
-            damaged: 0,
             withdrawers: Vec::new(),
         };
         self.live.insert(running.run, held);
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -193,6 +193,7 @@
         self.lease_event(lease::Event::Tick, now);
         self.retry_parked(now);
         self.retry_starts(now);
+        self.leave_dropped(now);
         self.tick_fleet(now);
         self.expire_queue(now);
         self.ask_shares(now);
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,7 +1,8 @@
 # Starts and stops a small cluster of separate processes on loopback addresses.
 # Sourced by the other scripts; expects $deployment, $bin and $work to be set.
 
-instances=6
+instances=${instances:-6}
+workers=${workers:-48}
 store_port=${store_port:-2379}
 directory_port=${directory_port:-2400}
 control_port=${control_port:-2401}
@@ -51,7 +52,7 @@
 address = 127.0.0.1:$directory_port
 instances = $entries
 [workers]
-count = 48
+count = $workers
 workers_per_rack = 8
 first_address = 127.0.0.1:$worker_port
 data_centres = ${regions[0]}/${regions[0]}-a, ${regions[1]}/${regions[1]}-a, ${regions[2]}/${regions[2]}-a
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -2,7 +2,8 @@
 # Runs one experiment against a whole cluster on this machine and prints what control costs.
 #
 # Usage: scripts/measure.sh DEPLOYMENT EXPERIMENT.ini [RESULT.csv]
-#   policy=baseline scripts/measure.sh nusqa ...   measures the plain policy
+# Variables: policy=baseline, instances=N, workers=N change the cluster; rate_per_s=N and
+# duration_s=N change the experiment.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=$1 experiment=$2 result=${3:-}
@@ -56,9 +57,12 @@
   echo
 }
 
+sed -e "s/^rate_per_s = .*/rate_per_s = ${rate_per_s:-&}/;s/rate_per_s = rate_per_s = /rate_per_s = /" \
+  -e "s/^duration_s = .*/duration_s = ${duration_s:-&}/;s/duration_s = duration_s = /duration_s = /" \
+  "$experiment" > "$work/experiment.ini"
 start_cluster
 echo "idle, 10 s"
 measured sleep 10
 echo "load, $experiment"
-measured "$bin/ferry-load" run --experiment "$experiment" --instances "$(instance_addresses)" \
+measured "$bin/ferry-load" run --experiment "$work/experiment.ini" --instances "$(instance_addresses)" \
   ${result:+--csv "$result"}
