Try a failed task on another worker of the fleet

Cause: first fit gave a task's second and third execution the worker that had just failed it, and probation starts only at the fourth failure. Ruled out: probation itself (it draws trials only).

--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -37,6 +37,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoom;
 
+/// Tasks whose failing worker is remembered.
+const MAX_FAILED_TASKS: usize = 1024;
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Finished {
@@ -68,6 +71,8 @@
     spread: spread::Spread,
     kinds: indexmap::IndexMap<spread::ServiceKey, health::KindHealth>,
     pub(crate) on_probation: indexmap::IndexSet<usize>,
+    /// Worker that last failed a task by its own fault; at most [`MAX_FAILED_TASKS`] tasks.
+    pub(crate) failed_on: indexmap::IndexMap<model::TaskId, usize>,
     pub(crate) drains: drain::Drains,
     /// Long runs that may be ended for short ones, by start.
     pub(crate) long_runs: collections::BTreeSet<(time::Instant, model::TaskAttempt)>,
@@ -101,6 +106,7 @@
             spread: spread::Spread::default(),
             kinds: indexmap::IndexMap::new(),
             on_probation: indexmap::IndexSet::new(),
+            failed_on: indexmap::IndexMap::new(),
             drains: drain::Drains::default(),
             long_runs: collections::BTreeSet::new(),
             long_once: collections::BTreeSet::new(),
@@ -333,6 +339,14 @@
     }
 
     fn judge(&mut self, ended: &run::Run, report: &Finished, now: time::Instant) {
+        let task_id = ended.task.task_id;
+        self.failed_on.swap_remove(&task_id);
+        if report.worker_fault {
+            if self.failed_on.len() >= MAX_FAILED_TASKS {
+                self.failed_on.swap_remove_index(0);
+            }
+            self.failed_on.insert(task_id, ended.worker);
+        }
         let key = spread::ServiceKey::of(&ended.task);
         if self.kinds.len() >= self.settings.max_kinds && !self.kinds.contains_key(&key) {
             self.kinds.swap_remove_index(0);
--- a/crates/place/src/place.rs
+++ b/crates/place/src/place.rs
@@ -6,6 +6,7 @@
 use crate::queue_settings;
 use crate::run;
 use crate::spread;
+use crate::worker;
 
 impl fleet::Fleet {
     /// Chooses a worker for every member, or for none.
@@ -50,7 +51,9 @@
         if self.settings.policy == queue_settings::Policy::Baseline {
             return self.pool.first_fit(&request.reserve);
         }
+        let failed_on = self.failed_on.get(&request.task.task_id).copied();
         let worker = match spec.class {
+            _ if failed_on.is_some() => self.choose_other(request, failed_on),
             model::Class::Service => self.choose_spread(request),
             model::Class::Batch if spec.repeatable => self
                 .pool
@@ -64,6 +67,24 @@
         (self.long_room() > 0).then_some(worker)
     }
 
+    /// Chooses a worker in good standing other than the one that failed the task before.
+    fn choose_other(
+        &self,
+        request: &fleet::Request<'_>,
+        failed_on: Option<usize>,
+    ) -> Option<usize> {
+        if self.pool.len() == 1 {
+            return self.pool.first_fit(&request.reserve);
+        }
+        let now = self.latest?;
+        let other = self.pool.iter().find(|(index, candidate)| {
+            let (group, room) = candidate.standing(now);
+            let good = matches!(group, worker::Group::Plain | worker::Group::Accelerated);
+            good && Some(*index) != failed_on && worker::count_of(&room, &request.reserve) > 0
+        });
+        other.map(|(index, _)| index)
+    }
+
     pub(crate) fn new_run(
         &self,
         request: &fleet::Request<'_>,
