--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -9,13 +9,16 @@
 mod holder;
 mod input;
 mod members;
+mod orders;
 mod owned;
 mod peers;
 mod placing;
 mod reports;
+mod results;
 mod runs;
 mod settings;
 mod shares;
+mod starts;
 mod state;
 mod status;
 
--- /dev/null
+++ b/crates/entry/src/control/starts.rs
@@ -0,0 +1,157 @@
+//! Starts of runs, and what becomes of those without an answer.
+
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::control::effect;
+use crate::control::input;
+use crate::control::runs;
+
+/// Pause before a start without an answer is sent again.
+use crate::control::state;
+const START_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+impl state::Control {
+    /// Sends the starts of this batch, one order for each worker.
+    pub(super) fn flush_starts(&mut self, now: time::Instant) {
+        let mut orders: IndexMap<model::WorkerId, Vec<model::StartRun>> = IndexMap::new();
+        for run in std::mem::take(&mut self.runs.unsent) {
+            if let Some(held) = self.runs.live.get(&run) {
+                let starts = orders.entry(held.worker_id.clone()).or_default();
+                starts.push(held.start.clone());
+            }
+        }
+        for (worker_id, starts) in orders {
+            self.send_starts(worker_id, starts, now);
+        }
+    }
+
+    fn send_starts(
+        &mut self,
+        worker_id: model::WorkerId,
+        starts: Vec<model::StartRun>,
+        now: time::Instant,
+    ) {
+        let Some(right) = self.leases.may_start(&worker_id, now) else {
+            for start in starts {
+                self.start_not_sent(start.run, now);
+            }
+            return;
+        };
+        for start in &starts {
+            if let Some(held) = self.runs.live.get_mut(&start.run) {
+                held.state = runs::StartState::Sent;
+                held.incarnation = right.incarnation;
+            }
+        }
+        let request = model::StartRequest {
+            instance_id: self.own_id().clone(),
+            epoch: right.epoch,
+            incarnation: right.incarnation,
+            runs: starts,
+        };
+        self.effect(effect::Effect::Start {
+            worker_id,
+            address: right.address,
+            request,
+        });
+    }
+
+    fn start_not_sent(&mut self, run: model::TaskAttempt, now: time::Instant) {
+        let Some(held) = self.runs.live.get_mut(&run) else {
+            return;
+        };
+        if held.doubted {
+            held.state = runs::StartState::Doubtful {
+                retry_at: now + START_PAUSE,
+            };
+        } else {
+            self.metrics.count("retry.start_without_lease");
+            self.end_run(run, model::RunState::NeverStarted);
+        }
+    }
+
+    /// Takes the end of a start order.
+    pub(super) fn start_ended(
+        &mut self,
+        worker_id: &model::WorkerId,
+        epoch: model::Epoch,
+        runs: &[model::TaskAttempt],
+        result: Result<model::StartReply, input::CallError>,
+        now: time::Instant,
+    ) {
+        match result {
+            Ok(reply) if reply.verdicts.len() == runs.len() => {
+                for (run, verdict) in runs.iter().zip(reply.verdicts) {
+                    self.start_verdict(*run, verdict, now);
+                }
+            }
+            Err(input::CallError::NotHandled) => {
+                self.metrics.count("retry.start_not_sent");
+                for run in runs {
+                    self.start_not_sent(*run, now);
+                }
+            }
+            Ok(_) | Err(input::CallError::Unanswered) => {
+                self.metrics.count("retry.start_unanswered");
+                log::warn!("start unanswered worker={worker_id} epoch={epoch}");
+                for run in runs {
+                    self.doubt_start(*run, now);
+                }
+            }
+        }
+    }
+
+    fn doubt_start(&mut self, run: model::TaskAttempt, now: time::Instant) {
+        if let Some(held) = self.runs.live.get_mut(&run) {
+            held.doubted = true;
+            if held.state == runs::StartState::Sent {
+                held.state = runs::StartState::Doubtful {
+                    retry_at: now + START_PAUSE,
+                };
+            }
+        }
+    }
+
+    fn start_verdict(
+        &mut self,
+        run: model::TaskAttempt,
+        verdict: model::StartVerdict,
+        now: time::Instant,
+    ) {
+        let Some(held) = self.runs.live.get_mut(&run) else {
+            return;
+        };
+        match verdict {
+            model::StartVerdict::Started => held.state = runs::StartState::Confirmed,
+            model::StartVerdict::StaleEpoch | model::StartVerdict::WrongIncarnation
+                if held.doubted =>
+            {
+                // An earlier copy may have been accepted: the next claim tells.
+                held.state = runs::StartState::Doubtful {
+                    retry_at: now + START_PAUSE,
+                };
+            }
+            model::StartVerdict::Tombstoned
+            | model::StartVerdict::StaleEpoch
+            | model::StartVerdict::WrongIncarnation
+            | model::StartVerdict::Full
+            | model::StartVerdict::Leaving => {
+                self.metrics.count("retry.start_refused");
+                log::info!("start refused task={} verdict={verdict:?}", run.task_id);
+                self.end_run(run, model::RunState::NeverStarted);
+            }
+        }
+    }
+
+    /// Sends doubtful starts again.
+    pub(super) fn retry_starts(&mut self, now: time::Instant) {
+        let due = self.runs.live.iter().filter(|(_, held)| {
+            matches!(held.state, runs::StartState::Doubtful { retry_at } if retry_at <= now)
+        });
+        let due: Vec<_> = due.map(|(run, _)| *run).collect();
+        self.runs.unsent.extend(due);
+        self.runs.forget_forbidden(now);
+    }
+}
