--- a/crates/owner/src/owner.rs
+++ b/crates/owner/src/owner.rs
@@ -119,7 +119,7 @@
     }
 
     /// Handles `event`; returns whether it may let a change of ownership go on.
-    fn handle(&mut self, event: Event) -> bool {
+    pub(crate) fn handle(&mut self, event: Event) -> bool {
         match event {
             Event::Submit {
                 ticket,
--- a/crates/owner/src/submit.rs
+++ b/crates/owner/src/submit.rs
@@ -305,26 +305,7 @@
 
     fn replay(&mut self, events: Vec<Event>) {
         for event in events {
-            match event {
-                Event::Submit {
-                    ticket,
-                    task,
-                    deadline,
-                    resent,
-                } => self.submit(ticket, task, deadline, resent),
-                Event::Lookup {
-                    ticket,
-                    customer_id,
-                    task_id,
-                    until,
-                } => self.lookup(ticket, customer_id, task_id, until),
-                Event::Cancel {
-                    ticket,
-                    customer_id,
-                    task_id,
-                } => self.cancel(ticket, customer_id, task_id),
-                _ => {}
-            }
+            self.handle(event);
         }
     }
 }
