Take worker leases only once the generations in charge are known

Cause: a fresh instance claimed workers before it had read the partition table, so an offer of a superseded owner that was paused could have been admitted there. Found by reading; no test shows it. Ruled out: raising fences on offers alone, since the stale offer may be the first. The table's generations are now raised at each read, and the list of workers is passed on only after the first. path, two_places, planned_stop, lists_spread, leaving and callers_api pass.

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -43,7 +43,10 @@
         for worker_id in &ids {
             self.update_leaving(worker_id);
         }
-        self.lease_event(lease::Event::Workers(workers), now);
+        // A holder must know the generations in charge before it takes orders for its workers.
+        if self.owner.table_revision() > 0 {
+            self.lease_event(lease::Event::Workers(workers), now);
+        }
         self.owner_event(owner::Event::Workers(ids), now);
     }
 }
--- a/crates/entry/src/control/owned.rs
+++ b/crates/entry/src/control/owned.rs
@@ -14,11 +14,21 @@
 impl state::Control {
     /// Passes an event to the owner decisions and carries their actions out.
     pub(super) fn owner_event(&mut self, event: owner::Event, now: time::Instant) {
+        if let owner::Event::TableRead { table, .. } = &event {
+            self.raise_fences(table);
+        }
         for action in self.owner.on(event, now) {
             self.owner_action(action, now);
         }
     }
 
+    /// Closes the generations that `table` shows to be superseded.
+    fn raise_fences(&mut self, table: &model::PartitionTable) {
+        for (partition, tenure) in (0..).zip(&table.tenures) {
+            self.fences.raise(partition, tenure.generation);
+        }
+    }
+
     fn owner_action(&mut self, action: owner::Action, now: time::Instant) {
         match action {
             owner::Action::Answer { ticket, answer } => {
