--- a/crates/entry/src/drive/server.rs
+++ b/crates/entry/src/drive/server.rs
@@ -11,8 +11,10 @@
 
 /// Least size that the HTTP library allows for its read buffer, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
-/// Time within which a request's headers must have arrived.
-const HEADER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Time within which a request's headers must have arrived since the last answer.
+///
+/// Longer than callers keep idle connections, so that they close them and no request is lost.
+const HEADER_TIMEOUT: time::Duration = time::Duration::from_secs(120);
 /// Pause after an accept failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
