--- /dev/null
+++ b/crates/controller/src/error.rs
@@ -0,0 +1,57 @@
+//! The error of this crate.
+
+use std::fmt;
+
+/// Says what an instance failed at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The peer listener could not be set up.
+    Listen,
+    /// The control thread could not be started.
+    Thread,
+    /// The store did not do what was asked.
+    Store,
+    /// The instance no longer leads.
+    Deposed,
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Listen => "peer listener failed",
+            Self::Thread => "control thread failed",
+            Self::Store => "store failed",
+            Self::Deposed => "another instance leads",
+        })
+    }
+}
+
+/// A failure of an instance.
+#[derive(Debug, thiserror::Error)]
+#[error("{kind}: {context}")]
+pub struct Error {
+    kind: ErrorKind,
+    context: String,
+}
+
+impl Error {
+    pub(crate) fn new(kind: ErrorKind, context: impl fmt::Display) -> Self {
+        Self {
+            kind,
+            context: context.to_string(),
+        }
+    }
+
+    /// Returns the kind.
+    #[must_use]
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+}
+
+impl From<store::Error> for Error {
+    fn from(cause: store::Error) -> Self {
+        Self::new(ErrorKind::Store, cause)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/feeds.rs
@@ -0,0 +1,128 @@
+//! What the instance learns from the store: the cell and the manifest.
+
+use std::sync;
+use std::time;
+
+use store::Store as _;
+use store::Watch as _;
+
+use crate::cell;
+use crate::instance;
+use crate::platform;
+
+/// Pause after a failed reading.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Most entries of the cell in one reading.
+const CELL_PAGE: u32 = 500;
+
+/// The manifest in force, with the text it was decoded from.
+#[derive(Clone, Debug)]
+pub(crate) struct InForce {
+    pub(crate) text: sync::Arc<[u8]>,
+    pub(crate) manifest: sync::Arc<jobs::Manifest>,
+}
+
+/// Follows the cell until the instance stops.
+pub(crate) async fn watch_cell<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
+    loop {
+        let following = follow_cell(&shared);
+        let ended = tokio::select! {
+            ended = following => ended,
+            () = shared.stop.cancelled() => return,
+        };
+        if ended.kind() != store::ErrorKind::Compacted {
+            log::warn!(cause:% = ended; "watch of the cell ended");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn follow_cell<P: platform::Platform>(shared: &instance::Shared<P>) -> store::Error {
+    match try_follow_cell(shared).await {
+        Ok(never) => match never {},
+        Err(cause) => cause,
+    }
+}
+
+async fn try_follow_cell<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+) -> Result<std::convert::Infallible, store::Error> {
+    let store = shared.platform.store();
+    let page = store.range(cell::PREFIX, CELL_PAGE, None).await?;
+    let revision = page.revision;
+    shared
+        .cell
+        .send_replace(cell::Cell::read(page.entries, revision));
+    let mut watch = store.watch(cell::PREFIX, revision + 1).await?;
+    loop {
+        let changes = watch.next().await?;
+        shared.cell.send_modify(|cell| cell.apply(changes));
+    }
+}
+
+/// Follows the manifest until the instance stops.
+pub(crate) async fn watch_manifest<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
+    loop {
+        let following = try_follow_manifest(&shared);
+        let ended = tokio::select! {
+            ended = following => ended,
+            () = shared.stop.cancelled() => return,
+        };
+        let Err(cause) = ended;
+        if cause.kind() != store::ErrorKind::Compacted {
+            log::warn!(cause:% = cause; "watch of the manifest ended");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn try_follow_manifest<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+) -> Result<std::convert::Infallible, store::Error> {
+    let store = shared.platform.store();
+    let key = &shared.platform.keys().manifest;
+    let page = store.range(key, 1, None).await?;
+    for entry in page.entries {
+        if entry.key == *key {
+            take_manifest(shared, &entry.value);
+        }
+    }
+    let mut watch = store.watch(key, page.revision + 1).await?;
+    loop {
+        for change in watch.next().await? {
+            if let store::Change::Put(entry) = change
+                && entry.key == *key
+            {
+                take_manifest(shared, &entry.value);
+            }
+        }
+    }
+}
+
+/// Puts a manifest in force if it is newer than the one that is.
+pub(crate) fn take_manifest<P: platform::Platform>(shared: &instance::Shared<P>, text: &[u8]) {
+    let manifest = match shared.platform.decode_manifest(text) {
+        Ok(manifest) => manifest,
+        Err(cause) => {
+            log::error!(cause; "manifest cannot be read, the one before stays in force");
+            return;
+        }
+    };
+    let version = manifest.version;
+    let replaced = shared.manifest.send_if_modified(|current| {
+        let is_newer = current
+            .as_ref()
+            .is_none_or(|one| one.manifest.version < version);
+        if is_newer {
+            *current = Some(InForce {
+                text: text.into(),
+                manifest: sync::Arc::new(manifest),
+            });
+        }
+        is_newer
+    });
+    if replaced {
+        log::info!(version; "manifest in force");
+        shared.metrics.count("manifest.changes");
+    }
+}
--- /dev/null
+++ b/crates/controller/src/instance.rs
@@ -0,0 +1,206 @@
+//! One instance: everything it runs, from start to stop.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task;
+
+use crate::cell;
+use crate::control;
+use crate::election;
+use crate::error;
+use crate::feeds;
+use crate::gateway;
+use crate::links;
+use crate::platform;
+use crate::pulse;
+use crate::registration;
+use crate::settings;
+
+/// Pause between tries to reach the store at the start.
+const START_RETRY: time::Duration = time::Duration::from_millis(200);
+/// Length of the secret that instances show each other, in bytes.
+const SECRET_BYTES: usize = 32;
+
+/// What the tasks of an instance share.
+pub(crate) struct Shared<P: platform::Platform> {
+    pub(crate) platform: P,
+    pub(crate) settings: settings::Settings,
+    pub(crate) member: cell::Member,
+    pub(crate) metrics: telemetry::Metrics,
+    pub(crate) links: links::Links,
+    /// What the store told last about the cell.
+    pub(crate) cell: watch::Sender<cell::Cell>,
+    /// The newest manifest.
+    pub(crate) manifest: watch::Sender<Option<feeds::InForce>>,
+    /// Set while this instance leads.
+    pub(crate) leading: watch::Sender<Option<Leading>>,
+    /// When the store last confirmed that this instance's entries last.
+    pub(crate) confirmed_at: sync::Mutex<Option<time::Instant>>,
+    pub(crate) leader_contact: sync::Mutex<pulse::LeaderContact>,
+    pub(crate) followers: sync::Mutex<pulse::Followers>,
+    /// Lease of this instance's entries; 0 if there is none.
+    pub(crate) store_lease: atomic::AtomicI64,
+    pub(crate) store_reachable: atomic::AtomicBool,
+    pub(crate) is_draining: atomic::AtomicBool,
+    pub(crate) stop: CancellationToken,
+}
+
+/// The term in which this instance leads.
+#[derive(Clone, Debug)]
+pub(crate) struct Leading {
+    pub(crate) term: model::Term,
+    pub(crate) control: control::Handle,
+}
+
+impl<P: platform::Platform> Shared<P> {
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn manifest_version(&self) -> model::ManifestVersion {
+        let manifest = self.manifest.borrow();
+        manifest.as_ref().map_or(0, |one| one.manifest.version)
+    }
+}
+
+/// Locks a mutex whose state stays usable after a panic elsewhere.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// A running instance.
+pub struct Instance<P: platform::Platform> {
+    shared: sync::Arc<Shared<P>>,
+    tasks: task::TaskTracker,
+    peers: tokio::task::JoinHandle<()>,
+    peers_stop: CancellationToken,
+}
+
+impl<P: platform::Platform> Instance<P> {
+    /// Starts an instance; returns once it has found the others.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer listener cannot be set up.
+    pub async fn start(
+        settings: settings::Settings,
+        platform: P,
+        metrics: telemetry::Metrics,
+    ) -> Result<Self, error::Error> {
+        let boot: u32 = rand::random();
+        let instance_id: model::InstanceId = format!("{}#{boot:08x}", settings.name).into();
+        log::info!(instance:% = instance_id, peer_address:% = settings.peer_address; "instance starts");
+        let listener = tokio::net::TcpListener::bind(settings.peer_address)
+            .await
+            .map_err(|cause| error::Error::new(error::ErrorKind::Listen, cause))?;
+        let secret = find_secret(platform.store()).await;
+        let identity = peer::Identity::new(sync::Arc::clone(&instance_id))
+            .cluster(settings.cluster.clone())
+            .secret(secret);
+        let member = cell::Member {
+            instance_id,
+            address: settings.peer_address.to_string().into(),
+        };
+        let shared = sync::Arc::new(Shared {
+            platform,
+            member,
+            metrics,
+            links: links::Links::new(identity.clone()),
+            cell: watch::Sender::default(),
+            manifest: watch::Sender::default(),
+            leading: watch::Sender::default(),
+            confirmed_at: sync::Mutex::default(),
+            leader_contact: sync::Mutex::default(),
+            followers: sync::Mutex::default(),
+            store_lease: atomic::AtomicI64::new(0),
+            store_reachable: atomic::AtomicBool::new(true),
+            is_draining: atomic::AtomicBool::new(false),
+            stop: CancellationToken::new(),
+            settings,
+        });
+        let peers_stop = CancellationToken::new();
+        let server = peer::Server::new(identity);
+        let handler = gateway::Peers::new(sync::Arc::clone(&shared));
+        let stop = peers_stop.clone();
+        let peers = tokio::spawn(async move { server.serve(listener, handler, stop).await });
+        let tasks = task::TaskTracker::new();
+        tasks.spawn(registration::run(sync::Arc::clone(&shared)));
+        tasks.spawn(feeds::watch_cell(sync::Arc::clone(&shared)));
+        tasks.spawn(feeds::watch_manifest(sync::Arc::clone(&shared)));
+        tasks.spawn(pulse::run(sync::Arc::clone(&shared)));
+        tasks.spawn(election::run(sync::Arc::clone(&shared)));
+        tasks.close();
+        Ok(Self {
+            shared,
+            tasks,
+            peers,
+            peers_stop,
+        })
+    }
+
+    /// Returns where callers' requests are handed in.
+    #[must_use]
+    pub fn gateway(&self) -> gateway::Gateway<P> {
+        gateway::Gateway::new(sync::Arc::clone(&self.shared))
+    }
+
+    /// Gives up the leadership and tells callers' balancers to go elsewhere; requests go on.
+    pub fn begin_drain(&self) {
+        log::info!(instance:% = self.shared.member.instance_id; "instance drains");
+        self.shared
+            .is_draining
+            .store(true, atomic::Ordering::Relaxed);
+        self.shared.leading.send_modify(|_| {});
+    }
+
+    /// Stops everything and waits for it.
+    pub async fn stop(self) {
+        self.shared.stop.cancel();
+        self.tasks.wait().await;
+        registration::leave(&self.shared).await;
+        self.peers_stop.cancel();
+        if let Err(cause) = self.peers.await {
+            log::error!(cause:% = cause; "peer server panicked");
+        }
+        self.shared.links.close().await;
+        log::info!(instance:% = self.shared.member.instance_id; "instance stopped");
+    }
+}
+
+/// Reads the secret of the cell from the store; the first instance makes it.
+async fn find_secret<S: store::Store>(store: &S) -> Vec<u8> {
+    loop {
+        match read_or_make_secret(store).await {
+            Ok(Some(secret)) => return secret,
+            Ok(None) => {}
+            Err(cause) => {
+                log::warn!(cause:% = cause; "secret of the cell not read");
+                tokio::time::sleep(START_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn read_or_make_secret<S: store::Store>(store: &S) -> Result<Option<Vec<u8>>, store::Error> {
+    if let Some(entry) = store.get(cell::SECRET).await? {
+        return Ok(Some(entry.value));
+    }
+    let secret: [u8; SECRET_BYTES] = rand::random();
+    let txn = store::Txn {
+        compares: vec![store::Compare::Absent {
+            key: cell::SECRET.to_owned(),
+        }],
+        puts: vec![store::Put {
+            key: cell::SECRET.to_owned(),
+            value: secret.to_vec(),
+            lease_id: None,
+        }],
+        deletes: Vec::new(),
+    };
+    // Whoever was first has made the secret that counts; read it on the next turn.
+    store.commit(txn).await.map(|_| None)
+}
--- /dev/null
+++ b/crates/controller/src/pulse.rs
@@ -0,0 +1,191 @@
+//! Pulses: followers tell the leader that they live, and notice when it does not.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::cell;
+use crate::feeds;
+use crate::instance;
+use crate::platform;
+
+/// How long a pulse may take.
+const PULSE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Silence after which a follower no longer counts as live.
+const FOLLOWER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
+
+/// What a follower knows of its leader.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaderContact {
+    /// The term meant.
+    pub(crate) term: model::Term,
+    /// Last answer, or when the term became known.
+    pub(crate) heard_at: Option<time::Instant>,
+    /// Whether nobody listens at the leader's address, or another process does.
+    pub(crate) is_gone: bool,
+}
+
+/// What a leader knows of its followers.
+#[derive(Debug, Default)]
+pub(crate) struct Followers(IndexMap<model::InstanceId, time::Instant>);
+
+impl Followers {
+    /// Notes a pulse.
+    pub(crate) fn heard(&mut self, instance_id: model::InstanceId, now: time::Instant) {
+        self.0.insert(instance_id, now);
+    }
+
+    /// Returns the followers that are live.
+    pub(crate) fn live(&mut self, now: time::Instant) -> Vec<model::InstanceId> {
+        self.0
+            .retain(|_, heard| now.saturating_duration_since(*heard) < FOLLOWER_SILENCE);
+        self.0.keys().cloned().collect()
+    }
+}
+
+/// Sends pulses to the leader until the instance stops.
+pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
+    let mut cell = shared.cell.subscribe();
+    loop {
+        let leader = cell.borrow_and_update().leader.clone();
+        if let Some(leader) = leader
+            && leader.member != shared.member
+        {
+            pulse_leader(&shared, &leader).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(shared.settings.pulse_interval) => {}
+            _ = cell.changed() => {}
+            () = shared.stop.cancelled() => return,
+        }
+    }
+}
+
+async fn pulse_leader<P: platform::Platform>(shared: &instance::Shared<P>, leader: &cell::Leader) {
+    {
+        let mut contact = instance::lock(&shared.leader_contact);
+        if contact.term != leader.term {
+            *contact = LeaderContact {
+                term: leader.term,
+                heard_at: Some(time::Instant::now()),
+                is_gone: false,
+            };
+        }
+    }
+    let link = shared.links.to(&leader.member.address);
+    let request = model::LinkRequest::Pulse(own_pulse(shared));
+    let answer = link.request(&request, PULSE_TIMEOUT).await;
+    let newest = note_answer(shared, leader, answer);
+    if newest > shared.manifest_version() {
+        fetch_manifest(shared, &link).await;
+    }
+}
+
+/// Notes what came of a pulse; returns the newest manifest that the leader has.
+fn note_answer<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    leader: &cell::Leader,
+    answer: Result<model::LinkReply, peer::Error>,
+) -> model::ManifestVersion {
+    let mut contact = instance::lock(&shared.leader_contact);
+    match answer {
+        Ok(model::LinkReply::Pulse(pulse)) => {
+            if pulse.instance_id == leader.member.instance_id {
+                contact.heard_at = Some(time::Instant::now());
+            } else {
+                contact.is_gone = true;
+            }
+            return pulse.manifest_version;
+        }
+        Ok(_) => log::warn!(leader:% = leader.member.instance_id; "pulse answered out of protocol"),
+        Err(cause) => {
+            if cause.kind() == peer::ErrorKind::NoListener && !contact.is_gone {
+                contact.is_gone = true;
+                log::info!(leader:% = leader.member.instance_id, term = leader.term; "leader refuses connections");
+            }
+            log::debug!(leader:% = leader.member.instance_id, cause:% = cause; "pulse failed");
+        }
+    }
+    0
+}
+
+async fn fetch_manifest<P: platform::Platform>(shared: &instance::Shared<P>, link: &peer::Link) {
+    match link
+        .request(&model::LinkRequest::Manifest, PULSE_TIMEOUT)
+        .await
+    {
+        Ok(model::LinkReply::Manifest(Some(text))) => feeds::take_manifest(shared, &text),
+        Ok(_) => {}
+        Err(cause) => log::warn!(cause:% = cause; "manifest not fetched from another instance"),
+    }
+}
+
+/// Returns the pulse of this instance.
+pub(crate) fn own_pulse<P: platform::Platform>(shared: &instance::Shared<P>) -> model::Pulse {
+    let leading = shared.leading.borrow().as_ref().map(|one| one.term);
+    let (leader, term) = match leading {
+        Some(term) => (Some(sync::Arc::clone(&shared.member.instance_id)), term),
+        None => heard_leader(shared),
+    };
+    model::Pulse {
+        instance_id: sync::Arc::clone(&shared.member.instance_id),
+        address: shared.member.address.to_string(),
+        leader,
+        term,
+        manifest_version: shared.manifest_version(),
+        draining: shared.is_draining(),
+        store_reachable: shared.store_reachable.load(atomic::Ordering::Relaxed),
+    }
+}
+
+/// Returns the leader that this instance has heard lately, and its term.
+fn heard_leader<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+) -> (Option<model::InstanceId>, model::Term) {
+    let leader = shared.cell.borrow().leader.clone();
+    let Some(leader) = leader else {
+        return (None, 0);
+    };
+    let contact = instance::lock(&shared.leader_contact);
+    let is_heard = contact.term == leader.term
+        && !contact.is_gone
+        && contact
+            .heard_at
+            .is_some_and(|at| at.elapsed() < shared.settings.leader_silence);
+    (is_heard.then_some(leader.member.instance_id), leader.term)
+}
+
+/// Asks the other instances whether the leader of `term` is out of reach for all of them.
+///
+/// `false` if none answers: this instance may be the one that is cut off.
+pub(crate) async fn others_miss_leader<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    leader: &cell::Leader,
+) -> bool {
+    let members: Vec<_> = shared.cell.borrow().members().cloned().collect();
+    let others = members
+        .into_iter()
+        .filter(|member| *member != shared.member && *member != leader.member);
+    let mut calls = tokio::task::JoinSet::new();
+    for member in others {
+        let link = shared.links.to(&member.address);
+        let request = model::LinkRequest::Pulse(own_pulse(shared));
+        calls.spawn(async move { link.request(&request, PULSE_TIMEOUT).await });
+    }
+    let mut missed = 0;
+    while let Some(answer) = calls.join_next().await {
+        match answer {
+            Ok(Ok(model::LinkReply::Pulse(pulse))) => {
+                if pulse.leader.as_ref() == Some(&leader.member.instance_id) {
+                    return false;
+                }
+                missed += 1;
+            }
+            Ok(Ok(_) | Err(_)) => {}
+            Err(cause) => log::error!(cause:% = cause; "pulse task failed"),
+        }
+    }
+    missed > 0
+}
--- /dev/null
+++ b/crates/controller/src/settings.rs
@@ -0,0 +1,62 @@
+//! Settings of an instance.
+
+use std::net;
+use std::time;
+
+/// Settings of an instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance, unique among the live ones.
+    pub name: String,
+    /// Where other instances reach this one.
+    pub peer_address: net::SocketAddr,
+    /// Name of the cluster; instances of other clusters are refused.
+    pub cluster: String,
+    /// How long the store keeps this instance's entries without a renewal.
+    pub store_lease: time::Duration,
+    /// Time between renewals.
+    pub store_renewal: time::Duration,
+    /// How long a leader acts without a sign from the store that it still leads.
+    pub office: time::Duration,
+    /// Time between pulses to the leader.
+    pub pulse_interval: time::Duration,
+    /// Silence after which the leader is suspected.
+    pub leader_silence: time::Duration,
+    /// Time between readings of the directory by the leader.
+    pub directory_interval: time::Duration,
+    /// How long an order to a worker may take before it counts as not answered.
+    pub order_timeout: time::Duration,
+    /// How long a request waits for a leader before it is refused.
+    pub leader_patience: time::Duration,
+    /// Settings of the decisions.
+    pub jobs: jobs::Settings,
+}
+
+impl Settings {
+    /// Creates settings with defaults for all that is no name or address.
+    #[must_use]
+    pub fn new(name: impl Into<String>, peer_address: net::SocketAddr) -> Self {
+        let ms = time::Duration::from_millis;
+        Self {
+            name: name.into(),
+            peer_address,
+            cluster: "ferry".to_owned(),
+            store_lease: ms(2_000),
+            store_renewal: ms(500),
+            office: ms(6_000),
+            pulse_interval: ms(300),
+            leader_silence: ms(1_200),
+            directory_interval: ms(700),
+            order_timeout: ms(400),
+            leader_patience: ms(1_500),
+            jobs: jobs::Settings::default(),
+        }
+    }
+
+    /// Sets the settings of the decisions.
+    #[must_use]
+    pub fn jobs(mut self, jobs: impl Into<jobs::Settings>) -> Self {
+        self.jobs = jobs.into();
+        self
+    }
+}
--- a/crates/ctl/tests/common/fake_store.rs
+++ b/crates/ctl/tests/common/fake_store.rs
@@ -178,6 +178,10 @@
         Ok(1)
     }
 
+    async fn keep_lease(&self, _lease_id: store::LeaseId) -> Result<bool, store::Error> {
+        Ok(true)
+    }
+
     async fn watch(
         &self,
         _prefix: &str,
@@ -188,7 +192,7 @@
 }
 
 impl store::Watch for NoWatch {
-    async fn next(&mut self) -> Result<Vec<store::Entry>, store::Error> {
+    async fn next(&mut self) -> Result<Vec<store::Change>, store::Error> {
         future::pending().await
     }
 }
--- a/crates/entry/src/api/peers.rs
+++ b/crates/entry/src/api/peers.rs
@@ -15,6 +15,8 @@
 }
 
 impl peer::Handler for PeerGateway {
+    type Request = model::PeerRequest;
+
     async fn handle(
         &self,
         from: model::InstanceId,
--- a/crates/entry/src/drive/instance.rs
+++ b/crates/entry/src/drive/instance.rs
@@ -20,7 +20,6 @@
 use crate::drive::feeds;
 use crate::drive::keeper;
 use crate::drive::platform;
-use crate::drive::server;
 use crate::drive::traffic;
 
 /// How long a stopping instance keeps its listeners open, so that balancers notice.
@@ -150,12 +149,12 @@
         let stop = stop_servers.clone();
         let handler = api::PeerGateway::new(asker.clone());
         tracker.spawn(async move { peer_server.serve(peers, handler, stop).await });
-        let limits = server::ServerLimits {
+        let limits = serve::ServerLimits {
             max_header_bytes: settings.callers.max_header_bytes,
             max_connections: settings.callers.max_connections,
         };
         let stop = stop_servers.clone();
-        tracker.spawn(server::serve(
+        tracker.spawn(serve::serve(
             callers,
             gateway.router(),
             limits,
--- a/crates/entry/src/drive/mod.rs
+++ b/crates/entry/src/drive/mod.rs
@@ -7,7 +7,6 @@
 mod keeper;
 mod message;
 mod platform;
-mod server;
 mod traffic;
 
 pub(crate) use asker::Asker;
--- a/crates/entry/src/drive/traffic.rs
+++ b/crates/entry/src/drive/traffic.rs
@@ -58,7 +58,7 @@
                 timeout,
                 context,
             } => {
-                let result = self.link(&address).request(&request, timeout).await;
+                let result = self.link(&address).request(&*request, timeout).await;
                 Some(control::Input::Called {
                     address,
                     context,
--- /dev/null
+++ b/crates/jobs/src/advice.rs
@@ -0,0 +1,173 @@
+//! Calls to the recommendation service, spread over the instances.
+//!
+//! The service handles one call at a time for each calling instance. Calls are therefore given to
+//! the instance whose calls are done first.
+
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::event;
+use crate::journal;
+use crate::manifest;
+use crate::scheduler;
+
+/// Time that a call takes beside that of the service: the way to the instance and back.
+const CALL_OVERHEAD: time::Duration = time::Duration::from_millis(10);
+/// How long an answer may be late before the call is given up.
+const CALL_PATIENCE: time::Duration = time::Duration::from_millis(700);
+/// Pause of an instance whose call was not answered.
+const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+/// Most workers that a call may name.
+const MAX_NAMED: usize = 100;
+/// Share of the service's time that naming workers may add to that of the call itself.
+const NAMING_SHARE: f64 = 0.5;
+
+/// The instances through which the service is asked, and the calls under way.
+#[derive(Debug, Default)]
+pub(crate) struct Advisors {
+    instances: IndexMap<model::InstanceId, Advisor>,
+    calls: IndexMap<event::CallId, Call>,
+    next_call: event::CallId,
+}
+
+#[derive(Debug)]
+struct Advisor {
+    /// When the calls given to it will be done.
+    busy_until: time::Instant,
+}
+
+#[derive(Debug)]
+struct Call {
+    step: model::StepKey,
+    asked: Vec<model::WorkerId>,
+    instance_id: model::InstanceId,
+    terms: manifest::AdviceTerms,
+}
+
+impl Advisors {
+    /// Takes the list of live instances.
+    pub(crate) fn take(&mut self, instances: Vec<model::InstanceId>, now: time::Instant) {
+        self.instances.retain(|id, _| instances.contains(id));
+        for id in instances {
+            self.instances
+                .entry(id)
+                .or_insert(Advisor { busy_until: now });
+        }
+    }
+
+    /// Returns the instance whose calls are done first.
+    fn least_busy(&mut self) -> Option<(&model::InstanceId, &mut Advisor)> {
+        self.instances
+            .iter_mut()
+            .min_by_key(|(_, advisor)| advisor.busy_until)
+    }
+}
+
+impl scheduler::Scheduler {
+    /// Asks the service about `asked`, unless no instance can.
+    pub(crate) fn ask_advice(
+        &mut self,
+        step: model::StepKey,
+        terms: manifest::AdviceTerms,
+        asked: Vec<model::WorkerId>,
+        clock: event::Clock,
+    ) {
+        let call_id = self.advisors.next_call;
+        let Some((instance_id, advisor)) = self.advisors.least_busy() else {
+            return;
+        };
+        let named = u32::try_from(asked.len()).unwrap_or(u32::MAX);
+        let duration = terms.base_time + terms.time_per_worker * named + CALL_OVERHEAD;
+        advisor.busy_until = advisor.busy_until.max(clock.now) + duration;
+        let timeout = advisor.busy_until - clock.now + CALL_PATIENCE;
+        let call = event::AdviceCall {
+            call: call_id,
+            instance_id: instance_id.clone(),
+            request: model::AdviceRequest {
+                step,
+                worker_ids: asked.clone(),
+                timeout_ms: timeout.as_millis() as u64,
+            },
+        };
+        let Some((_, step_state)) = self
+            .jobs
+            .get_mut(&step.job_id)
+            .and_then(|state| state.step_mut(step))
+        else {
+            return;
+        };
+        step_state.tickets.asking = true;
+        self.advisors.next_call += 1;
+        self.advisors.calls.insert(
+            call.call,
+            Call {
+                step,
+                asked,
+                instance_id: call.instance_id.clone(),
+                terms,
+            },
+        );
+        self.actions.push(event::Action::Advise(call));
+    }
+
+    pub(crate) fn advised(
+        &mut self,
+        call: event::CallId,
+        outcome: Result<model::AdviceReply, model::AdviceFailure>,
+        clock: event::Clock,
+    ) {
+        let Some(call) = self.advisors.calls.swap_remove(&call) else {
+            return;
+        };
+        self.may_place = true;
+        let state = self.jobs.get_mut(&call.step.job_id);
+        let Some((_, step_state)) = state.and_then(|one| one.step_mut(call.step)) else {
+            return;
+        };
+        step_state.tickets.asking = false;
+        match outcome {
+            Ok(reply) => {
+                log::info!(
+                    job:% = journal::hex(call.step.job_id),
+                    step = call.step.step,
+                    asked = call.asked.len(),
+                    allowed = reply.tickets.len(),
+                    by:% = call.instance_id;
+                    "advice received"
+                );
+                let validity = reply
+                    .validity_ms
+                    .map_or(call.terms.validity, time::Duration::from_millis);
+                let valid_until = clock.now + validity;
+                step_state
+                    .tickets
+                    .take(&call.asked, reply.tickets, valid_until);
+            }
+            Err(failure) => {
+                log::warn!(
+                    job:% = journal::hex(call.step.job_id),
+                    step = call.step.step,
+                    failure:? = failure,
+                    by:% = call.instance_id;
+                    "advice failed"
+                );
+                if let Some(advisor) = self.advisors.instances.get_mut(&call.instance_id) {
+                    let until = clock.now + FAILURE_PAUSE;
+                    advisor.busy_until = advisor.busy_until.max(until);
+                }
+            }
+        }
+    }
+}
+
+/// Returns how many workers a call should name when `needed` allowed ones are wanted.
+pub(crate) fn naming_limit(terms: &manifest::AdviceTerms, needed: usize) -> usize {
+    let per_worker = terms.time_per_worker.as_secs_f64();
+    if per_worker <= 0.0 {
+        return MAX_NAMED;
+    }
+    let affordable = terms.base_time.as_secs_f64() * NAMING_SHARE / per_worker;
+    // Truncation is fine: the figure is a rough bound.
+    (affordable as usize).max(needed).clamp(1, MAX_NAMED)
+}
--- /dev/null
+++ b/crates/jobs/src/gangs.rs
@@ -0,0 +1,61 @@
+//! Gangs: tasks that run only all together.
+
+use crate::event;
+use crate::job;
+use crate::scheduler;
+
+impl job::StepState {
+    /// Counts a failed run and returns the failures that count against the job.
+    ///
+    /// A gang fails once a run, however many of its members do.
+    pub(crate) fn count_failure(&mut self, key: model::RunKey, is_gang: bool) -> u32 {
+        let index = if is_gang { 0 } else { key.task.index as usize };
+        let Some(task) = self.tasks.get_mut(index) else {
+            return 0;
+        };
+        if task.failed_run < key.run {
+            task.failed_run = key.run;
+            task.failures += 1;
+        }
+        task.failures
+    }
+
+    /// Marks every member done: one such end stands for all.
+    pub(crate) fn finish_gang(&mut self) {
+        for index in 0..self.tasks.len() {
+            self.set_phase(u32::try_from(index).unwrap_or(u32::MAX), job::Phase::Done);
+        }
+    }
+}
+
+impl scheduler::Scheduler {
+    /// Stops the other members of a gang of which one is gone without an end.
+    pub(crate) fn break_gang(&mut self, key: model::RunKey, clock: event::Clock) {
+        let Some(state) = self.jobs.get(&key.task.job_id) else {
+            return;
+        };
+        let Some((step, step_state)) = state.step(key.task.step_key()) else {
+            return;
+        };
+        if !step.gang {
+            return;
+        }
+        let members = step_state.tasks.iter().enumerate();
+        let others: Vec<_> = members
+            .filter(|(_, task)| task.last_run == key.run)
+            .filter_map(|(index, task)| match &task.phase {
+                job::Phase::Placed(life) => {
+                    let task = model::TaskKey {
+                        index: u32::try_from(index).unwrap_or(u32::MAX),
+                        ..key.task
+                    };
+                    Some((life.clone(), model::RunKey { task, run: key.run }))
+                }
+                _ => None,
+            })
+            .collect();
+        for (life, other) in others {
+            self.stop_run(&life, other, clock);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,326 @@
+//! The state of one job.
+
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+
+use crate::manifest;
+use crate::record;
+use crate::tickets;
+
+/// Asks for an answer; given back with it.
+pub type Token = u64;
+
+/// A job that is not compacted yet.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    pub(crate) job: sync::Arc<model::Job>,
+    /// Its queue at acceptance.
+    pub(crate) accepted_queue: sync::Arc<manifest::Queue>,
+    pub(crate) accepted_at_ms: u64,
+    pub(crate) occurrences: Vec<Occurrence>,
+    /// The outcome once it is decided; never changes after that.
+    pub(crate) outcome: Option<model::JobStatus>,
+    /// Whether the definition is in the store.
+    pub(crate) is_stored: bool,
+    /// What callers may see: the outcome that is in the store.
+    pub(crate) stored_outcome: Option<model::JobStatus>,
+    /// Whether a task has ever started.
+    pub(crate) started: bool,
+    /// Done once the next commit has taken effect.
+    pub(crate) effects: Vec<Effect>,
+}
+
+/// What waits for a commit.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// Answers a caller.
+    Reply(Token, model::JobReply),
+    /// Sends the start order of a run.
+    Launch(model::WorkerLife, model::RunKey),
+    /// Lets a worker forget an end.
+    Forget(model::WorkerLife, u64),
+}
+
+/// One repetition of a job's steps.
+#[derive(Debug)]
+pub(crate) struct Occurrence {
+    /// When it is due, in milliseconds since 1970; `None` without a schedule.
+    pub(crate) due_at_ms: Option<u64>,
+    pub(crate) steps: Vec<StepState>,
+}
+
+/// The tasks of a step.
+#[derive(Debug, Default)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<TaskState>,
+    /// Number of tasks that are done.
+    pub(crate) done_count: u32,
+    /// Number of tasks that wait for a start.
+    pub(crate) waiting_count: u32,
+    pub(crate) tickets: tickets::Tickets,
+    /// Failures on each worker, so that a retry goes elsewhere.
+    pub(crate) failures_by_worker: IndexMap<model::WorkerId, u32>,
+    /// Since when tasks could have started, had there been room.
+    pub(crate) blocked_since: Option<time::Instant>,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TaskState {
+    pub(crate) phase: Phase,
+    /// Number of its latest start; 0 before the first.
+    pub(crate) last_run: model::RunNumber,
+    /// Runs that failed; those of a gang are counted at its first task.
+    pub(crate) failures: u32,
+    /// The latest run whose failure was counted.
+    pub(crate) failed_run: model::RunNumber,
+    /// Latest saved progress.
+    pub(crate) checkpoint: Option<sync::Arc<str>>,
+}
+
+/// Whether a task waits, runs or is done.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It waits for a start.
+    #[default]
+    Waiting,
+    /// Its latest run belongs to this life of a worker.
+    Placed(model::WorkerLife),
+    /// It is done.
+    Done,
+}
+
+impl JobState {
+    /// Creates a job of which nothing is stored and no task has started.
+    pub(crate) fn new(
+        job: sync::Arc<model::Job>,
+        queue: sync::Arc<manifest::Queue>,
+        accepted_at_ms: u64,
+    ) -> Self {
+        let occurrences = occurrences_of(&job);
+        Self {
+            job,
+            accepted_queue: queue,
+            accepted_at_ms,
+            occurrences,
+            outcome: None,
+            is_stored: false,
+            stored_outcome: None,
+            started: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Restores a job from the store; `progress` must be of an open job.
+    pub(crate) fn restore(definition: record::Definition, progress: record::Progress) -> Self {
+        let mut state = Self::new(
+            sync::Arc::new(definition.job),
+            sync::Arc::new(definition.queue),
+            definition.accepted_at_ms,
+        );
+        state.is_stored = true;
+        let record::Progress::Open {
+            outcome,
+            started,
+            lives,
+            tasks,
+        } = progress
+        else {
+            return state;
+        };
+        state.outcome = outcome;
+        state.stored_outcome = outcome;
+        state.started = started;
+        let steps = state.occurrences.iter_mut().flat_map(|one| &mut one.steps);
+        let mut records = tasks.into_iter();
+        for step in steps {
+            for (task, record) in step.tasks.iter_mut().zip(&mut records) {
+                *task = restore_task(record, &lives);
+            }
+            step.count_phases();
+        }
+        state
+    }
+
+    /// Returns the progress to store.
+    pub(crate) fn progress(&self) -> record::Progress {
+        let mut lives = record::Lives::default();
+        let steps = self.occurrences.iter().flat_map(|one| &one.steps);
+        let tasks = steps
+            .flat_map(|step| &step.tasks)
+            .map(|task| record_of(task, &mut lives))
+            .collect();
+        record::Progress::Open {
+            outcome: self.outcome,
+            started: self.started,
+            lives: lives.into_vec(),
+            tasks,
+        }
+    }
+
+    /// Returns the definition to store.
+    pub(crate) fn definition(&self) -> record::Definition {
+        record::Definition {
+            job: (*self.job).clone(),
+            queue: (*self.accepted_queue).clone(),
+            accepted_at_ms: self.accepted_at_ms,
+        }
+    }
+
+    /// Returns what callers may see.
+    pub(crate) fn status(&self) -> model::JobStatus {
+        match self.stored_outcome {
+            Some(outcome) => outcome,
+            None if self.started => model::JobStatus::Running,
+            None => model::JobStatus::Pending,
+        }
+    }
+
+    pub(crate) fn step(&self, key: model::StepKey) -> Option<(&model::Step, &StepState)> {
+        let step = self.job.steps.get(usize::from(key.step))?;
+        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        Some((step, occurrence.steps.get(usize::from(key.step))?))
+    }
+
+    pub(crate) fn step_mut(
+        &mut self,
+        key: model::StepKey,
+    ) -> Option<(&model::Step, &mut StepState)> {
+        let step = self.job.steps.get(usize::from(key.step))?;
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
+        Some((step, occurrence.steps.get_mut(usize::from(key.step))?))
+    }
+
+    /// Returns whether every earlier step that `key` depends on is done.
+    pub(crate) fn is_unblocked(&self, key: model::StepKey) -> bool {
+        let Some((step, _)) = self.step(key) else {
+            return false;
+        };
+        step.after.iter().all(|before| {
+            let before = model::StepKey {
+                step: *before,
+                ..key
+            };
+            self.step(before).is_some_and(|(_, state)| state.is_done())
+        })
+    }
+
+    /// Returns whether every task of every occurrence is done.
+    pub(crate) fn is_done(&self) -> bool {
+        let mut steps = self.occurrences.iter().flat_map(|one| &one.steps);
+        steps.all(StepState::is_done)
+    }
+
+    /// Returns whether a task is placed, so that a run may exist.
+    pub(crate) fn has_runs(&self) -> bool {
+        let mut steps = self.occurrences.iter().flat_map(|one| &one.steps);
+        steps.any(|step| {
+            let mut phases = step.tasks.iter().map(|task| &task.phase);
+            phases.any(|phase| matches!(phase, Phase::Placed(_)))
+        })
+    }
+
+    /// Returns the keys of all steps.
+    pub(crate) fn step_keys(&self) -> Vec<model::StepKey> {
+        let job_id = self.job.id;
+        let occurrences = self.occurrences.iter().enumerate();
+        let keys = occurrences.flat_map(|(occurrence, state)| {
+            (0..state.steps.len()).map(move |step| model::StepKey {
+                job_id,
+                occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                step: u16::try_from(step).unwrap_or(u16::MAX),
+            })
+        });
+        keys.collect()
+    }
+}
+
+impl StepState {
+    /// Returns whether every task is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done_count as usize == self.tasks.len()
+    }
+
+    /// Changes the phase of a task.
+    pub(crate) fn set_phase(&mut self, index: u32, phase: Phase) {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return;
+        };
+        match task.phase {
+            Phase::Waiting => self.waiting_count -= 1,
+            Phase::Done => self.done_count -= 1,
+            Phase::Placed(_) => {}
+        }
+        match phase {
+            Phase::Waiting => self.waiting_count += 1,
+            Phase::Done => self.done_count += 1,
+            Phase::Placed(_) => {}
+        }
+        task.phase = phase;
+    }
+
+    fn count_phases(&mut self) {
+        let count = |wanted: &Phase| {
+            let tasks = self.tasks.iter();
+            let number = tasks.filter(|task| task.phase == *wanted).count();
+            u32::try_from(number).unwrap_or(u32::MAX)
+        };
+        (self.done_count, self.waiting_count) = (count(&Phase::Done), count(&Phase::Waiting));
+    }
+}
+
+fn occurrences_of(job: &model::Job) -> Vec<Occurrence> {
+    let steps = || {
+        let steps = job.steps.iter().map(|step| StepState {
+            tasks: vec![TaskState::default(); step.task_count as usize],
+            waiting_count: step.task_count,
+            ..StepState::default()
+        });
+        steps.collect()
+    };
+    let Some(schedule) = job.schedule else {
+        return vec![Occurrence {
+            due_at_ms: None,
+            steps: steps(),
+        }];
+    };
+    let due_at_ms = |number: u32| schedule.first_at_ms + u64::from(number) * schedule.period_ms;
+    let occurrences = (0..schedule.occurrence_count).map(|number| Occurrence {
+        due_at_ms: Some(due_at_ms(number)),
+        steps: steps(),
+    });
+    occurrences.collect()
+}
+
+fn record_of(task: &TaskState, lives: &mut record::Lives) -> record::TaskRecord {
+    record::TaskRecord {
+        phase: match &task.phase {
+            Phase::Waiting => record::PhaseRecord::Waiting,
+            Phase::Placed(life) => record::PhaseRecord::Placed(lives.index_of(life)),
+            Phase::Done => record::PhaseRecord::Done,
+        },
+        last_run: task.last_run,
+        failures: task.failures,
+        failed_run: task.failed_run,
+        checkpoint: task.checkpoint.clone(),
+    }
+}
+
+fn restore_task(record: record::TaskRecord, lives: &[model::WorkerLife]) -> TaskState {
+    let phase = match record.phase {
+        record::PhaseRecord::Waiting => Phase::Waiting,
+        record::PhaseRecord::Done => Phase::Done,
+        record::PhaseRecord::Placed(index) => lives
+            .get(usize::from(index))
+            .map_or(Phase::Waiting, |life| Phase::Placed(life.clone())),
+    };
+    TaskState {
+        phase,
+        last_run: record.last_run,
+        failures: record.failures,
+        failed_run: record.failed_run,
+        checkpoint: record.checkpoint,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,56 @@
+//! Decisions of the leader: which task of which job runs where.
+//!
+//! [`Scheduler`] takes events with the time and returns actions. It has no sockets, clocks or
+//! randomness of its own. What must outlive the leader is handed out as [`Batch`]es for the
+//! store; nothing that depends on a batch is done before it has taken effect.
+
+mod advice;
+mod event;
+mod gangs;
+mod job;
+mod journal;
+mod manifest;
+mod place;
+mod record;
+mod recover;
+mod requests;
+mod runs;
+mod scheduler;
+mod settings;
+mod tickets;
+mod worker;
+mod worker_api;
+mod workers;
+
+pub use event::Action;
+pub use event::AdviceCall;
+pub use event::Batch;
+pub use event::BatchId;
+pub use event::CallId;
+pub use event::Clock;
+pub use event::Event;
+pub use job::Token;
+pub use manifest::AdviceTerms;
+pub use manifest::Manifest;
+pub use manifest::Pool;
+pub use manifest::Queue;
+pub use record::DEFINITION_PREFIX;
+pub use record::Definition;
+pub use record::PROGRESS_PREFIX;
+pub use record::Progress;
+pub use recover::Recovery;
+pub use scheduler::Scheduler;
+pub use scheduler::Summary;
+pub use settings::Settings;
+pub use worker_api::EndedRow;
+pub use worker_api::HoldOrder;
+pub use worker_api::HoldOutcome;
+pub use worker_api::Listing;
+pub use worker_api::RunEnd;
+pub use worker_api::RunningRow;
+pub use worker_api::StartOrder;
+pub use worker_api::StartOutcome;
+pub use worker_api::StartRejection;
+pub use worker_api::StopOrder;
+pub use worker_api::StopOutcome;
+pub use worker_api::WorkerReport;
--- /dev/null
+++ b/crates/jobs/src/manifest.rs
@@ -0,0 +1,78 @@
+//! What the operators allow: queues and pools of workers.
+
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One version of what the operators allow.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// Version; a higher one replaces every lower one.
+    pub version: model::ManifestVersion,
+    /// Queues by name.
+    pub queues: IndexMap<model::QueueName, sync::Arc<Queue>>,
+    /// Pools by name.
+    pub pools: IndexMap<model::PoolName, Pool>,
+}
+
+impl Manifest {
+    /// Returns the queue that serves `path` on `host`: the one with the longest matching prefix.
+    #[must_use]
+    pub fn queue_at(&self, host: &str, path: &str) -> Option<&sync::Arc<Queue>> {
+        self.queues
+            .values()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+            .filter(|queue| path.starts_with(&queue.path_prefix))
+            .max_by_key(|queue| queue.path_prefix.len())
+    }
+}
+
+/// A queue of jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Name, unique in the manifest.
+    pub name: model::QueueName,
+    /// Host name under which callers address it.
+    pub host: String,
+    /// Path under which callers address it; the job's id follows.
+    pub path_prefix: String,
+    /// Pool whose workers run its tasks.
+    pub pool: model::PoolName,
+    /// Priority; 0 comes first.
+    pub priority: u32,
+    /// Failures of a task, or of a gang, after which its job has failed; at least 1.
+    pub max_failures: u32,
+    /// Factor on a job's longest chain of work within which it should end.
+    pub stretch: f64,
+    /// Time on top of that.
+    pub target_latency: time::Duration,
+    /// Longest time that a caller's request may take.
+    pub request_timeout: time::Duration,
+    /// Set if a recommendation service decides which workers may run a step.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// How the recommendation service works for a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdviceTerms {
+    /// Time that each call takes.
+    pub base_time: time::Duration,
+    /// Time that each named worker adds.
+    pub time_per_worker: time::Duration,
+    /// How long a ticket is valid.
+    pub validity: time::Duration,
+}
+
+/// A pool of workers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Name, unique in the manifest.
+    pub name: model::PoolName,
+    /// Whether its workers refuse what does not fit.
+    pub enforces_capacity: bool,
+    /// Whether its machines are off, and cost nothing.
+    pub standby: bool,
+}
--- /dev/null
+++ b/crates/jobs/src/requests.rs
@@ -0,0 +1,156 @@
+//! Requests of callers.
+
+use std::sync;
+
+use crate::event;
+use crate::job;
+use crate::journal;
+use crate::scheduler;
+
+/// When callers should come back while the store cannot be written, in milliseconds.
+const STORE_RETRY_MS: u64 = 1_000;
+/// When callers should come back if too much waits, in milliseconds.
+const OVERLOAD_RETRY_MS: u64 = 2_000;
+
+impl scheduler::Scheduler {
+    pub(crate) fn request(
+        &mut self,
+        token: job::Token,
+        manifest_version: model::ManifestVersion,
+        request: model::JobRequest,
+        clock: event::Clock,
+    ) {
+        let reply = match request {
+            model::JobRequest::Submit(job) => self.submit(token, manifest_version, *job, clock),
+            model::JobRequest::Status { job_id } => Some(self.status(job_id)),
+            model::JobRequest::Cancel { job_id } => self.cancel(token, job_id, clock),
+            model::JobRequest::Pending { queue } => Some(self.pending(&queue)),
+        };
+        if let Some(reply) = reply {
+            self.actions.push(event::Action::Reply(token, reply));
+        }
+    }
+
+    fn submit(
+        &mut self,
+        token: job::Token,
+        manifest_version: model::ManifestVersion,
+        job: model::Job,
+        clock: event::Clock,
+    ) -> Option<model::JobReply> {
+        let job_id = job.id;
+        if self.ended.contains_key(&job_id) {
+            return Some(model::JobReply::Accepted);
+        }
+        if let Some(state) = self.jobs.get_mut(&job_id) {
+            if *state.job != job {
+                log::warn!(job:% = journal::hex(job_id); "id of another job, request refused");
+                return Some(refused(model::RefusalReason::IdInUse, 0));
+            }
+            if state.is_stored {
+                return Some(model::JobReply::Accepted);
+            }
+            let reply = job::Effect::Reply(token, model::JobReply::Accepted);
+            state.effects.push(reply);
+            self.journal.mark(job_id);
+            return None;
+        }
+        let Some(queue) = self.manifest.queues.get(&job.queue) else {
+            if manifest_version > self.manifest.version {
+                return Some(model::JobReply::NotLeading);
+            }
+            return Some(refused(model::RefusalReason::UnknownQueue, 0));
+        };
+        if !self.store_reachable {
+            return Some(refused(
+                model::RefusalReason::StoreUnavailable,
+                STORE_RETRY_MS,
+            ));
+        }
+        if self.waiting.len() > self.settings.max_waiting_tasks {
+            return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
+        }
+        let queue = sync::Arc::clone(queue);
+        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms);
+        let reply = job::Effect::Reply(token, model::JobReply::Accepted);
+        state.effects.push(reply);
+        self.jobs.insert(job_id, state);
+        self.journal.mark(job_id);
+        self.enqueue(job_id, clock);
+        None
+    }
+
+    fn status(&self, job_id: model::JobId) -> model::JobReply {
+        if let Some((outcome, _)) = self.ended.get(&job_id) {
+            return model::JobReply::Status(*outcome);
+        }
+        let state = self.jobs.get(&job_id).filter(|state| state.is_stored);
+        state.map_or(model::JobReply::Unknown, |state| {
+            model::JobReply::Status(state.status())
+        })
+    }
+
+    fn cancel(
+        &mut self,
+        token: job::Token,
+        job_id: model::JobId,
+        clock: event::Clock,
+    ) -> Option<model::JobReply> {
+        if let Some((outcome, _)) = self.ended.get(&job_id) {
+            return Some(model::JobReply::Status(*outcome));
+        }
+        if !self.jobs.contains_key(&job_id) {
+            return Some(model::JobReply::Unknown);
+        }
+        self.decide(job_id, model::JobStatus::Cancelled, clock);
+        let state = self.jobs.get_mut(&job_id)?;
+        if let Some(outcome) = state.stored_outcome {
+            return Some(model::JobReply::Status(outcome));
+        }
+        let outcome = state.outcome.unwrap_or(model::JobStatus::Cancelled);
+        let reply = model::JobReply::Status(outcome);
+        state.effects.push(job::Effect::Reply(token, reply));
+        self.journal.mark(job_id);
+        None
+    }
+
+    fn pending(&self, queue: &model::QueueName) -> model::JobReply {
+        let waiting = self.jobs.values().filter(|state| {
+            state.job.queue == *queue
+                && state.is_stored
+                && !state.started
+                && state.outcome.is_none()
+        });
+        model::JobReply::Pending(waiting.count() as u64)
+    }
+
+    /// Refuses jobs that no batch has carried to the store, which is unreachable.
+    pub(crate) fn refuse_unstored(&mut self) {
+        let waiting: Vec<_> = self.journal.waiting().collect();
+        for job_id in waiting {
+            let is_new = self.jobs.get(&job_id).is_some_and(|state| !state.is_stored);
+            if !is_new || self.journal.is_in_flight(job_id) {
+                continue;
+            }
+            self.journal.unmark(job_id);
+            self.dequeue(job_id);
+            let Some(state) = self.jobs.swap_remove(&job_id) else {
+                continue;
+            };
+            log::info!(job:% = journal::hex(job_id); "job refused, store unreachable");
+            for effect in state.effects {
+                if let job::Effect::Reply(token, _) = effect {
+                    let reply = refused(model::RefusalReason::StoreUnavailable, STORE_RETRY_MS);
+                    self.actions.push(event::Action::Reply(token, reply));
+                }
+            }
+        }
+    }
+}
+
+fn refused(reason: model::RefusalReason, retry_after_ms: u64) -> model::JobReply {
+    model::JobReply::Refused {
+        reason,
+        retry_after_ms,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler.rs
@@ -0,0 +1,242 @@
+//! The leader's state, and the way of an event through it.
+
+use std::collections;
+
+use indexmap::IndexMap;
+
+use crate::advice;
+use crate::event;
+use crate::job;
+use crate::journal;
+use crate::manifest;
+use crate::settings;
+use crate::worker;
+
+/// Decides which task of which job runs where.
+///
+/// Feed it with [`Scheduler::handle`], then call [`Scheduler::finish`] and carry out the actions.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) settings: settings::Settings,
+    pub(crate) term: model::Term,
+    pub(crate) manifest: manifest::Manifest,
+    pub(crate) jobs: IndexMap<model::JobId, job::JobState>,
+    /// Outcomes of jobs of which nothing else is kept, with the time of the end.
+    pub(crate) ended: IndexMap<model::JobId, (model::JobStatus, u64)>,
+    pub(crate) workers: IndexMap<model::WorkerLife, worker::Worker>,
+    pub(crate) advisors: advice::Advisors,
+    /// Steps with waiting tasks, in the order in which they are served.
+    pub(crate) waiting: collections::BTreeSet<WaitingStep>,
+    /// Occurrences that are not due yet, by the time of day.
+    pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
+    pub(crate) journal: journal::Journal,
+    pub(crate) late_effects: Vec<job::Effect>,
+    pub(crate) actions: Vec<event::Action>,
+    pub(crate) store_reachable: bool,
+    /// Whether something has changed that may let a task start.
+    pub(crate) may_place: bool,
+}
+
+/// A step with waiting tasks; the order is that of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WaitingStep {
+    pub(crate) priority: u32,
+    /// When the job was accepted or the occurrence was due, in milliseconds since 1970.
+    pub(crate) since_ms: u64,
+    pub(crate) key: model::StepKey,
+}
+
+/// Counts for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that have not ended.
+    pub open_jobs: usize,
+    /// Steps that have waiting tasks and are unblocked.
+    pub waiting_steps: usize,
+    /// Runs that may exist on workers.
+    pub runs: usize,
+    /// Lives of workers that are listed and answer.
+    pub usable_workers: usize,
+}
+
+impl Scheduler {
+    /// Handles one event.
+    pub fn handle(&mut self, event: event::Event, clock: event::Clock) {
+        match event {
+            event::Event::Request {
+                token,
+                manifest_version,
+                request,
+            } => self.request(token, manifest_version, request, clock),
+            event::Event::Manifest(manifest) => self.take_manifest(manifest),
+            event::Event::Directory(reports) => self.take_directory(reports, clock),
+            event::Event::Advisors(instances) => self.advisors.take(instances, clock.now),
+            event::Event::Start { life, run, outcome } => {
+                self.started(&life, run, outcome, clock);
+            }
+            event::Event::Stop { life, run, outcome } => self.stopped(&life, run, outcome, clock),
+            event::Event::Hold { life, outcome } => self.held(&life, outcome, clock),
+            event::Event::Advice { call, outcome } => self.advised(call, outcome, clock),
+            event::Event::Committed(batch) => self.committed(batch, clock),
+            event::Event::StoreReachable(reachable) => self.note_store(reachable),
+            event::Event::Tick => self.tick(clock),
+        }
+    }
+
+    /// Places what can be placed, and returns all that is to be done.
+    pub fn finish(&mut self, clock: event::Clock) -> Vec<event::Action> {
+        self.release_due(clock);
+        if self.may_place {
+            self.may_place = false;
+            self.place_waiting(clock);
+        }
+        self.pump_workers(clock);
+        self.flush(clock);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns counts for metrics.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            open_jobs: self.jobs.len(),
+            waiting_steps: self.waiting.len(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            usable_workers: self
+                .workers
+                .values()
+                .filter(|worker| worker.is_listed && worker.silent_since.is_none())
+                .count(),
+        }
+    }
+
+    /// Returns the leader's term.
+    #[must_use]
+    pub fn term(&self) -> model::Term {
+        self.term
+    }
+
+    fn take_manifest(&mut self, manifest: manifest::Manifest) {
+        if manifest.version <= self.manifest.version && self.manifest.version > 0 {
+            return;
+        }
+        log::info!(
+            version = manifest.version,
+            queues = manifest.queues.len();
+            "manifest in force at the leader"
+        );
+        self.manifest = manifest;
+        self.may_place = true;
+    }
+
+    fn note_store(&mut self, reachable: bool) {
+        if reachable == self.store_reachable {
+            return;
+        }
+        self.store_reachable = reachable;
+        if !reachable {
+            self.refuse_unstored();
+        }
+    }
+
+    fn tick(&mut self, clock: event::Clock) {
+        self.give_up_lapsed(clock);
+        self.forget_outcomes(clock);
+        self.may_place = true;
+    }
+
+    /// Lets go of outcomes that have been kept long enough.
+    fn forget_outcomes(&mut self, clock: event::Clock) {
+        let retention_ms = self.settings.outcome_retention.as_millis() as u64;
+        while let Some((job_id, (_, ended_at_ms))) = self.ended.first() {
+            if ended_at_ms + retention_ms > clock.wall_ms {
+                break;
+            }
+            let job_id = *job_id;
+            self.ended.shift_remove(&job_id);
+            self.journal
+                .obsolete
+                .push(crate::record::progress_key(job_id));
+        }
+    }
+
+    /// Returns the queue of a job: the newest version, else the one at acceptance.
+    pub(crate) fn queue_of<'a>(
+        manifest: &'a manifest::Manifest,
+        state: &'a job::JobState,
+    ) -> &'a manifest::Queue {
+        let newest = manifest.queues.get(&state.job.queue);
+        newest.unwrap_or(&state.accepted_queue)
+    }
+
+    /// Queues every step of a job that has waiting tasks and is unblocked and due.
+    pub(crate) fn enqueue(&mut self, job_id: model::JobId, clock: event::Clock) {
+        let Some(state) = self.jobs.get(&job_id) else {
+            return;
+        };
+        if state.outcome.is_some() {
+            return;
+        }
+        let priority = Self::queue_of(&self.manifest, state).priority;
+        for key in state.step_keys() {
+            let occurrence = &state.occurrences[key.occurrence as usize];
+            if let Some(due_at_ms) = occurrence.due_at_ms
+                && due_at_ms > clock.wall_ms
+            {
+                self.scheduled.insert((due_at_ms, job_id, key.occurrence));
+                continue;
+            }
+            if occurrence.steps[usize::from(key.step)].waiting_count > 0 && state.is_unblocked(key)
+            {
+                self.waiting.insert(WaitingStep {
+                    priority,
+                    since_ms: occurrence.due_at_ms.unwrap_or(state.accepted_at_ms),
+                    key,
+                });
+                self.may_place = true;
+            }
+        }
+    }
+
+    /// Removes every step of a job from the queue.
+    pub(crate) fn dequeue(&mut self, job_id: model::JobId) {
+        self.waiting.retain(|step| step.key.job_id != job_id);
+        self.scheduled.retain(|(_, of, _)| *of != job_id);
+    }
+
+    /// Queues occurrences that have become due.
+    fn release_due(&mut self, clock: event::Clock) {
+        while let Some((due_at_ms, job_id, _)) = self.scheduled.first().copied() {
+            if due_at_ms > clock.wall_ms {
+                break;
+            }
+            self.scheduled.pop_first();
+            self.enqueue(job_id, clock);
+        }
+    }
+
+    /// Decides the outcome of a job for good, and stops what still runs.
+    pub(crate) fn decide(
+        &mut self,
+        job_id: model::JobId,
+        outcome: model::JobStatus,
+        clock: event::Clock,
+    ) {
+        let Some(state) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        if state.outcome.is_some() {
+            return;
+        }
+        log::info!(
+            job:% = journal::hex(job_id),
+            outcome:? = outcome,
+            term = self.term;
+            "job outcome decided"
+        );
+        state.outcome = Some(outcome);
+        self.journal.mark(job_id);
+        self.dequeue(job_id);
+        self.stop_runs_of(job_id, clock);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/tickets.rs
@@ -0,0 +1,84 @@
+//! What the recommendation service has said about a step.
+
+use std::collections;
+use std::time;
+
+use indexmap::IndexMap;
+
+/// Time before the end of a ticket from which it is not used any more: a start takes as long to
+/// be carried out on a slow path between regions.
+const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(150);
+
+/// Tickets and verdicts of one step.
+///
+/// Whether a worker may run a step does not change, so a verdict is kept for good; a ticket is
+/// valid for a time.
+#[derive(Debug, Default)]
+pub(crate) struct Tickets {
+    verdicts: IndexMap<model::WorkerId, Verdict>,
+    /// Whether a call about this step is under way.
+    pub(crate) asking: bool,
+}
+
+#[derive(Debug)]
+enum Verdict {
+    Refused,
+    Allowed {
+        token: String,
+        valid_until: time::Instant,
+    },
+}
+
+impl Tickets {
+    /// Takes the answer to a call that named `asked`.
+    pub(crate) fn take(
+        &mut self,
+        asked: &[model::WorkerId],
+        tickets: Vec<model::Ticket>,
+        valid_until: time::Instant,
+    ) {
+        let mut allowed: collections::HashMap<_, _> = tickets
+            .into_iter()
+            .map(|ticket| (ticket.worker_id, ticket.token))
+            .collect();
+        for worker_id in asked {
+            let verdict = match allowed.remove(worker_id) {
+                Some(token) => Verdict::Allowed { token, valid_until },
+                None => Verdict::Refused,
+            };
+            self.verdicts.insert(worker_id.clone(), verdict);
+        }
+    }
+
+    /// Forgets the ticket of a worker that rejected it.
+    pub(crate) fn expire(&mut self, worker_id: &model::WorkerId, now: time::Instant) {
+        if let Some(Verdict::Allowed { valid_until, .. }) = self.verdicts.get_mut(worker_id) {
+            *valid_until = now;
+        }
+    }
+
+    /// Returns the ticket for a worker if it is valid.
+    pub(crate) fn valid(&self, worker_id: &model::WorkerId, now: time::Instant) -> Option<&str> {
+        match self.verdicts.get(worker_id)? {
+            Verdict::Allowed { token, valid_until } if now + EXPIRY_MARGIN < *valid_until => {
+                Some(token)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns whether a worker is known not to be allowed.
+    pub(crate) fn is_refused(&self, worker_id: &model::WorkerId) -> bool {
+        matches!(self.verdicts.get(worker_id), Some(Verdict::Refused))
+    }
+
+    /// Returns whether a worker is known to be allowed, by a ticket that may have ended.
+    pub(crate) fn is_allowed(&self, worker_id: &model::WorkerId) -> bool {
+        matches!(self.verdicts.get(worker_id), Some(Verdict::Allowed { .. }))
+    }
+
+    /// Returns whether nothing was ever asked.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.verdicts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/workers.rs
@@ -0,0 +1,401 @@
+//! Workers: the directory, renewals, and what the workers list.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::event;
+use crate::job;
+use crate::runs;
+use crate::scheduler;
+use crate::worker;
+use crate::worker_api;
+
+/// Pause before a worker that did not answer is asked again.
+const SILENT_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Shortest time between two renewals of a worker, so that ends of about the same time share one.
+const HOLD_SPACING: time::Duration = time::Duration::from_millis(10);
+
+impl scheduler::Scheduler {
+    /// Takes all that the directory lists.
+    pub(crate) fn take_directory(
+        &mut self,
+        reports: Vec<worker_api::WorkerReport>,
+        clock: event::Clock,
+    ) {
+        let listed: collections::HashSet<_> =
+            reports.iter().map(|report| report.life.clone()).collect();
+        for (life, worker) in &mut self.workers {
+            if worker.is_listed && !listed.contains(life) {
+                worker.is_listed = false;
+                log::info!(worker:% = life.worker_id, born_ms = life.born_ms; "worker unlisted");
+            }
+        }
+        for report in reports {
+            self.take_report(report, clock);
+        }
+        self.may_place = true;
+    }
+
+    fn take_report(&mut self, report: worker_api::WorkerReport, clock: event::Clock) {
+        let life = report.life.clone();
+        if let Some(worker) = self.workers.get_mut(&life) {
+            let was_draining = worker.report.as_ref().is_some_and(|one| one.draining);
+            if report.draining && !was_draining {
+                log::info!(worker:% = life.worker_id; "worker drains");
+            }
+            worker.is_listed = true;
+            worker.report = Some(report);
+            return;
+        }
+        log::info!(
+            worker:% = life.worker_id,
+            born_ms = life.born_ms,
+            address:% = report.address;
+            "worker listed"
+        );
+        self.end_earlier_lives(&life, clock);
+        let worker = worker::Worker::new(Some(report), clock.now);
+        self.workers.insert(life, worker);
+    }
+
+    /// Gives up what ran in earlier lives of a worker, which has been born again.
+    fn end_earlier_lives(&mut self, life: &model::WorkerLife, clock: event::Clock) {
+        let earlier = self
+            .workers
+            .keys()
+            .filter(|one| one.worker_id == life.worker_id && one.born_ms < life.born_ms);
+        for old in earlier.cloned().collect::<Vec<_>>() {
+            self.end_life(&old, "worker born again", clock);
+        }
+    }
+
+    /// Forgets a life that has surely ended.
+    fn end_life(&mut self, life: &model::WorkerLife, why: &str, clock: event::Clock) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        log::info!(worker:% = life.worker_id, born_ms = life.born_ms, why; "worker life ended");
+        for key in worker.runs.keys().copied().collect::<Vec<_>>() {
+            self.lose_run(life, key, why, clock);
+        }
+        self.workers.swap_remove(life);
+    }
+
+    /// Gives up runs on workers that are silent and whose lease has surely lapsed.
+    pub(crate) fn give_up_lapsed(&mut self, clock: event::Clock) {
+        let gone = self.workers.iter().filter(|(_, worker)| {
+            let is_silent = worker.silent_since.is_some() || worker.report.is_none();
+            is_silent && worker.lapsed_at < clock.now
+        });
+        let gone: Vec<_> = gone
+            .map(|(life, worker)| (life.clone(), worker.is_listed))
+            .collect();
+        for (life, is_listed) in gone {
+            if is_listed {
+                self.lose_all_runs(&life, clock);
+            } else {
+                self.end_life(&life, "silent and lapsed", clock);
+            }
+        }
+    }
+
+    fn lose_all_runs(&mut self, life: &model::WorkerLife, clock: event::Clock) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        for key in worker.runs.keys().copied().collect::<Vec<_>>() {
+            self.lose_run(life, key, "silent and lapsed", clock);
+        }
+    }
+
+    /// Sends every order and renewal that is due.
+    pub(crate) fn pump_workers(&mut self, clock: event::Clock) {
+        for index in 0..self.workers.len() {
+            let Some((life, worker)) = self.workers.get_index(index) else {
+                break;
+            };
+            if worker.runs.is_empty()
+                && worker.is_fenced
+                && !needs_hold(worker, self.settings.renew_before, clock.now)
+            {
+                continue;
+            }
+            let life = life.clone();
+            self.send_due_orders(&life, clock);
+            self.renew(&life, clock);
+        }
+    }
+
+    /// Renews a worker's lease if that is due.
+    fn renew(&mut self, life: &model::WorkerLife, clock: event::Clock) {
+        let settings = &self.settings;
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let Some(report) = &worker.report else {
+            return;
+        };
+        if !needs_hold(worker, settings.renew_before, clock.now) {
+            return;
+        }
+        let may_extend = worker.silent_since.is_none() && !worker.runs.is_empty();
+        let lease_end_ms = match may_extend {
+            true => worker.lease_end_ms(settings.run_lease, clock.now),
+            false => None,
+        };
+        if lease_end_ms.is_some() {
+            worker.lapsed_at = worker.lapsed_at.max(clock.now + settings.lease_horizon());
+        }
+        let may_wait = worker.is_fenced
+            && worker.silent_since.is_none()
+            && !worker.runs.is_empty()
+            && !worker.has_pending_ends();
+        let order = worker_api::HoldOrder {
+            life: life.clone(),
+            address: sync::Arc::clone(&report.address),
+            lease_end_ms,
+            term: self.term,
+            forget_up_to: worker.forget_up_to(),
+            wait: if may_wait {
+                settings.hold_wait
+            } else {
+                time::Duration::ZERO
+            },
+        };
+        worker.forgotten_end = order.forget_up_to;
+        worker.hold.sent_at = Some(clock.now);
+        self.actions.push(event::Action::Hold(order));
+    }
+
+    pub(crate) fn held(
+        &mut self,
+        life: &model::WorkerLife,
+        outcome: worker_api::HoldOutcome,
+        clock: event::Clock,
+    ) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let Some(sent_at) = worker.hold.sent_at.take() else {
+            return;
+        };
+        worker.hold.not_before = Some(clock.now + HOLD_SPACING);
+        match outcome {
+            worker_api::HoldOutcome::Listing(listing) => {
+                if listing
+                    .born_ms
+                    .is_some_and(|born_ms| born_ms != life.born_ms)
+                {
+                    self.end_life(life, "worker born again", clock);
+                    return;
+                }
+                self.take_listing(life, listing, sent_at, clock);
+            }
+            worker_api::HoldOutcome::NoAnswer => {
+                worker.hold.not_before = Some(clock.now + SILENT_PAUSE);
+                if worker.silent_since.is_none() {
+                    worker.silent_since = Some(clock.now);
+                    log::info!(
+                        worker:% = life.worker_id,
+                        runs = worker.runs.len();
+                        "worker does not answer"
+                    );
+                }
+            }
+            worker_api::HoldOutcome::OtherLife => self.end_life(life, "worker replaced", clock),
+            worker_api::HoldOutcome::Fenced => self.actions.push(event::Action::StepDown),
+        }
+    }
+
+    fn take_listing(
+        &mut self,
+        life: &model::WorkerLife,
+        listing: worker_api::Listing,
+        sent_at: time::Instant,
+        clock: event::Clock,
+    ) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        worker.heard(listing.clock_ms, clock.now);
+        if let Some(since) = worker.silent_since.take() {
+            let silent_ms = clock.now.saturating_duration_since(since).as_millis() as u64;
+            log::info!(worker:% = life.worker_id, silent_ms; "worker answers again");
+        }
+        if !worker.is_fenced {
+            worker.is_fenced = true;
+            self.may_place = true;
+        }
+        let running: collections::HashSet<_> = listing.running.iter().map(|row| row.run).collect();
+        for row in listing.running {
+            self.take_running(life, row, clock);
+        }
+        let mut ended = collections::HashSet::new();
+        for row in listing.ended {
+            ended.insert(row.run);
+            let is_new = self
+                .workers
+                .get_mut(life)
+                .is_some_and(|worker| worker.note_end(row.sequence));
+            if is_new {
+                let ended = runs::RunEnded {
+                    key: row.run,
+                    how: row.how,
+                    checkpoint: row.checkpoint,
+                    sequence: row.sequence,
+                };
+                self.run_ended(life, ended, clock);
+            }
+        }
+        self.lose_unlisted(life, &running, sent_at, clock);
+    }
+
+    /// Takes note of a run that a worker lists as running.
+    fn take_running(
+        &mut self,
+        life: &model::WorkerLife,
+        row: worker_api::RunningRow,
+        clock: event::Clock,
+    ) {
+        let key = row.run;
+        let is_known = self
+            .workers
+            .get(life)
+            .is_some_and(|worker| worker.runs.contains_key(&key));
+        if !is_known {
+            self.stop_unknown(life, key, clock);
+            return;
+        }
+        let Some(run) = self
+            .workers
+            .get_mut(life)
+            .and_then(|worker| worker.runs.get_mut(&key))
+        else {
+            return;
+        };
+        let is_confirmed = matches!(
+            run.phase,
+            worker::RunPhase::Starting
+                | worker::RunPhase::Retrying(_)
+                | worker::RunPhase::Inherited
+        );
+        if is_confirmed {
+            run.set_phase(worker::RunPhase::Running, clock.now);
+        }
+        if run
+            .progress
+            .is_none_or(|(percent, _)| percent < row.percent)
+        {
+            run.progress = Some((row.percent, clock.now));
+        }
+        let state = self.jobs.get_mut(&key.task.job_id);
+        let Some((step, step_state)) = state.and_then(|one| one.step_mut(key.task.step_key()))
+        else {
+            return;
+        };
+        let Some(task) = step_state.tasks.get_mut(key.task.index as usize) else {
+            return;
+        };
+        if step.checkpointing && task.last_run == key.run && row.checkpoint.is_some() {
+            task.checkpoint = row.checkpoint;
+        }
+    }
+
+    /// Stops a run that nobody here has ordered.
+    fn stop_unknown(&mut self, life: &model::WorkerLife, key: model::RunKey, clock: event::Clock) {
+        let demand = self
+            .jobs
+            .get(&key.task.job_id)
+            .and_then(|state| state.step(key.task.step_key()))
+            .map(|(step, _)| counted_demand(step));
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        log::warn!(
+            run:% = runs::run_name(key),
+            worker:% = life.worker_id;
+            "unexpected run, it is stopped"
+        );
+        // Nothing else fits beside a run of unknown size.
+        let demand = demand.unwrap_or_else(|| worker.free());
+        let phase = worker::RunPhase::Stopping(clock.now);
+        worker.add_run(key, worker::WorkerRun::new(demand, phase, clock.now));
+    }
+
+    /// Gives up runs that the worker surely would have listed.
+    fn lose_unlisted(
+        &mut self,
+        life: &model::WorkerLife,
+        running: &collections::HashSet<model::RunKey>,
+        sent_at: time::Instant,
+        clock: event::Clock,
+    ) {
+        let Some(worker) = self.workers.get(life) else {
+            return;
+        };
+        let lost = worker.runs.iter().filter(|(key, run)| {
+            let is_settled = match run.phase {
+                worker::RunPhase::Running | worker::RunPhase::Stopped => run.since < sent_at,
+                worker::RunPhase::Inherited => true,
+                _ => false,
+            };
+            is_settled && !running.contains(*key)
+        });
+        for key in lost.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.lose_run(life, key, "not listed", clock);
+        }
+    }
+}
+
+/// Returns whether a worker's lease is to be renewed, or its lists are to be read.
+fn needs_hold(worker: &worker::Worker, renew_before: time::Duration, now: time::Instant) -> bool {
+    let is_free = worker.hold.sent_at.is_none()
+        && worker.hold.not_before.is_none_or(|at| at <= now)
+        && worker.report.is_some();
+    if !is_free {
+        return false;
+    }
+    if !worker.is_fenced || worker.silent_since.is_some() {
+        return worker.is_listed || !worker.runs.is_empty();
+    }
+    if worker.forget_up_to() > worker.forgotten_end {
+        return true;
+    }
+    let has_orders = worker
+        .runs
+        .values()
+        .any(|run| run.phase != worker::RunPhase::Planned);
+    // Without a commit the ends would only be listed again.
+    has_orders && (!worker.has_pending_ends() || is_lease_short(worker, renew_before, now))
+}
+
+/// Returns whether the lease must be renewed although there is nothing new to read.
+fn is_lease_short(
+    worker: &worker::Worker,
+    renew_before: time::Duration,
+    now: time::Instant,
+) -> bool {
+    worker.lapsed_at.saturating_duration_since(now) < renew_before
+}
+
+/// Returns what a task of a step takes of its worker's capacity.
+pub(crate) fn counted_demand(step: &model::Step) -> model::Demand {
+    if step.fills_idle {
+        return model::Demand {
+            processors_milli: 0,
+            ..step.demand
+        };
+    }
+    step.demand
+}
+
+impl job::StepState {
+    /// Returns how often runs of this step failed on a worker.
+    pub(crate) fn failures_on(&self, worker_id: &model::WorkerId) -> u32 {
+        self.failures_by_worker
+            .get(worker_id)
+            .copied()
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/model/src/job.rs
@@ -0,0 +1,353 @@
+//! Jobs: steps of many tasks that are placed on workers one by one or all together.
+
+use std::sync;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::capacity;
+use crate::ids;
+
+/// Identifies a job; chosen by the caller.
+pub type JobId = u64;
+/// Names a queue.
+pub type QueueName = sync::Arc<str>;
+/// Names a pool of workers.
+pub type PoolName = sync::Arc<str>;
+/// Numbers the starts of a task, from 1.
+pub type RunNumber = u32;
+/// Version of the manifest; only ever rises.
+pub type ManifestVersion = u64;
+/// Numbers the terms of leaders and fences the orders of earlier ones; the revision of the entry
+/// that made the leader one.
+pub type Term = ids::Revision;
+
+/// Tasks of one kind within a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Number of tasks, at least 1.
+    pub task_count: u32,
+    /// What each task takes of a worker.
+    pub demand: capacity::Demand,
+    /// The caller's estimate of a task's run time, in milliseconds; 0 if not given.
+    pub estimated_ms: u32,
+    /// Earlier steps whose tasks must all be done first, by index.
+    pub after: Vec<u16>,
+    /// Whether the tasks save their progress.
+    pub checkpointing: bool,
+    /// Whether the tasks run only all together.
+    pub gang: bool,
+    /// Whether a gang slows down when it spans racks.
+    pub same_rack: bool,
+    /// Label that a worker must have.
+    pub required_label: Option<sync::Arc<str>>,
+    /// Rack near the data; tasks run slower elsewhere.
+    pub data_rack: Option<ids::Rack>,
+    /// Most tasks of this step on one worker.
+    pub max_per_worker: Option<u32>,
+    /// Whether several copies of a task may run at once.
+    pub speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub long_running: bool,
+    /// What the tasks execute; tasks of one image behave alike.
+    pub image: Option<sync::Arc<str>>,
+    /// Bound of the tail latency of the tasks' own users, in milliseconds.
+    pub target_tail_ms: Option<u32>,
+    /// Whether the tasks use only the processors that others leave idle.
+    pub fills_idle: bool,
+    /// Tasks that the scheduler may take away at the same time.
+    pub max_unavailable: u32,
+}
+
+/// Times at which the steps of a job are repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Wall-clock time of the first occurrence, in milliseconds since 1970.
+    pub first_at_ms: u64,
+    /// Time between occurrences, in milliseconds.
+    pub period_ms: u64,
+    /// Number of occurrences, at least 1.
+    pub occurrence_count: u32,
+}
+
+/// Work that a caller submits to a queue.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// The id that the caller chose.
+    pub id: JobId,
+    /// Queue that the caller addressed.
+    pub queue: QueueName,
+    /// Text that workers get with each task, unread.
+    pub spec: sync::Arc<str>,
+    /// The steps; `Step::after` refers to earlier ones only.
+    pub steps: Vec<Step>,
+    /// When to run; once and at once if absent.
+    pub schedule: Option<Schedule>,
+}
+
+/// What callers see of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobStatus {
+    /// No task has started.
+    Pending,
+    /// A task has started.
+    Running,
+    /// Every task is done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobStatus {
+    /// Returns whether the job has ended.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// Names a task of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// The job.
+    pub job_id: JobId,
+    /// The occurrence; 0 without a schedule.
+    pub occurrence: u32,
+    /// Index of the step.
+    pub step: u16,
+    /// Index of the task within its step.
+    pub index: u32,
+}
+
+/// Names a step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StepKey {
+    /// The job.
+    pub job_id: JobId,
+    /// The occurrence; 0 without a schedule.
+    pub occurrence: u32,
+    /// Index of the step.
+    pub step: u16,
+}
+
+impl TaskKey {
+    /// Returns the step that the task belongs to.
+    #[must_use]
+    pub fn step_key(&self) -> StepKey {
+        StepKey {
+            job_id: self.job_id,
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
+/// Names one start of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RunKey {
+    /// The task.
+    pub task: TaskKey,
+    /// The start.
+    pub run: RunNumber,
+}
+
+/// Identifies one life of a worker process.
+///
+/// A worker may start again under its id; it then knows nothing of its earlier life.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WorkerLife {
+    /// The worker.
+    pub worker_id: ids::WorkerId,
+    /// Wall-clock time of its start, in milliseconds since 1970.
+    pub born_ms: u64,
+}
+
+/// Permission to run a step on a worker, given by a recommendation service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The worker.
+    pub worker_id: ids::WorkerId,
+    /// What a start must show.
+    pub token: String,
+}
+
+/// Why a request of a caller was refused; it has not run and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// No queue has this name.
+    UnknownQueue,
+    /// The request does not make sense.
+    Malformed,
+    /// The id names another job.
+    IdInUse,
+    /// No manifest has been read yet.
+    NoManifest,
+    /// No instance leads at the moment.
+    NoLeader,
+    /// The store cannot be written at the moment.
+    StoreUnavailable,
+    /// More work waits than can start in time.
+    Overloaded,
+    /// The instance is stopping.
+    Draining,
+}
+
+impl RefusalReason {
+    /// Every reason, in declaration order.
+    pub const ALL: &'static [Self] = &[
+        Self::UnknownQueue,
+        Self::Malformed,
+        Self::IdInUse,
+        Self::NoManifest,
+        Self::NoLeader,
+        Self::StoreUnavailable,
+        Self::Overloaded,
+        Self::Draining,
+    ];
+
+    /// Returns the name used in answers, logs and counters.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownQueue => "unknown_queue",
+            Self::Malformed => "malformed",
+            Self::IdInUse => "id_in_use",
+            Self::NoManifest => "no_manifest",
+            Self::NoLeader => "no_leader",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::Overloaded => "overloaded",
+            Self::Draining => "draining",
+        }
+    }
+}
+
+/// A request of a caller about jobs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobRequest {
+    /// Accepts a job; answered by [`JobReply::Accepted`].
+    Submit(Box<Job>),
+    /// Asks for a job's status; answered by [`JobReply::Status`].
+    Status {
+        /// The job.
+        job_id: JobId,
+    },
+    /// Cancels a job; answered by [`JobReply::Status`].
+    Cancel {
+        /// The job.
+        job_id: JobId,
+    },
+    /// Asks how many jobs of a queue wait; answered by [`JobReply::Pending`].
+    Pending {
+        /// The queue.
+        queue: QueueName,
+    },
+}
+
+/// Answer to a [`JobRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobReply {
+    /// The job is stored and will be run.
+    Accepted,
+    /// What the job has come to.
+    Status(JobStatus),
+    /// No such job exists.
+    Unknown,
+    /// Number of accepted jobs of which no task has started.
+    Pending(u64),
+    /// The request was refused: it has not run and never will.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to try again, in milliseconds; 0 if that makes no sense.
+        retry_after_ms: u64,
+    },
+    /// The instance does not lead, or knows an older manifest than the asker; ask anew.
+    NotLeading,
+    /// The outcome of the request is not known: it may have taken effect.
+    Undecided,
+}
+
+/// A request from one instance to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LinkRequest {
+    /// Tells that the sender is alive; answered by [`LinkReply::Pulse`].
+    Pulse(Pulse),
+    /// Passes a request of a caller to the leader; answered by [`LinkReply::Job`].
+    Job {
+        /// Newest manifest that the sender has.
+        manifest_version: ManifestVersion,
+        /// Time until the caller gives up, in milliseconds.
+        remaining_ms: u64,
+        /// The request.
+        request: JobRequest,
+    },
+    /// Asks the receiver to call the recommendation service; answered by [`LinkReply::Advice`].
+    Advise(AdviceRequest),
+    /// Asks for the newest manifest; answered by [`LinkReply::Manifest`].
+    Manifest,
+}
+
+/// Answer to a [`LinkRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LinkReply {
+    /// State of the answering instance.
+    Pulse(Pulse),
+    /// Answer to a request of a caller.
+    Job(JobReply),
+    /// Permissions of the recommendation service, or why there are none.
+    Advice(Result<AdviceReply, AdviceFailure>),
+    /// The newest manifest as it stands in the store; `None` before the first.
+    Manifest(Option<Vec<u8>>),
+}
+
+/// State that instances exchange at a fixed interval.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// The sender.
+    pub instance_id: ids::InstanceId,
+    /// `address:port` of the sender's peer listener.
+    pub address: String,
+    /// Instance that the sender takes for the leader, and heard from lately.
+    pub leader: Option<ids::InstanceId>,
+    /// Newest term that the sender knows.
+    pub term: Term,
+    /// Newest manifest that the sender has.
+    pub manifest_version: ManifestVersion,
+    /// Whether the sender is stopping.
+    pub draining: bool,
+    /// Whether the sender's last call to the store succeeded.
+    pub store_reachable: bool,
+}
+
+/// Asks which workers may run a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceRequest {
+    /// The step.
+    pub step: StepKey,
+    /// Workers to ask about.
+    pub worker_ids: Vec<ids::WorkerId>,
+    /// How long the call may take, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// What the recommendation service allows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceReply {
+    /// A ticket for each worker that may run the step.
+    pub tickets: Vec<Ticket>,
+    /// How long the tickets are valid, in milliseconds; `None` if the service did not say.
+    pub validity_ms: Option<u64>,
+}
+
+/// Why there is no advice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdviceFailure {
+    /// Too many calls wait at the service.
+    Busy,
+    /// The service or the asked instance did not answer in time.
+    NoAnswer,
+    /// The service refused the call or its answer made no sense.
+    Protocol,
+}
--- a/crates/peer/src/counts.rs
+++ b/crates/peer/src/counts.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic;
 
 use crate::error;
+use crate::message;
 
 /// Messages and bytes of one kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,13 +49,11 @@
 }
 
 impl Category {
-    pub(crate) fn of(request: &model::PeerRequest) -> Self {
-        match request {
-            model::PeerRequest::Heartbeat(_)
-            | model::PeerRequest::Quota(_)
-            | model::PeerRequest::Fence { .. }
-            | model::PeerRequest::Lists => Self::Control,
-            _ => Self::Traffic,
+    pub(crate) fn of(request: &impl message::Message) -> Self {
+        if request.is_control() {
+            Self::Control
+        } else {
+            Self::Traffic
         }
     }
 }
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -59,6 +59,8 @@
 pub enum ErrorKind {
     /// The request was not sent: the other end has not seen it and never will.
     NotSent,
+    /// Nobody listens at the address: the request was not sent.
+    NoListener,
     /// The request was sent, in part at least, and no answer came: it may have been handled.
     Unanswered,
     /// The other end refused it and did not handle it.
@@ -97,7 +99,10 @@
     pub fn is_unhandled(&self) -> bool {
         matches!(
             self.kind,
-            ErrorKind::NotSent | ErrorKind::Refused(_) | ErrorKind::TooLarge
+            ErrorKind::NotSent
+                | ErrorKind::NoListener
+                | ErrorKind::Refused(_)
+                | ErrorKind::TooLarge
         )
     }
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -2,12 +2,17 @@
 
 use std::future;
 
+use crate::message;
+
 /// Answers the requests of other instances.
 pub trait Handler: Clone + Send + Sync + 'static {
+    /// The requests that it answers.
+    type Request: message::Message;
+
     /// Answers one request of the instance `from`.
     fn handle(
         &self,
         from: model::InstanceId,
-        request: model::PeerRequest,
-    ) -> impl future::Future<Output = model::PeerResponse> + Send;
+        request: Self::Request,
+    ) -> impl future::Future<Output = <Self::Request as message::Message>::Response> + Send;
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 mod handshake;
 mod identity;
 mod link;
+mod message;
 mod server;
 mod session;
 
@@ -23,4 +24,5 @@
 pub use identity::Identity;
 pub use link::Link;
 pub use link::LinkSettings;
+pub use message::Message;
 pub use server::Server;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -15,6 +15,7 @@
 use crate::exchange;
 use crate::handshake;
 use crate::identity;
+use crate::message;
 use crate::server;
 
 /// Requests that may be in flight on one connection before the other end states its own limit.
@@ -70,17 +71,17 @@
     ///
     /// The kind says whether the other end may have handled the request; see
     /// [`error::Error::is_unhandled`].
-    pub async fn request(
+    pub async fn request<M: message::Message>(
         &self,
-        request: &model::PeerRequest,
+        request: &M,
         timeout: time::Duration,
-    ) -> Result<model::PeerResponse, error::Error> {
+    ) -> Result<M::Response, error::Error> {
         let mut progress = exchange::Progress::default();
         let answer = self.shared.exchange(request, &mut progress);
         if let Ok(answer) = tokio::time::timeout(timeout, answer).await {
             return answer;
         }
-        if matches!(request, model::PeerRequest::Heartbeat(_)) {
+        if request.is_heartbeat() {
             self.shared.replace(progress.connection_id);
         }
         Err(progress.failure(format!(
@@ -149,11 +150,11 @@
 }
 
 impl Shared {
-    async fn exchange(
+    async fn exchange<M: message::Message>(
         &self,
-        request: &model::PeerRequest,
+        request: &M,
         progress: &mut exchange::Progress,
-    ) -> Result<model::PeerResponse, error::Error> {
+    ) -> Result<M::Response, error::Error> {
         let category = counts::Category::of(request);
         let max_bytes = self.settings.max_message_bytes;
         let message = codec::encode(request, max_bytes).ok_or_else(|| too_large(max_bytes))?;
@@ -203,7 +204,7 @@
         }
         let stream = net::TcpStream::connect(&self.address)
             .await
-            .map_err(|cause| not_sent(format!("cannot connect to {}: {cause}", self.address)))?;
+            .map_err(|cause| self.connect_failure(&cause))?;
         let _ = stream.set_nodelay(true);
         let (sender, driver) = client::Builder::new()
             .initial_window_size(server::STREAM_WINDOW_BYTES)
@@ -251,6 +252,15 @@
         Ok(sender)
     }
 
+    fn connect_failure(&self, cause: &std::io::Error) -> error::Error {
+        let context = format!("cannot connect to {}: {cause}", self.address);
+        let kind = match cause.kind() {
+            std::io::ErrorKind::ConnectionRefused => error::ErrorKind::NoListener,
+            _ => error::ErrorKind::NotSent,
+        };
+        error::Error::new(kind, context)
+    }
+
     fn current(&self) -> Option<Connection> {
         lock(&self.current).clone()
     }
--- a/crates/peer/src/session.rs
+++ b/crates/peer/src/session.rs
@@ -14,6 +14,7 @@
 use crate::handler;
 use crate::handshake;
 use crate::identity;
+use crate::message;
 use crate::server::CONNECTION_WINDOW_BYTES;
 use crate::server::SEND_BUFFER_BYTES;
 use crate::server::STREAM_WINDOW_BYTES;
@@ -163,7 +164,7 @@
     async fn read(
         &self,
         request: Request,
-    ) -> Result<Option<(model::PeerRequest, counts::Category)>, error::RefusalReason> {
+    ) -> Result<Option<(H::Request, counts::Category)>, error::RefusalReason> {
         let mut stream = request.into_body();
         let reading = codec::read_all(&mut stream, self.max_message_bytes);
         let message = match tokio::time::timeout(TRANSFER_TIMEOUT, reading).await {
@@ -173,7 +174,7 @@
             }
             Ok(Err(codec::ReadError::BrokenOff(_))) | Err(_) => return Ok(None),
         };
-        let request = codec::decode(&message).ok_or(error::RefusalReason::Malformed)?;
+        let request: H::Request = codec::decode(&message).ok_or(error::RefusalReason::Malformed)?;
         let category = counts::Category::of(&request);
         self.counters.received(category, message.len());
         Ok(Some((request, category)))
@@ -181,7 +182,7 @@
 
     async fn send(
         &self,
-        response: model::PeerResponse,
+        response: <H::Request as message::Message>::Response,
         category: counts::Category,
         mut respond: Respond,
     ) {
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/common/mod.rs
@@ -22,6 +22,8 @@
 }
 
 impl peer::Handler for Echo {
+    type Request = model::PeerRequest;
+
     async fn handle(
         &self,
         from: model::InstanceId,
--- a/crates/entry/src/drive/server.rs
+++ b/crates/serve/src/server.rs
@@ -1,4 +1,4 @@
-//! Accepts connections of callers and operators.
+//! The listener and its connections.
 
 use std::sync;
 use std::time;
@@ -18,15 +18,17 @@
 /// Pause after an accept failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// Limits of the listener for callers.
+/// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ServerLimits {
-    pub(super) max_header_bytes: usize,
-    pub(super) max_connections: usize,
+pub struct ServerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Open connections at once; more are closed at once.
+    pub max_connections: usize,
 }
 
 /// Serves `router` until `stop`, then finishes the requests in flight.
-pub(super) async fn serve(
+pub async fn serve(
     listener: net::TcpListener,
     router: axum::Router,
     limits: ServerLimits,
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -26,6 +26,7 @@
 struct Lease {
     id: i64,
     ends: time::Instant,
+    ttl: time::Duration,
 }
 
 #[derive(Debug)]
@@ -223,6 +224,7 @@
         self.leases.push(Lease {
             id: self.last_lease_id,
             ends: now + ttl,
+            ttl,
         });
         message::LeaseGrantResponse {
             header: self.header(),
@@ -231,6 +233,29 @@
         }
     }
 
+    /// Renews a lease for its whole time.
+    pub(crate) fn keep_lease(
+        &mut self,
+        request: &message::LeaseKeepRequest,
+        now: time::Instant,
+    ) -> message::LeaseKeepLine {
+        let kept = self
+            .leases
+            .iter_mut()
+            .find(|lease| lease.id == request.id.0 && lease.ends > now);
+        let ttl_s = kept.map_or(0, |lease| {
+            lease.ends = now + lease.ttl;
+            i64::try_from(lease.ttl.as_secs()).unwrap_or(i64::MAX)
+        });
+        message::LeaseKeepLine {
+            result: message::LeaseKeepResponse {
+                header: self.header(),
+                id: request.id,
+                ttl_s: message::Int64(ttl_s),
+            },
+        }
+    }
+
     /// Deletes the keys of leases that have ended.
     pub(crate) fn expire(&mut self, now: time::Instant) {
         let (ended, live): (Vec<_>, Vec<_>) =
--- a/crates/standin/src/store/message.rs
+++ b/crates/standin/src/store/message.rs
@@ -177,6 +177,30 @@
     pub(crate) ttl_s: Int64,
 }
 
+/// Renews a lease.
+#[derive(Debug, Deserialize)]
+pub(crate) struct LeaseKeepRequest {
+    #[serde(rename = "ID")]
+    pub(crate) id: Int64,
+}
+
+/// Answers a renewal.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseKeepLine {
+    pub(crate) result: LeaseKeepResponse,
+}
+
+/// What is left of a lease.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseKeepResponse {
+    pub(crate) header: Header,
+    #[serde(rename = "ID")]
+    pub(crate) id: Int64,
+    /// 0 once the lease has ended.
+    #[serde(rename = "TTL")]
+    pub(crate) ttl_s: Int64,
+}
+
 /// Opens a watch.
 #[derive(Debug, Deserialize)]
 pub(crate) struct WatchRequest {
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -166,6 +166,7 @@
             "/v3/kv/range" => self.range(&call),
             "/v3/kv/txn" => self.commit(&call),
             "/v3/lease/grant" => self.grant_lease(&call),
+            "/v3/lease/keepalive" => self.keep_lease(&call),
             "/v3/watch" => self.watch(&call),
             "/counts" => Ok(answer::Answer::json(&self.counters.snapshot())),
             path => Err(answer::Answer::not_found(path)),
@@ -200,6 +201,13 @@
         Ok(self.unless_lost(answer::Answer::json(&response)))
     }
 
+    fn keep_lease(&self, call: &answer::Call) -> Answered {
+        self.counters.leases.fetch_add(1, atomic::Ordering::Relaxed);
+        let request: message::LeaseKeepRequest = call.parse()?;
+        let line = lock(&self.data).keep_lease(&request, time::Instant::now());
+        Ok(answer::Answer::json(&line))
+    }
+
     fn watch(&self, call: &answer::Call) -> Answered {
         self.counters
             .watches
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -19,6 +19,20 @@
     pub modified_revision: Revision,
 }
 
+/// A change of one key, as a watch reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key was set.
+    Put(Entry),
+    /// The key was deleted, or its lease ended.
+    Deleted {
+        /// The key.
+        key: String,
+        /// Revision of the deletion.
+        revision: Revision,
+    },
+}
+
 /// Part of the entries under a prefix, in order of their keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -137,6 +137,17 @@
         Ok(response.id.0)
     }
 
+    async fn keep_lease(&self, lease_id: entry::LeaseId) -> Result<bool, error::Error> {
+        let request = wire::LeaseKeepRequest {
+            id: wire::Int64(lease_id),
+        };
+        let line: wire::LeaseKeepLine = self
+            .transport
+            .call(calls::CallKind::Write, "/v3/lease/keepalive", &request)
+            .await?;
+        Ok(line.result.ttl_s.0 > 0)
+    }
+
     async fn watch(
         &self,
         prefix: &str,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,6 +14,7 @@
 mod wire;
 
 pub use calls::Calls;
+pub use entry::Change;
 pub use entry::Committed;
 pub use entry::Compare;
 pub use entry::Entry;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -56,6 +56,16 @@
         ttl: time::Duration,
     ) -> impl future::Future<Output = Result<entry::LeaseId, error::Error>> + Send;
 
+    /// Renews a lease and returns whether it still lasts; `false` means that it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not known whether the lease was renewed.
+    fn keep_lease(
+        &self,
+        lease_id: entry::LeaseId,
+    ) -> impl future::Future<Output = Result<bool, error::Error>> + Send;
+
     /// Watches keys that start with `prefix` for changes at `from_revision` and later.
     ///
     /// # Errors
@@ -70,7 +80,7 @@
 
 /// A stream of changes; dropping it ends the watch.
 pub trait Watch: Send + 'static {
-    /// Waits for the next keys to be set, in order of their revisions; deletions are not reported.
+    /// Waits for the next changes, in order of their revisions.
     ///
     /// A silent connection is not noticed here: callers bound the wait, then read and watch anew.
     /// No change is lost when the future is dropped early.
@@ -80,5 +90,5 @@
     /// Fails when the stream has ended or made no sense; the watch is then of no more use.
     fn next(
         &mut self,
-    ) -> impl future::Future<Output = Result<Vec<entry::Entry>, error::Error>> + Send;
+    ) -> impl future::Future<Output = Result<Vec<entry::Change>, error::Error>> + Send;
 }
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -54,12 +54,12 @@
 }
 
 impl store::Watch for EtcdWatch {
-    async fn next(&mut self) -> Result<Vec<entry::Entry>, error::Error> {
+    async fn next(&mut self) -> Result<Vec<entry::Change>, error::Error> {
         loop {
             while let Some(line) = self.take_line() {
-                let entries = parse_line(&line)?;
-                if !entries.is_empty() {
-                    return Ok(entries);
+                let changes = parse_line(&line)?;
+                if !changes.is_empty() {
+                    return Ok(changes);
                 }
             }
             self.fill().await?;
@@ -71,7 +71,7 @@
     error::Error::new(error::ErrorKind::Unavailable, context)
 }
 
-fn parse_line(line: &[u8]) -> Result<Vec<entry::Entry>, error::Error> {
+fn parse_line(line: &[u8]) -> Result<Vec<entry::Change>, error::Error> {
     let line: wire::WatchLine = serde_json::from_slice(line)
         .map_err(|cause| wire::protocol(format!("expected a line of a watch: {cause}")))?;
     let result = line.result;
@@ -85,9 +85,9 @@
     if result.canceled {
         return Err(ended("the service cancelled the watch"));
     }
-    let puts = result
+    result
         .events
         .into_iter()
-        .filter(|event| event.event_type == wire::EventType::Put);
-    puts.map(|event| event.kv.into_entry()).collect()
+        .map(wire::WatchEvent::into_change)
+        .collect()
 }
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -310,3 +310,40 @@
     pub(crate) event_type: EventType,
     pub(crate) kv: KeyValue,
 }
+
+impl WatchEvent {
+    /// Decodes the change.
+    pub(crate) fn into_change(self) -> Result<entry::Change, error::Error> {
+        let entry = self.kv.into_entry()?;
+        Ok(match self.event_type {
+            EventType::Put => entry::Change::Put(entry),
+            EventType::Delete => entry::Change::Deleted {
+                key: entry.key,
+                revision: entry.modified_revision,
+            },
+        })
+    }
+}
+
+/// Renews a lease.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseKeepRequest {
+    #[serde(rename = "ID")]
+    pub(crate) id: Int64,
+}
+
+/// Answer to a renewal: one line of a stream that ends with the request.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseKeepLine {
+    pub(crate) result: LeaseKeepResponse,
+}
+
+/// What is left of a lease.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseKeepResponse {
+    /// Remaining time in seconds; absent or 0 once the lease has ended.
+    #[serde(rename = "TTL")]
+    pub(crate) ttl_s: Int64,
+}
--- a/crates/store/tests/etcd.rs
+++ b/crates/store/tests/etcd.rs
@@ -63,6 +63,15 @@
     entries.iter().map(|entry| entry.key.as_str()).collect()
 }
 
+/// Returns the keys that were set, and the deleted ones with a minus in front.
+fn changed_keys(changes: &[store::Change]) -> Vec<String> {
+    let names = changes.iter().map(|change| match change {
+        store::Change::Put(entry) => entry.key.clone(),
+        store::Change::Deleted { key, .. } => format!("-{key}"),
+    });
+    names.collect()
+}
+
 #[tokio::test]
 async fn conditions_decide_whether_a_transaction_takes_effect() {
     let server = server().await;
@@ -296,7 +305,7 @@
     let first = store.commit(create("w/a", "1")).await.unwrap();
     store.commit(create("other", "1")).await.unwrap();
     let mut watch = store.watch("w/", first.revision).await.unwrap();
-    assert_eq!(keys(&watch.next().await.unwrap()), ["w/a"]);
+    assert_eq!(changed_keys(&watch.next().await.unwrap()), ["w/a"]);
 
     store.commit(create("w/b", "1")).await.unwrap();
     let delete = store::Txn {
@@ -305,13 +314,16 @@
     };
     store.commit(delete).await.unwrap();
     let last = store.commit(create("w/c", "7")).await.unwrap();
-    assert_eq!(keys(&watch.next().await.unwrap()), ["w/b"]);
+    assert_eq!(changed_keys(&watch.next().await.unwrap()), ["w/b"]);
+    assert_eq!(changed_keys(&watch.next().await.unwrap()), ["-w/a", "-w/b"]);
     let changed = watch.next().await.unwrap();
-    assert_eq!(keys(&changed), ["w/c"]);
-    assert_eq!(
-        (changed[0].value.as_slice(), changed[0].modified_revision),
-        (&b"7"[..], last.revision)
-    );
+    assert_eq!(changed_keys(&changed), ["w/c"]);
+    let expected = store::Change::Put(store::Entry {
+        key: "w/c".to_owned(),
+        value: b"7".to_vec(),
+        modified_revision: last.revision,
+    });
+    assert_eq!(changed, [expected]);
     assert_eq!(store.calls().watches, 1);
 
     let down = standin::StoreFaults {
@@ -339,7 +351,7 @@
     store.commit(create("w/a", "1")).await.unwrap();
     assert!(tokio::time::timeout(SHORT, watch.next()).await.is_err());
     let mut again = store.watch("w/", from).await.unwrap();
-    assert_eq!(keys(&again.next().await.unwrap()), ["w/a"]);
+    assert_eq!(changed_keys(&again.next().await.unwrap()), ["w/a"]);
     server.shutdown().await;
 }
 
@@ -359,5 +371,11 @@
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
     assert!(store.get("b").await.unwrap().is_some());
+    assert!(!store.keep_lease(lease_id).await.unwrap());
+    let lasting = store
+        .grant_lease(time::Duration::from_secs(60))
+        .await
+        .unwrap();
+    assert!(store.keep_lease(lasting).await.unwrap());
     server.shutdown().await;
 }
--- a/crates/telemetry/src/error.rs
+++ b/crates/telemetry/src/error.rs
@@ -8,6 +8,8 @@
 pub enum ErrorKind {
     /// A logger was installed before.
     LoggerInstalled,
+    /// The thread that writes logs could not be started.
+    LogThread,
     /// The socket for metrics could not be set up.
     MetricsSocket,
 }
@@ -38,6 +40,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.kind {
             ErrorKind::LoggerInstalled => write!(f, "a logger was installed before, expected none"),
+            ErrorKind::LogThread => write!(f, "the log thread failed: {}", self.context),
             ErrorKind::MetricsSocket => {
                 write!(f, "the socket for metrics failed: {}", self.context)
             }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,11 +4,16 @@
 //! that the call site adds with `log::info!(key = value; "message")`. [`Metrics`] counts in the
 //! process and sends the counts to a UDP address when it is flushed.
 
+mod buffered;
 mod error;
 mod logger;
 mod metrics;
 mod pair;
 
+pub use buffered::BufferedLogs;
+pub use buffered::BufferedWriter;
+pub use buffered::buffered;
+pub use buffered::init_buffered_logs;
 pub use error::Error;
 pub use error::ErrorKind;
 pub use logger::LineLogger;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -15,6 +15,10 @@
 
 /// Metrics that may wait for the sending thread; more are dropped.
 const QUEUE_CAPACITY: usize = 4_096;
+/// Significant digits of a histogram.
+const HISTOGRAM_DIGITS: u8 = 2;
+/// Quantiles of a timing that are reported.
+const QUANTILES: &[(&str, f64)] = &[("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)];
 
 /// Counts in the process and sends to a UDP address.
 ///
@@ -38,6 +42,8 @@
     client: Option<cadence::StatsdClient>,
     counters: sync::RwLock<IndexMap<String, Counter>>,
     gauges: sync::RwLock<IndexMap<String, atomic::AtomicU64>>,
+    /// Samples in microseconds.
+    timings: sync::Mutex<IndexMap<String, hdrhistogram::Histogram<u64>>>,
 }
 
 impl Metrics {
@@ -112,6 +118,35 @@
         if let Some(client) = &self.shared.client {
             let _ = client.time(name, duration);
         }
+        let mut timings = lock(&self.shared.timings);
+        if !timings.contains_key(name) {
+            // Fails only for a precision that is out of range.
+            let Ok(histogram) = hdrhistogram::Histogram::new(HISTOGRAM_DIGITS) else {
+                return;
+            };
+            timings.insert(name.to_owned(), histogram);
+        }
+        if let Some(histogram) = timings.get_mut(name) {
+            let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+            histogram.saturating_record(micros);
+        }
+    }
+
+    /// Returns every counter, every gauge and the quantiles of every timing, by name.
+    ///
+    /// The quantiles of a timing are in microseconds.
+    #[must_use]
+    pub fn report(&self) -> IndexMap<String, u64> {
+        let mut report = self.snapshot();
+        report.extend(self.gauges());
+        for (name, histogram) in lock(&self.shared.timings).iter() {
+            report.insert(format!("{name}.count"), histogram.len());
+            for (label, quantile) in QUANTILES {
+                let value = histogram.value_at_quantile(*quantile);
+                report.insert(format!("{name}.{label}_us"), value);
+            }
+        }
+        report
     }
 
     /// Returns the total of every counter, by name, in order of first use.
@@ -149,6 +184,7 @@
                 client,
                 counters: sync::RwLock::default(),
                 gauges: sync::RwLock::default(),
+                timings: sync::Mutex::default(),
             }),
         }
     }
@@ -186,6 +222,10 @@
     }
 }
 
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
 // A panic elsewhere leaves counters usable, so a poisoned lock is taken as it is.
 fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
     lock.read().unwrap_or_else(sync::PoisonError::into_inner)
