Write batches as segments, several under way; give advice out by backlog

Ruled out: the processor (1.5% of a core), worker calls (answered within 25 ms). Conclusion: latency of the store is what binds while it is slow, no longer its rate.

--- a/crates/controller/src/cell.rs
+++ b/crates/controller/src/cell.rs
@@ -14,9 +14,6 @@
 pub(crate) const LEADER: &str = "ferry/cell/leader";
 /// Key of the secret that instances show each other.
 pub(crate) const SECRET: &str = "ferry/cell/secret";
-/// Key that every batch of the leader rewrites, so that a late copy of one cannot take effect.
-pub(crate) const LOG: &str = "ferry/log";
-
 /// An instance as it is written to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -1,165 +1,170 @@
-//! Commits of the leader's batches.
+//! Commits of the leader's batches, several at a time.
 //!
-//! Each batch depends on the leader's entry and on the entry that the batch before has written. A
-//! late copy of a batch whose answer was lost therefore cannot take effect after a later batch,
-//! nor after a later leader has been elected.
+//! Each batch writes a key of its own, which must not exist, and depends on the leader's entry. A
+//! late copy of a batch whose answer was lost therefore takes effect at most once, and never after
+//! a later leader has been elected. Batches may take effect in any order: a later segment wins.
 
+use std::sync;
 use std::time;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::cell;
+use crate::control;
 use crate::error;
+use crate::instance;
 
-/// Pause before a batch is sent again.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Pause before a batch is sent again; doubles with each try.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Longest pause before a batch is sent again.
+const MAX_RETRY_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Shortest time after which a batch that was not answered is sent again; the service answers in
+/// some milliseconds, and the way to another region takes 25.
+const MIN_PATIENCE: time::Duration = time::Duration::from_millis(120);
+/// Longest time after which a batch that was not answered is sent again.
+const MAX_PATIENCE: time::Duration = time::Duration::from_millis(1_000);
+/// Usual answer times for which a batch is waited for.
+const PATIENCE_FACTOR: u32 = 3;
+/// Weight of the newest answer time in the usual one, as one part in this many.
+const SMOOTHING: u32 = 4;
 /// How long the store may fail before callers are told.
 const UNREACHABLE_AFTER: time::Duration = time::Duration::from_millis(300);
 
-/// Writes batches to the store, one after the other.
-#[derive(Debug)]
+/// Writes batches to the store; clones share what is known of the store.
+#[derive(Clone, Debug)]
 pub(crate) struct Committer<S> {
     store: S,
     term: model::Term,
-    /// Revision of the log entry that the next batch must find; `None` if there is none yet.
-    log_revision: Option<store::Revision>,
-}
-
-/// The log entry: the batch that was written last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct LogEntry {
-    term: model::Term,
-    batch: jobs::BatchId,
+    control: control::Handle,
+    contact: sync::Arc<sync::Mutex<Contact>>,
 }
 
-/// What one attempt at a batch came to.
-enum Attempt {
-    Committed,
-    /// It may have taken effect: find out by sending it again.
-    Unknown(store::Error),
+/// Whether the store answers.
+#[derive(Debug, Default)]
+struct Contact {
+    failing_since: Option<time::Instant>,
+    /// Usual time of an answer.
+    usual: time::Duration,
+    /// Whether the control thread was told that the store is unreachable.
+    is_told: bool,
 }
 
 impl<S: store::Store> Committer<S> {
-    /// Creates the committer of a term that has just begun.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store cannot be read.
-    pub(crate) async fn open(store: S, term: model::Term) -> Result<Self, error::Error> {
-        let log = store.get(cell::LOG).await?;
-        Ok(Self {
+    /// Creates the committer of a term.
+    pub(crate) fn new(store: S, term: model::Term, control: control::Handle) -> Self {
+        Self {
             store,
             term,
-            log_revision: log.map(|entry| entry.modified_revision),
-        })
+            control,
+            contact: sync::Arc::default(),
+        }
     }
 
-    /// Writes a batch, however long that takes; tells `reachable` when the store fails or is back.
+    /// Writes a batch, however long that takes, and tells the control thread.
     ///
     /// # Errors
     ///
     /// Fails with [`error::ErrorKind::Deposed`] if the term is over; the batch has then not taken
     /// effect, unless an attempt at it was not answered.
-    pub(crate) async fn commit(
-        &mut self,
-        batch: &jobs::Batch,
-        mut reachable: impl FnMut(bool),
-    ) -> Result<(), error::Error> {
-        let started = time::Instant::now();
-        let mut told = false;
+    pub(crate) async fn commit(self, batch: jobs::Batch) -> Result<(), error::Error> {
+        let mut pause = RETRY_PAUSE;
+        let mut patience = self.patience();
         loop {
-            match self.attempt(batch).await? {
-                Attempt::Committed => {
-                    if told {
-                        log::info!(batch = batch.id, term = self.term; "store reachable again");
-                        reachable(true);
-                    }
+            let outcome = tokio::time::timeout(patience, self.attempt(&batch)).await;
+            let outcome = outcome.unwrap_or_else(|_| {
+                let context = format!("no answer within {} ms", patience.as_millis());
+                Err(store::Error::new(store::ErrorKind::Timeout, context).into())
+            });
+            patience = (patience * 2).min(MAX_PATIENCE);
+            match outcome {
+                Ok(()) => {
+                    self.note_success();
+                    self.control.tell(jobs::Event::Committed(batch.id));
                     return Ok(());
                 }
-                Attempt::Unknown(cause) => {
-                    log::warn!(batch = batch.id, term = self.term, cause:% = cause; "batch not confirmed");
-                    if !told && started.elapsed() >= UNREACHABLE_AFTER {
-                        told = true;
-                        reachable(false);
-                    }
+                Err(cause) if cause.kind() == error::ErrorKind::Deposed => return Err(cause),
+                Err(cause) => {
+                    log::warn!(
+                        batch = batch.id,
+                        term = self.term,
+                        cause:% = cause;
+                        "batch not confirmed"
+                    );
+                    self.note_failure();
                 }
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
         }
     }
 
-    async fn attempt(&mut self, batch: &jobs::Batch) -> Result<Attempt, error::Error> {
-        match self.store.commit(self.transaction(batch)).await {
-            Ok(committed) if committed.succeeded => {
-                self.log_revision = Some(committed.revision);
-                Ok(Attempt::Committed)
-            }
-            Ok(_) => match self.settle(batch).await {
-                Ok(()) => Ok(Attempt::Committed),
-                Err(cause) if cause.kind() == error::ErrorKind::Deposed => Err(cause),
-                Err(cause) => Ok(Attempt::Unknown(store::Error::new(
-                    store::ErrorKind::Timeout,
-                    cause.to_string(),
-                ))),
-            },
-            Err(cause) if cause.kind() == store::ErrorKind::TooLarge => Err(cause.into()),
-            Err(cause) => Ok(Attempt::Unknown(cause)),
+    async fn attempt(&self, batch: &jobs::Batch) -> Result<(), error::Error> {
+        let sent_at = time::Instant::now();
+        let committed = self.store.commit(self.transaction(batch)).await?;
+        self.note_answer(sent_at.elapsed());
+        if committed.succeeded {
+            return Ok(());
         }
+        // An earlier copy has taken effect, or the term is over.
+        if self.store.get(&batch.segment_key).await?.is_some() {
+            return Ok(());
+        }
+        let context = format!("batch {} refused", batch.id);
+        Err(error::Error::new(error::ErrorKind::Deposed, context))
     }
 
     fn transaction(&self, batch: &jobs::Batch) -> store::Txn {
-        let log = match self.log_revision {
-            Some(revision) => store::Compare::ModifiedAt {
-                key: cell::LOG.to_owned(),
-                revision,
-            },
-            None => store::Compare::Absent {
-                key: cell::LOG.to_owned(),
-            },
-        };
         let leader = store::Compare::ModifiedAt {
             key: cell::LEADER.to_owned(),
             revision: self.term,
         };
-        let entry = LogEntry {
-            term: self.term,
-            batch: batch.id,
+        let segment = store::Compare::Absent {
+            key: batch.segment_key.clone(),
         };
-        let puts = batch
-            .puts
-            .iter()
-            .map(|(key, value)| put(key, value.clone()));
+        let mut puts = vec![put(&batch.segment_key, &batch.segment)];
+        if let Some((key, value)) = &batch.outcomes {
+            puts.push(put(key, value));
+        }
         store::Txn {
-            compares: vec![leader, log],
-            puts: puts.chain([put(cell::LOG, cell::encode(&entry))]).collect(),
+            compares: vec![leader, segment],
+            puts,
             deletes: batch.deletes.clone(),
         }
     }
 
-    /// Finds out why a batch was refused: an earlier copy has taken effect, or the term is over.
-    async fn settle(&mut self, batch: &jobs::Batch) -> Result<(), error::Error> {
-        let log = self.store.get(cell::LOG).await?;
-        let written = log
-            .as_ref()
-            .and_then(|entry| cell::decode::<LogEntry>(&entry.value));
-        let expected = LogEntry {
-            term: self.term,
-            batch: batch.id,
-        };
-        if written == Some(expected) {
-            self.log_revision = log.map(|entry| entry.modified_revision);
-            return Ok(());
+    /// Returns how long the first answer to a batch is waited for.
+    fn patience(&self) -> time::Duration {
+        let usual = instance::lock(&self.contact).usual;
+        (usual * PATIENCE_FACTOR).clamp(MIN_PATIENCE, MAX_PATIENCE)
+    }
+
+    fn note_answer(&self, took: time::Duration) {
+        let mut contact = instance::lock(&self.contact);
+        contact.usual = (contact.usual * (SMOOTHING - 1) + took) / SMOOTHING;
+    }
+
+    fn note_success(&self) {
+        let mut contact = instance::lock(&self.contact);
+        contact.failing_since = None;
+        if std::mem::take(&mut contact.is_told) {
+            log::info!(term = self.term; "store takes batches again");
+            self.control.tell(jobs::Event::StoreReachable(true));
+        }
+    }
+
+    fn note_failure(&self) {
+        let mut contact = instance::lock(&self.contact);
+        let since = *contact.failing_since.get_or_insert_with(time::Instant::now);
+        if !contact.is_told && since.elapsed() >= UNREACHABLE_AFTER {
+            contact.is_told = true;
+            log::warn!(term = self.term; "store does not take batches");
+            self.control.tell(jobs::Event::StoreReachable(false));
         }
-        let context = format!("batch {} refused, log holds {written:?}", batch.id);
-        Err(error::Error::new(error::ErrorKind::Deposed, context))
     }
 }
 
-fn put(key: &str, value: Vec<u8>) -> store::Put {
+fn put(key: &str, value: &[u8]) -> store::Put {
     store::Put {
         key: key.to_owned(),
-        value,
+        value: value.to_vec(),
         lease_id: None,
     }
 }
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -227,15 +227,13 @@
 
     async fn handle(
         &self,
-        from: model::InstanceId,
+        _from: model::InstanceId,
         request: model::LinkRequest,
     ) -> model::LinkReply {
         match request {
             model::LinkRequest::Pulse(pulse) => {
-                if !pulse.draining {
-                    let now = time::Instant::now();
-                    instance::lock(&self.shared.followers).heard(from, now);
-                }
+                let now = time::Instant::now();
+                instance::lock(&self.shared.followers).heard(&pulse, now);
                 model::LinkReply::Pulse(pulse::own_pulse(&self.shared))
             }
             model::LinkRequest::Job {
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -36,7 +36,6 @@
     shared: &sync::Arc<instance::Shared<P>>,
     term: model::Term,
 ) -> Result<(), error::Error> {
-    let committer = commit::Committer::open(shared.platform.store().clone(), term).await?;
     let scheduler = recover(shared, term).await?;
     let (actions, decided) = mpsc::unbounded_channel();
     let control = control::Control::start(scheduler, actions)?;
@@ -47,7 +46,7 @@
         over: CancellationToken::new(),
         orders: tokio_util::task::TaskTracker::new(),
     };
-    let ended = office.run(committer, decided).await;
+    let ended = office.run(decided).await;
     shared.leading.send_replace(None);
     office.over.cancel();
     if let Err(cause) = task::spawn_blocking(|| control.stop()).await {
@@ -64,12 +63,16 @@
     shared: &instance::Shared<P>,
     term: model::Term,
 ) -> Result<jobs::Scheduler, error::Error> {
+    let store = shared.platform.store();
+    // Nothing changes meanwhile: the batches of earlier leaders depend on their entry.
+    let (segments, outcomes) = tokio::try_join!(
+        read_all(store, jobs::SEGMENT_PREFIX),
+        read_all(store, jobs::OUTCOME_PREFIX),
+    )?;
     let mut recovery = jobs::Recovery::default();
-    for prefix in [jobs::PROGRESS_PREFIX, jobs::DEFINITION_PREFIX] {
-        for entry in read_all(shared.platform.store(), prefix).await? {
-            if let Err(cause) = recovery.add(&entry.key, &entry.value) {
-                log::error!(key:% = entry.key, cause; "stored job cannot be read");
-            }
+    for entry in segments.into_iter().chain(outcomes) {
+        if let Err(cause) = recovery.add(&entry.key, &entry.value) {
+            log::error!(key:% = entry.key, cause; "stored jobs cannot be read");
         }
     }
     let settings = shared.settings.jobs.clone();
@@ -107,17 +110,13 @@
 impl<P: platform::Platform> Office<P> {
     async fn run(
         &self,
-        committer: commit::Committer<P::Store>,
         mut decided: mpsc::UnboundedReceiver<Vec<jobs::Action>>,
     ) -> Result<(), error::Error> {
         let (batches, to_commit) = mpsc::unbounded_channel();
         let (commits_ended, mut commits) = oneshot::channel();
-        let committing = commit_all(
-            committer,
-            to_commit,
-            self.control.clone(),
-            self.over.clone(),
-        );
+        let store = self.shared.platform.store().clone();
+        let committer = commit::Committer::new(store, self.term, self.control.clone());
+        let committing = commit_all(committer, to_commit, self.over.clone());
         self.orders.spawn(async move {
             // The receiver is gone only once the term is over.
             let _ = commits_ended.send(committing.await);
@@ -325,13 +324,7 @@
     if call.instance_id == shared.member.instance_id {
         return shared.platform.advisor().advise(&call.request).await;
     }
-    let address = {
-        let cell = shared.cell.borrow();
-        let mut members = cell.members();
-        members
-            .find(|member| member.instance_id == call.instance_id)
-            .map(|member| sync::Arc::clone(&member.address))
-    };
+    let address = instance::lock(&shared.followers).address_of(&call.instance_id);
     let Some(address) = address else {
         return Err(model::AdviceFailure::NoAnswer);
     };
@@ -349,18 +342,25 @@
 
 /// Commits batches until there are no more or the term is over.
 async fn commit_all<S: store::Store>(
-    mut committer: commit::Committer<S>,
+    committer: commit::Committer<S>,
     mut batches: mpsc::UnboundedReceiver<jobs::Batch>,
-    control: control::Handle,
     over: CancellationToken,
 ) -> Result<(), error::Error> {
-    while let Some(batch) = batches.recv().await {
-        let reachable = |reachable| control.tell(jobs::Event::StoreReachable(reachable));
+    let mut under_way = task::JoinSet::new();
+    let mut is_open = true;
+    while is_open || !under_way.is_empty() {
         tokio::select! {
-            committed = committer.commit(&batch, reachable) => committed?,
-            () = over.cancelled() => return Ok(()),
+            batch = batches.recv(), if is_open => match batch {
+                Some(batch) => {
+                    under_way.spawn(committer.clone().commit(batch));
+                }
+                None => is_open = false,
+            },
+            Some(committed) = under_way.join_next() => {
+                committed.map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))??;
+            }
+            () = over.cancelled() => break,
         }
-        control.tell(jobs::Event::Committed(batch.id));
     }
     Ok(())
 }
--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -29,18 +29,40 @@
 
 /// What a leader knows of its followers.
 #[derive(Debug, Default)]
-pub(crate) struct Followers(IndexMap<model::InstanceId, time::Instant>);
+pub(crate) struct Followers(IndexMap<model::InstanceId, Follower>);
+
+#[derive(Debug)]
+struct Follower {
+    address: sync::Arc<str>,
+    heard_at: time::Instant,
+}
 
 impl Followers {
     /// Notes a pulse.
-    pub(crate) fn heard(&mut self, instance_id: model::InstanceId, now: time::Instant) {
-        self.0.insert(instance_id, now);
+    pub(crate) fn heard(&mut self, pulse: &model::Pulse, now: time::Instant) {
+        if pulse.draining {
+            self.0.swap_remove(&pulse.instance_id);
+            return;
+        }
+        let follower = Follower {
+            address: pulse.address.as_str().into(),
+            heard_at: now,
+        };
+        self.0
+            .insert(sync::Arc::clone(&pulse.instance_id), follower);
+    }
+
+    /// Returns the address of a follower.
+    pub(crate) fn address_of(&self, instance_id: &model::InstanceId) -> Option<sync::Arc<str>> {
+        self.0
+            .get(instance_id)
+            .map(|follower| sync::Arc::clone(&follower.address))
     }
 
     /// Returns the followers that are live.
     pub(crate) fn live(&mut self, now: time::Instant) -> Vec<model::InstanceId> {
         self.0
-            .retain(|_, heard| now.saturating_duration_since(*heard) < FOLLOWER_SILENCE);
+            .retain(|_, one| now.saturating_duration_since(one.heard_at) < FOLLOWER_SILENCE);
         self.0.keys().cloned().collect()
     }
 }
--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -16,6 +16,9 @@
 const CALL_OVERHEAD: time::Duration = time::Duration::from_millis(10);
 /// How long an answer may be late before the call is given up.
 const CALL_PATIENCE: time::Duration = time::Duration::from_millis(700);
+/// Most time that the calls given to an instance may still take when it gets another: more would
+/// only wait at the service, ahead of calls that are more urgent by then.
+const MAX_BACKLOG: time::Duration = time::Duration::from_millis(60);
 /// Pause of an instance whose call was not answered.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 /// Most workers that a call may name.
@@ -56,11 +59,12 @@
         }
     }
 
-    /// Returns the instance whose calls are done first.
-    fn least_busy(&mut self) -> Option<(&model::InstanceId, &mut Advisor)> {
+    /// Returns the instance whose calls are done first, unless all have enough to do.
+    fn least_busy(&mut self, now: time::Instant) -> Option<(&model::InstanceId, &mut Advisor)> {
         self.instances
             .iter_mut()
             .min_by_key(|(_, advisor)| advisor.busy_until)
+            .filter(|(_, advisor)| advisor.busy_until <= now + MAX_BACKLOG)
     }
 }
 
@@ -74,7 +78,7 @@
         clock: event::Clock,
     ) {
         let call_id = self.advisors.next_call;
-        let Some((instance_id, advisor)) = self.advisors.least_busy() else {
+        let Some((instance_id, advisor)) = self.advisors.least_busy(clock.now) else {
             return;
         };
         let named = u32::try_from(asked.len()).unwrap_or(u32::MAX);
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -91,7 +91,7 @@
     Hold(worker_api::HoldOrder),
     /// Asks the recommendation service.
     Advise(AdviceCall),
-    /// Writes to the store; at most one batch is under way.
+    /// Writes to the store; several batches may be under way, in any order.
     Commit(Batch),
     /// Gives up the leadership: a worker has seen a later leader.
     StepDown,
@@ -113,8 +113,12 @@
 pub struct Batch {
     /// The batch.
     pub id: BatchId,
-    /// Keys to set, with their values.
-    pub puts: Vec<(String, Vec<u8>)>,
+    /// Key of the segment; no earlier batch has written it.
+    pub segment_key: String,
+    /// The segment.
+    pub segment: Vec<u8>,
+    /// Gathered outcomes, with their key.
+    pub outcomes: Option<(String, Vec<u8>)>,
     /// Keys to delete.
     pub deletes: Vec<String>,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -24,6 +24,8 @@
     pub(crate) outcome: Option<model::JobStatus>,
     /// Whether the definition is in the store.
     pub(crate) is_stored: bool,
+    /// Whether the next segment must have the definition again.
+    pub(crate) needs_definition: bool,
     /// What callers may see: the outcome that is in the store.
     pub(crate) stored_outcome: Option<model::JobStatus>,
     /// Whether a task has ever started.
@@ -107,6 +109,7 @@
             occurrences,
             outcome: None,
             is_stored: false,
+            needs_definition: false,
             stored_outcome: None,
             started: false,
             effects: Vec::new(),
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -1,4 +1,6 @@
-//! Which jobs have changed since they were last stored.
+//! Which jobs have changed since they were last stored, and the batches that store them.
+
+use std::time;
 
 use indexmap::IndexSet;
 
@@ -6,20 +8,31 @@
 use crate::job;
 use crate::record;
 use crate::scheduler;
+use crate::segments;
 
-/// Most keys that a batch sets or deletes: a transaction of the store takes 32 entries, of which
-/// the leader's own conditions and its log entry take a few.
-const MAX_BATCH_KEYS: usize = 28;
-/// Most bytes of values in a batch, well below what a store takes in one call.
+/// Most keys that a batch deletes: a transaction of the store takes 32 entries, of which the
+/// segment, its conditions and gathered outcomes take a few.
+const MAX_DELETES: usize = 24;
+/// Most bytes of records in a batch, well below what a store takes in one value.
 const MAX_BATCH_BYTES: usize = 256 * 1024;
+/// Batches under way at once; more than one only while the store is slow.
+const MAX_IN_FLIGHT: usize = 8;
+/// Time after which another batch is handed out although the one before is not confirmed.
+const PIPELINE_SPACING: time::Duration = time::Duration::from_millis(40);
+/// Ended jobs whose outcomes are gathered into one value.
+const GATHER_COUNT: usize = 64;
+/// Segments above which the records of the oldest are written anew.
+const MAX_SEGMENTS: usize = 240;
+/// Oldest segments whose records are written anew at once.
+const REWRITE_COUNT: usize = 16;
 
 /// Which jobs have changed since they were last stored.
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
     dirty: IndexSet<model::JobId>,
-    /// Keys of jobs whose outcome need not be kept any longer.
-    pub(crate) obsolete: Vec<String>,
-    in_flight: Option<InFlight>,
+    pub(crate) segments: segments::Segments,
+    in_flight: Vec<InFlight>,
+    flushed_at: Option<time::Instant>,
     next_batch: event::BatchId,
 }
 
@@ -28,15 +41,19 @@
     batch: event::BatchId,
     jobs: Vec<Stored>,
     effects: Vec<job::Effect>,
+    gathered: Vec<model::JobId>,
+    /// Key of the gathered outcomes, and the time of the newest end.
+    archive: Option<(String, u64)>,
 }
 
 /// What a batch stores of a job.
 #[derive(Debug)]
 struct Stored {
     job_id: model::JobId,
+    has_definition: bool,
     outcome: Option<model::JobStatus>,
     /// Set if nothing but the outcome is kept.
-    ended_at_ms: Option<u64>,
+    ending: Option<record::Ending>,
 }
 
 impl Journal {
@@ -49,7 +66,7 @@
         self.dirty.shift_remove(&job_id);
     }
 
-    /// Returns whether a job is part of the batch under way.
+    /// Returns whether a job is part of a batch under way.
     pub(crate) fn is_in_flight(&self, job_id: model::JobId) -> bool {
         let mut jobs = self.in_flight.iter().flat_map(|batch| &batch.jobs);
         jobs.any(|stored| stored.job_id == job_id)
@@ -59,104 +76,166 @@
     pub(crate) fn waiting(&self) -> impl Iterator<Item = model::JobId> {
         self.dirty.iter().copied()
     }
+
+    /// Returns whether a batch may be handed out now.
+    fn may_flush(&self, store_reachable: bool, now: time::Instant) -> bool {
+        if self.in_flight.is_empty() {
+            return true;
+        }
+        let is_spaced = self
+            .flushed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= PIPELINE_SPACING);
+        store_reachable && is_spaced && self.in_flight.len() < MAX_IN_FLIGHT
+    }
 }
 
 impl scheduler::Scheduler {
-    /// Hands out the next batch, unless one is under way or nothing has changed.
+    /// Hands out the next batch, unless the ones before are to be waited for.
     pub(crate) fn flush(&mut self, clock: event::Clock) {
-        if self.journal.in_flight.is_some() {
+        if !self.journal.may_flush(self.store_reachable, clock.now) {
             return;
         }
-        let mut batch = event::Batch {
-            id: self.journal.next_batch,
-            puts: Vec::new(),
-            deletes: Vec::new(),
+        self.rewrite_oldest();
+        let is_idle = self.journal.dirty.is_empty();
+        if is_idle && self.journal.segments.garbage.len() < MAX_DELETES {
+            return;
+        }
+        let id = record::SegmentId {
+            term: self.term,
+            batch: self.journal.next_batch,
         };
         let mut in_flight = InFlight {
-            batch: batch.id,
+            batch: id.batch,
             jobs: Vec::new(),
             effects: Vec::new(),
+            gathered: Vec::new(),
+            archive: None,
         };
+        let mut records = Vec::new();
         let mut bytes = 0;
-        while batch.puts.len() + batch.deletes.len() + 2 <= MAX_BATCH_KEYS
-            && bytes < MAX_BATCH_BYTES
+        while bytes < MAX_BATCH_BYTES
+            && let Some(job_id) = self.journal.dirty.shift_remove_index(0)
         {
-            let Some(job_id) = self.journal.dirty.shift_remove_index(0) else {
-                break;
-            };
-            let before = batch.puts.len();
-            self.add_to_batch(job_id, &mut batch, &mut in_flight, clock);
-            bytes += batch.puts[before..]
-                .iter()
-                .map(|(_, value)| value.len())
-                .sum::<usize>();
-        }
-        let room = MAX_BATCH_KEYS - batch.puts.len() - batch.deletes.len();
-        let obsolete = self.journal.obsolete.len().min(room);
-        batch
-            .deletes
-            .extend(self.journal.obsolete.drain(..obsolete));
-        if batch.puts.is_empty() && batch.deletes.is_empty() {
-            return;
+            if let Some(record) = self.record_of(job_id, &mut in_flight, clock) {
+                bytes += record_size(&record);
+                records.push(record);
+            }
         }
+        let mut batch = event::Batch {
+            id: id.batch,
+            segment_key: id.key(record::SEGMENT_PREFIX),
+            segment: record::encode(&records),
+            outcomes: None,
+            deletes: Vec::new(),
+        };
+        self.gather_outcomes(id, &mut batch, &mut in_flight);
+        let garbage = &mut self.journal.segments.garbage;
+        let deleted = garbage.len().min(MAX_DELETES);
+        batch.deletes.extend(garbage.drain(..deleted));
         self.journal.next_batch += 1;
-        self.journal.in_flight = Some(in_flight);
+        self.journal.flushed_at = Some(clock.now);
+        self.journal.in_flight.push(in_flight);
         self.actions.push(event::Action::Commit(batch));
     }
 
-    fn add_to_batch(
+    /// Marks the jobs whose records keep the oldest of too many segments.
+    fn rewrite_oldest(&mut self) {
+        if self.journal.segments.len() <= MAX_SEGMENTS || !self.journal.in_flight.is_empty() {
+            return;
+        }
+        for job_id in self.journal.segments.jobs_of_oldest(REWRITE_COUNT) {
+            if let Some(state) = self.jobs.get_mut(&job_id) {
+                state.needs_definition = true;
+                self.journal.mark(job_id);
+            }
+        }
+    }
+
+    fn record_of(
         &mut self,
         job_id: model::JobId,
-        batch: &mut event::Batch,
         in_flight: &mut InFlight,
         clock: event::Clock,
-    ) {
-        let Some(state) = self.jobs.get_mut(&job_id) else {
-            return;
-        };
+    ) -> Option<record::JobRecord> {
+        let state = self.jobs.get_mut(&job_id)?;
         in_flight.effects.append(&mut state.effects);
         let ended = state.outcome.filter(|_| !state.has_runs());
-        let progress = match ended {
-            Some(outcome) => record::Progress::Ended {
-                outcome,
-                ended_at_ms: clock.wall_ms,
-            },
-            None => state.progress(),
-        };
-        batch
-            .puts
-            .push((record::progress_key(job_id), record::encode(&progress)));
-        if ended.is_some() {
-            if state.is_stored {
-                batch.deletes.push(record::definition_key(job_id));
-            }
-        } else if !state.is_stored {
-            let definition = record::encode(&state.definition());
-            batch
-                .puts
-                .push((record::definition_key(job_id), definition));
-        }
+        let ending = ended.map(|outcome| record::Ending {
+            outcome,
+            ended_at_ms: clock.wall_ms,
+        });
+        // An earlier batch with the definition may still fail.
+        let has_definition = ending.is_none() && (state.needs_definition || !state.is_stored);
+        state.needs_definition = false;
         in_flight.jobs.push(Stored {
             job_id,
+            has_definition,
             outcome: state.outcome,
-            ended_at_ms: ended.map(|_| clock.wall_ms),
+            ending,
         });
+        Some(record::JobRecord {
+            job_id,
+            definition: has_definition.then(|| state.definition()),
+            progress: ending.map_or_else(|| state.progress(), record::Progress::Ended),
+        })
+    }
+
+    /// Adds the outcomes of ended jobs that segments still keep, if there are many.
+    fn gather_outcomes(
+        &mut self,
+        id: record::SegmentId,
+        batch: &mut event::Batch,
+        in_flight: &mut InFlight,
+    ) {
+        if self.journal.segments.ungathered.len() < GATHER_COUNT {
+            return;
+        }
+        let gathered = std::mem::take(&mut self.journal.segments.ungathered);
+        let outcomes: Vec<_> = gathered
+            .iter()
+            .filter_map(|job_id| Some((*job_id, *self.ended.get(job_id)?)))
+            .collect();
+        let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
+        let key = id.key(record::OUTCOME_PREFIX);
+        in_flight.archive = Some((key.clone(), newest.unwrap_or_default()));
+        in_flight.gathered = gathered;
+        batch.outcomes = Some((key, record::encode(&outcomes)));
     }
 
     /// Takes note that a batch has taken effect, and does what waited for it.
     pub(crate) fn committed(&mut self, batch: event::BatchId, clock: event::Clock) {
-        let Some(in_flight) = self.journal.in_flight.take_if(|one| one.batch == batch) else {
+        let in_flight = &mut self.journal.in_flight;
+        let Some(index) = in_flight.iter().position(|one| one.batch == batch) else {
             return;
         };
+        let in_flight = in_flight.remove(index);
+        let id = record::SegmentId {
+            term: self.term,
+            batch,
+        };
+        self.journal.segments.add(id);
         for stored in in_flight.jobs {
-            self.note_stored(&stored);
+            self.note_stored(id, &stored);
+        }
+        for job_id in in_flight.gathered {
+            self.journal.segments.forget(job_id);
+        }
+        if let Some((key, newest_end_ms)) = in_flight.archive {
+            self.journal.segments.add_archive(key, newest_end_ms);
         }
+        self.journal.segments.collect_garbage();
         for effect in in_flight.effects {
             self.carry_out(effect, clock);
         }
+        while let Some(effect) = self.late_effects.pop() {
+            self.carry_out(effect, clock);
+        }
     }
 
-    fn note_stored(&mut self, stored: &Stored) {
+    fn note_stored(&mut self, id: record::SegmentId, stored: &Stored) {
+        let is_ended = stored.ending.is_some();
+        let segments = &mut self.journal.segments;
+        segments.note_record(id, stored.job_id, stored.has_definition, is_ended);
         let Some(state) = self.jobs.get_mut(&stored.job_id) else {
             return;
         };
@@ -171,17 +250,14 @@
                 "job outcome stored"
             );
         }
-        let (Some(outcome), Some(ended_at_ms)) = (stored.outcome, stored.ended_at_ms) else {
+        let Some(ending) = stored.ending else {
             return;
         };
         // Whatever was asked meanwhile needs no further commit.
-        let late = std::mem::take(&mut state.effects);
+        self.late_effects.append(&mut state.effects);
         self.jobs.swap_remove(&stored.job_id);
         self.journal.unmark(stored.job_id);
-        self.ended.insert(stored.job_id, (outcome, ended_at_ms));
-        for effect in late {
-            self.late_effects.push(effect);
-        }
+        self.ended.insert(stored.job_id, ending);
     }
 
     fn carry_out(&mut self, effect: job::Effect, clock: event::Clock) {
@@ -196,12 +272,21 @@
                 }
             }
         }
-        while let Some(effect) = self.late_effects.pop() {
-            self.carry_out(effect, clock);
-        }
     }
 }
 
+/// Returns about how many bytes a record takes.
+fn record_size(record: &record::JobRecord) -> usize {
+    let definition = record.definition.as_ref().map_or(0, |definition| {
+        definition.job.spec.len() + 100 * definition.job.steps.len()
+    });
+    let tasks = match &record.progress {
+        record::Progress::Open { tasks, lives, .. } => 30 * tasks.len() + 30 * lives.len(),
+        record::Progress::Ended(_) => 0,
+    };
+    64 + definition + tasks
+}
+
 /// Formats the id of a job as callers write it.
 pub(crate) fn hex(job_id: model::JobId) -> String {
     format!("{job_id:016x}")
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,8 @@
-//! What the store keeps of a job.
+//! What the store keeps of jobs.
 //!
-//! A job has two values: its definition, written once at acceptance, and its progress, written at
-//! each change. An ended job keeps only the progress value, with the outcome alone.
+//! Each batch is written as one value, a segment, with the newest record of every job that has
+//! changed. A later segment wins over an earlier one. Outcomes of ended jobs are gathered into
+//! values of their own, which win over every segment.
 
 use std::sync;
 
@@ -9,27 +10,64 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::event;
 use crate::manifest;
 
-/// Prefix of the keys of definitions.
-pub const DEFINITION_PREFIX: &str = "ferry/job/";
-/// Prefix of the keys of progress.
-pub const PROGRESS_PREFIX: &str = "ferry/run/";
+/// Prefix of the keys of segments.
+pub const SEGMENT_PREFIX: &str = "ferry/segment/";
+/// Prefix of the keys of gathered outcomes.
+pub const OUTCOME_PREFIX: &str = "ferry/outcome/";
+
+/// Tells segments apart; a later one is larger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct SegmentId {
+    /// Term of the leader that wrote it.
+    pub(crate) term: model::Term,
+    /// The batch.
+    pub(crate) batch: event::BatchId,
+}
+
+impl SegmentId {
+    /// Returns the key below `prefix`; the order of keys is that of the ids.
+    pub(crate) fn key(self, prefix: &str) -> String {
+        format!("{prefix}{:016x}-{:08x}", self.term, self.batch)
+    }
+
+    /// Returns the id of a key below `prefix`.
+    pub(crate) fn of_key(key: &str, prefix: &str) -> Option<Self> {
+        let (term, batch) = key.strip_prefix(prefix)?.split_once('-')?;
+        Some(Self {
+            term: model::Term::from_str_radix(term, 16).ok()?,
+            batch: event::BatchId::from_str_radix(batch, 16).ok()?,
+        })
+    }
+}
+
+/// The newest record of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct JobRecord {
+    /// The job.
+    pub(crate) job_id: model::JobId,
+    /// The job as it was accepted, unless an earlier segment has it.
+    pub(crate) definition: Option<Definition>,
+    /// How far it has come.
+    pub(crate) progress: Progress,
+}
 
 /// A job as it was accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Definition {
+pub(crate) struct Definition {
     /// The job.
-    pub job: model::Job,
+    pub(crate) job: model::Job,
     /// Its queue at acceptance; used once the manifest no longer has the queue.
-    pub queue: manifest::Queue,
+    pub(crate) queue: manifest::Queue,
     /// Wall-clock time of the acceptance, in milliseconds since 1970.
-    pub accepted_at_ms: u64,
+    pub(crate) accepted_at_ms: u64,
 }
 
 /// How far a job has come.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Progress {
+pub(crate) enum Progress {
     /// Tasks wait or run.
     Open {
         /// The outcome, if it is known; some runs have not ended yet.
@@ -42,32 +80,36 @@
         tasks: Vec<TaskRecord>,
     },
     /// Nothing is left to do.
-    Ended {
-        /// The outcome.
-        outcome: model::JobStatus,
-        /// Wall-clock time of the end, in milliseconds since 1970.
-        ended_at_ms: u64,
-    },
+    Ended(Ending),
+}
+
+/// The end of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Ending {
+    /// The outcome.
+    pub(crate) outcome: model::JobStatus,
+    /// Wall-clock time of the end, in milliseconds since 1970.
+    pub(crate) ended_at_ms: u64,
 }
 
 /// How far a task has come.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct TaskRecord {
+pub(crate) struct TaskRecord {
     /// Whether it waits, runs or is done.
-    pub phase: PhaseRecord,
+    pub(crate) phase: PhaseRecord,
     /// Number of its latest start; 0 before the first.
-    pub last_run: model::RunNumber,
+    pub(crate) last_run: model::RunNumber,
     /// Runs that failed.
-    pub failures: u32,
+    pub(crate) failures: u32,
     /// The latest run whose failure was counted.
-    pub failed_run: model::RunNumber,
+    pub(crate) failed_run: model::RunNumber,
     /// Latest saved progress.
-    pub checkpoint: Option<sync::Arc<str>>,
+    pub(crate) checkpoint: Option<sync::Arc<str>>,
 }
 
 /// Whether a task waits, runs or is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PhaseRecord {
+pub(crate) enum PhaseRecord {
     /// It waits for a start.
     Waiting,
     /// Its latest run was, or is about to be, started on this entry of the worker lives.
@@ -92,21 +134,6 @@
     }
 }
 
-/// Returns the key of a job's definition.
-pub(crate) fn definition_key(job_id: model::JobId) -> String {
-    format!("{DEFINITION_PREFIX}{job_id:016x}")
-}
-
-/// Returns the key of a job's progress.
-pub(crate) fn progress_key(job_id: model::JobId) -> String {
-    format!("{PROGRESS_PREFIX}{job_id:016x}")
-}
-
-/// Returns the job that a key below `prefix` belongs to.
-pub(crate) fn job_id_of(key: &str, prefix: &str) -> Option<model::JobId> {
-    model::JobId::from_str_radix(key.strip_prefix(prefix)?, 16).ok()
-}
-
 /// Encodes a value for the store.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     // Encoding to memory fails only for types that bincode cannot hold; the records are none.
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -4,10 +4,16 @@
 //! under the new term refuses earlier leaders, and its lists are complete; on any other, a run
 //! may exist until the lease that the earlier leader may have given has lapsed.
 
+use std::collections;
+use std::time;
+
 use indexmap::IndexMap;
 
+use crate::advice;
 use crate::event;
 use crate::job;
+use crate::journal;
+use crate::manifest;
 use crate::record;
 use crate::scheduler;
 use crate::settings;
@@ -17,8 +23,9 @@
 /// Collects what the store keeps, then builds the scheduler of a new term.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    definitions: IndexMap<model::JobId, record::Definition>,
-    progress: IndexMap<model::JobId, record::Progress>,
+    /// Segments by id, which is their order.
+    segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
+    archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
 }
 
 impl Recovery {
@@ -28,10 +35,10 @@
     ///
     /// Says what is wrong with a value that cannot be read.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
-        if let Some(job_id) = record::job_id_of(key, record::DEFINITION_PREFIX) {
-            self.definitions.insert(job_id, record::decode(value)?);
-        } else if let Some(job_id) = record::job_id_of(key, record::PROGRESS_PREFIX) {
-            self.progress.insert(job_id, record::decode(value)?);
+        if let Some(id) = record::SegmentId::of_key(key, record::SEGMENT_PREFIX) {
+            self.segments.insert(id, record::decode(value)?);
+        } else if key.starts_with(record::OUTCOME_PREFIX) {
+            self.archives.push((key.to_owned(), record::decode(value)?));
         }
         Ok(())
     }
@@ -42,54 +49,90 @@
     /// before it notices that it no longer is.
     #[must_use]
     pub fn build(
-        mut self,
+        self,
         settings: settings::Settings,
         term: model::Term,
-        office: std::time::Duration,
+        office: time::Duration,
         clock: event::Clock,
     ) -> scheduler::Scheduler {
         let mut scheduler = scheduler::Scheduler {
             settings,
             term,
-            manifest: crate::Manifest::default(),
+            manifest: manifest::Manifest::default(),
             jobs: IndexMap::new(),
             ended: IndexMap::new(),
             workers: IndexMap::new(),
-            advisors: crate::advice::Advisors::default(),
-            waiting: std::collections::BTreeSet::new(),
-            scheduled: std::collections::BTreeSet::new(),
-            journal: crate::journal::Journal::default(),
+            advisors: advice::Advisors::default(),
+            waiting: collections::BTreeSet::new(),
+            scheduled: collections::BTreeSet::new(),
+            journal: journal::Journal::default(),
             late_effects: Vec::new(),
             actions: Vec::new(),
             store_reachable: true,
             may_place: true,
         };
-        self.progress.sort_keys();
-        let mut ended = Vec::new();
-        for (job_id, progress) in self.progress {
-            if let record::Progress::Ended {
-                outcome,
-                ended_at_ms,
-            } = progress
-            {
-                ended.push((ended_at_ms, job_id, outcome));
-            } else if let Some(definition) = self.definitions.swap_remove(&job_id) {
-                let state = job::JobState::restore(definition, progress);
-                scheduler.jobs.insert(job_id, state);
+        let mut definitions = IndexMap::new();
+        let mut progress = IndexMap::new();
+        for (id, records) in self.segments {
+            scheduler.journal.segments.add(id);
+            for record in records {
+                let is_ended = matches!(record.progress, record::Progress::Ended(_));
+                let has_definition = record.definition.is_some();
+                let segments = &mut scheduler.journal.segments;
+                segments.note_record(id, record.job_id, has_definition, is_ended);
+                if let Some(definition) = record.definition {
+                    definitions.insert(record.job_id, definition);
+                }
+                progress.insert(record.job_id, record.progress);
             }
         }
-        ended.sort_unstable_by_key(|(ended_at_ms, job_id, _)| (*ended_at_ms, *job_id));
-        for (ended_at_ms, job_id, outcome) in ended {
-            scheduler.ended.insert(job_id, (outcome, ended_at_ms));
+        scheduler.take_outcomes(self.archives, &mut progress);
+        for (job_id, progress) in progress {
+            match progress {
+                record::Progress::Ended(ending) => {
+                    scheduler.ended.insert(job_id, ending);
+                }
+                record::Progress::Open { .. } => {
+                    let Some(definition) = definitions.swap_remove(&job_id) else {
+                        log::error!(job:% = journal::hex(job_id); "stored job has no definition");
+                        continue;
+                    };
+                    let state = job::JobState::restore(definition, progress);
+                    scheduler.jobs.insert(job_id, state);
+                }
+            }
         }
+        scheduler
+            .ended
+            .sort_by_key(|job_id, ending| (ending.ended_at_ms, *job_id));
+        scheduler.journal.segments.collect_garbage();
         scheduler.inherit_runs(office, clock);
         scheduler
     }
 }
 
 impl scheduler::Scheduler {
+    /// Takes gathered outcomes, which win over what segments say of the same jobs.
+    fn take_outcomes(
+        &mut self,
+        archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
+        progress: &mut IndexMap<model::JobId, record::Progress>,
+    ) {
+        for (key, outcomes) in archives {
+            let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
+            self.journal
+                .segments
+                .add_archive(key, newest.unwrap_or_default());
+            for (job_id, ending) in outcomes {
+                progress.swap_remove(&job_id);
+                self.journal.segments.forget(job_id);
+                self.ended.insert(job_id, ending);
+            }
+        }
+    }
+
     /// Notes every run that an earlier leader may have started.
-    fn inherit_runs(&mut self, office: std::time::Duration, clock: event::Clock) {
+    fn inherit_runs(&mut self, office: time::Duration, clock: event::Clock) {
         let lapsed_at = clock.now + office + self.settings.lease_horizon();
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -81,8 +81,8 @@
     }
 
     fn status(&self, job_id: model::JobId) -> model::JobReply {
-        if let Some((outcome, _)) = self.ended.get(&job_id) {
-            return model::JobReply::Status(*outcome);
+        if let Some(ending) = self.ended.get(&job_id) {
+            return model::JobReply::Status(ending.outcome);
         }
         let state = self.jobs.get(&job_id).filter(|state| state.is_stored);
         state.map_or(model::JobReply::Unknown, |state| {
@@ -96,8 +96,8 @@
         job_id: model::JobId,
         clock: event::Clock,
     ) -> Option<model::JobReply> {
-        if let Some((outcome, _)) = self.ended.get(&job_id) {
-            return Some(model::JobReply::Status(*outcome));
+        if let Some(ending) = self.ended.get(&job_id) {
+            return Some(model::JobReply::Status(ending.outcome));
         }
         if !self.jobs.contains_key(&job_id) {
             return Some(model::JobReply::Unknown);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::job;
 use crate::journal;
 use crate::manifest;
+use crate::record;
 use crate::settings;
 use crate::worker;
 
@@ -21,8 +22,8 @@
     pub(crate) term: model::Term,
     pub(crate) manifest: manifest::Manifest,
     pub(crate) jobs: IndexMap<model::JobId, job::JobState>,
-    /// Outcomes of jobs of which nothing else is kept, with the time of the end.
-    pub(crate) ended: IndexMap<model::JobId, (model::JobStatus, u64)>,
+    /// Outcomes of jobs of which nothing else is kept, in the order of their ends.
+    pub(crate) ended: IndexMap<model::JobId, record::Ending>,
     pub(crate) workers: IndexMap<model::WorkerLife, worker::Worker>,
     pub(crate) advisors: advice::Advisors,
     /// Steps with waiting tasks, in the order in which they are served.
@@ -148,16 +149,16 @@
     /// Lets go of outcomes that have been kept long enough.
     fn forget_outcomes(&mut self, clock: event::Clock) {
         let retention_ms = self.settings.outcome_retention.as_millis() as u64;
-        while let Some((job_id, (_, ended_at_ms))) = self.ended.first() {
-            if ended_at_ms + retention_ms > clock.wall_ms {
-                break;
-            }
-            let job_id = *job_id;
-            self.ended.shift_remove(&job_id);
-            self.journal
-                .obsolete
-                .push(crate::record::progress_key(job_id));
+        let limit_ms = clock.wall_ms.saturating_sub(retention_ms);
+        let expired = self
+            .ended
+            .values()
+            .take_while(|ending| ending.ended_at_ms < limit_ms)
+            .count();
+        for (job_id, _) in self.ended.drain(..expired) {
+            self.journal.segments.forget(job_id);
         }
+        self.journal.segments.expire_archives(limit_ms);
     }
 
     /// Returns the queue of a job: the newest version, else the one at acceptance.
--- /dev/null
+++ b/crates/jobs/src/segments.rs
@@ -0,0 +1,126 @@
+//! Which segments of the store are still needed.
+
+use std::collections;
+
+use indexmap::IndexMap;
+
+use crate::record;
+
+/// Gathered outcomes in one value.
+#[derive(Debug)]
+struct Archive {
+    key: String,
+    newest_end_ms: u64,
+}
+
+/// Where the newest record of a job is.
+#[derive(Clone, Copy, Debug, Default)]
+struct Location {
+    definition: Option<record::SegmentId>,
+    progress: Option<record::SegmentId>,
+}
+
+/// The segments in the store, with the number of records in each that nothing has replaced.
+#[derive(Debug, Default)]
+pub(crate) struct Segments {
+    needed: collections::BTreeMap<record::SegmentId, u32>,
+    locations: IndexMap<model::JobId, Location>,
+    /// Ended jobs whose outcomes are not gathered yet.
+    pub(crate) ungathered: Vec<model::JobId>,
+    archives: collections::VecDeque<Archive>,
+    /// Keys that nothing needs any more.
+    pub(crate) garbage: Vec<String>,
+}
+
+impl Segments {
+    /// Returns the number of segments in the store.
+    pub(crate) fn len(&self) -> usize {
+        self.needed.len()
+    }
+
+    /// Takes note of a segment that is in the store.
+    pub(crate) fn add(&mut self, id: record::SegmentId) {
+        self.needed.entry(id).or_default();
+    }
+
+    /// Takes note that a segment has the newest record of a job, unless a later one has it.
+    pub(crate) fn note_record(
+        &mut self,
+        id: record::SegmentId,
+        job_id: model::JobId,
+        has_definition: bool,
+        is_ended: bool,
+    ) {
+        let location = self.locations.entry(job_id).or_default();
+        let mut released = Vec::new();
+        if location.progress < Some(id) {
+            released.extend(location.progress.replace(id));
+            *self.needed.entry(id).or_default() += 1;
+            if is_ended {
+                released.extend(location.definition.take());
+                self.ungathered.push(job_id);
+            }
+        }
+        if has_definition && !is_ended && location.definition < Some(id) {
+            released.extend(location.definition.replace(id));
+            *self.needed.entry(id).or_default() += 1;
+        }
+        for segment in released {
+            self.release(segment);
+        }
+    }
+
+    /// Takes note that the outcome of a job need not be kept in a segment.
+    pub(crate) fn forget(&mut self, job_id: model::JobId) {
+        if let Some(location) = self.locations.swap_remove(&job_id) {
+            for segment in location.definition.into_iter().chain(location.progress) {
+                self.release(segment);
+            }
+        }
+    }
+
+    /// Takes note of gathered outcomes that are in the store.
+    pub(crate) fn add_archive(&mut self, key: String, newest_end_ms: u64) {
+        self.archives.push_back(Archive { key, newest_end_ms });
+    }
+
+    /// Lets go of gathered outcomes that all ended before `limit_ms`.
+    pub(crate) fn expire_archives(&mut self, limit_ms: u64) {
+        let expired = self
+            .archives
+            .iter()
+            .take_while(|archive| archive.newest_end_ms < limit_ms)
+            .count();
+        let keys = self.archives.drain(..expired).map(|archive| archive.key);
+        self.garbage.extend(keys);
+    }
+
+    /// Finds the segments that nothing needs.
+    pub(crate) fn collect_garbage(&mut self) {
+        let garbage = &mut self.garbage;
+        self.needed.retain(|id, needed| {
+            if *needed == 0 {
+                garbage.push(id.key(record::SEGMENT_PREFIX));
+            }
+            *needed > 0
+        });
+    }
+
+    /// Returns the open jobs that keep the oldest segments from being deleted.
+    pub(crate) fn jobs_of_oldest(&self, count: usize) -> Vec<model::JobId> {
+        let Some(limit) = self.needed.keys().nth(count) else {
+            return Vec::new();
+        };
+        let old = self.locations.iter().filter(|(_, location)| {
+            location.definition.is_some_and(|id| id < *limit)
+                || location.progress.is_some_and(|id| id < *limit)
+        });
+        old.map(|(job_id, _)| *job_id).collect()
+    }
+
+    fn release(&mut self, segment: record::SegmentId) {
+        if let Some(needed) = self.needed.get_mut(&segment) {
+            *needed = needed.saturating_sub(1);
+        }
+    }
+}
