--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -123,7 +123,7 @@
         }
         Ok(_) => log::warn!(leader:% = leader.member.instance_id; "pulse answered out of protocol"),
         Err(cause) => {
-            if cause.kind() == peer::ErrorKind::NoListener && !contact.is_gone {
+            if cause.has_no_listener() && !contact.is_gone {
                 contact.is_gone = true;
                 log::info!(leader:% = leader.member.instance_id, term = leader.term; "leader refuses connections");
             }
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -13,11 +13,10 @@
         let Some(task) = self.tasks.get_mut(index) else {
             return 0;
         };
-        if task.failed_run < key.run {
-            task.failed_run = key.run;
-            task.failures += 1;
+        if !task.failed_runs.contains(&key.run) {
+            task.failed_runs.push(key.run);
         }
-        task.failures
+        u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX)
     }
 
     /// Marks every member done: one such end stands for all.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -74,10 +74,8 @@
     pub(crate) phase: Phase,
     /// Number of its latest start; 0 before the first.
     pub(crate) last_run: model::RunNumber,
-    /// Runs that failed; those of a gang are counted at its first task.
-    pub(crate) failures: u32,
-    /// The latest run whose failure was counted.
-    pub(crate) failed_run: model::RunNumber,
+    /// Runs that failed; those of a gang are kept at its first task.
+    pub(crate) failed_runs: Vec<model::RunNumber>,
     /// Latest saved progress.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
 }
@@ -305,8 +303,7 @@
             Phase::Done => record::PhaseRecord::Done,
         },
         last_run: task.last_run,
-        failures: task.failures,
-        failed_run: task.failed_run,
+        failed_runs: task.failed_runs.clone(),
         checkpoint: task.checkpoint.clone(),
     }
 }
@@ -322,8 +319,7 @@
     TaskState {
         phase,
         last_run: record.last_run,
-        failures: record.failures,
-        failed_run: record.failed_run,
+        failed_runs: record.failed_runs,
         checkpoint: record.checkpoint,
     }
 }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -100,9 +100,7 @@
     /// Number of its latest start; 0 before the first.
     pub(crate) last_run: model::RunNumber,
     /// Runs that failed.
-    pub(crate) failures: u32,
-    /// The latest run whose failure was counted.
-    pub(crate) failed_run: model::RunNumber,
+    pub(crate) failed_runs: Vec<model::RunNumber>,
     /// Latest saved progress.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
 }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -312,7 +312,9 @@
         }
     }
 
-    /// Changes the task that a run belongs to, unless the run is not its latest.
+    /// Changes the task that a run belongs to.
+    ///
+    /// A run that was given up may turn out to have been done or to have failed before that.
     fn apply_end(&mut self, life: &model::WorkerLife, ended: &RunEnded, clock: event::Clock) {
         let key = ended.key;
         let job_id = key.task.job_id;
@@ -327,41 +329,75 @@
         let Some(task) = step_state.tasks.get_mut(key.task.index as usize) else {
             return;
         };
-        let is_latest = task.last_run == key.run && task.phase == job::Phase::Placed(life.clone());
-        if !is_latest {
+        if task.phase == job::Phase::Done {
             return;
         }
+        let is_latest = task.last_run == key.run && task.phase == job::Phase::Placed(life.clone());
         if let Some(checkpoint) = &ended.checkpoint
             && step.checkpointing
+            && is_latest
         {
             task.checkpoint = Some(sync::Arc::clone(checkpoint));
         }
+        if is_latest {
+            step_state.set_phase(key.task.index, job::Phase::Waiting);
+        }
+        if is_lasting {
+            self.enqueue(job_id, clock);
+            return;
+        }
         match ended.how {
-            worker_api::RunEnd::Done if !is_lasting => {
+            worker_api::RunEnd::Done => {
                 if is_gang {
                     step_state.finish_gang();
                 } else {
                     step_state.set_phase(key.task.index, job::Phase::Done);
                 }
+                if !is_latest {
+                    self.stop_superfluous(key, clock);
+                }
                 self.task_done(job_id, clock);
-                return;
             }
-            worker_api::RunEnd::Failed if !is_lasting => {
+            worker_api::RunEnd::Failed => {
                 let failures = step_state.count_failure(key, is_gang);
                 let on_worker = step_state
                     .failures_by_worker
                     .entry(life.worker_id.clone())
                     .or_default();
                 *on_worker += 1;
-                step_state.set_phase(key.task.index, job::Phase::Waiting);
                 if failures >= max_failures {
                     self.decide(job_id, model::JobStatus::Failed, clock);
-                    return;
+                } else {
+                    self.enqueue(job_id, clock);
                 }
             }
-            _ => step_state.set_phase(key.task.index, job::Phase::Waiting),
+            _ => self.enqueue(job_id, clock),
         }
-        self.enqueue(job_id, clock);
+    }
+
+    /// Stops later runs of a task, or of its gang, that an earlier run has turned out to have done.
+    fn stop_superfluous(&mut self, done: model::RunKey, clock: event::Clock) {
+        let lives: Vec<_> = self.workers.keys().cloned().collect();
+        let step = done.task.step_key();
+        for life in lives {
+            let Some(worker) = self.workers.get(&life) else {
+                continue;
+            };
+            let is_superfluous = |key: &model::RunKey| {
+                key.task.step_key() == step && key.run > done.run && self.is_task_done(key.task)
+            };
+            let keys = worker.runs.keys().filter(|key| is_superfluous(key));
+            for key in keys.copied().collect::<Vec<_>>() {
+                self.stop_run(&life, key, clock);
+            }
+        }
+    }
+
+    fn is_task_done(&self, task: model::TaskKey) -> bool {
+        let state = self.jobs.get(&task.job_id);
+        let step = state.and_then(|state| state.step(task.step_key()));
+        step.and_then(|(_, step)| step.tasks.get(task.index as usize))
+            .is_some_and(|task| task.phase == job::Phase::Done)
     }
 
     fn task_done(&mut self, job_id: model::JobId, clock: event::Clock) {
--- /dev/null
+++ b/crates/jobs/tests/world/mod.rs
@@ -0,0 +1,547 @@
+//! A world in virtual time for the scheduler: workers, a store and a recommendation service whose
+//! answers are lost or late, and leaders that die.
+//!
+//! Whatever happens, the world checks what must always hold when a worker carries out a start.
+
+mod worker;
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+
+pub(crate) use worker::FakeWorker;
+
+/// Time of a call to a worker or to the store, one way, in milliseconds.
+const WAY_MS: u64 = 5;
+/// How long an order is waited for, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 400;
+/// Time of day at the start, in milliseconds since 1970.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// Faults, as shares of calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    /// Orders that are carried out and not answered.
+    pub(crate) lost_answers: f64,
+    /// Orders that are not answered and carried out two to twelve seconds later.
+    pub(crate) late_orders: f64,
+    /// Batches that are applied and confirmed only when they are sent again.
+    pub(crate) lost_commits: f64,
+}
+
+/// What is on its way.
+enum Event {
+    Start(jobs::StartOrder, bool),
+    Stop(jobs::StopOrder, bool),
+    Hold(jobs::HoldOrder),
+    HoldEnds(jobs::HoldOrder),
+    Commit(model::Term, jobs::Batch, bool),
+    /// Comes to the leader of this term, if it still leads.
+    Tell(model::Term, jobs::Event),
+    Tick(model::Term),
+}
+
+pub(crate) struct World {
+    base: time::Instant,
+    pub(crate) now_ms: u64,
+    rng: rand::rngs::StdRng,
+    pub(crate) faults: Faults,
+    events: collections::BTreeMap<(u64, u64), Event>,
+    next_event: u64,
+    scheduler: Option<jobs::Scheduler>,
+    pub(crate) term: model::Term,
+    pub(crate) store: collections::BTreeMap<String, Vec<u8>>,
+    pub(crate) workers: Vec<FakeWorker>,
+    manifest: jobs::Manifest,
+    pub(crate) replies: collections::HashMap<jobs::Token, model::JobReply>,
+    next_token: jobs::Token,
+    pub(crate) accepted: collections::HashMap<model::JobId, model::Job>,
+    /// Ends `done` that a worker was allowed to forget.
+    pub(crate) noted_done: collections::HashSet<model::TaskKey>,
+    /// Ends `failed` that a worker was allowed to forget.
+    pub(crate) noted_failures: collections::HashMap<model::TaskKey, u32>,
+    /// Tasks that a worker has listed as done.
+    pub(crate) done: collections::HashSet<model::TaskKey>,
+    /// Tasks that fail on every run.
+    pub(crate) hopeless: collections::HashSet<model::JobId>,
+    pub(crate) starts: u64,
+    pub(crate) max_failures: u32,
+    /// Share of workers that the recommendation service allows; `None` if there is no service.
+    pub(crate) allowed_share: Option<f64>,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, worker_count: usize, allowed_share: Option<f64>) -> Self {
+        let mut world = Self {
+            base: time::Instant::now(),
+            now_ms: 0,
+            rng: rand::rngs::StdRng::seed_from_u64(seed),
+            faults: Faults::default(),
+            events: collections::BTreeMap::new(),
+            next_event: 0,
+            scheduler: None,
+            term: 0,
+            store: collections::BTreeMap::new(),
+            workers: (0..worker_count).map(FakeWorker::new).collect(),
+            manifest: manifest(allowed_share),
+            replies: collections::HashMap::new(),
+            next_token: 0,
+            accepted: collections::HashMap::new(),
+            noted_done: collections::HashSet::new(),
+            noted_failures: collections::HashMap::new(),
+            done: collections::HashSet::new(),
+            hopeless: collections::HashSet::new(),
+            starts: 0,
+            max_failures: 3,
+            allowed_share,
+        };
+        world.elect();
+        world
+    }
+
+    fn clock(&self) -> jobs::Clock {
+        jobs::Clock {
+            now: self.base + time::Duration::from_millis(self.now_ms),
+            wall_ms: EPOCH_MS + self.now_ms,
+        }
+    }
+
+    /// Lets the leader die; nobody leads until the next election.
+    pub(crate) fn kill_leader(&mut self) {
+        self.scheduler = None;
+    }
+
+    /// Elects a leader, which recovers from the store.
+    pub(crate) fn elect(&mut self) {
+        self.term += 1;
+        let mut recovery = jobs::Recovery::default();
+        for (key, value) in &self.store {
+            recovery
+                .add(key, value)
+                .expect("the store holds what was written");
+        }
+        let settings = jobs::Settings::default();
+        let office = time::Duration::from_secs(1);
+        let scheduler = recovery.build(settings, self.term, office, self.clock());
+        self.scheduler = Some(scheduler);
+        let term = self.term;
+        let manifest = self.manifest.clone();
+        self.tell(term, jobs::Event::Manifest(manifest));
+        self.tell(term, jobs::Event::Advisors(vec!["a".into(), "b".into()]));
+        self.push(50, Event::Tick(term));
+    }
+
+    fn push(&mut self, delay_ms: u64, event: Event) {
+        self.next_event += 1;
+        let key = (self.now_ms + delay_ms, self.next_event);
+        self.events.insert(key, event);
+    }
+
+    /// Gives an event to the leader of `term`, and carries out what it decides.
+    fn tell(&mut self, term: model::Term, event: jobs::Event) {
+        if term != self.term {
+            return;
+        }
+        let clock = self.clock();
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        scheduler.handle(event, clock);
+        let actions = scheduler.finish(clock);
+        for action in actions {
+            self.carry_out(term, action);
+        }
+    }
+
+    fn carry_out(&mut self, term: model::Term, action: jobs::Action) {
+        match action {
+            jobs::Action::Reply(token, reply) => {
+                self.replies.insert(token, reply);
+            }
+            jobs::Action::Start(order) => {
+                let (delay_ms, answered) = self.fate();
+                if !answered {
+                    let event = jobs::Event::Start {
+                        life: order.life.clone(),
+                        run: order.run,
+                        outcome: jobs::StartOutcome::NoAnswer,
+                    };
+                    self.push(ORDER_TIMEOUT_MS, Event::Tell(term, event));
+                }
+                self.push(delay_ms, Event::Start(order, answered));
+            }
+            jobs::Action::Stop(order) => {
+                let (delay_ms, answered) = self.fate();
+                if !answered {
+                    let event = jobs::Event::Stop {
+                        life: order.life.clone(),
+                        run: order.run,
+                        outcome: jobs::StopOutcome::NoAnswer,
+                    };
+                    self.push(ORDER_TIMEOUT_MS, Event::Tell(term, event));
+                }
+                self.push(delay_ms, Event::Stop(order, answered));
+            }
+            jobs::Action::Hold(order) => self.push(WAY_MS, Event::Hold(order)),
+            jobs::Action::Advise(call) => {
+                let tickets = call.request.worker_ids.iter().filter_map(|worker_id| {
+                    self.is_allowed(call.request.step, worker_id)
+                        .then(|| model::Ticket {
+                            worker_id: worker_id.clone(),
+                            token: "t".to_owned(),
+                        })
+                });
+                let reply = model::AdviceReply {
+                    tickets: tickets.collect(),
+                    validity_ms: None,
+                };
+                let event = jobs::Event::Advice {
+                    call: call.call,
+                    outcome: Ok(reply),
+                };
+                self.push(20, Event::Tell(term, event));
+            }
+            jobs::Action::Commit(batch) => {
+                let lost = self.rng.random_bool(self.faults.lost_commits);
+                let delay_ms = WAY_MS + self.rng.random_range(0..20);
+                self.push(delay_ms, Event::Commit(term, batch, lost));
+            }
+            jobs::Action::StepDown => self.kill_leader(),
+        }
+    }
+
+    fn is_allowed(&self, step: model::StepKey, worker_id: &model::WorkerId) -> bool {
+        let share = self.allowed_share.unwrap_or(1.0);
+        let number: u64 = worker_id
+            .trim_start_matches('w')
+            .parse()
+            .unwrap_or_default();
+        let mixed = (step.job_id ^ (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 7;
+        (mixed % 1_000) as f64 <= share * 1_000.0
+    }
+
+    /// Returns when an order is carried out, and whether it is answered.
+    fn fate(&mut self) -> (u64, bool) {
+        if self.rng.random_bool(self.faults.late_orders) {
+            return (self.rng.random_range(2_000..12_000), false);
+        }
+        (WAY_MS, !self.rng.random_bool(self.faults.lost_answers))
+    }
+
+    /// Runs for a while.
+    pub(crate) fn run_ms(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while let Some(entry) = self.events.first_entry() {
+            let at_ms = entry.key().0;
+            if at_ms > end_ms {
+                break;
+            }
+            let event = entry.remove();
+            self.now_ms = self.now_ms.max(at_ms);
+            self.handle(event);
+        }
+        self.now_ms = end_ms;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tell(term, event) => self.tell(term, event),
+            Event::Tick(term) => {
+                if term == self.term && self.scheduler.is_some() {
+                    let reports = self.workers.iter().filter(|one| one.is_up);
+                    let reports = reports.map(FakeWorker::report).collect();
+                    self.tell(term, jobs::Event::Directory(reports));
+                    self.tell(term, jobs::Event::Tick);
+                    self.push(50, Event::Tick(term));
+                }
+            }
+            Event::Start(order, answered) => self.start(order, answered),
+            Event::Stop(order, answered) => self.stop(order, answered),
+            Event::Hold(order) => self.hold(order),
+            Event::HoldEnds(order) => self.hold_ends(order),
+            Event::Commit(term, batch, lost) => {
+                if term != self.term {
+                    return;
+                }
+                for key in &batch.deletes {
+                    self.store.remove(key);
+                }
+                self.store.insert(batch.segment_key, batch.segment);
+                if let Some((key, value)) = batch.outcomes {
+                    self.store.insert(key, value);
+                }
+                let delay_ms = if lost { 300 } else { WAY_MS };
+                self.push(
+                    delay_ms,
+                    Event::Tell(term, jobs::Event::Committed(batch.id)),
+                );
+            }
+        }
+    }
+
+    fn worker_index(&self, life: &model::WorkerLife) -> Option<usize> {
+        let mut workers = self.workers.iter();
+        workers.position(|one| one.is_up && !one.is_cut && one.life == *life)
+    }
+
+    fn start(&mut self, order: jobs::StartOrder, answered: bool) {
+        let now_ms = self.now_ms;
+        let Some(index) = self.worker_index(&order.life) else {
+            if answered {
+                self.answer_start(&order, jobs::StartOutcome::NoAnswer);
+            }
+            return;
+        };
+        self.workers[index].expire(now_ms);
+        let outcome = self.workers[index].admit(&order, now_ms);
+        if outcome == jobs::StartOutcome::Started && !self.workers[index].has(order.run) {
+            self.check_start(index, &order);
+            self.starts += 1;
+            let fails = self.hopeless.contains(&order.run.task.job_id);
+            let job = &self.accepted[&order.run.task.job_id];
+            let step = &job.steps[usize::from(order.run.task.step)];
+            self.workers[index].begin(&order, step, fails, now_ms);
+        }
+        if answered {
+            self.answer_start(&order, outcome);
+        }
+    }
+
+    fn answer_start(&mut self, order: &jobs::StartOrder, outcome: jobs::StartOutcome) {
+        let event = jobs::Event::Start {
+            life: order.life.clone(),
+            run: order.run,
+            outcome,
+        };
+        self.push(WAY_MS, Event::Tell(order.term, event));
+    }
+
+    /// Checks what must hold whenever a worker begins a run.
+    fn check_start(&mut self, index: usize, order: &jobs::StartOrder) {
+        let task = order.run.task;
+        let job = self
+            .accepted
+            .get(&task.job_id)
+            .unwrap_or_else(|| panic!("{task:?} belongs to no job that was asked for"));
+        let step = &job.steps[usize::from(task.step)];
+        let free = self.workers[index].free();
+        assert!(
+            step.demand.fits_in(&free),
+            "{task:?} does not fit in {free:?}"
+        );
+        let now_ms = self.now_ms;
+        for (other, worker) in self.workers.iter_mut().enumerate() {
+            worker.expire(now_ms);
+            let twin = worker.runs_of(task);
+            assert!(
+                !worker.is_up || twin.is_none(),
+                "{task:?} begins on {index} and runs on {other}: {twin:?}"
+            );
+        }
+        assert!(!self.noted_done.contains(&task), "{task:?} is done");
+        let failures = self.noted_failures.get(&task).copied().unwrap_or_default();
+        assert!(
+            failures < self.max_failures,
+            "{task:?} has failed too often"
+        );
+        for before in &step.after {
+            for member in 0..job.steps[usize::from(*before)].task_count {
+                let before = model::TaskKey {
+                    step: *before,
+                    index: member,
+                    ..task
+                };
+                assert!(self.done.contains(&before), "{task:?} before {before:?}");
+            }
+        }
+        if let Some(most) = step.max_per_worker {
+            let here = self.workers[index].count_of(task.step_key());
+            assert!(here < most, "{task:?} is one too many on a worker");
+        }
+    }
+
+    fn stop(&mut self, order: jobs::StopOrder, answered: bool) {
+        let now_ms = self.now_ms;
+        let outcome = match self.worker_index(&order.life) {
+            Some(index) => self.workers[index].stop(&order, now_ms),
+            None => jobs::StopOutcome::NoAnswer,
+        };
+        if answered {
+            let event = jobs::Event::Stop {
+                life: order.life,
+                run: order.run,
+                outcome,
+            };
+            self.push(WAY_MS, Event::Tell(order.term, event));
+        }
+    }
+
+    fn hold(&mut self, order: jobs::HoldOrder) {
+        let now_ms = self.now_ms;
+        if let Some(index) = self.worker_index(&order.life) {
+            if !self.workers[index].begin_hold(&order, now_ms) {
+                let event = jobs::Event::Hold {
+                    life: order.life,
+                    outcome: jobs::HoldOutcome::Fenced,
+                };
+                self.push(WAY_MS, Event::Tell(order.term, event));
+                return;
+            }
+            self.note_forgotten(index, order.forget_up_to);
+            let end = self.workers[index].next_end_ms(now_ms);
+            let wait_ms = order.wait.as_millis() as u64;
+            let delay_ms = match end {
+                _ if self.workers[index].has_ended() => 0,
+                Some(end) => wait_ms.min(end.saturating_sub(now_ms) + 1),
+                None => wait_ms,
+            };
+            self.push(delay_ms, Event::HoldEnds(order));
+            return;
+        }
+        self.hold_unanswered(order);
+    }
+
+    fn hold_unanswered(&mut self, order: jobs::HoldOrder) {
+        let delay_ms = order.wait.as_millis() as u64 + 600;
+        let event = jobs::Event::Hold {
+            life: order.life,
+            outcome: jobs::HoldOutcome::NoAnswer,
+        };
+        self.push(delay_ms, Event::Tell(order.term, event));
+    }
+
+    fn hold_ends(&mut self, order: jobs::HoldOrder) {
+        let now_ms = self.now_ms;
+        let Some(index) = self.worker_index(&order.life) else {
+            self.hold_unanswered(order);
+            return;
+        };
+        let listing = self.workers[index].listing(now_ms);
+        for row in &listing.ended {
+            if row.how == jobs::RunEnd::Done {
+                self.mark_done(row.run.task);
+            }
+        }
+        let event = jobs::Event::Hold {
+            life: order.life,
+            outcome: jobs::HoldOutcome::Listing(listing),
+        };
+        self.push(WAY_MS, Event::Tell(order.term, event));
+    }
+
+    /// Notes a task as done; one end of a gang stands for all.
+    fn mark_done(&mut self, task: model::TaskKey) {
+        let step = &self.accepted[&task.job_id].steps[usize::from(task.step)];
+        let members = if step.gang {
+            0..step.task_count
+        } else {
+            task.index..task.index + 1
+        };
+        self.done
+            .extend(members.map(|index| model::TaskKey { index, ..task }));
+    }
+
+    fn note_forgotten(&mut self, index: usize, up_to: u64) {
+        for row in self.workers[index].forget(up_to) {
+            match row.how {
+                jobs::RunEnd::Done => {
+                    self.noted_done.insert(row.run.task);
+                }
+                jobs::RunEnd::Failed => {
+                    *self.noted_failures.entry(row.run.task).or_default() += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Asks the leader; returns the token of the answer.
+    pub(crate) fn ask(&mut self, request: model::JobRequest) -> jobs::Token {
+        self.next_token += 1;
+        let token = self.next_token;
+        if let model::JobRequest::Submit(job) = &request {
+            self.accepted.insert(job.id, (**job).clone());
+        }
+        let event = jobs::Event::Request {
+            token,
+            manifest_version: 1,
+            request,
+        };
+        self.tell(self.term, event);
+        token
+    }
+
+    pub(crate) fn submit(&mut self, job: model::Job) -> jobs::Token {
+        self.ask(model::JobRequest::Submit(Box::new(job)))
+    }
+
+    /// Tells the leader that the store cannot be reached, or can again.
+    pub(crate) fn tell_store(&mut self, reachable: bool) {
+        self.tell(self.term, jobs::Event::StoreReachable(reachable));
+    }
+
+    pub(crate) fn status(&mut self, job_id: model::JobId) -> Option<model::JobReply> {
+        let token = self.ask(model::JobRequest::Status { job_id });
+        self.replies.get(&token).cloned()
+    }
+
+    pub(crate) fn random(&mut self, below: u64) -> u64 {
+        self.rng.random_range(0..below)
+    }
+}
+
+fn manifest(allowed_share: Option<f64>) -> jobs::Manifest {
+    let queue = |name: &str, priority| jobs::Queue {
+        name: name.into(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        pool: "pool".into(),
+        priority,
+        max_failures: 3,
+        stretch: 2.0,
+        target_latency: time::Duration::from_millis(400),
+        request_timeout: time::Duration::from_secs(3),
+        advice: allowed_share.map(|_| jobs::AdviceTerms {
+            base_time: time::Duration::from_millis(10),
+            time_per_worker: time::Duration::from_micros(100),
+            validity: time::Duration::from_secs(2),
+        }),
+    };
+    let queues = [queue("short", 0), queue("long", 1)];
+    jobs::Manifest {
+        version: 1,
+        queues: queues
+            .into_iter()
+            .map(|queue| (queue.name.clone(), sync::Arc::new(queue)))
+            .collect(),
+        pools: indexmap::IndexMap::new(),
+    }
+}
+
+/// Returns a job of one step.
+pub(crate) fn job(id: model::JobId, queue: &str, step: model::Step) -> model::Job {
+    model::Job {
+        id,
+        queue: queue.into(),
+        spec: "text".into(),
+        steps: vec![step],
+        schedule: None,
+    }
+}
+
+/// Returns a step of `task_count` tasks that take `processors_milli` for `run_ms` each.
+pub(crate) fn step(task_count: u32, processors_milli: u32, run_ms: u32) -> model::Step {
+    model::Step {
+        task_count,
+        demand: model::Demand {
+            processors_milli,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        estimated_ms: run_ms,
+        ..model::Step::default()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/world/worker.rs
@@ -0,0 +1,239 @@
+//! A worker that keeps the contract with the leader: fences, leases, tombstones, lists.
+
+use std::collections;
+
+const CAPACITY: model::Demand = model::Demand {
+    processors_milli: 8_000,
+    memory_mb: 16_000,
+    accelerators: 0,
+};
+/// How long a stopped run still takes its room, in milliseconds.
+const STOP_MS: u64 = 200;
+
+#[derive(Debug)]
+struct Run {
+    demand: model::Demand,
+    ends_at_ms: u64,
+    end: jobs::RunEnd,
+}
+
+pub(crate) struct FakeWorker {
+    pub(crate) life: model::WorkerLife,
+    pub(crate) is_up: bool,
+    /// Whether no call arrives, while runs go on.
+    pub(crate) is_cut: bool,
+    pub(crate) draining: bool,
+    fence: model::Term,
+    lease_end_ms: u64,
+    runs: indexmap::IndexMap<model::RunKey, Run>,
+    ended: Vec<jobs::EndedRow>,
+    last_sequence: u64,
+    /// Highest run of a task that was stopped or has ended.
+    closed: collections::HashMap<model::TaskKey, model::RunNumber>,
+}
+
+impl FakeWorker {
+    pub(crate) fn new(number: usize) -> Self {
+        Self::in_life(format!("w{number}").into(), 1)
+    }
+
+    fn in_life(worker_id: model::WorkerId, born_ms: u64) -> Self {
+        Self {
+            life: model::WorkerLife { worker_id, born_ms },
+            is_up: true,
+            is_cut: false,
+            draining: false,
+            fence: 0,
+            lease_end_ms: 0,
+            runs: indexmap::IndexMap::new(),
+            ended: Vec::new(),
+            last_sequence: 0,
+            closed: collections::HashMap::new(),
+        }
+    }
+
+    /// Starts again under the same id, knowing nothing.
+    pub(crate) fn rebirth(&mut self) {
+        *self = Self::in_life(self.life.worker_id.clone(), self.life.born_ms + 1);
+    }
+
+    pub(crate) fn report(&self) -> jobs::WorkerReport {
+        jobs::WorkerReport {
+            life: self.life.clone(),
+            pool: "pool".into(),
+            address: "address".into(),
+            data_centre: "dc".into(),
+            rack: "r".into(),
+            labels: vec!["kind".into(), "r".into()],
+            capacity: CAPACITY,
+            draining: self.draining,
+        }
+    }
+
+    pub(crate) fn free(&self) -> model::Demand {
+        let used = self
+            .runs
+            .values()
+            .fold(model::Demand::default(), |sum, run| sum.plus(&run.demand));
+        CAPACITY.minus(&used)
+    }
+
+    pub(crate) fn has(&self, run: model::RunKey) -> bool {
+        self.runs.contains_key(&run)
+    }
+
+    pub(crate) fn runs_of(&self, task: model::TaskKey) -> Option<model::RunKey> {
+        self.runs.keys().find(|run| run.task == task).copied()
+    }
+
+    pub(crate) fn count_of(&self, step: model::StepKey) -> u32 {
+        let here = self.runs.keys().filter(|run| run.task.step_key() == step);
+        here.count() as u32
+    }
+
+    /// Ends what is due, and everything once the lease has lapsed.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        let lapsed = self.lease_end_ms <= now_ms;
+        let due: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| lapsed || run.ends_at_ms <= now_ms)
+            .map(|(key, run)| {
+                let in_time = run.ends_at_ms <= self.lease_end_ms;
+                (
+                    *key,
+                    if in_time {
+                        run.end
+                    } else {
+                        jobs::RunEnd::Lapsed
+                    },
+                )
+            })
+            .collect();
+        for (key, how) in due {
+            self.runs.swap_remove(&key);
+            self.close(key);
+            self.last_sequence += 1;
+            self.ended.push(jobs::EndedRow {
+                sequence: self.last_sequence,
+                run: key,
+                how,
+                checkpoint: None,
+            });
+        }
+    }
+
+    fn close(&mut self, run: model::RunKey) {
+        let closed = self.closed.entry(run.task).or_default();
+        *closed = (*closed).max(run.run);
+    }
+
+    fn accepts(&mut self, term: model::Term) -> bool {
+        self.fence = self.fence.max(term);
+        self.fence == term
+    }
+
+    pub(crate) fn admit(&mut self, order: &jobs::StartOrder, now_ms: u64) -> jobs::StartOutcome {
+        let rejected = jobs::StartOutcome::Rejected;
+        if !self.accepts(order.term) {
+            return rejected(jobs::StartRejection::Fenced);
+        }
+        if order.lease_end_ms as u64 <= now_ms {
+            return rejected(jobs::StartRejection::Late);
+        }
+        self.lease_end_ms = self.lease_end_ms.max(order.lease_end_ms as u64);
+        if self.has(order.run) {
+            return jobs::StartOutcome::Started;
+        }
+        let closed = self
+            .closed
+            .get(&order.run.task)
+            .copied()
+            .unwrap_or_default();
+        if order.run.run <= closed {
+            return rejected(jobs::StartRejection::Outdated);
+        }
+        jobs::StartOutcome::Started
+    }
+
+    pub(crate) fn begin(
+        &mut self,
+        order: &jobs::StartOrder,
+        step: &model::Step,
+        fails: bool,
+        now_ms: u64,
+    ) {
+        let run = Run {
+            demand: step.demand,
+            ends_at_ms: now_ms + u64::from(step.estimated_ms),
+            end: if fails {
+                jobs::RunEnd::Failed
+            } else {
+                jobs::RunEnd::Done
+            },
+        };
+        self.runs.insert(order.run, run);
+    }
+
+    pub(crate) fn stop(&mut self, order: &jobs::StopOrder, now_ms: u64) -> jobs::StopOutcome {
+        if !self.accepts(order.term) {
+            return jobs::StopOutcome::Fenced;
+        }
+        self.expire(now_ms);
+        match self.runs.get_mut(&order.run) {
+            Some(run) => {
+                run.ends_at_ms = run.ends_at_ms.min(now_ms + STOP_MS);
+                run.end = jobs::RunEnd::Stopped;
+            }
+            None => self.close(order.run),
+        }
+        jobs::StopOutcome::Accepted
+    }
+
+    /// Takes a call to hold; returns whether its term is accepted.
+    pub(crate) fn begin_hold(&mut self, order: &jobs::HoldOrder, now_ms: u64) -> bool {
+        if !self.accepts(order.term) {
+            return false;
+        }
+        self.expire(now_ms);
+        if let Some(lease_end_ms) = order.lease_end_ms {
+            self.lease_end_ms = self.lease_end_ms.max(lease_end_ms as u64);
+        }
+        true
+    }
+
+    /// Forgets ends and returns them.
+    pub(crate) fn forget(&mut self, up_to: u64) -> Vec<jobs::EndedRow> {
+        let (forgotten, kept) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|row| row.sequence <= up_to);
+        self.ended = kept;
+        forgotten
+    }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        !self.ended.is_empty()
+    }
+
+    /// Returns when the next run ends.
+    pub(crate) fn next_end_ms(&self, now_ms: u64) -> Option<u64> {
+        let ends = self.runs.values().map(|run| run.ends_at_ms);
+        ends.min().map(|end| end.min(self.lease_end_ms).max(now_ms))
+    }
+
+    pub(crate) fn listing(&mut self, now_ms: u64) -> jobs::Listing {
+        self.expire(now_ms);
+        let running = self.runs.keys().map(|run| jobs::RunningRow {
+            run: *run,
+            checkpoint: None,
+            percent: 0,
+            usage: None,
+        });
+        jobs::Listing {
+            born_ms: Some(self.life.born_ms),
+            clock_ms: now_ms as i64,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -59,8 +59,6 @@
 pub enum ErrorKind {
     /// The request was not sent: the other end has not seen it and never will.
     NotSent,
-    /// Nobody listens at the address: the request was not sent.
-    NoListener,
     /// The request was sent, in part at least, and no answer came: it may have been handled.
     Unanswered,
     /// The other end refused it and did not handle it.
@@ -78,6 +76,7 @@
 pub struct Error {
     kind: ErrorKind,
     context: String,
+    has_no_listener: bool,
 }
 
 impl Error {
@@ -85,9 +84,24 @@
         Self {
             kind,
             context: context.into(),
+            has_no_listener: false,
         }
     }
 
+    /// Creates the error of an address that refuses connections.
+    pub(crate) fn no_listener(context: impl Into<String>) -> Self {
+        Self {
+            has_no_listener: true,
+            ..Self::new(ErrorKind::NotSent, context)
+        }
+    }
+
+    /// Returns whether nobody listens at the other end's address.
+    #[must_use]
+    pub fn has_no_listener(&self) -> bool {
+        self.has_no_listener
+    }
+
     /// Returns what went wrong.
     #[must_use]
     pub fn kind(&self) -> ErrorKind {
@@ -99,10 +113,7 @@
     pub fn is_unhandled(&self) -> bool {
         matches!(
             self.kind,
-            ErrorKind::NotSent
-                | ErrorKind::NoListener
-                | ErrorKind::Refused(_)
-                | ErrorKind::TooLarge
+            ErrorKind::NotSent | ErrorKind::Refused(_) | ErrorKind::TooLarge
         )
     }
 }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -254,11 +254,10 @@
 
     fn connect_failure(&self, cause: &std::io::Error) -> error::Error {
         let context = format!("cannot connect to {}: {cause}", self.address);
-        let kind = match cause.kind() {
-            std::io::ErrorKind::ConnectionRefused => error::ErrorKind::NoListener,
-            _ => error::ErrorKind::NotSent,
-        };
-        error::Error::new(kind, context)
+        match cause.kind() {
+            std::io::ErrorKind::ConnectionRefused => error::Error::no_listener(context),
+            _ => not_sent(context),
+        }
     }
 
     fn current(&self) -> Option<Connection> {
