Replace a leader that the store turns away as soon as it says so

Ruled out: the way to the leader (pulses were answered) and the others' store calls. Pulses now tell whether the store takes the leader's batches; an instance without the store learns the next leader from the others. Retry-After of a store outage grows with the outage.

--- a/crates/controller/src/cell.rs
+++ b/crates/controller/src/cell.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Takes a leader that another instance has told of; returns whether it is a later one.
+    pub(crate) fn learn(&mut self, leader: Leader) -> bool {
+        let is_later = self
+            .leader
+            .as_ref()
+            .is_none_or(|known| known.term < leader.term);
+        if is_later {
+            self.leader = Some(leader);
+        }
+        is_later
+    }
+
     /// Returns the live instances.
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -5,6 +5,7 @@
 //! a later leader has been elected. Batches may take effect in any order: a later segment wins.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use crate::cell;
@@ -35,6 +36,8 @@
     term: model::Term,
     control: control::Handle,
     contact: sync::Arc<sync::Mutex<Contact>>,
+    /// Tells other instances that the store does not take batches.
+    batches_fail: sync::Arc<atomic::AtomicBool>,
 }
 
 /// Whether the store answers.
@@ -49,8 +52,15 @@
 
 impl<S: store::Store> Committer<S> {
     /// Creates the committer of a term.
-    pub(crate) fn new(store: S, term: model::Term, control: control::Handle) -> Self {
+    pub(crate) fn new(
+        store: S,
+        term: model::Term,
+        control: control::Handle,
+        batches_fail: sync::Arc<atomic::AtomicBool>,
+    ) -> Self {
+        batches_fail.store(false, atomic::Ordering::Relaxed);
         Self {
+            batches_fail,
             store,
             term,
             control,
@@ -145,6 +155,7 @@
         let mut contact = instance::lock(&self.contact);
         contact.failing_since = None;
         if std::mem::take(&mut contact.is_told) {
+            self.batches_fail.store(false, atomic::Ordering::Relaxed);
             log::info!(term = self.term; "store takes batches again");
             self.control.tell(jobs::Event::StoreReachable(true));
         }
@@ -155,6 +166,7 @@
         let since = *contact.failing_since.get_or_insert_with(time::Instant::now);
         if !contact.is_told && since.elapsed() >= UNREACHABLE_AFTER {
             contact.is_told = true;
+            self.batches_fail.store(true, atomic::Ordering::Relaxed);
             log::warn!(term = self.term; "store does not take batches");
             self.control.tell(jobs::Event::StoreReachable(false));
         }
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -81,6 +81,13 @@
     let is_silent = contact
         .heard_at
         .is_some_and(|at| at.elapsed() >= shared.settings.leader_silence);
+    let store_reachable = shared.store_reachable.load(atomic::Ordering::Relaxed);
+    if contact.has_lost_store && store_reachable {
+        tokio::time::sleep(delay).await;
+        log::info!(leader:% = leader.member.instance_id, term = leader.term; "leader has lost the store");
+        let is_same = shared.cell.borrow().leader.as_ref() == Some(&leader);
+        return is_same.then_some(Some(leader.term));
+    }
     if !contact.is_gone && !is_silent {
         return None;
     }
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -45,6 +45,8 @@
     /// Lease of this instance's entries; 0 if there is none.
     pub(crate) store_lease: atomic::AtomicI64,
     pub(crate) store_reachable: atomic::AtomicBool,
+    /// Whether the store does not take the batches of this leader.
+    pub(crate) batches_fail: sync::Arc<atomic::AtomicBool>,
     pub(crate) is_draining: atomic::AtomicBool,
     pub(crate) stop: CancellationToken,
 }
@@ -118,6 +120,7 @@
             followers: sync::Mutex::default(),
             store_lease: atomic::AtomicI64::new(0),
             store_reachable: atomic::AtomicBool::new(true),
+            batches_fail: sync::Arc::default(),
             is_draining: atomic::AtomicBool::new(false),
             stop: CancellationToken::new(),
             settings,
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -115,7 +115,12 @@
         let (batches, to_commit) = mpsc::unbounded_channel();
         let (commits_ended, mut commits) = oneshot::channel();
         let store = self.shared.platform.store().clone();
-        let committer = commit::Committer::new(store, self.term, self.control.clone());
+        let committer = commit::Committer::new(
+            store,
+            self.term,
+            self.control.clone(),
+            sync::Arc::clone(&self.shared.batches_fail),
+        );
         let committing = commit_all(committer, to_commit, self.over.clone());
         self.orders.spawn(async move {
             // The receiver is gone only once the term is over.
--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use indexmap::IndexMap;
+use rand::seq::IteratorRandom as _;
 
 use crate::cell;
 use crate::feeds;
@@ -13,6 +14,8 @@
 
 /// How long a pulse may take.
 const PULSE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Instances asked at once who leads.
+const ASKED_AT_ONCE: usize = 3;
 /// Silence after which a follower no longer counts as live.
 const FOLLOWER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -25,6 +28,8 @@
     pub(crate) heard_at: Option<time::Instant>,
     /// Whether nobody listens at the leader's address, or another process does.
     pub(crate) is_gone: bool,
+    /// Whether the leader says that the store does not take its batches.
+    pub(crate) has_lost_store: bool,
 }
 
 /// What a leader knows of its followers.
@@ -77,6 +82,10 @@
         {
             pulse_leader(&shared, &leader).await;
         }
+        let is_cut = !shared.store_reachable.load(atomic::Ordering::Relaxed);
+        if is_cut && shared.leading.borrow().is_none() {
+            ask_others_for_leader(&shared).await;
+        }
         tokio::select! {
             () = tokio::time::sleep(shared.settings.pulse_interval) => {}
             _ = cell.changed() => {}
@@ -93,6 +102,7 @@
                 term: leader.term,
                 heard_at: Some(time::Instant::now()),
                 is_gone: false,
+                has_lost_store: false,
             };
         }
     }
@@ -116,6 +126,7 @@
         Ok(model::LinkReply::Pulse(pulse)) => {
             if pulse.instance_id == leader.member.instance_id {
                 contact.heard_at = Some(time::Instant::now());
+                contact.has_lost_store = !pulse.store_reachable;
             } else {
                 contact.is_gone = true;
             }
@@ -148,24 +159,31 @@
 pub(crate) fn own_pulse<P: platform::Platform>(shared: &instance::Shared<P>) -> model::Pulse {
     let leading = shared.leading.borrow().as_ref().map(|one| one.term);
     let (leader, term) = match leading {
-        Some(term) => (Some(sync::Arc::clone(&shared.member.instance_id)), term),
+        Some(term) => (Some(shared.member.clone()), term),
         None => heard_leader(shared),
     };
+    let store_reachable = match leading {
+        Some(_) => !shared.batches_fail.load(atomic::Ordering::Relaxed),
+        None => shared.store_reachable.load(atomic::Ordering::Relaxed),
+    };
     model::Pulse {
         instance_id: sync::Arc::clone(&shared.member.instance_id),
         address: shared.member.address.to_string(),
-        leader,
+        leader_address: leader
+            .as_ref()
+            .map_or_else(String::new, |leader| leader.address.to_string()),
+        leader: leader.map(|leader| leader.instance_id),
         term,
         manifest_version: shared.manifest_version(),
         draining: shared.is_draining(),
-        store_reachable: shared.store_reachable.load(atomic::Ordering::Relaxed),
+        store_reachable,
     }
 }
 
 /// Returns the leader that this instance has heard lately, and its term.
 fn heard_leader<P: platform::Platform>(
     shared: &instance::Shared<P>,
-) -> (Option<model::InstanceId>, model::Term) {
+) -> (Option<cell::Member>, model::Term) {
     let leader = shared.cell.borrow().leader.clone();
     let Some(leader) = leader else {
         return (None, 0);
@@ -176,7 +194,47 @@
         && contact
             .heard_at
             .is_some_and(|at| at.elapsed() < shared.settings.leader_silence);
-    (is_heard.then_some(leader.member.instance_id), leader.term)
+    (is_heard.then_some(leader.member), leader.term)
+}
+
+/// Asks some other instances who leads, while the store cannot tell.
+async fn ask_others_for_leader<P: platform::Platform>(shared: &instance::Shared<P>) {
+    let members: Vec<_> = shared.cell.borrow().members().cloned().collect();
+    let others = members
+        .into_iter()
+        .filter(|member| *member != shared.member)
+        .choose_multiple(&mut rand::rng(), ASKED_AT_ONCE);
+    for member in others {
+        let link = shared.links.to(&member.address);
+        let request = model::LinkRequest::Pulse(own_pulse(shared));
+        let answer = link.request(&request, PULSE_TIMEOUT).await;
+        if let Ok(model::LinkReply::Pulse(pulse)) = answer {
+            learn_leader(shared, &pulse);
+        }
+    }
+}
+
+/// Takes over a later leader that another instance knows.
+fn learn_leader<P: platform::Platform>(shared: &instance::Shared<P>, pulse: &model::Pulse) {
+    let Some(instance_id) = &pulse.leader else {
+        return;
+    };
+    let leader = cell::Leader {
+        member: cell::Member {
+            instance_id: sync::Arc::clone(instance_id),
+            address: pulse.leader_address.as_str().into(),
+        },
+        term: pulse.term,
+    };
+    let learned = shared.cell.send_if_modified(|cell| cell.learn(leader));
+    if learned {
+        log::info!(
+            leader:% = instance_id,
+            term = pulse.term,
+            from:% = pulse.instance_id;
+            "leader learned from another instance"
+        );
+    }
 }
 
 /// Asks the other instances whether the leader of `term` is out of reach for all of them.
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -69,6 +69,7 @@
             late_effects: Vec::new(),
             actions: Vec::new(),
             store_reachable: true,
+            store_lost_at: None,
             may_place: true,
         };
         let mut definitions = IndexMap::new();
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -1,14 +1,18 @@
 //! Requests of callers.
 
 use std::sync;
+use std::time;
 
 use crate::event;
 use crate::job;
 use crate::journal;
 use crate::scheduler;
 
-/// When callers should come back while the store cannot be written, in milliseconds.
-const STORE_RETRY_MS: u64 = 1_000;
+/// When callers should come back at the earliest while the store cannot be written, in
+/// milliseconds.
+const MIN_STORE_RETRY_MS: u64 = 1_000;
+/// When callers should come back at the latest while the store cannot be written, in milliseconds.
+const MAX_STORE_RETRY_MS: u64 = 5_000;
 /// When callers should come back if too much waits, in milliseconds.
 const OVERLOAD_RETRY_MS: u64 = 2_000;
 
@@ -62,9 +66,10 @@
             return Some(refused(model::RefusalReason::UnknownQueue, 0));
         };
         if !self.store_reachable {
+            let retry_after_ms = self.store_retry_ms(clock);
             return Some(refused(
                 model::RefusalReason::StoreUnavailable,
-                STORE_RETRY_MS,
+                retry_after_ms,
             ));
         }
         if self.waiting.len() > self.settings.max_waiting_tasks {
@@ -132,6 +137,14 @@
         model::JobReply::Pending(waiting.count() as u64)
     }
 
+    /// Returns when to come back: an outage that has lasted lasts on for about as long.
+    fn store_retry_ms(&self, clock: event::Clock) -> u64 {
+        let age = self.store_lost_at.map_or(time::Duration::ZERO, |at| {
+            clock.now.saturating_duration_since(at)
+        });
+        (age.as_millis() as u64).clamp(MIN_STORE_RETRY_MS, MAX_STORE_RETRY_MS)
+    }
+
     /// Refuses jobs that no batch has carried to the store, which is unreachable.
     pub(crate) fn refuse_unstored(&mut self) {
         let waiting: Vec<_> = self.journal.waiting().collect();
@@ -148,7 +161,7 @@
             log::info!(job:% = journal::hex(job_id); "job refused, store unreachable");
             for effect in state.effects {
                 if let job::Effect::Reply(token, _) = effect {
-                    let reply = refused(model::RefusalReason::StoreUnavailable, STORE_RETRY_MS);
+                    let reply = refused(model::RefusalReason::StoreUnavailable, MIN_STORE_RETRY_MS);
                     self.actions.push(event::Action::Reply(token, reply));
                 }
             }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The leader's state, and the way of an event through it.
 
 use std::collections;
+use std::time;
 
 use indexmap::IndexMap;
 
@@ -34,6 +35,8 @@
     pub(crate) late_effects: Vec<job::Effect>,
     pub(crate) actions: Vec<event::Action>,
     pub(crate) store_reachable: bool,
+    /// When the store became unreachable.
+    pub(crate) store_lost_at: Option<time::Instant>,
     /// Whether something has changed that may let a task start.
     pub(crate) may_place: bool,
 }
@@ -79,7 +82,7 @@
             event::Event::Hold { life, outcome } => self.held(&life, outcome, clock),
             event::Event::Advice { call, outcome } => self.advised(call, outcome, clock),
             event::Event::Committed(batch) => self.committed(batch, clock),
-            event::Event::StoreReachable(reachable) => self.note_store(reachable),
+            event::Event::StoreReachable(reachable) => self.note_store(reachable, clock),
             event::Event::Tick => self.tick(clock),
         }
     }
@@ -130,11 +133,12 @@
         self.may_place = true;
     }
 
-    fn note_store(&mut self, reachable: bool) {
+    fn note_store(&mut self, reachable: bool, clock: event::Clock) {
         if reachable == self.store_reachable {
             return;
         }
         self.store_reachable = reachable;
+        self.store_lost_at = (!reachable).then_some(clock.now);
         if !reachable {
             self.refuse_unstored();
         }
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -311,13 +311,15 @@
     pub address: String,
     /// Instance that the sender takes for the leader, and heard from lately.
     pub leader: Option<ids::InstanceId>,
+    /// `address:port` of that leader's peer listener; empty without a leader.
+    pub leader_address: String,
     /// Newest term that the sender knows.
     pub term: Term,
     /// Newest manifest that the sender has.
     pub manifest_version: ManifestVersion,
     /// Whether the sender is stopping.
     pub draining: bool,
-    /// Whether the sender's last call to the store succeeded.
+    /// Whether the store answers the sender; for a leader, whether it takes its batches.
     pub store_reachable: bool,
 }
 
