--- a/crates/controller/src/cell.rs
+++ b/crates/controller/src/cell.rs
@@ -20,6 +20,8 @@
     pub(crate) instance_id: model::InstanceId,
     /// `address:port` of its peer listener.
     pub(crate) address: sync::Arc<str>,
+    /// Processor time of its machine, in thousandths of a core.
+    pub(crate) strength_milli: u32,
 }
 
 /// The leader of a term.
@@ -105,11 +107,11 @@
         self.members.values()
     }
 
-    /// Returns the place of an instance among the live ones, in the order of their names.
-    pub(crate) fn rank_of(&self, instance_id: &model::InstanceId) -> usize {
-        let before = self
-            .members()
-            .filter(|member| member.instance_id < *instance_id);
+    /// Returns the place of an instance among the live ones: strong machines first, then by name.
+    pub(crate) fn rank_of(&self, member: &Member) -> usize {
+        let order = |one: &Member| (u32::MAX - one.strength_milli, one.instance_id.clone());
+        let own = order(member);
+        let before = self.members().filter(|other| order(other) < own);
         before.count()
     }
 }
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -18,8 +18,8 @@
 
 /// Time between two looks at the leader.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// How much longer each instance waits than the one before it in the order of names, so that one
-/// claims at a time.
+/// How much longer each instance waits than the one before it in the order of strength, so that
+/// one claims at a time and weak machines lead only when no strong one does.
 const RANK_DELAY: time::Duration = time::Duration::from_millis(30);
 /// Pause after a claim or a term that failed.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
@@ -59,7 +59,7 @@
     }
     let (leader, rank, is_known) = {
         let cell = shared.cell.borrow();
-        let rank = cell.rank_of(&shared.member.instance_id);
+        let rank = cell.rank_of(&shared.member);
         (cell.leader.clone(), rank, cell.revision > 0)
     };
     if !is_known {
@@ -159,5 +159,5 @@
     };
     let member = cell::decode::<cell::Member>(&entry.value)?;
     let term = entry.modified_revision;
-    (member == shared.member && Some(term) != expected).then_some(term)
+    (member.instance_id == shared.member.instance_id && Some(term) != expected).then_some(term)
 }
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -140,7 +140,7 @@
         left: time::Duration,
     ) -> Option<model::JobReply> {
         let leader = self.shared.cell.borrow().leader.clone()?;
-        if leader.member == self.shared.member {
+        if leader.member.instance_id == self.shared.member.instance_id {
             return None;
         }
         let timeout = left.min(TRY_TIMEOUT);
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -106,6 +106,7 @@
         let member = cell::Member {
             instance_id,
             address: settings.peer_address.to_string().into(),
+            strength_milli: settings.strength_milli,
         };
         let shared = sync::Arc::new(Shared {
             platform,
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -24,6 +24,10 @@
 const HOLD_SLACK: time::Duration = time::Duration::from_millis(600);
 /// How long a leader that resigns waits for its last batch.
 const RESIGN_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+/// How long a weak machine leads before it makes room: all machines have started by then.
+const WEAK_TERM: time::Duration = time::Duration::from_secs(3);
+/// How many times stronger a machine must be for the leader to make room.
+const FAR_STRONGER: u32 = 2;
 /// Time between looks at what may end the term.
 const OFFICE_CHECK: time::Duration = time::Duration::from_millis(100);
 
@@ -142,6 +146,7 @@
         let mut manifest = self.shared.manifest.subscribe();
         let mut cell = self.shared.cell.subscribe();
         let mut check = tokio::time::interval(OFFICE_CHECK);
+        let taken_up_at = time::Instant::now();
         let ended = loop {
             tokio::select! {
                 actions = decided.recv() => {
@@ -166,7 +171,7 @@
                     if let Err(cause) = self.check_office() {
                         break Err(cause);
                     }
-                    if self.shared.is_draining() {
+                    if self.shared.is_draining() || self.has_stronger(taken_up_at) {
                         break Ok(());
                     }
                 }
@@ -216,6 +221,21 @@
         self.control.tell(jobs::Event::Advisors(live));
     }
 
+    /// Returns whether a machine that is far stronger should lead.
+    fn has_stronger(&self, taken_up_at: time::Instant) -> bool {
+        if taken_up_at.elapsed() < WEAK_TERM {
+            return false;
+        }
+        let enough = self
+            .shared
+            .member
+            .strength_milli
+            .saturating_mul(FAR_STRONGER);
+        let cell = self.shared.cell.borrow();
+        cell.members()
+            .any(|member| member.strength_milli >= enough.max(1))
+    }
+
     /// Ends the term if the store names another leader.
     fn check_cell(&self) -> Result<(), error::Error> {
         let cell = self.shared.cell.borrow();
--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -78,7 +78,7 @@
     loop {
         let leader = cell.borrow_and_update().leader.clone();
         if let Some(leader) = leader
-            && leader.member != shared.member
+            && leader.member.instance_id != shared.member.instance_id
         {
             pulse_leader(&shared, &leader).await;
         }
@@ -202,7 +202,7 @@
     let members: Vec<_> = shared.cell.borrow().members().cloned().collect();
     let others = members
         .into_iter()
-        .filter(|member| *member != shared.member)
+        .filter(|member| member.instance_id != shared.member.instance_id)
         .choose_multiple(&mut rand::rng(), ASKED_AT_ONCE);
     for member in others {
         let link = shared.links.to(&member.address);
@@ -223,6 +223,7 @@
         member: cell::Member {
             instance_id: sync::Arc::clone(instance_id),
             address: pulse.leader_address.as_str().into(),
+            strength_milli: 0,
         },
         term: pulse.term,
     };
@@ -245,9 +246,10 @@
     leader: &cell::Leader,
 ) -> bool {
     let members: Vec<_> = shared.cell.borrow().members().cloned().collect();
-    let others = members
-        .into_iter()
-        .filter(|member| *member != shared.member && *member != leader.member);
+    let others = members.into_iter().filter(|member| {
+        member.instance_id != shared.member.instance_id
+            && member.instance_id != leader.member.instance_id
+    });
     let mut calls = tokio::task::JoinSet::new();
     for member in others {
         let link = shared.links.to(&member.address);
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -10,6 +10,8 @@
     pub name: String,
     /// Where other instances reach this one.
     pub peer_address: net::SocketAddr,
+    /// Processor time of the machine, in thousandths of a core; strong machines lead first.
+    pub strength_milli: u32,
     /// Name of the cluster; instances of other clusters are refused.
     pub cluster: String,
     /// How long the store keeps this instance's entries without a renewal.
@@ -40,6 +42,7 @@
         Self {
             name: name.into(),
             peer_address,
+            strength_milli: 1_000,
             cluster: "ferry".to_owned(),
             store_lease: ms(2_000),
             store_renewal: ms(500),
@@ -53,6 +56,13 @@
         }
     }
 
+    /// Sets the processor time of the machine, in thousandths of a core.
+    #[must_use]
+    pub fn strength_milli(mut self, milli: impl Into<u32>) -> Self {
+        self.strength_milli = milli.into();
+        self
+    }
+
     /// Sets the settings of the decisions.
     #[must_use]
     pub fn jobs(mut self, jobs: impl Into<jobs::Settings>) -> Self {
