--- a/crates/owner/src/delegation.rs
+++ b/crates/owner/src/delegation.rs
@@ -276,10 +276,10 @@
     }
 
     pub(crate) fn delegate_acked(&mut self, to: &InstanceId) {
-        if let Some(delegation) = self.delegations.swap_remove(to) {
-            if delegation.sent {
-                self.forget_given_away(to, delegation);
-            }
+        if let Some(delegation) = self.delegations.swap_remove(to)
+            && delegation.sent
+        {
+            self.forget_given_away(to, delegation);
         }
     }
 
--- a/crates/owner/src/journal_io.rs
+++ b/crates/owner/src/journal_io.rs
@@ -165,10 +165,10 @@
 
     pub(crate) fn journal_read_failed(&mut self, partition: Partition) {
         let now = self.now;
-        if let Some(tenancy) = self.owned.get_mut(&partition) {
-            if matches!(tenancy.journal, tenancy::JournalState::Reading) {
-                tenancy.journal = tenancy::JournalState::Unread(now + READ_RETRY_AFTER);
-            }
+        if let Some(tenancy) = self.owned.get_mut(&partition)
+            && matches!(tenancy.journal, tenancy::JournalState::Reading)
+        {
+            tenancy.journal = tenancy::JournalState::Unread(now + READ_RETRY_AFTER);
         }
     }
 
--- a/crates/owner/src/settle.rs
+++ b/crates/owner/src/settle.rs
@@ -51,23 +51,23 @@
 
     /// Gives back what a task occupied.
     pub(crate) fn free(&mut self, task_id: TaskId) {
-        if let Some(record) = self.tasks.get_mut(&task_id) {
-            if record.occupied {
-                record.occupied = false;
-                let task = record.task.clone();
-                self.out.push(Action::Freed { task });
-            }
+        if let Some(record) = self.tasks.get_mut(&task_id)
+            && record.occupied
+        {
+            record.occupied = false;
+            let task = record.task.clone();
+            self.out.push(Action::Freed { task });
         }
     }
 
     /// Notes that a task occupies resources without having been queued here.
     pub(crate) fn adopt(&mut self, task_id: TaskId) {
-        if let Some(record) = self.tasks.get_mut(&task_id) {
-            if !record.occupied {
-                record.occupied = true;
-                let task = record.task.clone();
-                self.out.push(Action::Adopted { task });
-            }
+        if let Some(record) = self.tasks.get_mut(&task_id)
+            && !record.occupied
+        {
+            record.occupied = true;
+            let task = record.task.clone();
+            self.out.push(Action::Adopted { task });
         }
     }
 
--- a/crates/owner/src/suspects.rs
+++ b/crates/owner/src/suspects.rs
@@ -172,11 +172,12 @@
             return;
         };
         for run in record.members_mut().into_iter().flatten() {
-            if let record::Phase::Missing(missing) = &mut run.phase {
-                if missing.expires_at <= now && !missing.asked_after_expiry {
-                    missing.asked_after_expiry = true;
-                    missing.since = sequence;
-                }
+            if let record::Phase::Missing(missing) = &mut run.phase
+                && missing.expires_at <= now
+                && !missing.asked_after_expiry
+            {
+                missing.asked_after_expiry = true;
+                missing.since = sequence;
             }
         }
         self.suspect(task_id);
--- a/crates/owner/src/tickets.rs
+++ b/crates/owner/src/tickets.rs
@@ -82,10 +82,10 @@
 
     pub(crate) fn abandon(&mut self, ticket: Ticket) {
         let waiting = self.tickets.swap_remove(&ticket);
-        if let Some(Waiting::Joined { task_id, .. }) = waiting {
-            if let Some(record) = self.tasks.get_mut(&task_id) {
-                record.tickets.retain(|other| *other != ticket);
-            }
+        if let Some(Waiting::Joined { task_id, .. }) = waiting
+            && let Some(record) = self.tasks.get_mut(&task_id)
+        {
+            record.tickets.retain(|other| *other != ticket);
         }
     }
 
@@ -173,10 +173,10 @@
             if settled.task.customer_id == *customer_id {
                 return TaskStatus::Settled(settled.outcome.clone());
             }
-        } else if let Some(remembered) = self.memory.remembered(task_id) {
-            if remembered.customer_id == *customer_id {
-                return TaskStatus::Settled(Outcome::Unknown(remembered.reason));
-            }
+        } else if let Some(remembered) = self.memory.remembered(task_id)
+            && remembered.customer_id == *customer_id
+        {
+            return TaskStatus::Settled(Outcome::Unknown(remembered.reason));
         }
         TaskStatus::NotFound
     }
--- a/crates/owner/tests/cluster/net.rs
+++ b/crates/owner/tests/cluster/net.rs
@@ -91,11 +91,11 @@
             return;
         }
         let target = self.target(&message.request);
-        if let Some(Some(to)) = target {
-            if self.nodes[to].paused {
-                self.net.push(message);
-                return;
-            }
+        if let Some(Some(to)) = target
+            && self.nodes[to].paused
+        {
+            self.net.push(message);
+            return;
         }
         let reachable = match target {
             Some(Some(to)) => self.reaches(message.from, to),
--- a/crates/owner/tests/interleavings.rs
+++ b/crates/owner/tests/interleavings.rs
@@ -100,7 +100,7 @@
             members: 1,
             urgency: Urgency::Normal,
             deadline_ms: 4_000,
-            repeatable: kind % 2 == 0,
+            repeatable: kind.is_multiple_of(2),
             key: Some(name),
             declared_run_ms: None,
             body: "{}".into(),
