Serve work that can still be in time before work that cannot

Ruled out: room (half of the workers are idle while steps wait for advice). The test fails with the order taken out. Conclusion: the order of service follows what callers still get; priority decides within it.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -19,6 +19,8 @@
     /// Its queue at acceptance.
     pub(crate) accepted_queue: sync::Arc<manifest::Queue>,
     pub(crate) accepted_at_ms: u64,
+    /// Time from acceptance, or from the due time, within which it should end, in milliseconds.
+    pub(crate) objective_ms: u64,
     pub(crate) occurrences: Vec<Occurrence>,
     /// The outcome once it is decided; never changes after that.
     pub(crate) outcome: Option<model::JobStatus>,
@@ -100,10 +102,12 @@
         accepted_at_ms: u64,
     ) -> Self {
         let occurrences = occurrences_of(&job);
+        let objective_ms = objective_ms(&job, &queue);
         Self {
             job,
             accepted_queue: queue,
             accepted_at_ms,
+            objective_ms,
             occurrences,
             outcome: None,
             is_stored: false,
@@ -298,6 +302,18 @@
     }
 }
 
+/// Returns the time within which a job should end, by the caller's estimates.
+fn objective_ms(job: &model::Job, queue: &manifest::Queue) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(job.steps.len());
+    for step in &job.steps {
+        let before = step.after.iter().map(|one| ends_ms[usize::from(*one)]);
+        ends_ms.push(before.max().unwrap_or_default() + u64::from(step.estimated_ms));
+    }
+    let chain_ms = ends_ms.into_iter().max().unwrap_or_default();
+    // Truncation is fine: the estimates are rough.
+    (queue.stretch * chain_ms as f64) as u64 + queue.target_latency.as_millis() as u64
+}
+
 fn occurrences_of(job: &model::Job) -> Vec<Occurrence> {
     let steps = || {
         let steps = job.steps.iter().map(|step| StepState {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -62,8 +62,7 @@
     /// Starts what fits, in the order of service.
     pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         let mut pass = Pass::default();
-        let steps: Vec<_> = self.waiting.iter().copied().collect();
-        for waiting in steps {
+        for waiting in self.order_of_service(clock) {
             if self.place_step(waiting.key, &mut pass, clock) {
                 self.waiting.remove(&waiting);
             }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -49,6 +49,19 @@
     pub(crate) placed_at: Option<time::Instant>,
 }
 
+/// Whether a job that waits can still end in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lateness {
+    InTime,
+    /// Its objective has passed, and its result is worth less.
+    Late,
+    /// Its result is worth nothing more; it is finished all the same.
+    Useless,
+}
+
+/// Multiple of its objective after which a job's result is worth nothing.
+const USELESS_AFTER: u64 = 3;
+
 /// A step with waiting tasks; the order is that of service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaitingStep {
@@ -221,6 +234,34 @@
         }
     }
 
+    /// Returns the waiting steps in the order of service.
+    ///
+    /// Work that can still end in time goes before work that cannot, whatever their priorities:
+    /// after an outage the first would become late behind the second.
+    pub(crate) fn order_of_service(&self, clock: event::Clock) -> Vec<WaitingStep> {
+        let mut steps: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|step| (self.lateness(step, clock), *step))
+            .collect();
+        steps.sort_by_key(|(lateness, _)| *lateness);
+        steps.into_iter().map(|(_, step)| step).collect()
+    }
+
+    fn lateness(&self, step: &WaitingStep, clock: event::Clock) -> Lateness {
+        let Some(state) = self.jobs.get(&step.key.job_id) else {
+            return Lateness::InTime;
+        };
+        let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
+        if waited_ms < state.objective_ms {
+            Lateness::InTime
+        } else if waited_ms < USELESS_AFTER * state.objective_ms {
+            Lateness::Late
+        } else {
+            Lateness::Useless
+        }
+    }
+
     /// Removes every step of a job from the queue.
     pub(crate) fn dequeue(&mut self, job_id: model::JobId) {
         self.waiting.retain(|step| step.key.job_id != job_id);
--- a/crates/jobs/tests/scheduler/crest.rs
+++ b/crates/jobs/tests/scheduler/crest.rs
@@ -107,6 +107,33 @@
     );
 }
 
+/// Pattern: after an outage, short work whose time has passed waits beside longer work that can
+/// still end in time.
+#[test]
+fn after_an_outage_work_that_can_be_in_time_goes_first() {
+    let mut world = World::new(6, 6, None);
+    world.run_ms(200);
+    submit_each(&mut world, 1, 40, 0, "short", &world::step(4, 4_000, 300));
+    submit_each(&mut world, 100, 6, 0, "long", &world::step(2, 4_000, 4_000));
+    world.run_ms(100);
+    world.kill_leader();
+    // Past the objective of the short jobs: twice 300 ms and 400 ms more.
+    world.run_ms(3_500);
+    world.elect();
+    let elected_ms = world.now_ms;
+    world.run_ms(6_000);
+    let first_late = (1..41)
+        .filter_map(|id| world.started_at_ms.get(&id).copied())
+        .filter(|at_ms| *at_ms > elected_ms)
+        .min();
+    let first_late = Some(first_late.unwrap_or(u64::MAX));
+    let last_in_time = (100..106).map(|id| world.started_at_ms[&id]).max();
+    assert!(
+        last_in_time <= first_late,
+        "{last_in_time:?} {first_late:?}"
+    );
+}
+
 /// Pattern: the store goes down in the middle of a burst.
 #[test]
 fn jobs_that_cannot_be_stored_are_refused_at_once_and_never_run() {
