--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -17,6 +17,9 @@
 const MAX_BATCH_BYTES: usize = 256 * 1024;
 /// Batches under way at once; more than one only while the store is slow.
 const MAX_IN_FLIGHT: usize = 8;
+/// Shortest time between two batches: each is a call that the platform counts, and a job waits for
+/// three of them.
+const BATCH_SPACING: time::Duration = time::Duration::from_millis(12);
 /// Time after which another batch is handed out although the one before is not confirmed.
 const PIPELINE_SPACING: time::Duration = time::Duration::from_millis(40);
 /// Ended jobs whose outcomes are gathered into one value.
@@ -78,15 +81,20 @@
         self.dirty.iter().copied()
     }
 
+    /// Returns whether jobs wait for a batch.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// Returns whether a batch may be handed out now.
     fn may_flush(&self, store_reachable: bool, now: time::Instant) -> bool {
+        let age = self
+            .flushed_at
+            .map_or(time::Duration::MAX, |at| now.saturating_duration_since(at));
         if self.in_flight.is_empty() {
-            return true;
+            return age >= BATCH_SPACING;
         }
-        let is_spaced = self
-            .flushed_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= PIPELINE_SPACING);
-        store_reachable && is_spaced && self.in_flight.len() < MAX_IN_FLIGHT
+        store_reachable && age >= PIPELINE_SPACING && self.in_flight.len() < MAX_IN_FLIGHT
     }
 }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -127,7 +127,8 @@
     /// Returns whether [`Scheduler::finish`] should be called again within some milliseconds.
     #[must_use]
     pub fn is_unsettled(&self) -> bool {
-        self.may_place && !self.waiting.is_empty()
+        let may_place = self.may_place && !self.waiting.is_empty();
+        may_place || self.journal.has_waiting()
     }
 
     /// Returns counts for metrics.
