--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -26,8 +26,10 @@
 const PATIENCE_FACTOR: u32 = 3;
 /// Weight of the newest answer time in the usual one, as one part in this many.
 const SMOOTHING: u32 = 4;
-/// How long the store may fail before callers are told.
+/// How long the store may refuse batches before it counts as unreachable.
 const UNREACHABLE_AFTER: time::Duration = time::Duration::from_millis(300);
+/// How long the store may be silent before it counts as unreachable; one that is slow answers.
+const SILENT_AFTER: time::Duration = time::Duration::from_millis(1_200);
 
 /// Writes batches to the store; clones share what is known of the store.
 #[derive(Clone, Debug)]
@@ -79,6 +81,13 @@
         let mut patience = self.patience();
         loop {
             let outcome = tokio::time::timeout(patience, self.attempt(&batch)).await;
+            let limit = match &outcome {
+                Ok(_) => UNREACHABLE_AFTER,
+                Err(_) => {
+                    self.note_silence(patience);
+                    SILENT_AFTER
+                }
+            };
             let outcome = outcome.unwrap_or_else(|_| {
                 let context = format!("no answer within {} ms", patience.as_millis());
                 Err(store::Error::new(store::ErrorKind::Timeout, context).into())
@@ -98,7 +107,7 @@
                         cause:% = cause;
                         "batch not confirmed"
                     );
-                    self.note_failure();
+                    self.note_failure(limit);
                 }
             }
             tokio::time::sleep(pause).await;
@@ -161,10 +170,19 @@
         }
     }
 
-    fn note_failure(&self) {
+    /// Notes that an answer takes longer than `patience`.
+    fn note_silence(&self, patience: time::Duration) {
+        let mut contact = instance::lock(&self.contact);
+        contact.usual = contact
+            .usual
+            .max(patience)
+            .min(MAX_PATIENCE / PATIENCE_FACTOR);
+    }
+
+    fn note_failure(&self, limit: time::Duration) {
         let mut contact = instance::lock(&self.contact);
         let since = *contact.failing_since.get_or_insert_with(time::Instant::now);
-        if !contact.is_told && since.elapsed() >= UNREACHABLE_AFTER {
+        if !contact.is_told && since.elapsed() >= limit {
             contact.is_told = true;
             self.batches_fail.store(true, atomic::Ordering::Relaxed);
             log::warn!(term = self.term; "store does not take batches");
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -46,7 +46,7 @@
             cluster: "ferry".to_owned(),
             store_lease: ms(2_000),
             store_renewal: ms(500),
-            office: ms(6_000),
+            office: ms(9_000),
             pulse_interval: ms(300),
             leader_silence: ms(1_200),
             directory_interval: ms(700),
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -19,6 +19,9 @@
 /// many to name at least.
 const EXPECTED_ALLOWED_SHARE: f64 = 0.33;
 
+/// Workers that a call about a gang names as a rule.
+const USUAL_GANG_NAMES: u32 = 40;
+
 /// What one pass over the waiting steps has set aside.
 #[derive(Debug, Default)]
 struct Pass {
@@ -394,9 +397,18 @@
     clock: event::Clock,
 ) -> Vec<model::WorkerId> {
     let demand = &workers::counted_demand(step);
+    // The tickets of a gang must all be valid together: one that ends during the call is renewed.
+    let usual = u32::try_from(usable.len()).unwrap_or(u32::MAX);
+    let ahead = match step.gang {
+        true => terms.base_time + terms.time_per_worker * usual.min(USUAL_GANG_NAMES),
+        false => time::Duration::ZERO,
+    };
     let mut unsure: Vec<_> = usable
         .iter()
-        .filter(|one| tickets.valid(&one.life.worker_id, clock.now).is_none())
+        .filter(|one| {
+            let worker_id = &one.life.worker_id;
+            tickets.valid(worker_id, clock.now + ahead).is_none()
+        })
         .collect();
     let is_first = tickets.is_empty();
     if !is_first {
