--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -14,14 +14,11 @@
 use crate::control;
 use crate::error;
 use crate::instance;
+use crate::orders;
 use crate::platform;
-use crate::platform::Advisor as _;
-use crate::platform::Workers as _;
 
 /// Entries read at once.
 const PAGE: u32 = 500;
-/// How much longer than its own wait a call to hold a worker may take.
-const HOLD_SLACK: time::Duration = time::Duration::from_millis(600);
 /// How long a leader that resigns waits for its last batch.
 const RESIGN_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// How long a weak machine leads before it makes room: all machines have started by then.
@@ -284,7 +281,7 @@
         let timeout = shared.settings.order_timeout;
         self.orders.spawn(async move {
             let event = tokio::select! {
-                event = perform(&shared, action, timeout) => event,
+                event = orders::perform(&shared, action, timeout) => event,
                 () = over.cancelled() => None,
             };
             if let Some(event) = event {
@@ -294,77 +291,6 @@
     }
 }
 
-/// Carries out an order and returns what came of it.
-async fn perform<P: platform::Platform>(
-    shared: &instance::Shared<P>,
-    action: jobs::Action,
-    timeout: time::Duration,
-) -> Option<jobs::Event> {
-    let workers = shared.platform.workers();
-    match action {
-        jobs::Action::Start(order) => {
-            let outcome = workers.start(&order, timeout).await;
-            shared.metrics.count(match &outcome {
-                jobs::StartOutcome::Started => "start.started",
-                jobs::StartOutcome::Rejected(_) => "start.rejected",
-                jobs::StartOutcome::NoAnswer => "start.unanswered",
-            });
-            Some(jobs::Event::Start {
-                life: order.life,
-                run: order.run,
-                outcome,
-            })
-        }
-        jobs::Action::Stop(order) => {
-            let outcome = workers.stop(&order, timeout).await;
-            Some(jobs::Event::Stop {
-                life: order.life,
-                run: order.run,
-                outcome,
-            })
-        }
-        jobs::Action::Hold(order) => {
-            let outcome = workers.hold(&order, HOLD_SLACK).await;
-            Some(jobs::Event::Hold {
-                life: order.life,
-                outcome,
-            })
-        }
-        jobs::Action::Advise(call) => {
-            let outcome = advise(shared, &call).await;
-            Some(jobs::Event::Advice {
-                call: call.call,
-                outcome,
-            })
-        }
-        jobs::Action::Reply(..) | jobs::Action::Commit(_) | jobs::Action::StepDown => None,
-    }
-}
-
-/// Asks the recommendation service through the instance that was chosen.
-async fn advise<P: platform::Platform>(
-    shared: &instance::Shared<P>,
-    call: &jobs::AdviceCall,
-) -> Result<model::AdviceReply, model::AdviceFailure> {
-    if call.instance_id == shared.member.instance_id {
-        return shared.platform.advisor().advise(&call.request).await;
-    }
-    let address = instance::lock(&shared.followers).address_of(&call.instance_id);
-    let Some(address) = address else {
-        return Err(model::AdviceFailure::NoAnswer);
-    };
-    let request = model::LinkRequest::Advise(call.request.clone());
-    let timeout = time::Duration::from_millis(call.request.timeout_ms);
-    match shared.links.to(&address).request(&request, timeout).await {
-        Ok(model::LinkReply::Advice(outcome)) => outcome,
-        Ok(_) => Err(model::AdviceFailure::Protocol),
-        Err(cause) => {
-            log::info!(instance:% = call.instance_id, cause:% = cause; "advice not passed on");
-            Err(model::AdviceFailure::NoAnswer)
-        }
-    }
-}
-
 /// Commits batches until there are no more or the term is over.
 async fn commit_all<S: store::Store>(
     committer: commit::Committer<S>,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 mod instance;
 mod leader;
 mod links;
+mod orders;
 mod platform;
 mod pulse;
 mod registration;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,6 +18,7 @@
 mod scheduler;
 mod segments;
 mod settings;
+mod starts;
 mod tickets;
 mod worker;
 mod worker_api;
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -139,26 +139,11 @@
         let lapsed_at = clock.now + office + self.settings.lease_horizon();
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
-            for key in state.step_keys() {
-                let Some((step, step_state)) = state.step(key) else {
-                    continue;
-                };
-                let demand = workers::counted_demand(step);
-                for (index, task) in step_state.tasks.iter().enumerate() {
-                    if let job::Phase::Placed(life) = &task.phase {
-                        let task_key = model::TaskKey {
-                            job_id: key.job_id,
-                            occurrence: key.occurrence,
-                            step: key.step,
-                            index: u32::try_from(index).unwrap_or(u32::MAX),
-                        };
-                        let run = model::RunKey {
-                            task: task_key,
-                            run: task.last_run,
-                        };
-                        inherited.push((life.clone(), run, demand, state.outcome.is_some()));
-                    }
-                }
+            for (life, run) in state.placed_runs() {
+                let step = state.step(run.task.step_key());
+                let demand = step.map(|(step, _)| workers::counted_demand(step));
+                let is_over = state.outcome.is_some();
+                inherited.push((life, run, demand.unwrap_or_default(), is_over));
             }
         }
         log::info!(
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -1,17 +1,14 @@
-//! The life of a run: planned, started, ended or lost.
+//! How runs end: listed by their worker, stopped, or lost.
 
 use std::sync;
 use std::time;
 
 use crate::event;
 use crate::job;
-use crate::journal;
 use crate::scheduler;
 use crate::worker;
 use crate::worker_api;
 
-/// Pause before an order that was not answered is sent again.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Pause before a stop order that was not answered is sent again.
 const STOP_RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
 
@@ -25,230 +22,6 @@
 }
 
 impl scheduler::Scheduler {
-    /// Sends the first start order of a run whose intent is stored.
-    pub(crate) fn launch(
-        &mut self,
-        life: &model::WorkerLife,
-        key: model::RunKey,
-        clock: event::Clock,
-    ) {
-        let planned = self
-            .workers
-            .get(life)
-            .and_then(|worker| worker.runs.get(&key));
-        if planned.is_none_or(|run| run.phase != worker::RunPhase::Planned) {
-            return;
-        }
-        if !self.send_start(life, key, clock) {
-            log::info!(
-                run:% = run_name(key),
-                worker:% = life.worker_id;
-                "start withdrawn before it was sent"
-            );
-            self.withdraw(life, key, clock);
-        }
-    }
-
-    /// Sends a start order; returns whether the worker may get it.
-    fn send_start(
-        &mut self,
-        life: &model::WorkerLife,
-        key: model::RunKey,
-        clock: event::Clock,
-    ) -> bool {
-        let run_lease = self.settings.run_lease;
-        let Some(state) = self.jobs.get(&key.task.job_id) else {
-            return false;
-        };
-        let queue = Self::queue_of(&self.manifest, state);
-        let Some((step, step_state)) = state.step(key.task.step_key()) else {
-            return false;
-        };
-        let ticket = match queue.advice {
-            None => None,
-            Some(_) => match step_state.tickets.valid(&life.worker_id, clock.now) {
-                Some(token) => Some(token.to_owned()),
-                None => return false,
-            },
-        };
-        let task = &step_state.tasks[key.task.index as usize];
-        let checkpoint = task.checkpoint.clone().filter(|_| step.checkpointing);
-        let spec = sync::Arc::clone(&state.job.spec);
-        let Some(worker) = self.workers.get_mut(life) else {
-            return false;
-        };
-        if !worker.takes_work(clock.now) {
-            return false;
-        }
-        let (Some(report), Some(lease_end_ms)) =
-            (&worker.report, worker.lease_end_ms(run_lease, clock.now))
-        else {
-            return false;
-        };
-        let order = worker_api::StartOrder {
-            life: life.clone(),
-            address: sync::Arc::clone(&report.address),
-            run: key,
-            spec,
-            lease_end_ms,
-            term: self.term,
-            checkpoint,
-            ticket,
-        };
-        worker.lapsed_at = worker
-            .lapsed_at
-            .max(clock.now + self.settings.lease_horizon());
-        if let Some(run) = worker.runs.get_mut(&key) {
-            run.tries += 1;
-            run.set_phase(worker::RunPhase::Starting, clock.now);
-        }
-        self.actions.push(event::Action::Start(order));
-        true
-    }
-
-    pub(crate) fn started(
-        &mut self,
-        life: &model::WorkerLife,
-        key: model::RunKey,
-        outcome: worker_api::StartOutcome,
-        clock: event::Clock,
-    ) {
-        let Some(worker) = self.workers.get_mut(life) else {
-            return;
-        };
-        let Some(run) = worker.runs.get_mut(&key) else {
-            return;
-        };
-        let is_starting = run.phase == worker::RunPhase::Starting;
-        match outcome {
-            worker_api::StartOutcome::Started => {
-                if is_starting {
-                    run.set_phase(worker::RunPhase::Running, clock.now);
-                }
-                self.note_started(key);
-            }
-            worker_api::StartOutcome::NoAnswer => {
-                run.unanswered = true;
-                log::info!(
-                    run:% = run_name(key),
-                    worker:% = life.worker_id,
-                    tries = run.tries;
-                    "start not answered"
-                );
-                if is_starting {
-                    let next = if run.may_try_again() {
-                        worker::RunPhase::Retrying(clock.now + RETRY_PAUSE)
-                    } else {
-                        worker::RunPhase::Stopping(clock.now)
-                    };
-                    run.set_phase(next, clock.now);
-                }
-            }
-            worker_api::StartOutcome::Rejected(reason) => {
-                log::info!(
-                    run:% = run_name(key),
-                    worker:% = life.worker_id,
-                    reason:? = reason,
-                    earlier_unanswered = run.unanswered;
-                    "start rejected"
-                );
-                self.start_rejected(life, key, reason, clock);
-            }
-        }
-    }
-
-    fn start_rejected(
-        &mut self,
-        life: &model::WorkerLife,
-        key: model::RunKey,
-        reason: worker_api::StartRejection,
-        clock: event::Clock,
-    ) {
-        let Some(worker) = self.workers.get_mut(life) else {
-            return;
-        };
-        match reason {
-            worker_api::StartRejection::Fenced => {
-                self.actions.push(event::Action::StepDown);
-                return;
-            }
-            worker_api::StartRejection::Unhealthy => {
-                worker.health.note_failed(clock.now);
-            }
-            worker_api::StartRejection::Unreachable | worker_api::StartRejection::OtherLife => {
-                worker.silent_since.get_or_insert(clock.now);
-            }
-            worker_api::StartRejection::Ticket => {
-                let job_id = key.task.job_id;
-                let state = self.jobs.get_mut(&job_id);
-                if let Some((_, step)) = state.and_then(|one| one.step_mut(key.task.step_key())) {
-                    step.tickets.expire(&life.worker_id, clock.now);
-                }
-            }
-            _ => {}
-        }
-        let Some(run) = self
-            .workers
-            .get_mut(life)
-            .and_then(|worker| worker.runs.get_mut(&key))
-        else {
-            return;
-        };
-        if run.phase != worker::RunPhase::Starting {
-            return;
-        }
-        if run.unanswered || reason == worker_api::StartRejection::Outdated {
-            // An earlier copy of the order may still be carried out.
-            run.set_phase(worker::RunPhase::Stopping(clock.now), clock.now);
-        } else {
-            self.withdraw(life, key, clock);
-        }
-    }
-
-    /// Takes back a run that has surely not started and never will.
-    fn withdraw(&mut self, life: &model::WorkerLife, key: model::RunKey, clock: event::Clock) {
-        if let Some(worker) = self.workers.get_mut(life) {
-            worker.remove_run(&key);
-        }
-        self.requeue(life, key, clock);
-        self.break_gang(key, clock);
-    }
-
-    /// Lets the task of a run that is gone wait again.
-    pub(crate) fn requeue(
-        &mut self,
-        life: &model::WorkerLife,
-        key: model::RunKey,
-        clock: event::Clock,
-    ) {
-        let job_id = key.task.job_id;
-        let Some(state) = self.jobs.get_mut(&job_id) else {
-            return;
-        };
-        let Some((_, step)) = state.step_mut(key.task.step_key()) else {
-            return;
-        };
-        let Some(task) = step.tasks.get(key.task.index as usize) else {
-            return;
-        };
-        if task.last_run != key.run || task.phase != job::Phase::Placed(life.clone()) {
-            return;
-        }
-        step.set_phase(key.task.index, job::Phase::Waiting);
-        self.journal.mark(job_id);
-        self.enqueue(job_id, clock);
-    }
-
-    fn note_started(&mut self, key: model::RunKey) {
-        let job_id = key.task.job_id;
-        if let Some(state) = self.jobs.get_mut(&job_id)
-            && !state.started
-        {
-            state.started = true;
-            log::info!(job:% = journal::hex(job_id), run:% = run_name(key); "job started");
-        }
-    }
-
     pub(crate) fn stopped(
         &mut self,
         life: &model::WorkerLife,
@@ -256,11 +29,7 @@
         outcome: worker_api::StopOutcome,
         clock: event::Clock,
     ) {
-        let Some(run) = self
-            .workers
-            .get_mut(life)
-            .and_then(|worker| worker.runs.get_mut(&key))
-        else {
+        let Some(run) = self.run_mut(life, key) else {
             return;
         };
         match outcome {
@@ -459,49 +228,6 @@
             _ => run.set_phase(worker::RunPhase::Stopping(clock.now), clock.now),
         }
     }
-
-    /// Sends the orders of a worker's runs that are due.
-    pub(crate) fn send_due_orders(&mut self, life: &model::WorkerLife, clock: event::Clock) {
-        let Some(worker) = self.workers.get(life) else {
-            return;
-        };
-        let due = worker.runs.iter().filter(|(_, run)| match run.phase {
-            worker::RunPhase::Retrying(at) | worker::RunPhase::Stopping(at) => at <= clock.now,
-            _ => false,
-        });
-        let due: Vec<_> = due.map(|(key, run)| (*key, run.phase)).collect();
-        for (key, phase) in due {
-            if matches!(phase, worker::RunPhase::Retrying(_)) {
-                if !self.send_start(life, key, clock) {
-                    self.stop_run(life, key, clock);
-                }
-            } else {
-                self.send_stop(life, key, clock);
-            }
-        }
-    }
-
-    fn send_stop(&mut self, life: &model::WorkerLife, key: model::RunKey, clock: event::Clock) {
-        let Some(worker) = self.workers.get_mut(life) else {
-            return;
-        };
-        let Some(report) = &worker.report else {
-            return;
-        };
-        let order = worker_api::StopOrder {
-            life: life.clone(),
-            address: sync::Arc::clone(&report.address),
-            run: key,
-            term: self.term,
-        };
-        if let Some(run) = worker.runs.get_mut(&key) {
-            // Replaced when the answer comes; the pause is for one that never does.
-            let next = worker::RunPhase::Stopping(clock.now + time::Duration::from_secs(2));
-            run.set_phase(next, clock.now);
-        }
-        log::info!(run:% = run_name(key), worker:% = life.worker_id; "stop sent");
-        self.actions.push(event::Action::Stop(order));
-    }
 }
 
 /// Formats a run for logs.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -267,11 +267,7 @@
             self.stop_unknown(life, key, clock);
             return;
         }
-        let Some(run) = self
-            .workers
-            .get_mut(life)
-            .and_then(|worker| worker.runs.get_mut(&key))
-        else {
+        let Some(run) = self.run_mut(life, key) else {
             return;
         };
         let is_confirmed = matches!(
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -66,3 +66,49 @@
         "{text}"
     );
 }
+
+#[test]
+fn lines_beyond_the_limit_are_dropped_and_counted_and_nothing_blocks() {
+    use std::io::Write as _;
+
+    let output = Shared::default();
+    let (mut writer, logs) = telemetry::buffered(output.clone(), 20).expect("the thread starts");
+    // The first line wakes the thread; the others wait until it writes again.
+    for _ in 0..1_000 {
+        writer.write_all(b"0123456789\n").expect("never fails");
+    }
+    logs.close();
+    let text = output.text();
+    let written = text.matches("0123456789").count();
+    let dropped: usize = text
+        .split("lines=")
+        .skip(1)
+        .filter_map(|rest| rest.split_whitespace().next())
+        .filter_map(|number| number.parse::<usize>().ok())
+        .sum();
+    assert_eq!(written + dropped, 1_000, "{text}");
+    assert!(dropped > 0, "{text}");
+}
+
+/// An output that can be read afterwards.
+#[derive(Clone, Default)]
+struct Shared(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl Shared {
+    fn text(&self) -> String {
+        let bytes = self.0.lock().expect("no writer panicked");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+impl std::io::Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut written = self.0.lock().expect("no writer panicked");
+        written.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
