Let a leader that stops lead on until its successor does

Batches under way were bounded at 8, too few for an answer in 480 ms. Followers now replace a leader that says it is leaving, and it works until then.

--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -82,9 +82,15 @@
         .heard_at
         .is_some_and(|at| at.elapsed() >= shared.settings.leader_silence);
     let store_reachable = shared.store_reachable.load(atomic::Ordering::Relaxed);
-    if contact.has_lost_store && store_reachable {
+    if (contact.has_lost_store || contact.is_leaving) && store_reachable {
         tokio::time::sleep(delay).await;
-        log::info!(leader:% = leader.member.instance_id, term = leader.term; "leader has lost the store");
+        log::info!(
+            leader:% = leader.member.instance_id,
+            term = leader.term,
+            has_lost_store = contact.has_lost_store,
+            is_leaving = contact.is_leaving;
+            "leader is to be replaced"
+        );
         let is_same = shared.cell.borrow().leader.as_ref() == Some(&leader);
         return is_same.then_some(Some(leader.term));
     }
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -19,6 +19,8 @@
 
 /// Entries read at once.
 const PAGE: u32 = 500;
+/// How long a leader that stops waits for a successor.
+const SUCCESSOR_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// How long a leader that resigns waits for its last batch.
 const RESIGN_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// How long a weak machine leads before it makes room: all machines have started by then.
@@ -144,6 +146,7 @@
         let mut cell = self.shared.cell.subscribe();
         let mut check = tokio::time::interval(OFFICE_CHECK);
         let taken_up_at = time::Instant::now();
+        let mut leaving_since = None;
         let ended = loop {
             tokio::select! {
                 actions = decided.recv() => {
@@ -168,7 +171,7 @@
                     if let Err(cause) = self.check_office() {
                         break Err(cause);
                     }
-                    if self.shared.is_draining() || self.has_stronger(taken_up_at) {
+                    if self.must_leave(&mut leaving_since) || self.has_stronger(taken_up_at) {
                         break Ok(());
                     }
                 }
@@ -218,6 +221,18 @@
         self.control.tell(jobs::Event::Advisors(live));
     }
 
+    /// Returns whether a leader that stops must resign, as nobody has replaced it.
+    ///
+    /// It leads on until its successor does, so that nothing waits in between.
+    fn must_leave(&self, leaving_since: &mut Option<time::Instant>) -> bool {
+        if !self.shared.is_draining() {
+            return false;
+        }
+        let since = *leaving_since.get_or_insert_with(time::Instant::now);
+        let is_alone = self.shared.cell.borrow().members().count() < 2;
+        is_alone || since.elapsed() >= SUCCESSOR_PATIENCE
+    }
+
     /// Returns whether a machine that is far stronger should lead.
     fn has_stronger(&self, taken_up_at: time::Instant) -> bool {
         if taken_up_at.elapsed() < WEAK_TERM {
--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -30,6 +30,8 @@
     pub(crate) is_gone: bool,
     /// Whether the leader says that the store does not take its batches.
     pub(crate) has_lost_store: bool,
+    /// Whether the leader says that it is stopping.
+    pub(crate) is_leaving: bool,
 }
 
 /// What a leader knows of its followers.
@@ -103,6 +105,7 @@
                 heard_at: Some(time::Instant::now()),
                 is_gone: false,
                 has_lost_store: false,
+                is_leaving: false,
             };
         }
     }
@@ -127,6 +130,7 @@
             if pulse.instance_id == leader.member.instance_id {
                 contact.heard_at = Some(time::Instant::now());
                 contact.has_lost_store = !pulse.store_reachable;
+                contact.is_leaving = pulse.draining;
             } else {
                 contact.is_gone = true;
             }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -16,7 +16,7 @@
 /// Most bytes of records in a batch, well below what a store takes in one value.
 const MAX_BATCH_BYTES: usize = 256 * 1024;
 /// Batches under way at once; more than one only while the store is slow.
-const MAX_IN_FLIGHT: usize = 8;
+const MAX_IN_FLIGHT: usize = 16;
 /// Shortest time between two batches: each is a call that the platform counts, and a job waits for
 /// three of them.
 const BATCH_SPACING: time::Duration = time::Duration::from_millis(12);
