A leader that the store has not confirmed lately does not deny jobs

Found by reading: a leader cut off from the store could answer 410 for a job that its successor has accepted, and lose its cancellation. It answers 503 or 504 instead.

--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -111,14 +111,7 @@
         let reply = match leading {
             Some(leading) => {
                 let version = self.shared.manifest_version();
-                let asked = leading.control.ask(version, request.clone());
-                match tokio::time::timeout(left, asked).await {
-                    Ok(Some(reply)) => reply,
-                    Ok(None) | Err(_) => {
-                        self.may_have_run = true;
-                        return None;
-                    }
-                }
+                ask_control(self.shared, &leading, version, request.clone(), left).await
             }
             None => self.pass_on(request, left).await?,
         };
@@ -214,11 +207,26 @@
         let Some(leading) = leading else {
             return model::JobReply::NotLeading;
         };
-        let asked = leading.control.ask(manifest_version, request);
-        match tokio::time::timeout(remaining, asked).await {
-            Ok(Some(reply)) => reply,
-            Ok(None) | Err(_) => model::JobReply::Undecided,
-        }
+        ask_control(&self.shared, &leading, manifest_version, request, remaining).await
+    }
+}
+
+/// Asks the control thread of this instance, which leads.
+///
+/// A leader that the store has not confirmed lately may have been replaced: that it does not know
+/// a job says nothing then.
+async fn ask_control<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    leading: &instance::Leading,
+    manifest_version: model::ManifestVersion,
+    request: model::JobRequest,
+    timeout: time::Duration,
+) -> model::JobReply {
+    let asked = leading.control.ask(manifest_version, request);
+    match tokio::time::timeout(timeout, asked).await {
+        Ok(Some(model::JobReply::Unknown)) if !shared.is_confirmed() => model::JobReply::Undecided,
+        Ok(Some(reply)) => reply,
+        Ok(None) | Err(_) => model::JobReply::Undecided,
     }
 }
 
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -63,6 +63,12 @@
         self.is_draining.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns whether the store has confirmed this instance's entries within their lease.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        let confirmed_at = *lock(&self.confirmed_at);
+        confirmed_at.is_some_and(|at| at.elapsed() < self.settings.store_lease)
+    }
+
     pub(crate) fn manifest_version(&self) -> model::ManifestVersion {
         let manifest = self.manifest.borrow();
         manifest.as_ref().map_or(0, |one| one.manifest.version)
@@ -158,7 +164,6 @@
         self.shared
             .is_draining
             .store(true, atomic::Ordering::Relaxed);
-        self.shared.leading.send_modify(|_| {});
     }
 
     /// Stops everything and waits for it.
