--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -72,7 +72,7 @@
                 retry_after_ms,
             ));
         }
-        if self.waiting.len() > self.settings.max_waiting_tasks {
+        if self.waiting.len() > self.settings.max_waiting_steps {
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
         let queue = sync::Arc::clone(queue);
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -15,8 +15,8 @@
     pub outcome_retention: time::Duration,
     /// How long before the lease of a worker ends it is renewed at the latest.
     pub renew_before: time::Duration,
-    /// Most tasks that may wait, by which a job is refused.
-    pub max_waiting_tasks: usize,
+    /// Steps that may wait; above that, further jobs are refused.
+    pub max_waiting_steps: usize,
 }
 
 impl Default for Settings {
@@ -27,7 +27,7 @@
             hold_wait: time::Duration::from_millis(1_500),
             outcome_retention: time::Duration::from_secs(180),
             renew_before: time::Duration::from_millis(3_500),
-            max_waiting_tasks: 20_000,
+            max_waiting_steps: 20_000,
         }
     }
 }
