--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -25,26 +25,18 @@
 /// Follows the cell until the instance stops.
 pub(crate) async fn watch_cell<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     loop {
-        let following = follow_cell(&shared);
-        let ended = tokio::select! {
-            ended = following => ended,
+        let Err(cause) = tokio::select! {
+            ended = follow_cell(&shared) => ended,
             () = shared.stop.cancelled() => return,
         };
-        if ended.kind() != store::ErrorKind::Compacted {
-            log::warn!(cause:% = ended; "watch of the cell ended");
+        if cause.kind() != store::ErrorKind::Compacted {
+            log::warn!(cause:% = cause; "watch of the cell ended");
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-async fn follow_cell<P: platform::Platform>(shared: &instance::Shared<P>) -> store::Error {
-    match try_follow_cell(shared).await {
-        Ok(never) => match never {},
-        Err(cause) => cause,
-    }
-}
-
-async fn try_follow_cell<P: platform::Platform>(
+async fn follow_cell<P: platform::Platform>(
     shared: &instance::Shared<P>,
 ) -> Result<std::convert::Infallible, store::Error> {
     let store = shared.platform.store();
@@ -63,12 +55,10 @@
 /// Follows the manifest until the instance stops.
 pub(crate) async fn watch_manifest<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     loop {
-        let following = try_follow_manifest(&shared);
-        let ended = tokio::select! {
-            ended = following => ended,
+        let Err(cause) = tokio::select! {
+            ended = follow_manifest(&shared) => ended,
             () = shared.stop.cancelled() => return,
         };
-        let Err(cause) = ended;
         if cause.kind() != store::ErrorKind::Compacted {
             log::warn!(cause:% = cause; "watch of the manifest ended");
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -76,7 +66,7 @@
     }
 }
 
-async fn try_follow_manifest<P: platform::Platform>(
+async fn follow_manifest<P: platform::Platform>(
     shared: &instance::Shared<P>,
 ) -> Result<std::convert::Infallible, store::Error> {
     let store = shared.platform.store();
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -33,26 +33,12 @@
         let Some(state) = self.jobs.get(&key.task.job_id) else {
             return;
         };
-        let Some((step, step_state)) = state.step(key.task.step_key()) else {
-            return;
-        };
-        if !step.gang {
+        let step_key = key.task.step_key();
+        if !state.step(step_key).is_some_and(|(step, _)| step.gang) {
             return;
         }
-        let members = step_state.tasks.iter().enumerate();
-        let others: Vec<_> = members
-            .filter(|(_, task)| task.last_run == key.run)
-            .filter_map(|(index, task)| match &task.phase {
-                job::Phase::Placed(life) => {
-                    let task = model::TaskKey {
-                        index: u32::try_from(index).unwrap_or(u32::MAX),
-                        ..key.task
-                    };
-                    Some((life.clone(), model::RunKey { task, run: key.run }))
-                }
-                _ => None,
-            })
-            .collect();
+        let mut others = state.placed_runs();
+        others.retain(|(_, other)| other.task.step_key() == step_key && other.run == key.run);
         for (life, other) in others {
             self.stop_run(&life, other, clock);
         }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -73,13 +73,11 @@
 
     /// Forgets a life that has surely ended.
     fn end_life(&mut self, life: &model::WorkerLife, why: &str, clock: event::Clock) {
-        let Some(worker) = self.workers.get(life) else {
+        if !self.workers.contains_key(life) {
             return;
-        };
-        log::info!(worker:% = life.worker_id, born_ms = life.born_ms, why; "worker life ended");
-        for key in worker.runs.keys().copied().collect::<Vec<_>>() {
-            self.lose_run(life, key, why, clock);
         }
+        log::info!(worker:% = life.worker_id, born_ms = life.born_ms, why; "worker life ended");
+        self.lose_all_runs(life, why, clock);
         self.workers.swap_remove(life);
     }
 
@@ -94,19 +92,19 @@
             .collect();
         for (life, is_listed) in gone {
             if is_listed {
-                self.lose_all_runs(&life, clock);
+                self.lose_all_runs(&life, "silent and lapsed", clock);
             } else {
                 self.end_life(&life, "silent and lapsed", clock);
             }
         }
     }
 
-    fn lose_all_runs(&mut self, life: &model::WorkerLife, clock: event::Clock) {
+    fn lose_all_runs(&mut self, life: &model::WorkerLife, why: &str, clock: event::Clock) {
         let Some(worker) = self.workers.get(life) else {
             return;
         };
         for key in worker.runs.keys().copied().collect::<Vec<_>>() {
-            self.lose_run(life, key, "silent and lapsed", clock);
+            self.lose_run(life, key, why, clock);
         }
     }
 
--- a/crates/telemetry/src/buffered.rs
+++ b/crates/telemetry/src/buffered.rs
@@ -7,6 +7,7 @@
 
 use crate::error;
 use crate::logger;
+use crate::metrics;
 
 /// How long lines are collected before they are written together.
 const WRITE_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -41,7 +42,7 @@
 
 impl io::Write for BufferedWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let mut waiting = lock(&self.shared.waiting);
+        let mut waiting = metrics::lock(&self.shared.waiting);
         if waiting.bytes.len() + line.len() > self.limit_bytes {
             if line.ends_with(b"\n") {
                 waiting.dropped_lines += 1;
@@ -64,7 +65,7 @@
 impl BufferedLogs {
     /// Writes what waits, and ends the thread.
     pub fn close(self) {
-        lock(&self.shared.waiting).is_closed = true;
+        metrics::lock(&self.shared.waiting).is_closed = true;
         self.shared.is_waiting.notify_one();
         // Fails only if the thread panicked; there is nobody left to tell.
         let _ = self.thread.join();
@@ -113,7 +114,7 @@
 fn write_all<W: io::Write>(shared: &Shared, mut output: W) {
     loop {
         let (bytes, dropped_lines, is_closed) = {
-            let mut waiting = lock(&shared.waiting);
+            let mut waiting = metrics::lock(&shared.waiting);
             while waiting.bytes.is_empty() && !waiting.is_closed {
                 waiting = shared
                     .is_waiting
@@ -141,7 +142,3 @@
         thread::sleep(WRITE_INTERVAL);
     }
 }
-
-fn lock(waiting: &sync::Mutex<Waiting>) -> sync::MutexGuard<'_, Waiting> {
-    waiting.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -222,7 +222,8 @@
     }
 }
 
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+/// Locks a mutex whose state stays usable after a panic elsewhere.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
 
