Do not learn a leader again whose term the store has ended

Once it was back, each instance read that nobody leads, then learned the former leader from another one that had not read yet, and that one in turn. The former leader's process still answered, so it counted as heard; the former leader itself claimed against an entry that was gone. Nobody could lead any more.

Ruled out: the former leader going on (its batch was refused at 10.95 s), and claims lost to the ended leases (those were registered anew at 11.2 s).

A term is a revision of the store, so what the store has told up to a revision settles every term up to it: only later ones are learned. A claim that fails reads who leads. A write under a lease that has ended wakes the registration. Failed tries of one request are logged once.

--- a/crates/controller/src/cell.rs
+++ b/crates/controller/src/cell.rs
@@ -1,9 +1,5 @@
-//! The cell: the live instances and which of them leads, as the store tells.
+//! What the store keeps of the cell: the live instances and which of them leads.
 
-use std::sync;
-
-use indexmap::IndexMap;
-use serde::Deserialize;
 use serde::Serialize;
 
 /// Prefix of the keys that every instance watches.
@@ -14,106 +10,59 @@
 pub(crate) const LEADER: &str = "ferry/cell/leader";
 /// Key of the secret that instances show each other.
 pub(crate) const SECRET: &str = "ferry/cell/secret";
-/// An instance as it is written to the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Member {
-    pub(crate) instance_id: model::InstanceId,
-    /// `address:port` of its peer listener.
-    pub(crate) address: sync::Arc<str>,
-    /// Processor time of its machine, in thousandths of a core.
-    pub(crate) strength_milli: u32,
-}
-
-/// The leader of a term.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Leader {
-    pub(crate) member: Member,
-    pub(crate) term: model::Term,
-}
-
-/// What the store told last.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Cell {
-    /// Live instances by key.
-    members: IndexMap<String, Member>,
-    pub(crate) leader: Option<Leader>,
-    /// Revision up to which the cell is known; 0 before the first reading.
-    pub(crate) revision: store::Revision,
-}
 
-impl Cell {
-    /// Builds the cell from a whole reading.
-    pub(crate) fn read(entries: Vec<store::Entry>, revision: store::Revision) -> Self {
-        let mut cell = Self {
-            revision,
-            ..Self::default()
-        };
-        for entry in entries {
-            cell.put(entry);
-        }
-        cell
+/// Builds the cell from a whole reading.
+pub(crate) fn read(entries: Vec<store::Entry>, revision: store::Revision) -> elect::Cell {
+    let mut cell = elect::Cell::new(revision);
+    for entry in entries {
+        put(&mut cell, entry);
     }
+    cell
+}
 
-    /// Applies changes reported by a watch.
-    pub(crate) fn apply(&mut self, changes: Vec<store::Change>) {
-        for change in changes {
-            match change {
-                store::Change::Put(entry) => {
-                    self.revision = self.revision.max(entry.modified_revision);
-                    self.put(entry);
-                }
-                store::Change::Deleted { key, revision } => {
-                    self.revision = self.revision.max(revision);
-                    self.members.shift_remove(&key);
-                    if key == LEADER {
-                        self.leader = None;
-                    }
+/// Applies changes reported by a watch.
+pub(crate) fn apply(cell: &mut elect::Cell, changes: Vec<store::Change>) {
+    for change in changes {
+        match change {
+            store::Change::Put(entry) => {
+                cell.advance(entry.modified_revision);
+                put(cell, entry);
+            }
+            store::Change::Deleted { key, revision } => {
+                cell.advance(revision);
+                cell.remove_member(&key);
+                if key == LEADER {
+                    cell.set_leader(None);
                 }
             }
         }
     }
+}
 
-    fn put(&mut self, entry: store::Entry) {
-        let is_leader = entry.key == LEADER;
-        if !is_leader && !entry.key.starts_with(INSTANCES) {
-            return;
-        }
-        let Some(member) = decode::<Member>(&entry.value) else {
-            log::warn!(key:% = entry.key; "entry of the cell cannot be read");
-            return;
-        };
-        if is_leader {
-            let term = entry.modified_revision;
-            self.leader = Some(Leader { member, term });
-        } else {
-            self.members.insert(entry.key, member);
-        }
-    }
-
-    /// Takes a leader that another instance has told of; returns whether it is a later one.
-    pub(crate) fn learn(&mut self, leader: Leader) -> bool {
-        let is_later = self
-            .leader
-            .as_ref()
-            .is_none_or(|known| known.term < leader.term);
-        if is_later {
-            self.leader = Some(leader);
-        }
-        is_later
+fn put(cell: &mut elect::Cell, entry: store::Entry) {
+    if entry.key == LEADER {
+        cell.set_leader(leader_of(&entry));
+    } else if entry.key.starts_with(INSTANCES)
+        && let Some(member) = member_of(&entry)
+    {
+        cell.put_member(entry.key, member);
     }
+}
 
-    /// Returns the live instances.
-    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
-    }
+/// Returns the leader that an entry of the store names.
+pub(crate) fn leader_of(entry: &store::Entry) -> Option<elect::Leader> {
+    member_of(entry).map(|member| elect::Leader {
+        member,
+        term: entry.modified_revision,
+    })
+}
 
-    /// Returns the place of an instance among the live ones: strong machines first, then by name.
-    pub(crate) fn rank_of(&self, member: &Member) -> usize {
-        let order = |one: &Member| (u32::MAX - one.strength_milli, one.instance_id.clone());
-        let own = order(member);
-        let before = self.members().filter(|other| order(other) < own);
-        before.count()
+fn member_of(entry: &store::Entry) -> Option<elect::Member> {
+    let member = decode(&entry.value);
+    if member.is_none() {
+        log::warn!(key:% = entry.key; "entry of the cell cannot be read");
     }
+    member
 }
 
 /// Encodes a value for the store.
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -36,10 +36,10 @@
         if shared.is_draining() {
             continue;
         }
-        let Some(expected) = claimable(&shared).await else {
+        let Some(due) = due_claim(&shared).await else {
             continue;
         };
-        let Some(term) = claim(&shared, expected).await else {
+        let Some(term) = claim(&shared, due.expected).await else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -50,66 +50,45 @@
     }
 }
 
-/// Returns what the leader's entry must be for a claim, or `None` if there is no reason for one.
-async fn claimable<P: platform::Platform>(
-    shared: &instance::Shared<P>,
-) -> Option<Option<model::Term>> {
+/// Returns the claim that this instance should make now, once its turn has come.
+async fn due_claim<P: platform::Platform>(shared: &instance::Shared<P>) -> Option<elect::Claim> {
     if shared.store_lease.load(atomic::Ordering::Relaxed) == 0 {
         return None;
     }
-    let (leader, rank, is_known) = {
-        let cell = shared.cell.borrow();
-        let rank = cell.rank_of(&shared.member);
-        (cell.leader.clone(), rank, cell.revision > 0)
-    };
-    if !is_known {
-        return None;
-    }
-    let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
-    let Some(leader) = leader else {
-        tokio::time::sleep(delay).await;
-        return shared.cell.borrow().leader.is_none().then_some(None);
-    };
-    if leader.member.address == shared.member.address {
-        // An earlier process of this machine, or an earlier term of this one.
-        return Some(Some(leader.term));
-    }
-    let contact = instance::lock(&shared.leader_contact).clone();
-    if contact.term != leader.term {
-        return None;
-    }
-    let is_silent = contact
-        .heard_at
-        .is_some_and(|at| at.elapsed() >= shared.settings.leader_silence);
-    let store_reachable = shared.store_reachable.load(atomic::Ordering::Relaxed);
-    if (contact.has_lost_store || contact.is_leaving) && store_reachable {
-        tokio::time::sleep(delay).await;
-        log::info!(
-            leader:% = leader.member.instance_id,
-            term = leader.term,
-            has_lost_store = contact.has_lost_store,
-            is_leaving = contact.is_leaving;
-            "leader is to be replaced"
-        );
-        let is_same = shared.cell.borrow().leader.as_ref() == Some(&leader);
-        return is_same.then_some(Some(leader.term));
-    }
-    if !contact.is_gone && !is_silent {
-        return None;
+    let claim = judge(shared)?;
+    if claim.reason.waits_for_turn() {
+        let rank = shared.cell.borrow().rank_of(&shared.member);
+        tokio::time::sleep(RANK_DELAY * rank).await;
+        if judge(shared) != Some(claim) {
+            return None;
+        }
     }
-    tokio::time::sleep(delay).await;
-    let is_same = shared.cell.borrow().leader.as_ref() == Some(&leader);
-    if !is_same || !pulse::others_miss_leader(shared, &leader).await {
+    let leader = shared.cell.borrow().leader().cloned();
+    if let Some(leader) = &leader
+        && claim.reason.needs_witness()
+        && !pulse::others_miss_leader(shared, leader).await
+    {
         return None;
     }
     log::info!(
-        leader:% = leader.member.instance_id,
-        term = leader.term,
-        is_gone = contact.is_gone,
-        silent_ms = contact.heard_at.map_or(0, |at| at.elapsed().as_millis() as u64);
-        "leader suspected"
+        reason = claim.reason.as_str(),
+        leader:% = leader.map_or_else(|| "".into(), |leader| leader.member.instance_id),
+        term:? = claim.expected;
+        "leadership is to be claimed"
     );
-    Some(Some(leader.term))
+    Some(claim)
+}
+
+fn judge<P: platform::Platform>(shared: &instance::Shared<P>) -> Option<elect::Claim> {
+    let contact = instance::lock(&shared.leader_contact).clone();
+    elect::judge(&elect::Situation {
+        own: &shared.member,
+        cell: &shared.cell.borrow(),
+        contact: &contact,
+        store_reachable: shared.store_reachable.load(atomic::Ordering::Relaxed),
+        silence_limit: shared.settings.leader_silence,
+        now: time::Instant::now(),
+    })
 }
 
 /// Replaces the leader's entry; returns the new term if that succeeded.
@@ -138,12 +117,19 @@
     let sent_at = time::Instant::now();
     let committed = match shared.platform.store().commit(txn).await {
         Ok(committed) => committed,
+        Err(cause) if cause.kind() == store::ErrorKind::LeaseEnded => {
+            log::warn!(lease_id; "leadership not claimed, the store lease has ended");
+            shared.lease_ended.notify_one();
+            return None;
+        }
         Err(cause) => {
             log::warn!(cause:% = cause; "claim of the leadership not answered");
             return settle_claim(shared, expected).await;
         }
     };
     if !committed.succeeded {
+        // What this instance knows of the leader is out of date.
+        settle_claim(shared, expected).await;
         return None;
     }
     *instance::lock(&shared.confirmed_at) = Some(sent_at);
@@ -151,19 +137,25 @@
     Some(committed.revision)
 }
 
-/// Finds out whether a claim took effect whose answer was lost.
+/// Reads who leads; returns the term if it is that of a claim whose answer was lost.
 async fn settle_claim<P: platform::Platform>(
     shared: &instance::Shared<P>,
     expected: Option<model::Term>,
 ) -> Option<model::Term> {
     let entry = match shared.platform.store().get(cell::LEADER).await {
-        Ok(entry) => entry?,
+        Ok(entry) => entry,
         Err(cause) => {
             log::warn!(cause:% = cause; "claim of the leadership not settled");
             return None;
         }
     };
-    let member = cell::decode::<cell::Member>(&entry.value)?;
-    let term = entry.modified_revision;
-    (member.instance_id == shared.member.instance_id && Some(term) != expected).then_some(term)
+    let leader = entry.as_ref().and_then(cell::leader_of);
+    let term = leader.as_ref().map(|leader| leader.term);
+    let is_own = leader
+        .as_ref()
+        .is_some_and(|leader| leader.member.instance_id == shared.member.instance_id);
+    shared
+        .cell
+        .send_if_modified(|known| known.correct_leader(expected, leader));
+    term.filter(|_| is_own && term != expected)
 }
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -42,13 +42,11 @@
     let store = shared.platform.store();
     let page = store.range(cell::PREFIX, CELL_PAGE, None).await?;
     let revision = page.revision;
-    shared
-        .cell
-        .send_replace(cell::Cell::read(page.entries, revision));
+    shared.cell.send_replace(cell::read(page.entries, revision));
     let mut watch = store.watch(cell::PREFIX, revision + 1).await?;
     loop {
         let changes = watch.next().await?;
-        shared.cell.send_modify(|cell| cell.apply(changes));
+        shared.cell.send_modify(|known| cell::apply(known, changes));
     }
 }
 
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -3,7 +3,6 @@
 use std::sync;
 use std::time;
 
-use crate::cell;
 use crate::instance;
 use crate::platform;
 use crate::platform::Advisor as _;
@@ -75,6 +74,7 @@
         let mut asking = Asking {
             shared: &self.shared,
             may_have_run: false,
+            failures: 0,
         };
         loop {
             let left = patience.saturating_sub(started.elapsed());
@@ -98,6 +98,8 @@
     shared: &'a sync::Arc<instance::Shared<P>>,
     /// Whether a leader may have taken the request without an answer.
     may_have_run: bool,
+    /// Tries that did not reach the leader.
+    failures: u32,
 }
 
 impl<P: platform::Platform> Asking<'_, P> {
@@ -132,7 +134,7 @@
         request: &model::JobRequest,
         left: time::Duration,
     ) -> Option<model::JobReply> {
-        let leader = self.shared.cell.borrow().leader.clone()?;
+        let leader = self.shared.cell.borrow().leader().cloned()?;
         if leader.member.instance_id == self.shared.member.instance_id {
             return None;
         }
@@ -160,8 +162,13 @@
         }
     }
 
-    fn note_failure(&self, leader: &cell::Leader, cause: &peer::Error) {
+    /// Counts a failed try; only the first of a request is logged, as an outage has thousands.
+    fn note_failure(&mut self, leader: &elect::Leader, cause: &peer::Error) {
         self.shared.metrics.count("forward.failed");
+        self.failures += 1;
+        if self.failures > 1 {
+            return;
+        }
         log::info!(
             leader:% = leader.member.instance_id,
             term = leader.term,
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -29,21 +29,23 @@
 pub(crate) struct Shared<P: platform::Platform> {
     pub(crate) platform: P,
     pub(crate) settings: settings::Settings,
-    pub(crate) member: cell::Member,
+    pub(crate) member: elect::Member,
     pub(crate) metrics: telemetry::Metrics,
     pub(crate) links: links::Links,
     /// What the store told last about the cell.
-    pub(crate) cell: watch::Sender<cell::Cell>,
+    pub(crate) cell: watch::Sender<elect::Cell>,
     /// The newest manifest.
     pub(crate) manifest: watch::Sender<Option<feeds::InForce>>,
     /// Set while this instance leads.
     pub(crate) leading: watch::Sender<Option<Leading>>,
     /// When the store last confirmed that this instance's entries last.
     pub(crate) confirmed_at: sync::Mutex<Option<time::Instant>>,
-    pub(crate) leader_contact: sync::Mutex<pulse::LeaderContact>,
+    pub(crate) leader_contact: sync::Mutex<elect::Contact>,
     pub(crate) followers: sync::Mutex<pulse::Followers>,
     /// Lease of this instance's entries; 0 if there is none.
     pub(crate) store_lease: atomic::AtomicI64,
+    /// Wakes the registration when the lease was found to have ended.
+    pub(crate) lease_ended: tokio::sync::Notify,
     pub(crate) store_reachable: atomic::AtomicBool,
     /// Whether the store does not take the batches of this leader.
     pub(crate) batches_fail: sync::Arc<atomic::AtomicBool>,
@@ -109,7 +111,7 @@
         let identity = peer::Identity::new(sync::Arc::clone(&instance_id))
             .cluster(settings.cluster.clone())
             .secret(secret);
-        let member = cell::Member {
+        let member = elect::Member {
             instance_id,
             address: settings.peer_address.to_string().into(),
             strength_milli: settings.strength_milli,
@@ -126,6 +128,7 @@
             leader_contact: sync::Mutex::default(),
             followers: sync::Mutex::default(),
             store_lease: atomic::AtomicI64::new(0),
+            lease_ended: tokio::sync::Notify::new(),
             store_reachable: atomic::AtomicBool::new(true),
             batches_fail: sync::Arc::default(),
             is_draining: atomic::AtomicBool::new(false),
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -251,7 +251,7 @@
     /// Ends the term if the store names another leader.
     fn check_cell(&self) -> Result<(), error::Error> {
         let cell = self.shared.cell.borrow();
-        match &cell.leader {
+        match cell.leader() {
             Some(leader) if leader.term > self.term => Err(deposed(format!(
                 "{} leads in term {}",
                 leader.member.instance_id, leader.term
--- a/crates/controller/src/pulse.rs
+++ b/crates/controller/src/pulse.rs
@@ -7,7 +7,6 @@
 use indexmap::IndexMap;
 use rand::seq::IteratorRandom as _;
 
-use crate::cell;
 use crate::feeds;
 use crate::instance;
 use crate::platform;
@@ -19,21 +18,6 @@
 /// Silence after which a follower no longer counts as live.
 const FOLLOWER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
 
-/// What a follower knows of its leader.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct LeaderContact {
-    /// The term meant.
-    pub(crate) term: model::Term,
-    /// Last answer, or when the term became known.
-    pub(crate) heard_at: Option<time::Instant>,
-    /// Whether nobody listens at the leader's address, or another process does.
-    pub(crate) is_gone: bool,
-    /// Whether the leader says that the store does not take its batches.
-    pub(crate) has_lost_store: bool,
-    /// Whether the leader says that it is stopping.
-    pub(crate) is_leaving: bool,
-}
-
 /// What a leader knows of its followers.
 #[derive(Debug, Default)]
 pub(crate) struct Followers(IndexMap<model::InstanceId, Follower>);
@@ -78,7 +62,7 @@
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut cell = shared.cell.subscribe();
     loop {
-        let leader = cell.borrow_and_update().leader.clone();
+        let leader = cell.borrow_and_update().leader().cloned();
         if let Some(leader) = leader
             && leader.member.instance_id != shared.member.instance_id
         {
@@ -96,17 +80,11 @@
     }
 }
 
-async fn pulse_leader<P: platform::Platform>(shared: &instance::Shared<P>, leader: &cell::Leader) {
+async fn pulse_leader<P: platform::Platform>(shared: &instance::Shared<P>, leader: &elect::Leader) {
     {
         let mut contact = instance::lock(&shared.leader_contact);
         if contact.term != leader.term {
-            *contact = LeaderContact {
-                term: leader.term,
-                heard_at: Some(time::Instant::now()),
-                is_gone: false,
-                has_lost_store: false,
-                is_leaving: false,
-            };
+            *contact = elect::Contact::new(leader.term, time::Instant::now());
         }
     }
     let link = shared.links.to(&leader.member.address);
@@ -121,7 +99,7 @@
 /// Notes what came of a pulse; returns the newest manifest that the leader has.
 fn note_answer<P: platform::Platform>(
     shared: &instance::Shared<P>,
-    leader: &cell::Leader,
+    leader: &elect::Leader,
     answer: Result<model::LinkReply, peer::Error>,
 ) -> model::ManifestVersion {
     let mut contact = instance::lock(&shared.leader_contact);
@@ -187,17 +165,17 @@
 /// Returns the leader that this instance has heard lately, and its term.
 fn heard_leader<P: platform::Platform>(
     shared: &instance::Shared<P>,
-) -> (Option<cell::Member>, model::Term) {
-    let leader = shared.cell.borrow().leader.clone();
+) -> (Option<elect::Member>, model::Term) {
+    let leader = shared.cell.borrow().leader().cloned();
     let Some(leader) = leader else {
         return (None, 0);
     };
     let contact = instance::lock(&shared.leader_contact);
-    let is_heard = contact.term == leader.term
-        && !contact.is_gone
-        && contact
-            .heard_at
-            .is_some_and(|at| at.elapsed() < shared.settings.leader_silence);
+    let is_heard = contact.hears(
+        &leader,
+        shared.settings.leader_silence,
+        time::Instant::now(),
+    );
     (is_heard.then_some(leader.member), leader.term)
 }
 
@@ -223,8 +201,8 @@
     let Some(instance_id) = &pulse.leader else {
         return;
     };
-    let leader = cell::Leader {
-        member: cell::Member {
+    let leader = elect::Leader {
+        member: elect::Member {
             instance_id: sync::Arc::clone(instance_id),
             address: pulse.leader_address.as_str().into(),
             strength_milli: 0,
@@ -247,7 +225,7 @@
 /// `false` if none answers: this instance may be the one that is cut off.
 pub(crate) async fn others_miss_leader<P: platform::Platform>(
     shared: &instance::Shared<P>,
-    leader: &cell::Leader,
+    leader: &elect::Leader,
 ) -> bool {
     let members: Vec<_> = shared.cell.borrow().members().cloned().collect();
     let others = members.into_iter().filter(|member| {
--- a/crates/controller/src/registration.rs
+++ b/crates/controller/src/registration.rs
@@ -26,6 +26,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(shared.settings.store_renewal) => {}
+            () = shared.lease_ended.notified() => {}
             () = shared.stop.cancelled() => return,
         }
     }
@@ -83,6 +84,6 @@
     Ok(())
 }
 
-fn key_of(member: &cell::Member) -> String {
+fn key_of(member: &elect::Member) -> String {
     format!("{}{}", cell::INSTANCES, member.instance_id)
 }
--- /dev/null
+++ b/crates/elect/src/cell.rs
@@ -0,0 +1,105 @@
+//! The cell: the live instances and which of them leads.
+
+use indexmap::IndexMap;
+
+use crate::member;
+
+/// What one instance knows of the live instances and of the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cell {
+    /// Live instances by the key of their entry.
+    members: IndexMap<String, member::Member>,
+    leader: Option<member::Leader>,
+    /// Revision up to which the store has told of every change; 0 before the first reading.
+    revision: model::Revision,
+}
+
+impl Cell {
+    /// Creates a cell that the store has told of up to `revision`.
+    #[must_use]
+    pub fn new(revision: model::Revision) -> Self {
+        Self {
+            revision,
+            ..Self::default()
+        }
+    }
+
+    /// Takes the entry of a live instance.
+    pub fn put_member(&mut self, key: impl Into<String>, member: member::Member) {
+        self.members.insert(key.into(), member);
+    }
+
+    /// Removes the instance whose entry is gone.
+    pub fn remove_member(&mut self, key: &str) {
+        self.members.shift_remove(key);
+    }
+
+    /// Takes the leader that the store names; `None` if it names none.
+    pub fn set_leader(&mut self, leader: Option<member::Leader>) {
+        self.leader = leader;
+    }
+
+    /// Notes that the store has told of every change up to `revision`.
+    pub fn advance(&mut self, revision: model::Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes a leader that another instance has told of; returns whether it was news.
+    ///
+    /// The store has told of every term up to the cell's revision. One of those that is not the
+    /// leader's is over, even if its instance still answers.
+    pub fn learn(&mut self, leader: member::Leader) -> bool {
+        let known = self.leader.as_ref().map_or(0, |known| known.term);
+        let is_news = leader.term > self.revision.max(known);
+        if is_news {
+            self.leader = Some(leader);
+        }
+        is_news
+    }
+
+    /// Takes the answer of the store to the question who leads, after a claim against `expected`
+    /// has failed; returns whether it was news.
+    ///
+    /// A watch may have told of a later leader meanwhile, which stays.
+    pub fn correct_leader(
+        &mut self,
+        expected: Option<model::Term>,
+        told: Option<member::Leader>,
+    ) -> bool {
+        let known = self.leader.as_ref().map(|known| known.term);
+        let is_news = match &told {
+            Some(leader) => known < Some(leader.term),
+            None => known.is_some() && known == expected,
+        };
+        if is_news {
+            self.leader = told;
+        }
+        is_news
+    }
+
+    /// Returns the leader, as far as is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&member::Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Returns whether the store has told anything yet.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Returns the live instances.
+    pub fn members(&self) -> impl Iterator<Item = &member::Member> {
+        self.members.values()
+    }
+
+    /// Returns the place of an instance among the live ones: strong machines first, then by name.
+    #[must_use]
+    pub fn rank_of(&self, member: &member::Member) -> u32 {
+        let order = |one: &member::Member| (u32::MAX - one.strength_milli, one.instance_id.clone());
+        let own = order(member);
+        let before = self.members().filter(|other| order(other) < own);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -16,6 +16,8 @@
     TooLarge,
     /// The revision to watch from is no longer kept: read anew.
     Compacted,
+    /// The lease that a write names has ended; nothing was written.
+    LeaseEnded,
 }
 
 impl fmt::Display for ErrorKind {
@@ -26,6 +28,7 @@
             Self::Protocol => "store answered out of protocol",
             Self::TooLarge => "value too large for the store",
             Self::Compacted => "store no longer keeps the revision",
+            Self::LeaseEnded => "store lease has ended",
         })
     }
 }
