Keep workers held while every instance drains

Cause of a_cluster_whose_instances_all_stop_at_once_ends: each instance released its workers as it began to drain, before it heard that the others drained too; then nobody held them, and the result that a caller waited for was never fetched. Workers are now given away only while an instance that does not drain can take them. An instance without heirs and without callers resigns its leases, which also ends the chain of renewals that kept it from stopping.

--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -144,10 +144,17 @@
         if !self.draining || !self.callers.is_empty() {
             return false;
         }
-        // Without a successor nothing can be given away: the store and the workers keep it.
-        let handed_over =
-            self.owner.drained() && self.outbox.is_empty() && self.leases.held().next().is_none();
-        handed_over || (!self.members.has_successor() && !self.owner.is_attended())
+        let is_idle = self.owner.drained() && self.outbox.is_empty();
+        (is_idle || self.is_without_heir()) && self.leases.held().next().is_none()
+    }
+
+    /// Returns whether a draining instance has nobody left to answer and no successor: the store
+    /// and the workers keep what it knows.
+    fn is_without_heir(&self) -> bool {
+        self.draining
+            && self.callers.is_empty()
+            && !self.members.has_successor()
+            && !self.owner.is_attended()
     }
 
     /// Returns whether the instance can serve callers.
@@ -182,15 +189,16 @@
         log::info!("draining instance={}", self.settings.instance_id);
         self.update_members(now);
         self.owner_event(owner::Event::Drain, now);
-        if self.members.has_successor() {
-            self.lease_event(lease::Event::Drain, now);
-        }
+        self.lease_event(lease::Event::Drain, now);
     }
 
     fn tick(&mut self, now: time::Instant) {
         self.update_members(now);
         self.owner_event(owner::Event::Tick, now);
         self.lease_event(lease::Event::Tick, now);
+        if self.is_without_heir() {
+            self.lease_event(lease::Event::Resign, now);
+        }
         self.retry_parked(now);
         self.retry_starts(now);
         self.leave_dropped(now);
--- a/crates/lease/src/decider.rs
+++ b/crates/lease/src/decider.rs
@@ -11,7 +11,8 @@
 pub(crate) struct Decider<'a> {
     pub(crate) settings: &'a settings::LeaseSettings,
     pub(crate) placement: &'a placement::Placement,
-    pub(crate) draining: bool,
+    /// Whether the instance drains and others take its workers.
+    pub(crate) yields: bool,
     pub(crate) is_hand_over_due: bool,
 }
 
@@ -26,7 +27,7 @@
         let Some(hold) = &worker.hold else {
             return self.claim(worker_id, worker, now);
         };
-        if self.draining || hold.releasing || self.is_wanted_elsewhere(worker_id, hold, now) {
+        if self.yields || hold.releasing || self.is_wanted_elsewhere(worker_id, hold, now) {
             return Some(self.release(worker_id, worker, hold));
         }
         Some(action::Action::Renew {
@@ -42,7 +43,7 @@
         worker: &worker::Worker,
         now: time::Instant,
     ) -> Option<action::Action> {
-        if self.draining || !worker.listed {
+        if self.yields || !worker.listed {
             return None;
         }
         let own_id = &self.settings.instance_id;
--- a/crates/lease/src/event.rs
+++ b/crates/lease/src/event.rs
@@ -87,6 +87,8 @@
     },
     /// This instance stops: give every worker to a successor.
     Drain,
+    /// Nothing here needs the workers any more: give them up, even if nobody takes them.
+    Resign,
     /// Time has passed.
     Tick,
 }
--- a/crates/lease/src/leases.rs
+++ b/crates/lease/src/leases.rs
@@ -38,6 +38,8 @@
     /// When a worker was last handed over to a preferred holder.
     handed_over_at: Option<time::Instant>,
     pub(crate) draining: bool,
+    /// Whether workers are given up although nobody takes them.
+    resigned: bool,
 }
 
 impl Leases {
@@ -52,6 +54,7 @@
             members_changed_at: None,
             handed_over_at: None,
             draining: false,
+            resigned: false,
         }
     }
 
@@ -73,6 +76,11 @@
                 self.draining = true;
                 self.advance_all(now, &mut actions);
             }
+            event::Event::Resign => {
+                self.draining = true;
+                self.resigned = true;
+                self.advance_all(now, &mut actions);
+            }
             event::Event::Tick => self.advance_all(now, &mut actions),
             event::Event::Granted(grant) => {
                 let worker_id = grant.worker_id.clone();
@@ -236,6 +244,7 @@
     /// Does what has become due for one worker.
     fn advance_at(&mut self, index: usize, now: time::Instant, actions: &mut Vec<action::Action>) {
         let is_hand_over_due = self.is_hand_over_due(now);
+        let yields = self.yields();
         let Some((worker_id, worker)) = self.workers.get_index_mut(index) else {
             return;
         };
@@ -263,7 +272,7 @@
         let decider = decider::Decider {
             settings: &self.settings,
             placement: &self.placement,
-            draining: self.draining,
+            yields,
             is_hand_over_due,
         };
         let Some(action) = decider.call(worker_id, worker, now) else {
@@ -275,13 +284,19 @@
         if now < worker.not_before && !is_prompt {
             return;
         }
-        if kind == worker::CallKind::Release && !self.draining {
+        if kind == worker::CallKind::Release && !yields {
             self.handed_over_at = Some(now);
         }
         worker.issue(kind, now, self.settings.renew_every);
         actions.push(action);
     }
 
+    /// Returns whether workers are given away: others take them, or nothing needs them any more.
+    pub(crate) fn yields(&self) -> bool {
+        let has_takers = self.members.iter().any(|member| !member.draining);
+        self.draining && (has_takers || self.resigned)
+    }
+
     /// Returns whether the members are stable and the last hand-over is long enough ago.
     fn is_hand_over_due(&self, now: time::Instant) -> bool {
         let is_settled = self
--- a/crates/lease/src/placement.rs
+++ b/crates/lease/src/placement.rs
@@ -22,12 +22,16 @@
 }
 
 impl Placement {
-    /// Computes the placement of `workers` over those of `members` that are not draining.
+    /// Computes the placement of `workers` over those of `members` that are not draining, or over
+    /// all if every one is.
     pub(crate) fn new<'a>(
         workers: impl Iterator<Item = (&'a model::WorkerId, &'a model::Location)>,
         members: &[event::Member],
     ) -> Self {
-        let candidates: Vec<_> = members.iter().filter(|member| !member.draining).collect();
+        let mut candidates: Vec<_> = members.iter().filter(|member| !member.draining).collect();
+        if candidates.is_empty() {
+            candidates.extend(members);
+        }
         let racks = racks_of(workers);
         let count: usize = racks.values().map(Vec::len).sum();
         let mut loads = Loads::new(count, candidates.len());
--- a/crates/lease/src/replies.rs
+++ b/crates/lease/src/replies.rs
@@ -181,6 +181,7 @@
         now: time::Instant,
         actions: &mut Vec<action::Action>,
     ) {
+        let yields = self.yields();
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
@@ -188,7 +189,7 @@
             return;
         }
         worker.note_reply();
-        worker.handed_over = !self.draining;
+        worker.handed_over = !yields;
         worker.unheld_from = now;
         worker.not_before = now;
         drop_hold(worker_id.clone(), worker, actions);
--- a/crates/lease/tests/leases.rs
+++ b/crates/lease/tests/leases.rs
@@ -273,3 +273,31 @@
     world.run(seconds(200), |_| {});
     assert_eq!(shares(&world)[preferred], 1);
 }
+
+#[test]
+fn workers_stay_held_while_every_instance_drains() {
+    let mut world = common::World::new(fleet(), &REGIONS, 1);
+    world.run(seconds(10), |_| {});
+    for number in 0..REGIONS.len() {
+        world.feed(number, Event::Drain);
+    }
+    // Each learns of the others' drains after it has begun to release.
+    world.run(time::Duration::from_millis(300), |_| {});
+    let members: Vec<_> = (0..REGIONS.len())
+        .map(|number| {
+            let mut member = common::member(&format!("i{number}#boot"), REGIONS[number]);
+            member.draining = true;
+            member
+        })
+        .collect();
+    for number in 0..REGIONS.len() {
+        world.feed(number, Event::Members(members.clone()));
+    }
+    world.run(seconds(3), |_| {});
+    assert_eq!(shares(&world).iter().sum::<usize>(), 48);
+    for number in 0..REGIONS.len() {
+        world.feed(number, Event::Resign);
+    }
+    world.run(seconds(1), |_| {});
+    assert_eq!(shares(&world).iter().sum::<usize>(), 0);
+}
