Set aside the memory that tasks of a kind were seen to use

Cause of tasks_that_use_more_memory_than_they_declared: owners learn sizes from three ends of their own tasks, and a task that was stopped for its memory starts again with the size it declared. The holder, which counts the room, sees each use; it now sets aside at least the largest that it has seen of the customer's kind, sinking slowly.

--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::queue_settings;
 use crate::run;
 use crate::short_slots;
+use crate::sizes;
 use crate::spread;
 use crate::worker;
 
@@ -70,6 +71,7 @@
     placed: usize,
     spread: spread::Spread,
     kinds: indexmap::IndexMap<spread::ServiceKey, health::KindHealth>,
+    pub(crate) sizes: sizes::Sizes,
     pub(crate) on_probation: indexmap::IndexSet<usize>,
     /// Worker that last failed a task by its own fault; at most [`MAX_FAILED_TASKS`] tasks.
     pub(crate) failed_on: indexmap::IndexMap<model::TaskId, usize>,
@@ -94,6 +96,7 @@
     #[must_use]
     pub fn new(settings: fleet_settings::FleetSettings) -> Self {
         let set_apart = settings.policy == queue_settings::Policy::Fair;
+        let sizes = sizes::Sizes::new(settings.max_kinds);
         let short_slots = short_slots::ShortSlots::new(settings.short_spread);
         Self {
             settings,
@@ -105,6 +108,7 @@
             placed: 0,
             spread: spread::Spread::default(),
             kinds: indexmap::IndexMap::new(),
+            sizes,
             on_probation: indexmap::IndexSet::new(),
             failed_on: indexmap::IndexMap::new(),
             drains: drain::Drains::default(),
@@ -348,6 +352,7 @@
             self.failed_on.insert(task_id, ended.worker);
         }
         let key = spread::ServiceKey::of(&ended.task);
+        self.sizes.note_end(key.clone(), report.peak.memory_mb);
         if self.kinds.len() >= self.settings.max_kinds && !self.kinds.contains_key(&key) {
             self.kinds.swap_remove_index(0);
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -26,6 +26,7 @@
 mod relief;
 mod run;
 mod short_slots;
+mod sizes;
 mod spread;
 mod targets;
 mod worker;
--- a/crates/place/src/overrun.rs
+++ b/crates/place/src/overrun.rs
@@ -5,6 +5,7 @@
 use crate::control;
 use crate::fleet;
 use crate::queue_settings;
+use crate::spread;
 
 const MAX_OVERRUNS: u32 = 2;
 const TOLERANCE_PERCENT: u64 = 110;
@@ -37,6 +38,8 @@
         now: time::Instant,
     ) -> Option<control::Control> {
         let run = self.runs.get_mut(&report.run)?;
+        let key = spread::ServiceKey::of(&run.task);
+        self.sizes.note_use(key, report.used.memory_mb);
         let lacking = report.used.memory_mb.saturating_sub(run.reserved.memory_mb);
         if lacking == 0 || run.ending_since.is_some() {
             return None;
--- a/crates/place/src/place.rs
+++ b/crates/place/src/place.rs
@@ -23,6 +23,7 @@
         now: time::Instant,
     ) -> Result<Vec<(u16, model::WorkerId)>, fleet::NoRoom> {
         self.latest = Some(now);
+        let request = &self.with_learned_size(request);
         let mut added = Vec::new();
         for member in request.members {
             let id = attempt_of(request, *member);
@@ -45,6 +46,22 @@
         Ok(self.workers_of(request))
     }
 
+    /// Raises what is set aside to what tasks of the kind were seen to use.
+    fn with_learned_size<'a>(&self, request: &fleet::Request<'a>) -> fleet::Request<'a> {
+        let mut reserve = request.reserve;
+        if self.settings.policy == queue_settings::Policy::Fair {
+            let expected_mb = self
+                .sizes
+                .expected_mb(&spread::ServiceKey::of(request.task));
+            let most_mb = self.pool.largest_worker().memory_mb;
+            reserve.memory_mb = reserve.memory_mb.max(expected_mb.min(most_mb));
+        }
+        fleet::Request {
+            reserve,
+            ..*request
+        }
+    }
+
     /// Chooses a worker for one member.
     pub(crate) fn choose(&self, request: &fleet::Request<'_>) -> Option<usize> {
         let spec = &request.task.spec;
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -438,3 +438,21 @@
     };
     assert_eq!(fleet.usage(&[usage], now), [throttle]);
 }
+
+#[test]
+fn tasks_get_the_memory_that_their_kind_was_seen_to_use() {
+    let now = time::Instant::now();
+    let mut fleet = support::fleet(1, place::Policy::Fair, now);
+    let first = batch(1);
+    place_one(&mut fleet, &first, now).expect("an idle worker has room");
+    let usage = model::RunUsage {
+        run: support::attempt(&first, 0),
+        used: support::demand(1000, 6000, 0),
+    };
+    assert!(fleet.usage(&[usage], now).is_empty());
+    // 16,384 MB hold two that use 6,000 MB, although each declares 1,024 MB.
+    let placed: Vec<_> = (2..5)
+        .map(|number| place_one(&mut fleet, &batch(number), now).is_some())
+        .collect();
+    assert_eq!(placed, [true, false, false]);
+}
