Leave few callers in doubt when the store goes away

While the store was silent, jobs went on into further batches for 1.2 s, and each was answered with 504 at the end of its caller's patience. Nothing more is handed out now once a batch is late, beyond three usual confirmations and 300 ms; what waits is refused with a time to come back. A batch that the store has refused each time is taken back, and its new jobs are refused too: none of them is in doubt.

--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -72,11 +72,16 @@
 
     /// Writes a batch, however long that takes, and tells the control thread.
     ///
+    /// A batch that the store has refused each time is given back once the store counts as
+    /// unreachable.
+    ///
     /// # Errors
     ///
     /// Fails with [`error::ErrorKind::Deposed`] if the term is over; the batch has then not taken
     /// effect, unless an attempt at it was not answered.
     pub(crate) async fn commit(self, batch: jobs::Batch) -> Result<(), error::Error> {
+        // Whether an attempt may have taken effect, or still may.
+        let mut in_doubt = false;
         let mut pause = RETRY_PAUSE;
         let mut patience = self.patience();
         loop {
@@ -107,7 +112,11 @@
                         cause:% = cause;
                         "batch not confirmed"
                     );
-                    self.note_failure(limit);
+                    in_doubt |= cause.is_in_doubt();
+                    if self.note_failure(limit) && !in_doubt {
+                        self.control.tell(jobs::Event::Rejected(batch.id));
+                        return Ok(());
+                    }
                 }
             }
             tokio::time::sleep(pause).await;
@@ -179,7 +188,8 @@
             .min(MAX_PATIENCE / PATIENCE_FACTOR);
     }
 
-    fn note_failure(&self, limit: time::Duration) {
+    /// Notes a failed attempt; returns whether the store counts as unreachable.
+    fn note_failure(&self, limit: time::Duration) -> bool {
         let mut contact = instance::lock(&self.contact);
         let since = *contact.failing_since.get_or_insert_with(time::Instant::now);
         if !contact.is_told && since.elapsed() >= limit {
@@ -188,6 +198,7 @@
             log::warn!(term = self.term; "store does not take batches");
             self.control.tell(jobs::Event::StoreReachable(false));
         }
+        contact.is_told
     }
 }
 
--- a/crates/controller/src/error.rs
+++ b/crates/controller/src/error.rs
@@ -33,6 +33,8 @@
 pub struct Error {
     kind: ErrorKind,
     context: String,
+    /// Whether what failed may have taken effect all the same.
+    in_doubt: bool,
 }
 
 impl Error {
@@ -40,9 +42,16 @@
         Self {
             kind,
             context: context.to_string(),
+            in_doubt: false,
         }
     }
 
+    /// Returns whether what failed may have taken effect all the same.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        self.in_doubt
+    }
+
     /// Returns the kind.
     #[must_use]
     pub fn kind(&self) -> ErrorKind {
@@ -52,6 +61,10 @@
 
 impl From<store::Error> for Error {
     fn from(cause: store::Error) -> Self {
-        Self::new(ErrorKind::Store, cause)
+        let in_doubt = cause.kind() != store::ErrorKind::Unavailable;
+        Self {
+            in_doubt,
+            ..Self::new(ErrorKind::Store, cause)
+        }
     }
 }
--- a/crates/entry/src/control/callers.rs
+++ b/crates/entry/src/control/callers.rs
@@ -243,6 +243,15 @@
         let Some(waiting) = self.callers.waiting.get(&ticket) else {
             return;
         };
+        let partition = model::partition_of(waiting.task_id);
+        let owner_id = self.owner.owner_of(partition);
+        log::warn!(
+            "request given up task={} partition={partition} owner={owner_id:?} address={:?} table={} sent={}",
+            waiting.task_id,
+            owner_id.and_then(|id| self.members.address_of(id)),
+            self.owner.table_revision(),
+            waiting.sent,
+        );
         let Asked::Submit(task) = &waiting.asked else {
             let reason = model::UnknownReason::OwnerUnreachable;
             let outcome = model::Outcome::Unknown(reason);
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -72,6 +72,8 @@
     },
     /// A batch has taken effect.
     Committed(BatchId),
+    /// The store has refused a batch each time: it has not taken effect and never will.
+    Rejected(BatchId),
     /// The store has become unreachable, or reachable again.
     StoreReachable(bool),
     /// Time has passed.
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -22,6 +22,15 @@
 const BATCH_SPACING: time::Duration = time::Duration::from_millis(12);
 /// Time after which another batch is handed out although the one before is not confirmed.
 const PIPELINE_SPACING: time::Duration = time::Duration::from_millis(40);
+/// Time between batches while the store is unreachable; each only asks whether it is back.
+const PROBE_SPACING: time::Duration = time::Duration::from_millis(300);
+/// Shortest age of an unconfirmed batch from which nothing more is handed out; a slow service still
+/// answers within a quarter of a second.
+const MIN_PATIENCE: time::Duration = time::Duration::from_millis(300);
+/// Usual times of a confirmation that an unconfirmed batch may take.
+const PATIENCE_FACTOR: u32 = 3;
+/// Weight of the newest confirmation in the usual time, as one part in this many.
+const SMOOTHING: u32 = 4;
 /// Ended jobs whose outcomes are gathered into one value.
 const GATHER_COUNT: usize = 64;
 /// Segments beyond twice the open jobs above which the records of the oldest are written anew; an
@@ -35,17 +44,21 @@
 pub(crate) struct Journal {
     dirty: IndexSet<model::JobId>,
     pub(crate) segments: segments::Segments,
+    /// Batches under way, oldest first.
     in_flight: Vec<InFlight>,
     flushed_at: Option<time::Instant>,
+    /// Usual time until a batch is confirmed.
+    usual: time::Duration,
     next_batch: event::BatchId,
 }
 
 #[derive(Debug)]
 struct InFlight {
     batch: event::BatchId,
+    sent_at: time::Instant,
     jobs: Vec<Stored>,
-    effects: Vec<job::Effect>,
     gathered: Vec<model::JobId>,
+    deletes: Vec<String>,
     /// Key of the gathered outcomes, and the time of the newest end.
     archive: Option<(String, u64)>,
 }
@@ -58,6 +71,8 @@
     outcome: Option<model::JobStatus>,
     /// Set if nothing but the outcome is kept.
     ending: Option<record::Ending>,
+    /// Done once the batch has taken effect.
+    effects: Vec<job::Effect>,
 }
 
 impl Journal {
@@ -91,10 +106,26 @@
         let age = self
             .flushed_at
             .map_or(time::Duration::MAX, |at| now.saturating_duration_since(at));
-        if self.in_flight.is_empty() {
-            return age >= BATCH_SPACING;
-        }
-        store_reachable && age >= PIPELINE_SPACING && self.in_flight.len() < MAX_IN_FLIGHT
+        let Some(oldest) = self.in_flight.first() else {
+            return age
+                >= if store_reachable {
+                    BATCH_SPACING
+                } else {
+                    PROBE_SPACING
+                };
+        };
+        // What is handed out while the store is silent stays in doubt for callers; what waits here
+        // can still be refused.
+        let patience = (self.usual * PATIENCE_FACTOR).max(MIN_PATIENCE);
+        store_reachable
+            && age >= PIPELINE_SPACING
+            && self.in_flight.len() < MAX_IN_FLIGHT
+            && now.saturating_duration_since(oldest.sent_at) < patience
+    }
+
+    fn take_in_flight(&mut self, batch: event::BatchId) -> Option<InFlight> {
+        let index = self.in_flight.iter().position(|one| one.batch == batch)?;
+        Some(self.in_flight.remove(index))
     }
 }
 
@@ -106,7 +137,7 @@
         }
         self.rewrite_oldest();
         let is_idle = self.journal.dirty.is_empty();
-        if is_idle && self.journal.segments.garbage.len() < MAX_DELETES {
+        if is_idle && self.store_reachable && self.journal.segments.garbage.len() < MAX_DELETES {
             return;
         }
         let id = record::SegmentId {
@@ -115,9 +146,10 @@
         };
         let mut in_flight = InFlight {
             batch: id.batch,
+            sent_at: clock.now,
             jobs: Vec::new(),
-            effects: Vec::new(),
             gathered: Vec::new(),
+            deletes: Vec::new(),
             archive: None,
         };
         let mut records = Vec::new();
@@ -141,6 +173,7 @@
         let garbage = &mut self.journal.segments.garbage;
         let deleted = garbage.len().min(MAX_DELETES);
         batch.deletes.extend(garbage.drain(..deleted));
+        in_flight.deletes.clone_from(&batch.deletes);
         self.journal.next_batch += 1;
         self.journal.flushed_at = Some(clock.now);
         self.journal.in_flight.push(in_flight);
@@ -168,7 +201,6 @@
         clock: event::Clock,
     ) -> Option<record::JobRecord> {
         let state = self.jobs.get_mut(&job_id)?;
-        in_flight.effects.append(&mut state.effects);
         let ended = state.outcome.filter(|_| !state.has_runs());
         let ending = ended.map(|outcome| record::Ending {
             outcome,
@@ -182,6 +214,7 @@
             has_definition,
             outcome: state.outcome,
             ending,
+            effects: std::mem::take(&mut state.effects),
         });
         Some(record::JobRecord {
             job_id,
@@ -214,17 +247,19 @@
 
     /// Takes note that a batch has taken effect, and does what waited for it.
     pub(crate) fn committed(&mut self, batch: event::BatchId, clock: event::Clock) {
-        let in_flight = &mut self.journal.in_flight;
-        let Some(index) = in_flight.iter().position(|one| one.batch == batch) else {
+        let Some(in_flight) = self.journal.take_in_flight(batch) else {
             return;
         };
-        let in_flight = in_flight.remove(index);
+        let took = clock.now.saturating_duration_since(in_flight.sent_at);
+        self.journal.usual = (self.journal.usual * (SMOOTHING - 1) + took) / SMOOTHING;
         let id = record::SegmentId {
             term: self.term,
             batch,
         };
         self.journal.segments.add(id);
-        for stored in in_flight.jobs {
+        let mut effects = Vec::new();
+        for mut stored in in_flight.jobs {
+            effects.append(&mut stored.effects);
             self.note_stored(id, &stored);
         }
         for job_id in in_flight.gathered {
@@ -234,7 +269,7 @@
             self.journal.segments.add_archive(key, newest_end_ms);
         }
         self.journal.segments.collect_garbage();
-        for effect in in_flight.effects {
+        for effect in effects {
             self.carry_out(effect, clock);
         }
         while let Some(effect) = self.late_effects.pop() {
@@ -242,6 +277,30 @@
         }
     }
 
+    /// Takes a batch back that has not taken effect: its jobs wait for another one, and new jobs are
+    /// refused if the store is unreachable.
+    pub(crate) fn rejected(&mut self, batch: event::BatchId) {
+        let Some(in_flight) = self.journal.take_in_flight(batch) else {
+            return;
+        };
+        log::info!(batch, term = self.term, jobs = in_flight.jobs.len(); "batch taken back");
+        self.journal.segments.garbage.extend(in_flight.deletes);
+        self.journal.segments.ungathered.extend(in_flight.gathered);
+        for stored in in_flight.jobs {
+            let Some(state) = self.jobs.get_mut(&stored.job_id) else {
+                // A later batch has stored its end, which was all that the effects waited for.
+                self.late_effects.extend(stored.effects);
+                continue;
+            };
+            state.needs_definition |= stored.has_definition;
+            state.effects.splice(0..0, stored.effects);
+            self.journal.mark(stored.job_id);
+        }
+        if !self.store_reachable {
+            self.refuse_unstored();
+        }
+    }
+
     fn note_stored(&mut self, id: record::SegmentId, stored: &Stored) {
         let is_ended = stored.ending.is_some();
         let segments = &mut self.journal.segments;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -103,6 +103,7 @@
             event::Event::Hold { life, outcome } => self.held(&life, outcome, clock),
             event::Event::Advice { call, outcome } => self.advised(call, outcome, clock),
             event::Event::Committed(batch) => self.committed(batch, clock),
+            event::Event::Rejected(batch) => self.rejected(batch),
             event::Event::StoreReachable(reachable) => self.note_store(reachable, clock),
             event::Event::Tick => self.tick(clock),
         }
--- a/crates/jobs/tests/scheduler/crest.rs
+++ b/crates/jobs/tests/scheduler/crest.rs
@@ -163,3 +163,61 @@
     let ran = world.started_at_ms.keys().any(|id| *id > 1);
     assert!(!ran, "a refused job has run");
 }
+
+fn is_refused(reply: Option<&model::JobReply>) -> bool {
+    matches!(
+        reply,
+        Some(model::JobReply::Refused {
+            reason: model::RefusalReason::StoreUnavailable,
+            ..
+        })
+    )
+}
+
+/// Pattern: the store falls silent in the middle of a burst, and nobody knows yet that it is down.
+#[test]
+fn few_jobs_are_in_doubt_when_the_store_falls_silent() {
+    let mut world = World::new(7, 6, None);
+    world.run_ms(200);
+    let step = world::step(1, 500, 200);
+    submit_each(&mut world, 1, 20, 10, "short", &step);
+    world.store_ms = 60_000;
+    let sent = submit_each(&mut world, 100, 120, 10, "short", &step);
+    world.tell_store(false);
+    let refused = sent
+        .iter()
+        .filter(|token| is_refused(world.replies.get(token)));
+    let in_doubt = sent.len() - refused.count();
+    // What was handed in within about the first 300 ms.
+    assert!(in_doubt <= 35, "{in_doubt} jobs in doubt");
+}
+
+/// Pattern: the store refuses every write for a while.
+#[test]
+fn nobody_is_in_doubt_when_the_store_refuses() {
+    let mut world = World::new(8, 6, None);
+    world.run_ms(200);
+    let step = world::step(1, 500, 200);
+    let before = submit_each(&mut world, 1, 20, 10, "short", &step);
+    world.run_ms(50);
+    world.store_refuses = true;
+    let during = submit_each(&mut world, 100, 120, 10, "short", &step);
+    world.run_ms(50);
+    assert!(
+        during
+            .iter()
+            .all(|token| is_refused(world.replies.get(token)))
+    );
+    world.store_refuses = false;
+    world.run_ms(500);
+    let after = submit_each(&mut world, 300, 20, 10, "short", &step);
+    world.run_ms(3_000);
+    for token in before.iter().chain(&after) {
+        assert_eq!(world.replies.get(token), Some(&model::JobReply::Accepted));
+    }
+    for id in (1..=20).chain(300..320) {
+        let completed = model::JobReply::Status(model::JobStatus::Completed);
+        assert_eq!(world.status(id), Some(completed), "job {id}");
+    }
+    assert!((100..220).all(|id| !world.started_at_ms.contains_key(&id)));
+}
--- a/crates/jobs/tests/scheduler/world/mod.rs
+++ b/crates/jobs/tests/scheduler/world/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) answered_at_ms: collections::HashMap<jobs::Token, u64>,
     /// Time that the store takes for a batch, in milliseconds.
     pub(crate) store_ms: u64,
+    /// Whether the store refuses every batch.
+    pub(crate) store_refuses: bool,
     /// Calls to the recommendation service under way, and the most there were.
     advice_under_way: usize,
     pub(crate) most_advice_under_way: usize,
@@ -105,6 +107,7 @@
             started_at_ms: collections::HashMap::new(),
             answered_at_ms: collections::HashMap::new(),
             store_ms: WAY_MS,
+            store_refuses: false,
             advice_under_way: 0,
             most_advice_under_way: 0,
             max_failures: 3,
@@ -284,6 +287,12 @@
                 if term != self.term {
                     return;
                 }
+                if self.store_refuses {
+                    self.tell(term, jobs::Event::StoreReachable(false));
+                    self.tell(term, jobs::Event::Rejected(batch.id));
+                    return;
+                }
+                self.tell(term, jobs::Event::StoreReachable(true));
                 for key in &batch.deletes {
                     self.store.remove(key);
                 }
