Keep tenures that the store does not have apart when instances tell each other the table

Peers now tell the stored table and the newer tenures apart. owner: a_delegation_that_the_store_does_not_have_ survives_the_tables_of_peers fails with the table told as before.

--- a/crates/entry/src/control/owned.rs
+++ b/crates/entry/src/control/owned.rs
@@ -14,8 +14,15 @@
 impl state::Control {
     /// Passes an event to the owner decisions and carries their actions out.
     pub(super) fn owner_event(&mut self, event: owner::Event, now: time::Instant) {
-        if let owner::Event::TableRead { table, .. } = &event {
-            self.raise_fences(table);
+        match &event {
+            owner::Event::TableRead { table, .. } => self.raise_fences(table),
+            owner::Event::TableHeard { table, newer, .. } => {
+                self.raise_fences(table);
+                for (partition, tenure) in newer {
+                    self.fences.raise(*partition, tenure.generation);
+                }
+            }
+            _ => {}
         }
         for action in self.owner.on(event, now) {
             self.owner_action(action, now);
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -74,8 +74,13 @@
             }
             model::PeerRequest::Table => {
                 let response = model::PeerResponse::Table {
-                    table: self.owner.table().clone(),
+                    table: self.owner.stored_table().clone(),
                     revision: self.owner.table_revision(),
+                    newer: self
+                        .owner
+                        .newer_tenures()
+                        .map(|(partition, tenure)| (partition, tenure.clone()))
+                        .collect(),
                 };
                 self.respond(ticket, response);
             }
@@ -222,8 +227,18 @@
                 }
             }
             effect::Context::Table => {
-                if let Ok(model::PeerResponse::Table { table, revision }) = result {
-                    self.owner_event(owner::Event::TableRead { table, revision }, now);
+                if let Ok(model::PeerResponse::Table {
+                    table,
+                    revision,
+                    newer,
+                }) = result
+                {
+                    let heard = owner::Event::TableHeard {
+                        table,
+                        revision,
+                        newer,
+                    };
+                    self.owner_event(heard, now);
                 }
             }
             effect::Context::Delegate { to } => {
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -92,10 +92,12 @@
     Lists(ListsState),
     /// The partition table with its revision.
     Table {
-        /// The table as the answering instance knows it.
+        /// The table as the platform's service had it at `revision`.
         table: table::PartitionTable,
         /// Its revision in the platform's service; 0 if none was read.
         revision: ids::Revision,
+        /// Tenures that the service does not have at that revision.
+        newer: Vec<(ids::Partition, table::Tenure)>,
     },
     /// The instance does not own the partition, or does not serve it yet.
     NotOwner,
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -14,6 +14,7 @@
 use model::RunReport;
 use model::Task;
 use model::TaskId;
+use model::Tenure;
 use model::WorkerId;
 
 use crate::BatchId;
@@ -172,6 +173,15 @@
         /// Its revision; 0 if the store has none.
         revision: Revision,
     },
+    /// Another instance has told what it knows of the table.
+    TableHeard {
+        /// The table as the store had it at `revision`.
+        table: PartitionTable,
+        /// Its revision; 0 if the other instance has not read it.
+        revision: Revision,
+        /// Tenures that the store does not have at that revision.
+        newer: Vec<(Partition, Tenure)>,
+    },
     /// The partition table could not be read.
     TableReadFailed,
     /// A `WriteTable` ended.
--- a/crates/owner/src/owner.rs
+++ b/crates/owner/src/owner.rs
@@ -11,6 +11,7 @@
 use model::PartitionTable;
 use model::Revision;
 use model::TaskId;
+use model::Tenure;
 use model::WorkerId;
 
 use crate::Action;
@@ -184,6 +185,11 @@
     fn handle_cluster(&mut self, event: Event) {
         match event {
             Event::TableRead { table, revision } => self.table_read(table, revision),
+            Event::TableHeard {
+                table,
+                revision,
+                newer,
+            } => self.table_heard(table, revision, newer),
             Event::TableReadFailed => self.table.read_failed(self.now),
             Event::TableWritten { result, revision } => self.table_written(result, revision),
             Event::Members { live, unreachable } => self.members_changed(live, unreachable),
@@ -286,10 +292,15 @@
         u32::try_from(pending.count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the table as known, with delegations that the store has not taken yet.
+    /// Returns the table as read from the store, at [`Owner::table_revision`].
     #[must_use]
-    pub fn table(&self) -> &PartitionTable {
-        self.table.effective()
+    pub fn stored_table(&self) -> &PartitionTable {
+        self.table.stored()
+    }
+
+    /// Returns the known tenures that the store does not have at that revision.
+    pub fn newer_tenures(&self) -> impl Iterator<Item = (Partition, &Tenure)> {
+        self.table.newer()
     }
 
     /// Returns the revision of the table as read from the store; 0 before the first.
--- a/crates/owner/src/table.rs
+++ b/crates/owner/src/table.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Returns the tenures of higher generations than the stored ones.
+    pub(crate) fn newer(&self) -> impl Iterator<Item = (Partition, &Tenure)> {
+        self.newer
+            .iter()
+            .map(|(partition, tenure)| (*partition, tenure))
+    }
+
     /// Returns tenures of `instance_id` that the store does not have yet.
     pub(crate) fn unwritten(&self, instance_id: &InstanceId) -> Vec<(Partition, Tenure)> {
         self.newer
--- a/crates/owner/src/takeover.rs
+++ b/crates/owner/src/takeover.rs
@@ -31,6 +31,23 @@
         self.follow_table();
     }
 
+    /// Takes over what another instance knows of the table.
+    ///
+    /// Tenures that the store does not have stay apart: the next revision may not have them either.
+    pub(crate) fn table_heard(
+        &mut self,
+        table: PartitionTable,
+        revision: Revision,
+        newer: Vec<(Partition, Tenure)>,
+    ) {
+        self.table.read(table, revision, self.now);
+        for (partition, tenure) in newer {
+            self.table.note(partition, tenure);
+        }
+        self.journal.retry_now();
+        self.follow_table();
+    }
+
     pub(crate) fn table_written(&mut self, result: WriteResult, revision: Revision) {
         match result {
             WriteResult::Written => self.table.written(revision),
