Judge whether a task never fits by the capacity that is advertised at that moment

While the only holder lost its worker, the queue still took the fleet for known, and empty. The queue now counts the workers that are advertised whenever it admits a task, and compares them with the list.

place: nothing_is_said_never_to_fit_while_a_worker_changes_hands (with the flag as before, 422).

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -39,7 +39,8 @@
             .map(|entry| entry.id.clone())
             .collect();
         let ids: Vec<_> = workers.iter().map(|entry| entry.id.clone()).collect();
-        self.listed_workers = Some(ids.len());
+        self.queue
+            .set_listed_workers(u32::try_from(ids.len()).unwrap_or(u32::MAX));
         for worker_id in &ids {
             self.update_leaving(worker_id);
         }
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -174,21 +174,6 @@
         });
         self.send_heartbeats(now);
         self.tell_members(now);
-        let complete = self.capacity_complete(now);
-        self.queue.set_capacity_complete(complete);
-    }
-
-    /// Returns whether the holders that this instance offers tasks to have every listed worker.
-    fn capacity_complete(&self, now: time::Instant) -> bool {
-        let dead_after = self.settings.dead_after;
-        let live = self.members.peers.values();
-        let live = live.filter(|peer| peer.is_live(dead_after, now));
-        let heard = live.filter_map(|peer| peer.heartbeat.as_ref());
-        let offered_to = heard.filter(|heartbeat| !heartbeat.draining);
-        let elsewhere: u32 = offered_to.map(|heartbeat| heartbeat.capacity.workers).sum();
-        let held = self.fleet.summary().workers.saturating_add(elsewhere);
-        self.listed_workers
-            .is_some_and(|listed| listed <= held as usize)
     }
 
     fn send_heartbeats(&mut self, now: time::Instant) {
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -36,8 +36,6 @@
     pub(super) runs: runs::Runs,
     pub(super) workers: IndexMap<model::WorkerId, holder::HeldWorker>,
     pub(super) listed_leaving: IndexSet<model::WorkerId>,
-    /// Workers in the platform's list; `None` before the first.
-    pub(super) listed_workers: Option<usize>,
     pub(super) outbox: reports::Outbox,
 }
 
@@ -69,7 +67,6 @@
             runs: runs::Runs::default(),
             workers: IndexMap::new(),
             listed_leaving: IndexSet::new(),
-            listed_workers: None,
             outbox: reports::Outbox::default(),
             settings,
         }
--- a/crates/place/benches/cell/mod.rs
+++ b/crates/place/benches/cell/mod.rs
@@ -246,7 +246,7 @@
             goodput: 0.0,
             experiment,
         };
-        cell.queue.set_capacity_complete(true);
+        cell.queue.set_listed_workers(0);
         for kind in 0..kinds {
             cell.schedule(start, Event::Arrival(kind));
         }
--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -33,7 +33,10 @@
     ) -> Result<(), dispatch::Refusal> {
         let spec = &task.spec;
         let members = u32::from(spec.members);
-        if self.fleet_complete && !self.targets.could_ever_hold(&spec.demand, members) {
+        let is_complete = self
+            .listed_workers
+            .is_some_and(|listed| listed <= self.targets.workers());
+        if is_complete && !self.targets.could_ever_hold(&spec.demand, members) {
             return Err(dispatch::Refusal {
                 reason: model::NotRunReason::NeverFits,
                 retry_after: time::Duration::ZERO,
--- a/crates/place/src/queue.rs
+++ b/crates/place/src/queue.rs
@@ -43,7 +43,7 @@
     pub(crate) served_short_charge: u64,
     /// Raised whenever something that was blocked may go on.
     pub(crate) round: u64,
-    pub(crate) fleet_complete: bool,
+    pub(crate) listed_workers: Option<u32>,
     /// Waiting gangs.
     pub(crate) gangs: usize,
     /// Starts of other and of short tasks.
@@ -69,7 +69,7 @@
             served_charge: 0,
             served_short_charge: 0,
             round: 1,
-            fleet_complete: false,
+            listed_workers: None,
             gangs: 0,
             starts: [rate::RecentSum::default(), rate::RecentSum::default()],
             deadlines: collections::BinaryHeap::new(),
@@ -91,9 +91,10 @@
         self.round += 1;
     }
 
-    /// Sets whether the capacity of every holder is known, so that what fits none never fits.
-    pub fn set_capacity_complete(&mut self, complete: bool) {
-        self.fleet_complete = complete;
+    /// Sets how many workers there are; while the targets advertise fewer, nothing is said never to
+    /// fit.
+    pub fn set_listed_workers(&mut self, listed: impl Into<Option<u32>>) {
+        self.listed_workers = listed.into();
     }
 
     /// Queues a task; one that is queued already is replaced.
--- a/crates/place/src/targets.rs
+++ b/crates/place/src/targets.rs
@@ -278,6 +278,14 @@
         &self.fleets[position].target
     }
 
+    /// Returns how many workers the targets advertise.
+    pub(crate) fn workers(&self) -> u32 {
+        self.fleets
+            .iter()
+            .map(|fleet| fleet.advertised.workers)
+            .sum()
+    }
+
     /// Returns whether some fleet could hold `members` of `demand` if it were empty.
     pub(crate) fn could_ever_hold(&self, demand: &model::Demand, members: u32) -> bool {
         let slots: u32 = self
--- a/crates/place/tests/queue.rs
+++ b/crates/place/tests/queue.rs
@@ -294,7 +294,7 @@
     };
     let task = support::task(1, "a", large);
     assert_eq!(queue.admit(&task, ms(1000), now), Ok(()));
-    queue.set_capacity_complete(true);
+    queue.set_listed_workers(6);
     let refusal = queue
         .admit(&task, ms(1000), now)
         .expect_err("no worker is that large");
@@ -307,6 +307,19 @@
     assert!(queue.admit(&gang, ms(1000), now).is_err());
 }
 
+/// Pattern: a worker starts anew, so that its holder advertises none for a moment.
+#[test]
+fn nothing_is_said_never_to_fit_while_a_worker_changes_hands() {
+    let now = time::Instant::now();
+    let mut queue = queue(8, 0, now);
+    queue.set_listed_workers(6);
+    let target = place::Target::Local;
+    let near = place::Proximity::SameDataCentre;
+    queue.set_capacity(&target, near, model::CapacitySummary::default(), now);
+    let task = support::task(1, "a", batch());
+    assert_eq!(queue.admit(&task, ms(1000), now), Ok(()));
+}
+
 #[test]
 fn a_full_queue_keeps_its_last_tenth_for_urgent_tasks() {
     let now = time::Instant::now();
