Lead again soon after the store is back

From 33.2 to 39.8 s nobody led: weak machines of 0.12 cores claimed first, as none knew of others, and took 1.8 and 3.1 s to read the state; renewals hung on dead connections for a second after the store was back.

- The strength of the strongest machine is recorded in the store; weak machines leave vacancies to strong ones for 700 ms.
An instance claims only while its own entry is confirmed.
- Segments are rewritten by their bytes too, as a new leader reads them all.
- The store counts as unreachable after 0.5 s of silence if it is usually fast (1.2 s before).
- A leader whose term ends passes on callers whose jobs never left it; they need not be in doubt.

--- a/crates/controller/src/cell.rs
+++ b/crates/controller/src/cell.rs
@@ -8,6 +8,9 @@
 pub(crate) const INSTANCES: &str = "ferry/cell/instance/";
 /// Key of the leader; the revision of its entry is the leader's term.
 pub(crate) const LEADER: &str = "ferry/cell/leader";
+/// Key of the processor time of the strongest machine that was ever a member, in thousandths of a
+/// core; it outlives the entries of instances, so that a weak machine that starts first knows.
+pub(crate) const STRONGEST: &str = "ferry/cell/strongest";
 /// Key of the secret that instances show each other.
 pub(crate) const SECRET: &str = "ferry/cell/secret";
 
@@ -42,6 +45,8 @@
 fn put(cell: &mut elect::Cell, entry: store::Entry) {
     if entry.key == LEADER {
         cell.set_leader(leader_of(&entry));
+    } else if entry.key == STRONGEST {
+        cell.record_strongest(decode(&entry.value).unwrap_or_default());
     } else if entry.key.starts_with(INSTANCES)
         && let Some(member) = member_of(&entry)
     {
--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -28,8 +28,12 @@
 const SMOOTHING: u32 = 4;
 /// How long the store may refuse batches before it counts as unreachable.
 const UNREACHABLE_AFTER: time::Duration = time::Duration::from_millis(300);
-/// How long the store may be silent before it counts as unreachable; one that is slow answers.
-const SILENT_AFTER: time::Duration = time::Duration::from_millis(1_200);
+/// Shortest silence after which the store counts as unreachable.
+const MIN_SILENCE: time::Duration = time::Duration::from_millis(500);
+/// Longest silence after which the store counts as unreachable.
+const MAX_SILENCE: time::Duration = time::Duration::from_millis(1_200);
+/// Usual answer times of silence after which the store counts as unreachable; a slow one answers.
+const SILENCE_FACTOR: u32 = 4;
 
 /// Writes batches to the store; clones share what is known of the store.
 #[derive(Clone, Debug)]
@@ -48,6 +52,8 @@
     failing_since: Option<time::Instant>,
     /// Usual time of an answer.
     usual: time::Duration,
+    /// Time for which an answer is waited for at first.
+    patience: time::Duration,
     /// Whether the control thread was told that the store is unreachable.
     is_told: bool,
 }
@@ -88,10 +94,7 @@
             let outcome = tokio::time::timeout(patience, self.attempt(&batch)).await;
             let limit = match &outcome {
                 Ok(_) => UNREACHABLE_AFTER,
-                Err(_) => {
-                    self.note_silence(patience);
-                    SILENT_AFTER
-                }
+                Err(_) => self.note_silence(patience),
             };
             let outcome = outcome.unwrap_or_else(|_| {
                 let context = format!("no answer within {} ms", patience.as_millis());
@@ -160,13 +163,15 @@
 
     /// Returns how long the first answer to a batch is waited for.
     fn patience(&self) -> time::Duration {
-        let usual = instance::lock(&self.contact).usual;
-        (usual * PATIENCE_FACTOR).clamp(MIN_PATIENCE, MAX_PATIENCE)
+        instance::lock(&self.contact)
+            .patience
+            .clamp(MIN_PATIENCE, MAX_PATIENCE)
     }
 
     fn note_answer(&self, took: time::Duration) {
         let mut contact = instance::lock(&self.contact);
         contact.usual = (contact.usual * (SMOOTHING - 1) + took) / SMOOTHING;
+        contact.patience = contact.usual * PATIENCE_FACTOR;
     }
 
     fn note_success(&self) {
@@ -179,13 +184,12 @@
         }
     }
 
-    /// Notes that an answer takes longer than `patience`.
-    fn note_silence(&self, patience: time::Duration) {
+    /// Notes that an answer takes longer than `patience`; returns the silence after which the store
+    /// counts as unreachable.
+    fn note_silence(&self, patience: time::Duration) -> time::Duration {
         let mut contact = instance::lock(&self.contact);
-        contact.usual = contact
-            .usual
-            .max(patience)
-            .min(MAX_PATIENCE / PATIENCE_FACTOR);
+        contact.patience = contact.patience.max(patience * 2);
+        (contact.usual * SILENCE_FACTOR).clamp(MIN_SILENCE, MAX_SILENCE)
     }
 
     /// Notes a failed attempt; returns whether the store counts as unreachable.
--- a/crates/controller/src/control.rs
+++ b/crates/controller/src/control.rs
@@ -129,7 +129,10 @@
                     manifest_version,
                     request,
                 },
-                Input::Stop => return,
+                Input::Stop => {
+                    callers.answer(scheduler.abandon());
+                    return;
+                }
             };
             scheduler.handle(event, clock);
         }
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -18,9 +18,6 @@
 
 /// Time between two looks at the leader.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// How much longer each instance waits than the one before it in the order of strength, so that
-/// one claims at a time and weak machines lead only when no strong one does.
-const RANK_DELAY: time::Duration = time::Duration::from_millis(30);
 /// Pause after a claim or a term that failed.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -52,16 +49,15 @@
 
 /// Returns the claim that this instance should make now, once its turn has come.
 async fn due_claim<P: platform::Platform>(shared: &instance::Shared<P>) -> Option<elect::Claim> {
-    if shared.store_lease.load(atomic::Ordering::Relaxed) == 0 {
+    // The entry of a leader hangs on the lease of its instance.
+    if !shared.is_confirmed() {
         return None;
     }
     let claim = judge(shared)?;
-    if claim.reason.waits_for_turn() {
-        let rank = shared.cell.borrow().rank_of(&shared.member);
-        tokio::time::sleep(RANK_DELAY * rank).await;
-        if judge(shared) != Some(claim) {
-            return None;
-        }
+    let delay = shared.cell.borrow().delay_of(&shared.member);
+    tokio::time::sleep(delay).await;
+    if judge(shared) != Some(claim) {
+        return None;
     }
     let leader = shared.cell.borrow().leader().cloned();
     if let Some(leader) = &leader
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -27,6 +27,7 @@
     loop {
         let Err(cause) = tokio::select! {
             ended = follow_cell(&shared) => ended,
+            () = shared.store_regained.notified() => continue,
             () = shared.stop.cancelled() => return,
         };
         if cause.kind() != store::ErrorKind::Compacted {
@@ -55,6 +56,7 @@
     loop {
         let Err(cause) = tokio::select! {
             ended = follow_manifest(&shared) => ended,
+            () = shared.store_regained.notified() => continue,
             () = shared.stop.cancelled() => return,
         };
         if cause.kind() != store::ErrorKind::Compacted {
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -46,6 +46,8 @@
     pub(crate) store_lease: atomic::AtomicI64,
     /// Wakes the registration when the lease was found to have ended.
     pub(crate) lease_ended: tokio::sync::Notify,
+    /// Wakes whatever waits for the store on a connection that may have fallen silent.
+    pub(crate) store_regained: tokio::sync::Notify,
     pub(crate) store_reachable: atomic::AtomicBool,
     /// Whether the store does not take the batches of this leader.
     pub(crate) batches_fail: sync::Arc<atomic::AtomicBool>,
@@ -129,6 +131,7 @@
             followers: sync::Mutex::default(),
             store_lease: atomic::AtomicI64::new(0),
             lease_ended: tokio::sync::Notify::new(),
+            store_regained: tokio::sync::Notify::new(),
             store_reachable: atomic::AtomicBool::new(true),
             batches_fail: sync::Arc::default(),
             is_draining: atomic::AtomicBool::new(false),
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -25,8 +25,8 @@
 const RESIGN_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// How long a weak machine leads before it makes room: all machines have started by then.
 const WEAK_TERM: time::Duration = time::Duration::from_secs(3);
-/// How many times stronger a machine must be for the leader to make room.
-const FAR_STRONGER: u32 = 2;
+/// How long a reading of the directory may take, some hundred kilobytes over a slow link.
+const DIRECTORY_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// Time between looks at what may end the term.
 const OFFICE_CHECK: time::Duration = time::Duration::from_millis(100);
 
@@ -238,14 +238,8 @@
         if taken_up_at.elapsed() < WEAK_TERM {
             return false;
         }
-        let enough = self
-            .shared
-            .member
-            .strength_milli
-            .saturating_mul(FAR_STRONGER);
         let cell = self.shared.cell.borrow();
-        cell.members()
-            .any(|member| member.strength_milli >= enough.max(1))
+        cell.has_far_stronger(&self.shared.member)
     }
 
     /// Ends the term if the store names another leader.
@@ -339,10 +333,14 @@
 ) {
     let prefix = shared.platform.keys().workers.clone();
     loop {
+        let reading = read_all(shared.platform.store(), &prefix);
         tokio::select! {
-            read = read_all(shared.platform.store(), &prefix) => match read {
-                Ok(entries) => control.tell(jobs::Event::Directory(decode_all(&shared, &entries))),
-                Err(cause) => log::warn!(cause:% = cause; "directory not read"),
+            read = tokio::time::timeout(DIRECTORY_PATIENCE, reading) => match read {
+                Ok(Ok(entries)) => {
+                    control.tell(jobs::Event::Directory(decode_all(&shared, &entries)));
+                }
+                Ok(Err(cause)) => log::warn!(cause:% = cause; "directory not read"),
+                Err(_) => log::warn!("directory not read in time"),
             },
             () = over.cancelled() => return,
         }
--- a/crates/elect/src/cell.rs
+++ b/crates/elect/src/cell.rs
@@ -1,15 +1,28 @@
 //! The cell: the live instances and which of them leads.
 
+use std::time;
+
 use indexmap::IndexMap;
 
 use crate::member;
 
+/// How much longer each instance waits with a claim than the one before it in the order.
+const RANK_DELAY: time::Duration = time::Duration::from_millis(30);
+/// How many times stronger a machine must be to be preferred.
+const FAR_STRONGER: u32 = 2;
+/// How much longer a weak machine waits with a claim: a strong one registers within this time after
+/// all machines have started, or the store is back.
+const WEAK_DELAY: time::Duration = time::Duration::from_millis(700);
+
 /// What one instance knows of the live instances and of the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Cell {
     /// Live instances by the key of their entry.
     members: IndexMap<String, member::Member>,
     leader: Option<member::Leader>,
+    /// Processor time of the strongest machine that is recorded, in thousandths of a core; 0 if none
+    /// is. The record outlives the members.
+    recorded_milli: u32,
     /// Revision up to which the store has told of every change; 0 before the first reading.
     revision: model::Revision,
 }
@@ -29,6 +42,11 @@
         self.members.insert(key.into(), member);
     }
 
+    /// Takes the recorded strength of the strongest machine.
+    pub fn record_strongest(&mut self, strength_milli: u32) {
+        self.recorded_milli = strength_milli;
+    }
+
     /// Removes the instance whose entry is gone.
     pub fn remove_member(&mut self, key: &str) {
         self.members.shift_remove(key);
@@ -94,12 +112,42 @@
         self.members.values()
     }
 
-    /// Returns the place of an instance among the live ones: strong machines first, then by name.
+    /// Returns whether a machine should be recorded as the strongest.
     #[must_use]
-    pub fn rank_of(&self, member: &member::Member) -> u32 {
+    pub fn outdoes_record(&self, member: &member::Member) -> bool {
+        self.is_known() && self.recorded_milli < member.strength_milli
+    }
+
+    /// Returns how long an instance leaves a claim to others, so that one claims at a time and weak
+    /// machines lead only when no strong one does.
+    #[must_use]
+    pub fn delay_of(&self, member: &member::Member) -> time::Duration {
+        let is_weak = self.recorded_milli >= far_stronger_milli(member);
+        let wait = if is_weak {
+            WEAK_DELAY
+        } else {
+            time::Duration::ZERO
+        };
+        wait + RANK_DELAY * self.rank_of(member)
+    }
+
+    /// Returns whether a live machine is far stronger than that of `member`.
+    #[must_use]
+    pub fn has_far_stronger(&self, member: &member::Member) -> bool {
+        let mut members = self.members();
+        members.any(|other| other.strength_milli >= far_stronger_milli(member))
+    }
+
+    /// Returns the place of an instance among the live ones: strong machines first, then by name.
+    fn rank_of(&self, member: &member::Member) -> u32 {
         let order = |one: &member::Member| (u32::MAX - one.strength_milli, one.instance_id.clone());
         let own = order(member);
         let before = self.members().filter(|other| order(other) < own);
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 }
+
+/// Returns the strength from which a machine is preferred to that of `member`.
+fn far_stronger_milli(member: &member::Member) -> u32 {
+    member.strength_milli.saturating_mul(FAR_STRONGER).max(1)
+}
--- a/crates/elect/src/judge.rs
+++ b/crates/elect/src/judge.rs
@@ -61,12 +61,6 @@
     pub fn needs_witness(self) -> bool {
         matches!(self, Self::LeaderGone | Self::LeaderSilent)
     }
-
-    /// Returns whether the claim waits for the instance's turn, so that one claims at a time.
-    #[must_use]
-    pub fn waits_for_turn(self) -> bool {
-        self != Self::OwnEarlierTerm
-    }
 }
 
 /// A claim that an instance should make.
--- a/crates/elect/tests/world/mod.rs
+++ b/crates/elect/tests/world/mod.rs
@@ -381,13 +381,12 @@
         };
         let is_due = match turn {
             Some((at_ms, before)) => before == claim && at_ms <= self.now_ms,
-            None => !claim.reason.waits_for_turn(),
+            None => false,
         };
         if !is_due {
-            let rank = self.instances[index]
-                .cell
-                .rank_of(&self.instances[index].member);
-            let at_ms = self.now_ms + 30 * u64::from(rank);
+            let instance = &self.instances[index];
+            let delay = instance.cell.delay_of(&instance.member);
+            let at_ms = self.now_ms + delay.as_millis() as u64;
             self.instances[index].turn =
                 Some(turn.filter(|one| one.1 == claim).unwrap_or((at_ms, claim)));
             return;
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -36,6 +36,19 @@
 /// Segments beyond twice the open jobs above which the records of the oldest are written anew; an
 /// open job keeps two at the most.
 const SPARE_SEGMENTS: usize = 240;
+/// Bytes of segments below which nothing is written anew: a new leader reads them in a fraction of a
+/// second even over a slow link.
+const SPARE_BYTES: usize = 512 * 1024;
+/// Multiple of the bytes of the open jobs' records above which the oldest are written anew.
+const BYTES_FACTOR: usize = 3;
+/// About the bytes of a record without definition and progress.
+const RECORD_HEAD_BYTES: usize = 64;
+/// About the bytes of a step in a definition.
+const STEP_BYTES: usize = 100;
+/// About the bytes of a task's progress.
+const TASK_BYTES: usize = 30;
+/// About the bytes of a worker life that tasks refer to.
+const LIFE_BYTES: usize = 30;
 /// Oldest segments whose records are written anew at once.
 const REWRITE_COUNT: usize = 16;
 
@@ -56,6 +69,7 @@
 struct InFlight {
     batch: event::BatchId,
     sent_at: time::Instant,
+    bytes: usize,
     jobs: Vec<Stored>,
     gathered: Vec<model::JobId>,
     deletes: Vec<String>,
@@ -147,6 +161,7 @@
         let mut in_flight = InFlight {
             batch: id.batch,
             sent_at: clock.now,
+            bytes: 0,
             jobs: Vec::new(),
             gathered: Vec::new(),
             deletes: Vec::new(),
@@ -169,6 +184,7 @@
             outcomes: None,
             deletes: Vec::new(),
         };
+        in_flight.bytes = batch.segment.len();
         self.gather_outcomes(id, &mut batch, &mut in_flight);
         let garbage = &mut self.journal.segments.garbage;
         let deleted = garbage.len().min(MAX_DELETES);
@@ -182,8 +198,7 @@
 
     /// Marks the jobs whose records keep the oldest of too many segments.
     fn rewrite_oldest(&mut self) {
-        let limit = SPARE_SEGMENTS + 2 * self.jobs.len();
-        if self.journal.segments.len() <= limit || !self.journal.in_flight.is_empty() {
+        if !self.keeps_too_much() || !self.journal.in_flight.is_empty() {
             return;
         }
         for job_id in self.journal.segments.jobs_of_oldest(REWRITE_COUNT) {
@@ -194,6 +209,17 @@
         }
     }
 
+    fn keeps_too_much(&self) -> bool {
+        let segments = &self.journal.segments;
+        if segments.len() > SPARE_SEGMENTS + 2 * self.jobs.len() {
+            return true;
+        }
+        segments.bytes() > SPARE_BYTES && {
+            let open: usize = self.jobs.values().map(job::JobState::record_size).sum();
+            segments.bytes() > SPARE_BYTES + BYTES_FACTOR * open
+        }
+    }
+
     fn record_of(
         &mut self,
         job_id: model::JobId,
@@ -256,7 +282,7 @@
             term: self.term,
             batch,
         };
-        self.journal.segments.add(id);
+        self.journal.segments.add(id, in_flight.bytes);
         let mut effects = Vec::new();
         for mut stored in in_flight.jobs {
             effects.append(&mut stored.effects);
@@ -349,14 +375,30 @@
 
 /// Returns about how many bytes a record takes.
 fn record_size(record: &record::JobRecord) -> usize {
-    let definition = record.definition.as_ref().map_or(0, |definition| {
-        definition.job.spec.len() + 100 * definition.job.steps.len()
-    });
-    let tasks = match &record.progress {
-        record::Progress::Open { tasks, lives, .. } => 30 * tasks.len() + 30 * lives.len(),
+    let definition = record.definition.as_ref();
+    let definition = definition.map_or(0, |definition| definition_size(&definition.job));
+    let progress = match &record.progress {
+        record::Progress::Open { tasks, lives, .. } => progress_size(tasks.len(), lives.len()),
         record::Progress::Ended(_) => 0,
     };
-    64 + definition + tasks
+    RECORD_HEAD_BYTES + definition + progress
+}
+
+impl job::JobState {
+    /// Returns about how many bytes the definition and the progress take.
+    fn record_size(&self) -> usize {
+        let steps = self.occurrences.iter().flat_map(|one| &one.steps);
+        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
+        RECORD_HEAD_BYTES + definition_size(&self.job) + progress_size(tasks, tasks)
+    }
+}
+
+fn definition_size(job: &model::Job) -> usize {
+    job.spec.len() + STEP_BYTES * job.steps.len()
+}
+
+fn progress_size(tasks: usize, lives: usize) -> usize {
+    TASK_BYTES * tasks + LIFE_BYTES * lives
 }
 
 /// Formats the id of a job as callers write it.
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -25,6 +25,8 @@
 pub struct Recovery {
     /// Segments by id, which is their order.
     segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
+    /// Bytes of each segment.
+    sizes: collections::BTreeMap<record::SegmentId, usize>,
     archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
 }
 
@@ -37,6 +39,7 @@
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
         if let Some(id) = record::SegmentId::of_key(key, record::SEGMENT_PREFIX) {
             self.segments.insert(id, record::decode(value)?);
+            self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
             self.archives.push((key.to_owned(), record::decode(value)?));
         }
@@ -77,7 +80,8 @@
         let mut definitions = IndexMap::new();
         let mut progress = IndexMap::new();
         for (id, records) in self.segments {
-            scheduler.journal.segments.add(id);
+            let bytes = self.sizes.get(&id).copied().unwrap_or_default();
+            scheduler.journal.segments.add(id, bytes);
             for record in records {
                 let is_ended = matches!(record.progress, record::Progress::Ended(_));
                 let has_definition = record.definition.is_some();
@@ -148,6 +152,8 @@
         }
         log::info!(
             term = self.term,
+            segments = self.journal.segments.len(),
+            segment_bytes = self.journal.segments.bytes(),
             open_jobs = self.jobs.len(),
             ended_jobs = self.ended.len(),
             runs = inherited.len();
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -147,6 +147,20 @@
 
     /// Refuses jobs that no batch has carried to the store, which is unreachable.
     pub(crate) fn refuse_unstored(&mut self) {
+        let reason = model::RefusalReason::StoreUnavailable;
+        self.drop_unstored(&refused(reason, MIN_STORE_RETRY_MS));
+    }
+
+    /// Ends the term: callers whose jobs no batch has carried to the store may ask the next leader.
+    ///
+    /// Returns the answers to them; nothing else may be asked of this scheduler any more.
+    pub fn abandon(&mut self) -> Vec<event::Action> {
+        self.drop_unstored(&model::JobReply::NotLeading);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Drops jobs that no batch has carried to the store, and answers their callers.
+    fn drop_unstored(&mut self, reply: &model::JobReply) {
         let waiting: Vec<_> = self.journal.waiting().collect();
         for job_id in waiting {
             let is_new = self.jobs.get(&job_id).is_some_and(|state| !state.is_stored);
@@ -158,11 +172,16 @@
             let Some(state) = self.jobs.swap_remove(&job_id) else {
                 continue;
             };
-            log::info!(job:% = journal::hex(job_id); "job refused, store unreachable");
+            log::info!(
+                job:% = journal::hex(job_id),
+                store_reachable = self.store_reachable,
+                reply:? = reply;
+                "job dropped before it was stored"
+            );
             for effect in state.effects {
                 if let job::Effect::Reply(token, _) = effect {
-                    let reply = refused(model::RefusalReason::StoreUnavailable, MIN_STORE_RETRY_MS);
-                    self.actions.push(event::Action::Reply(token, reply));
+                    self.actions
+                        .push(event::Action::Reply(token, reply.clone()));
                 }
             }
         }
--- a/crates/jobs/src/segments.rs
+++ b/crates/jobs/src/segments.rs
@@ -20,10 +20,20 @@
     progress: Option<record::SegmentId>,
 }
 
-/// The segments in the store, with the number of records in each that nothing has replaced.
+/// A segment in the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kept {
+    /// Records that nothing has replaced.
+    needed: u32,
+    bytes: usize,
+}
+
+/// The segments in the store.
 #[derive(Debug, Default)]
 pub(crate) struct Segments {
-    needed: collections::BTreeMap<record::SegmentId, u32>,
+    kept: collections::BTreeMap<record::SegmentId, Kept>,
+    /// Sum over `kept`.
+    bytes: usize,
     locations: IndexMap<model::JobId, Location>,
     /// Ended jobs whose outcomes are not gathered yet.
     pub(crate) ungathered: Vec<model::JobId>,
@@ -35,12 +45,18 @@
 impl Segments {
     /// Returns the number of segments in the store.
     pub(crate) fn len(&self) -> usize {
-        self.needed.len()
+        self.kept.len()
+    }
+
+    /// Returns the bytes of all segments in the store, which a new leader has to read.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// Takes note of a segment that is in the store.
-    pub(crate) fn add(&mut self, id: record::SegmentId) {
-        self.needed.entry(id).or_default();
+    pub(crate) fn add(&mut self, id: record::SegmentId, bytes: usize) {
+        self.kept.entry(id).or_default().bytes = bytes;
+        self.bytes += bytes;
     }
 
     /// Takes note that a segment has the newest record of a job, unless a later one has it.
@@ -55,7 +71,7 @@
         let mut released = Vec::new();
         if location.progress < Some(id) {
             released.extend(location.progress.replace(id));
-            *self.needed.entry(id).or_default() += 1;
+            self.kept.entry(id).or_default().needed += 1;
             if is_ended {
                 released.extend(location.definition.take());
                 self.ungathered.push(job_id);
@@ -63,7 +79,7 @@
         }
         if has_definition && !is_ended && location.definition < Some(id) {
             released.extend(location.definition.replace(id));
-            *self.needed.entry(id).or_default() += 1;
+            self.kept.entry(id).or_default().needed += 1;
         }
         for segment in released {
             self.release(segment);
@@ -97,18 +113,19 @@
 
     /// Finds the segments that nothing needs.
     pub(crate) fn collect_garbage(&mut self) {
-        let garbage = &mut self.garbage;
-        self.needed.retain(|id, needed| {
-            if *needed == 0 {
+        let (garbage, bytes) = (&mut self.garbage, &mut self.bytes);
+        self.kept.retain(|id, kept| {
+            if kept.needed == 0 {
                 garbage.push(id.key(record::SEGMENT_PREFIX));
+                *bytes -= kept.bytes;
             }
-            *needed > 0
+            kept.needed > 0
         });
     }
 
     /// Returns the open jobs that keep the oldest segments from being deleted.
     pub(crate) fn jobs_of_oldest(&self, count: usize) -> Vec<model::JobId> {
-        let Some(limit) = self.needed.keys().nth(count) else {
+        let Some(limit) = self.kept.keys().nth(count) else {
             return Vec::new();
         };
         let old = self.locations.iter().filter(|(_, location)| {
@@ -119,8 +136,8 @@
     }
 
     fn release(&mut self, segment: record::SegmentId) {
-        if let Some(needed) = self.needed.get_mut(&segment) {
-            *needed = needed.saturating_sub(1);
+        if let Some(kept) = self.kept.get_mut(&segment) {
+            kept.needed = kept.needed.saturating_sub(1);
         }
     }
 }
--- a/crates/jobs/tests/scheduler/crest.rs
+++ b/crates/jobs/tests/scheduler/crest.rs
@@ -221,3 +221,24 @@
     }
     assert!((100..220).all(|id| !world.started_at_ms.contains_key(&id)));
 }
+
+/// Pattern: a leader loses its term in the middle of a burst, while the store does not answer.
+#[test]
+fn callers_whose_jobs_never_left_the_leader_are_passed_on_to_the_next() {
+    let mut world = World::new(9, 6, None);
+    world.run_ms(200);
+    world.store_ms = 60_000;
+    let step = world::step(1, 500, 200);
+    let sent = submit_each(&mut world, 1, 60, 10, "short", &step);
+    world.retire_leader();
+    let passed_on = sent
+        .iter()
+        .filter(|token| world.replies.get(token) == Some(&model::JobReply::NotLeading));
+    // All but those that were handed out to the store within about the first 300 ms.
+    let passed_on = passed_on.count();
+    assert!(passed_on >= 25, "{passed_on} passed on");
+    let answered = sent
+        .iter()
+        .filter(|token| world.replies.contains_key(token));
+    assert_eq!(answered.count(), passed_on, "the others are in doubt");
+}
--- a/crates/jobs/tests/scheduler/world/mod.rs
+++ b/crates/jobs/tests/scheduler/world/mod.rs
@@ -129,6 +129,14 @@
         self.scheduler = None;
     }
 
+    /// Lets the leader end its term in good order.
+    pub(crate) fn retire_leader(&mut self) {
+        let actions = self.scheduler.take().map(|mut one| one.abandon());
+        for action in actions.into_iter().flatten() {
+            self.carry_out(self.term, action);
+        }
+    }
+
     /// Elects a leader, which recovers from the store.
     pub(crate) fn elect(&mut self) {
         self.term += 1;
