--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -11,6 +11,7 @@
 use crate::journal;
 use crate::manifest;
 use crate::scheduler;
+use crate::tickets;
 
 /// Time that a call takes beside that of the service: the way to the instance and back.
 const CALL_OVERHEAD: time::Duration = time::Duration::from_millis(10);
@@ -22,7 +23,19 @@
 /// Pause of an instance whose call was not answered.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 /// Most workers that a call may name.
-const MAX_NAMED: usize = 100;
+pub(crate) const MAX_NAMED: usize = 100;
+/// Calls that take longer leave some instances to shorter ones.
+const LONG_CALL: time::Duration = time::Duration::from_millis(200);
+/// One in so many instances is left to short calls, so that short work does not wait for long calls.
+const SHORT_CALL_PART: usize = 4;
+/// Share of workers that may run a step, until calls about the queue have shown otherwise.
+const EXPECTED_ALLOWED_SHARE: f64 = 0.33;
+/// Workers asked about that the expected share counts for.
+const EXPECTED_WEIGHT: f64 = 20.0;
+/// How much what was seen counts at the next call.
+const SHARE_MEMORY: f64 = 0.95;
+/// Time between reports of the calls to the service.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Share of the service's time that naming workers may add to that of the call itself.
 const NAMING_SHARE: f64 = 0.5;
 
@@ -32,6 +45,25 @@
     instances: IndexMap<model::InstanceId, Advisor>,
     calls: IndexMap<event::CallId, Call>,
     next_call: event::CallId,
+    shares: IndexMap<model::QueueName, Share>,
+    reported_at: Option<time::Instant>,
+}
+
+/// What calls about steps of a queue have shown, older ones counting less.
+#[derive(Debug, Default)]
+struct Share {
+    asked: f64,
+    allowed: f64,
+    load: Load,
+}
+
+/// Calls since the last report.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    calls: u32,
+    named: usize,
+    /// Time that the service needs for them.
+    busy: time::Duration,
 }
 
 #[derive(Debug)]
@@ -65,6 +97,65 @@
         instances.any(|advisor| advisor.busy_until <= now + MAX_BACKLOG)
     }
 
+    /// Returns whether an instance can take a call about a gang; some are left to short calls.
+    pub(crate) fn has_capacity_for(
+        &self,
+        terms: &manifest::AdviceTerms,
+        now: time::Instant,
+    ) -> bool {
+        if terms.base_time < LONG_CALL {
+            return self.has_capacity(now);
+        }
+        let instances = self.instances.values();
+        let idle = instances.filter(|advisor| advisor.busy_until <= now + MAX_BACKLOG);
+        idle.count() > self.instances.len() / SHORT_CALL_PART
+    }
+
+    /// Returns the share of workers that steps of a queue may use, as far as calls have shown.
+    pub(crate) fn allowed_share(&self, queue: &model::QueueName) -> f64 {
+        let (asked, allowed) = match self.shares.get(queue) {
+            Some(share) => (share.asked, share.allowed),
+            None => (0.0, 0.0),
+        };
+        (allowed + EXPECTED_ALLOWED_SHARE * EXPECTED_WEIGHT) / (asked + EXPECTED_WEIGHT)
+    }
+
+    fn note_share(&mut self, queue: &model::QueueName, asked: usize, allowed: usize) {
+        let share = self.shares.entry(queue.clone()).or_default();
+        share.asked = share.asked * SHARE_MEMORY + asked as f64;
+        share.allowed = share.allowed * SHARE_MEMORY + allowed as f64;
+    }
+
+    fn note_call(&mut self, queue: &model::QueueName, named: usize, duration: time::Duration) {
+        let load = &mut self.shares.entry(queue.clone()).or_default().load;
+        load.calls += 1;
+        load.named += named;
+        load.busy += duration;
+    }
+
+    /// Logs the calls since the last report, if one is due; returns whether it was.
+    pub(crate) fn report_load(&mut self, now: time::Instant) -> bool {
+        let reported_at = *self.reported_at.get_or_insert(now);
+        if now.saturating_duration_since(reported_at) < REPORT_INTERVAL {
+            return false;
+        }
+        self.reported_at = Some(now);
+        for (queue, share) in &mut self.shares {
+            let load = std::mem::take(&mut share.load);
+            if load.calls > 0 {
+                log::info!(
+                    queue:% = queue,
+                    calls = load.calls,
+                    named = load.named,
+                    busy_ms = load.busy.as_millis() as u64,
+                    instances = self.instances.len();
+                    "advice asked for since the last report"
+                );
+            }
+        }
+        true
+    }
+
     /// Returns the instance whose calls are done first, unless all have enough to do.
     fn least_busy(&mut self, now: time::Instant) -> Option<(&model::InstanceId, &mut Advisor)> {
         self.instances
@@ -87,8 +178,7 @@
         let Some((instance_id, advisor)) = self.advisors.least_busy(clock.now) else {
             return;
         };
-        let named = u32::try_from(asked.len()).unwrap_or(u32::MAX);
-        let duration = terms.base_time + terms.time_per_worker * named + CALL_OVERHEAD;
+        let duration = duration(&terms, asked.len());
         advisor.busy_until = advisor.busy_until.max(clock.now) + duration;
         let timeout = advisor.busy_until - clock.now + CALL_PATIENCE;
         let call = event::AdviceCall {
@@ -107,7 +197,11 @@
         else {
             return;
         };
-        step_state.tickets.asking = true;
+        step_state.tickets.calls += 1;
+        if let Some(state) = self.jobs.get(&step.job_id) {
+            self.advisors
+                .note_call(&state.job.queue, asked.len(), duration);
+        }
         self.advisors.next_call += 1;
         self.advisors.calls.insert(
             call.call,
@@ -135,7 +229,7 @@
         let Some((_, step_state)) = state.and_then(|one| one.step_mut(call.step)) else {
             return;
         };
-        step_state.tickets.asking = false;
+        step_state.tickets.calls -= 1;
         match outcome {
             Ok(reply) => {
                 log::info!(
@@ -150,9 +244,13 @@
                     .validity_ms
                     .map_or(call.terms.validity, time::Duration::from_millis);
                 let valid_until = clock.now + validity;
-                step_state
+                let learned = step_state
                     .tickets
                     .take(&call.asked, reply.tickets, valid_until);
+                if let Some(state) = self.jobs.get(&call.step.job_id) {
+                    let (asked, allowed) = learned;
+                    self.advisors.note_share(&state.job.queue, asked, allowed);
+                }
             }
             Err(failure) => {
                 log::warn!(
@@ -171,6 +269,22 @@
     }
 }
 
+/// Returns about how long a call that names `count` workers takes.
+pub(crate) fn duration(terms: &manifest::AdviceTerms, count: usize) -> time::Duration {
+    let named = u32::try_from(count).unwrap_or(u32::MAX);
+    terms.base_time + terms.time_per_worker * named + CALL_OVERHEAD
+}
+
+/// Returns how long a call that names `count` workers takes at the most as a rule.
+pub(crate) fn longest(terms: &manifest::AdviceTerms, count: usize) -> time::Duration {
+    duration(terms, count) + MAX_BACKLOG + tickets::EXPIRY_MARGIN
+}
+
+/// Returns how long the answer to a call that names `count` workers is waited for.
+pub(crate) fn patience(terms: &manifest::AdviceTerms, count: usize) -> time::Duration {
+    duration(terms, count) + MAX_BACKLOG + CALL_PATIENCE
+}
+
 /// Returns how many workers a call should name when `needed` allowed ones are wanted.
 pub(crate) fn naming_limit(terms: &manifest::AdviceTerms, needed: usize) -> usize {
     let per_worker = terms.time_per_worker.as_secs_f64();
--- /dev/null
+++ b/crates/jobs/src/candidate.rs
@@ -0,0 +1,115 @@
+//! Workers on which tasks of a step may start, and the choice among them.
+
+use std::collections;
+
+use crate::job;
+
+/// A worker on which tasks of a step may start.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) life: model::WorkerLife,
+    pub(crate) rack: model::Rack,
+    pub(crate) free: model::Demand,
+    pub(crate) capacity: model::Demand,
+    /// Tasks of this step that still may be put there.
+    pub(crate) quota: u32,
+    /// Whether the data is in its rack.
+    pub(crate) is_near: bool,
+    pub(crate) failures: u32,
+}
+
+/// Tasks of a step, each with the worker that gets it.
+pub(crate) type Assignment = Vec<(u32, model::WorkerLife)>;
+
+impl Candidate {
+    /// Returns how many tasks of `demand` fit now.
+    pub(crate) fn room_for(&self, demand: &model::Demand) -> u32 {
+        fits_in(demand, &self.free).min(self.quota)
+    }
+
+    /// Returns how many tasks of `demand` would fit if nothing else ran there.
+    pub(crate) fn capacity_for(&self, demand: &model::Demand) -> u32 {
+        fits_in(demand, &self.capacity).min(self.quota)
+    }
+
+    fn take(&mut self, demand: &model::Demand) {
+        self.free = self.free.minus(demand);
+        self.quota -= 1;
+    }
+}
+
+/// Returns how many tasks of `demand` fit in `room`.
+pub(crate) fn fits_in(demand: &model::Demand, room: &model::Demand) -> u32 {
+    let per = |free: u32, each: u32| free.checked_div(each).unwrap_or(u32::MAX);
+    per(room.processors_milli, demand.processors_milli)
+        .min(per(room.memory_mb, demand.memory_mb))
+        .min(per(room.accelerators, demand.accelerators))
+}
+
+/// Assigns waiting tasks one by one, each to the worker that it fills best.
+pub(crate) fn assign_tasks(
+    mut pool: Vec<Candidate>,
+    step_state: &job::StepState,
+    demand: &model::Demand,
+) -> Assignment {
+    let mut assignment = Assignment::new();
+    let tasks = step_state.tasks.iter().enumerate();
+    for (index, _) in tasks.filter(|(_, task)| task.phase == job::Phase::Waiting) {
+        let best = pool
+            .iter_mut()
+            .filter(|candidate| candidate.room_for(demand) > 0)
+            .min_by_key(|candidate| {
+                let left = candidate.free.minus(demand);
+                (
+                    !candidate.is_near,
+                    candidate.failures,
+                    left.processors_milli,
+                )
+            });
+        let Some(best) = best else {
+            break;
+        };
+        best.take(demand);
+        assignment.push((u32::try_from(index).unwrap_or(u32::MAX), best.life.clone()));
+    }
+    assignment
+}
+
+/// Assigns all members of a gang, or none; within one rack if that is wanted and possible.
+pub(crate) fn assign_gang(
+    candidates: &[&Candidate],
+    step: &model::Step,
+    demand: &model::Demand,
+) -> Assignment {
+    if step.same_rack {
+        let racks: collections::BTreeSet<_> =
+            candidates.iter().map(|one| one.rack.clone()).collect();
+        for rack in racks {
+            let within = candidates.iter().copied().filter(|one| one.rack == rack);
+            let assignment = fill(within.collect(), step.task_count, demand);
+            if !assignment.is_empty() {
+                return assignment;
+            }
+        }
+    }
+    fill(candidates.to_vec(), step.task_count, demand)
+}
+
+/// Fills one worker after the other until `count` tasks are assigned; empty if they do not fit.
+fn fill(mut candidates: Vec<&Candidate>, count: u32, demand: &model::Demand) -> Assignment {
+    candidates.sort_by_key(|candidate| {
+        let room = candidate.room_for(demand);
+        (!candidate.is_near, candidate.failures, u32::MAX - room)
+    });
+    let mut assignment = Assignment::new();
+    for candidate in candidates {
+        let assigned = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
+        let here = candidate.room_for(demand).min(count - assigned);
+        assignment.extend((assigned..assigned + here).map(|index| (index, candidate.life.clone())));
+    }
+    if assignment.len() == count as usize {
+        assignment
+    } else {
+        Assignment::new()
+    }
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,8 +5,11 @@
 //! store; nothing that depends on a batch is done before it has taken effect.
 
 mod advice;
+mod ask;
+mod candidate;
 mod event;
 mod gangs;
+mod holds;
 mod job;
 mod journal;
 mod manifest;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -4,71 +4,69 @@
 use std::time;
 
 use crate::advice;
+use crate::ask;
+use crate::candidate;
+use crate::candidate::Candidate;
 use crate::event;
+use crate::holds;
 use crate::job;
 use crate::journal;
 use crate::manifest;
 use crate::scheduler;
-use crate::tickets;
 use crate::worker;
 use crate::workers;
 
-/// How long a gang waits for room before the workers it may use are kept free for it.
-const RESERVE_AFTER: time::Duration = time::Duration::from_millis(300);
-/// Share of workers that may run a step, until calls have shown otherwise; used to choose how
-/// many to name at least.
-const EXPECTED_ALLOWED_SHARE: f64 = 0.33;
-
-/// Workers that a call about a gang names as a rule.
-const USUAL_GANG_NAMES: u32 = 40;
+/// Part of its objective that a gang waits before workers that it may use are kept free for it.
+const RESERVE_AFTER_PART: u64 = 3;
+/// One in so many workers is kept free for waiting gangs at the most, unless one gang needs more:
+/// each of them idles in part.
+const RESERVED_PART: usize = 8;
+/// Tasks for which the workers kept free for a gang have capacity, as a multiple of its tasks: some
+/// of them hold long work.
+const RESERVE_SLACK: f64 = 1.5;
 
 /// What one pass over the waiting steps has set aside.
 #[derive(Debug, Default)]
 struct Pass {
-    /// Workers kept free for a gang that comes earlier in the order.
-    reserved: collections::HashSet<model::WorkerLife>,
+    /// Steps that were looked at; their kept room is not taken by later ones.
+    served: collections::HashSet<model::StepKey>,
+    /// Workers kept free for gangs that come earlier in the order, with the priority of the gang;
+    /// work of a higher priority is not kept off.
+    reserved: collections::HashMap<model::WorkerLife, u32>,
+    /// What gangs that come earlier in the order wait for.
+    awaited: model::Demand,
+    /// What is free on all workers together; found when first needed.
+    free: Option<model::Demand>,
 }
 
-/// A worker on which tasks of a step may start.
-#[derive(Debug)]
-struct Candidate {
-    life: model::WorkerLife,
-    rack: model::Rack,
-    free: model::Demand,
-    /// Tasks of this step that still may be put there.
-    quota: u32,
-    /// Whether the data is in its rack.
-    is_near: bool,
-    failures: u32,
+/// A step with waiting tasks, and what decides about it.
+struct Waiting<'a> {
+    key: model::StepKey,
+    queue: &'a manifest::Queue,
+    step: &'a model::Step,
+    step_state: &'a job::StepState,
+    objective_ms: u64,
 }
 
-impl Candidate {
-    /// Returns how many tasks of `demand` fit.
-    fn room_for(&self, demand: &model::Demand) -> u32 {
-        let per = |free: u32, each: u32| free.checked_div(each).unwrap_or(u32::MAX);
-        per(self.free.processors_milli, demand.processors_milli)
-            .min(per(self.free.memory_mb, demand.memory_mb))
-            .min(per(self.free.accelerators, demand.accelerators))
-            .min(self.quota)
-    }
-
-    fn take(&mut self, demand: &model::Demand) {
-        self.free = self.free.minus(demand);
-        self.quota -= 1;
+impl Waiting<'_> {
+    /// Returns how long the step has waited, as a multiple of the job's objective.
+    fn waited(&self, clock: event::Clock) -> f64 {
+        let since = self.step_state.blocked_since.unwrap_or(clock.now);
+        let waited = clock.now.saturating_duration_since(since);
+        waited.as_millis() as f64 / self.objective_ms.max(1) as f64
     }
 }
 
-/// Tasks of a step, each with the worker that gets it.
-type Assignment = Vec<(u32, model::WorkerLife)>;
-
 impl scheduler::Scheduler {
     /// Starts what fits, in the order of service.
     pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         let mut pass = Pass::default();
+        self.holds.expire(clock.now);
         for waiting in self.order_of_service(clock) {
             if self.place_step(waiting.key, &mut pass, clock) {
                 self.waiting.remove(&waiting);
             }
+            pass.served.insert(waiting.key);
         }
     }
 
@@ -83,39 +81,81 @@
         if step_state.waiting_count == 0 {
             return true;
         }
-        if step.gang && step_state.waiting_count < step.task_count {
-            // The others must have ended first; the last end queues the step again.
-            return true;
+        if step.gang {
+            // If some members still run, the last end queues the step again.
+            return step_state.waiting_count < step.task_count || self.place_gang(key, pass, clock);
         }
-        let queue = Self::queue_of(&self.manifest, state);
-        let advice = queue.advice;
-        let ticketed = match advice {
-            Some(_) => self.ticketed(queue, step, step_state, pass, clock),
-            None => self.candidates(self.workers.iter(), queue, step, step_state, pass, clock),
+        self.place_tasks(key, pass, clock)
+    }
+
+    /// Places tasks that start one by one; returns whether none is left waiting.
+    fn place_tasks(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+        let Some(waiting) = self.waiting_step(key) else {
+            return true;
         };
+        let (step, step_state, advice) = (waiting.step, waiting.step_state, waiting.queue.advice);
+        let allowed = self.allowed(&waiting, pass, clock);
         let demand = workers::counted_demand(step);
-        let assignment = if step.gang {
-            assign_gang(&ticketed, step, &demand)
-        } else {
-            assign_tasks(ticketed, step_state, &demand)
-        };
+        let assignment = candidate::assign_tasks(allowed, step_state, &demand);
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
-        let is_complete = placed == step_state.waiting_count;
-        if !is_complete && let Some(terms) = advice {
-            let missing = step_state.waiting_count - placed;
-            self.consider_asking(key, missing, terms, pass, clock);
+        let missing = step_state.waiting_count - placed;
+        if missing > 0
+            && let Some(terms) = advice
+        {
+            self.ask_for_tasks(key, missing, terms, pass, clock);
         }
         if !assignment.is_empty() {
             self.plan_runs(key, assignment, clock);
         }
-        if !is_complete {
+        if missing > 0 {
             self.note_blocked(key, pass, clock);
         }
-        is_complete
+        missing == 0
     }
 
-    /// Asks the recommendation service about a step, if an instance can and it may help.
-    fn consider_asking(
+    /// Places all tasks of a gang, or none; returns whether they are placed.
+    fn place_gang(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+        let Some(waiting) = self.waiting_step(key) else {
+            return true;
+        };
+        let (step, step_state, advice) = (waiting.step, waiting.step_state, waiting.queue.advice);
+        let allowed = self.allowed(&waiting, pass, clock);
+        let demand = workers::counted_demand(step);
+        let allowed: Vec<_> = allowed.iter().collect();
+        let assignment = candidate::assign_gang(&allowed, step, &demand);
+        let is_asking = step_state.tickets.is_asking();
+        if !assignment.is_empty() {
+            self.holds.release(key);
+            self.plan_runs(key, assignment, clock);
+            return true;
+        }
+        let total = demand.times(step.task_count);
+        if !is_asking && let Some(terms) = advice {
+            self.holds.release(key);
+            if self.has_room_beyond_earlier(pass, clock) {
+                self.ask_for_gang(key, terms, pass, clock);
+            }
+        }
+        pass.awaited = pass.awaited.plus(&total);
+        self.note_blocked(key, pass, clock);
+        false
+    }
+
+    /// Returns whether more is free than earlier gangs wait for: without, a gang would ask in vain.
+    fn has_room_beyond_earlier(&self, pass: &mut Pass, clock: event::Clock) -> bool {
+        let free = *pass.free.get_or_insert_with(|| {
+            let workers = self.workers.values();
+            let usable = workers.filter(|worker| worker.takes_work(clock.now));
+            usable.fold(model::Demand::default(), |sum, worker| {
+                sum.plus(&worker.free())
+            })
+        });
+        pass.awaited.processors_milli <= free.processors_milli
+            && pass.awaited.memory_mb <= free.memory_mb
+    }
+
+    /// Asks the recommendation service about tasks that start one by one, if that may help.
+    fn ask_for_tasks(
         &mut self,
         key: model::StepKey,
         missing: u32,
@@ -126,57 +166,159 @@
         if !self.advisors.has_capacity(clock.now) {
             return;
         }
-        let Some(state) = self.jobs.get(&key.job_id) else {
-            return;
-        };
-        let Some((step, step_state)) = state.step(key) else {
-            return;
-        };
-        if !step_state.tickets.may_ask(clock.now) {
+        let call = self.with_question(key, terms, pass, clock, |question| {
+            question.call_for_tasks(missing)
+        });
+        match call {
+            Some(Some(ask::TaskCall { names, rooms })) => {
+                self.keep_room(
+                    key,
+                    &rooms,
+                    holds::Binding::Later,
+                    terms,
+                    names.len(),
+                    clock,
+                );
+                self.ask_advice(key, terms, names, clock);
+            }
+            Some(None) => self.ask_later(key, clock),
+            None => {}
+        }
+    }
+
+    /// Asks the recommendation service about a gang, if that may help.
+    fn ask_for_gang(
+        &mut self,
+        key: model::StepKey,
+        terms: manifest::AdviceTerms,
+        pass: &Pass,
+        clock: event::Clock,
+    ) {
+        if !self.advisors.has_capacity_for(&terms, clock.now) {
             return;
         }
-        let queue = Self::queue_of(&self.manifest, state);
-        let all = self.workers.iter();
-        let usable = self.candidates(all, queue, step, step_state, pass, clock);
-        let names = names_to_ask(&usable, step, &step_state.tickets, missing, terms, clock);
-        if !names.is_empty() {
-            self.ask_advice(key, terms, names, clock);
-        } else if let Some((_, step_state)) = self
-            .jobs
-            .get_mut(&key.job_id)
-            .and_then(|state| state.step_mut(key))
-        {
-            step_state.tickets.ask_later(clock.now);
+        let call = self.with_question(key, terms, pass, clock, |question| question.call_for_gang());
+        match call {
+            Some(Some(ask::GangCall::Tickets { names, assignment })) => {
+                let rooms: Vec<_> = assignment.into_iter().map(|(_, life)| life).collect();
+                self.keep_room(key, &rooms, holds::Binding::All, terms, names.len(), clock);
+                self.ask_advice(key, terms, names, clock);
+            }
+            Some(Some(ask::GangCall::Learn { names })) => {
+                // Asked at the same time, all tickets are valid together.
+                let calls = names.len().div_ceil(advice::MAX_NAMED);
+                for part in names.chunks(names.len().div_ceil(calls)) {
+                    self.ask_advice(key, terms, part.to_vec(), clock);
+                }
+            }
+            Some(None) => self.ask_later(key, clock),
+            None => {}
+        }
+    }
+
+    /// Keeps room for a step while the service answers a call that names `named` workers.
+    fn keep_room(
+        &mut self,
+        key: model::StepKey,
+        rooms: &[model::WorkerLife],
+        binding: holds::Binding,
+        terms: manifest::AdviceTerms,
+        named: usize,
+        clock: event::Clock,
+    ) {
+        let until = clock.now + advice::patience(&terms, named);
+        if let Some(waiting) = self.waiting_step(key) {
+            let demand = workers::counted_demand(waiting.step);
+            self.holds.keep(key, rooms, &demand, binding, until);
         }
     }
 
-    /// Returns the workers for which a step has valid tickets.
-    fn ticketed(
+    /// Calls `decide` with what is known of a step; `None` if the service may not be asked now.
+    fn with_question<T>(
         &self,
-        queue: &manifest::Queue,
-        step: &model::Step,
-        step_state: &job::StepState,
+        key: model::StepKey,
+        terms: manifest::AdviceTerms,
         pass: &Pass,
         clock: event::Clock,
-    ) -> Vec<Candidate> {
-        let workers = step_state
-            .tickets
+        decide: impl FnOnce(&ask::Question<'_>) -> T,
+    ) -> Option<T> {
+        let waiting = self.waiting_step(key)?;
+        if !waiting.step_state.tickets.may_ask(clock.now) {
+            return None;
+        }
+        let usable = self.candidates(&waiting, self.workers.iter(), pass, clock);
+        let demand = workers::counted_demand(waiting.step);
+        Some(decide(&ask::Question {
+            usable: &usable,
+            step: waiting.step,
+            demand,
+            mean_room: self.mean_room(&waiting, &demand, clock),
+            waited: waiting.waited(clock),
+            tickets: &waiting.step_state.tickets,
+            terms,
+            allowed_share: self.advisors.allowed_share(&waiting.queue.name),
+            clock,
+        }))
+    }
+
+    /// Returns how many tasks of `demand` have room on a worker of the queue's pool in the mean,
+    /// whatever is kept for others.
+    fn mean_room(&self, waiting: &Waiting<'_>, demand: &model::Demand, clock: event::Clock) -> f64 {
+        let pool = &waiting.queue.pool;
+        let quota = waiting.step.max_per_worker.unwrap_or(u32::MAX);
+        let workers = self.workers.values().filter(|worker| {
+            let report = worker.report.as_ref();
+            worker.takes_work(clock.now) && report.is_some_and(|report| report.pool == *pool)
+        });
+        let (mut count, mut room) = (0_u32, 0_u32);
+        for worker in workers {
+            count += 1;
+            room = room.saturating_add(candidate::fits_in(demand, &worker.free()).min(quota));
+        }
+        f64::from(room) / f64::from(count.max(1))
+    }
+
+    fn ask_later(&mut self, key: model::StepKey, clock: event::Clock) {
+        let state = self.jobs.get_mut(&key.job_id);
+        if let Some((_, step_state)) = state.and_then(|one| one.step_mut(key)) {
+            step_state.tickets.ask_later(clock.now);
+        }
+    }
+
+    fn waiting_step(&self, key: model::StepKey) -> Option<Waiting<'_>> {
+        let state = self.jobs.get(&key.job_id)?;
+        let (step, step_state) = state.step(key)?;
+        Some(Waiting {
+            key,
+            queue: Self::queue_of(&self.manifest, state),
+            step,
+            step_state,
+            objective_ms: state.objective_ms,
+        })
+    }
+
+    /// Returns the workers on which a step may start now.
+    fn allowed(&self, waiting: &Waiting<'_>, pass: &Pass, clock: event::Clock) -> Vec<Candidate> {
+        if waiting.queue.advice.is_none() {
+            return self.candidates(waiting, self.workers.iter(), pass, clock);
+        }
+        let tickets = &waiting.step_state.tickets;
+        let ticketed = tickets
             .valid_workers(clock.now)
             .filter_map(|worker_id| self.lives.get(worker_id))
             .filter_map(|life| self.workers.get_key_value(life));
-        self.candidates(workers, queue, step, step_state, pass, clock)
+        self.candidates(waiting, ticketed, pass, clock)
     }
 
     /// Returns those of `workers` on which tasks of a step may start, as far as is known.
     fn candidates<'a>(
         &self,
+        waiting: &Waiting<'_>,
         workers: impl Iterator<Item = (&'a model::WorkerLife, &'a worker::Worker)>,
-        queue: &manifest::Queue,
-        step: &model::Step,
-        step_state: &job::StepState,
         pass: &Pass,
         clock: event::Clock,
     ) -> Vec<Candidate> {
+        let (step, step_state) = (waiting.step, waiting.step_state);
         let mut placed: collections::HashMap<&model::WorkerLife, u32> = collections::HashMap::new();
         if step.max_per_worker.is_some() {
             for task in &step_state.tasks {
@@ -185,19 +327,23 @@
                 }
             }
         }
+        let priority = waiting.queue.priority;
+        let is_reserved =
+            |life: &model::WorkerLife| pass.reserved.get(life).is_some_and(|of| *of <= priority);
         let usable = workers.filter(|(life, worker)| {
             worker.takes_work(clock.now)
-                && !pass.reserved.contains(*life)
+                && !is_reserved(life)
                 && !step_state.tickets.is_refused(&life.worker_id)
                 && worker
                     .report
                     .as_ref()
-                    .is_some_and(|report| report.pool == queue.pool)
+                    .is_some_and(|report| report.pool == waiting.queue.pool)
                 && step
                     .required_label
                     .as_ref()
                     .is_none_or(|label| worker.has_label(label))
         });
+        let is_earlier = |step: &model::StepKey| pass.served.contains(step);
         let candidates = usable.map(|(life, worker)| {
             let already = placed.get(life).copied().unwrap_or_default();
             let quota = step
@@ -206,7 +352,10 @@
             Candidate {
                 life: life.clone(),
                 rack: rack_of(worker),
-                free: worker.free(),
+                free: worker
+                    .free()
+                    .minus(&self.holds.kept_from(waiting.key, life, is_earlier)),
+                capacity: worker.capacity(),
                 quota,
                 is_near: step
                     .data_rack
@@ -219,7 +368,12 @@
     }
 
     /// Plans the runs of an assignment; they start once the plan is stored.
-    fn plan_runs(&mut self, key: model::StepKey, assignment: Assignment, clock: event::Clock) {
+    fn plan_runs(
+        &mut self,
+        key: model::StepKey,
+        assignment: candidate::Assignment,
+        clock: event::Clock,
+    ) {
         let Some(state) = self.jobs.get_mut(&key.job_id) else {
             return;
         };
@@ -240,7 +394,10 @@
             still_waiting = step_state.waiting_count as usize - assignment.len(),
             blocked_ms = blocked_since.map_or(0, |at| {
                 clock.now.saturating_duration_since(at).as_millis() as u64
-            });
+            }),
+            answers = step_state.tickets.answers,
+            asked = step_state.tickets.asked_count(),
+            allowed = step_state.tickets.allowed_count();
             "runs planned"
         );
         let mut effects = Vec::new();
@@ -269,11 +426,11 @@
 
     /// Notes that a step waits for room, and keeps workers free for a gang that waits long.
     fn note_blocked(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) {
-        let Some((step, step_state)) = self
-            .jobs
-            .get_mut(&key.job_id)
-            .and_then(|state| state.step_mut(key))
-        else {
+        let Some(state) = self.jobs.get_mut(&key.job_id) else {
+            return;
+        };
+        let reserve_after = time::Duration::from_millis(state.objective_ms / RESERVE_AFTER_PART);
+        let Some((step, step_state)) = state.step_mut(key) else {
             return;
         };
         if step_state.blocked_since.is_none() {
@@ -281,171 +438,67 @@
                 job:% = journal::hex(key.job_id),
                 step = key.step,
                 waiting = step_state.waiting_count,
-                asking = step_state.tickets.asking;
+                asking = step_state.tickets.is_asking();
                 "step waits for room or advice"
             );
         }
         let since = *step_state.blocked_since.get_or_insert(clock.now);
-        if !step.gang || clock.now.saturating_duration_since(since) < RESERVE_AFTER {
-            return;
+        let waited = clock.now.saturating_duration_since(since);
+        if step.gang && waited >= reserve_after {
+            self.reserve_for(key, pass, clock);
         }
-        let allowed: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(life, worker)| {
-                worker.takes_work(clock.now) && step_state.tickets.is_allowed(&life.worker_id)
-            })
-            .collect();
-        let demand = workers::counted_demand(step);
-        let capacity: u32 = allowed
-            .iter()
-            .filter_map(|(_, worker)| worker.report.as_ref())
-            .map(|report| fits_in(&demand, &report.capacity))
-            .fold(0, u32::saturating_add);
-        if capacity < step.task_count {
-            return;
-        }
-        let lives = allowed.into_iter().map(|(life, _)| life.clone());
-        pass.reserved.extend(lives);
     }
-}
 
-/// Returns how many tasks of `demand` fit in `room`.
-fn fits_in(demand: &model::Demand, room: &model::Demand) -> u32 {
-    let per = |free: u32, each: u32| free.checked_div(each).unwrap_or(u32::MAX);
-    per(room.processors_milli, demand.processors_milli)
-        .min(per(room.memory_mb, demand.memory_mb))
-        .min(per(room.accelerators, demand.accelerators))
-}
-
-fn rack_of(worker: &worker::Worker) -> model::Rack {
-    let report = worker.report.as_ref();
-    report.map_or_else(|| "".into(), |report| report.rack.clone())
-}
-
-/// Assigns waiting tasks one by one, each to the worker that it fills best.
-fn assign_tasks(
-    mut pool: Vec<Candidate>,
-    step_state: &job::StepState,
-    demand: &model::Demand,
-) -> Assignment {
-    let mut assignment = Assignment::new();
-    let tasks = step_state.tasks.iter().enumerate();
-    for (index, _) in tasks.filter(|(_, task)| task.phase == job::Phase::Waiting) {
-        let best = pool
-            .iter_mut()
-            .filter(|candidate| candidate.room_for(demand) > 0)
-            .min_by_key(|candidate| {
-                let left = candidate.free.minus(demand);
-                (
-                    !candidate.is_near,
-                    candidate.failures,
-                    left.processors_milli,
-                )
-            });
-        let Some(best) = best else {
-            break;
+    /// Keeps workers free for a gang that waits long, so that it is not passed by for ever, and
+    /// their tickets valid, so that it starts once there is room.
+    fn reserve_for(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) {
+        let budget = self.workers.len() / RESERVED_PART;
+        let has_room = pass.reserved.is_empty() || pass.reserved.len() < budget;
+        let Some(waiting) = self.waiting_step(key).filter(|_| has_room) else {
+            return;
         };
-        best.take(demand);
-        assignment.push((u32::try_from(index).unwrap_or(u32::MAX), best.life.clone()));
-    }
-    assignment
-}
-
-/// Assigns all members of a gang, or none.
-fn assign_gang(candidates: &[Candidate], step: &model::Step, demand: &model::Demand) -> Assignment {
-    if step.same_rack {
-        let racks: collections::BTreeSet<_> =
-            candidates.iter().map(|one| one.rack.clone()).collect();
-        for rack in racks {
-            let within = candidates.iter().filter(|one| one.rack == rack);
-            let assignment = fill(within.collect(), step.task_count, demand);
-            if !assignment.is_empty() {
-                return assignment;
-            }
+        let demand = workers::counted_demand(waiting.step);
+        let tickets = &waiting.step_state.tickets;
+        let mut allowed = self.candidates(&waiting, self.workers.iter(), pass, clock);
+        allowed.retain(|one| {
+            waiting.queue.advice.is_none() || tickets.is_allowed(&one.life.worker_id)
+        });
+        allowed.sort_by_key(|one| {
+            let free = one.free.processors_milli;
+            (u32::MAX - one.room_for(&demand), u32::MAX - free)
+        });
+        let wanted = f64::from(waiting.step.task_count) * RESERVE_SLACK;
+        let mut capacity = 0.0;
+        let lives = allowed.iter().take_while(|one| {
+            let is_needed = capacity < wanted;
+            capacity += f64::from(one.capacity_for(&demand));
+            is_needed
+        });
+        let priority = waiting.queue.priority;
+        let lives: Vec<_> = lives.map(|one| one.life.clone()).collect();
+        let is_within = pass.reserved.is_empty() || pass.reserved.len() + lives.len() <= budget;
+        if capacity < f64::from(waiting.step.task_count) || !is_within {
+            return;
         }
-    }
-    fill(candidates.iter().collect(), step.task_count, demand)
-}
-
-/// Fills one worker after the other until `count` tasks are assigned; empty if they do not fit.
-fn fill(mut candidates: Vec<&Candidate>, count: u32, demand: &model::Demand) -> Assignment {
-    candidates.sort_by_key(|candidate| {
-        let room = candidate.room_for(demand);
-        (!candidate.is_near, candidate.failures, u32::MAX - room)
-    });
-    let mut assignment = Assignment::new();
-    for candidate in candidates {
-        let assigned = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
-        let here = candidate.room_for(demand).min(count - assigned);
-        assignment.extend((assigned..assigned + here).map(|index| (index, candidate.life.clone())));
-    }
-    if assignment.len() == count as usize {
-        assignment
-    } else {
-        Assignment::new()
-    }
-}
-
-/// Returns the workers to ask the recommendation service about; none if that would not help.
-fn names_to_ask(
-    usable: &[Candidate],
-    step: &model::Step,
-    tickets: &tickets::Tickets,
-    missing: u32,
-    terms: manifest::AdviceTerms,
-    clock: event::Clock,
-) -> Vec<model::WorkerId> {
-    let demand = &workers::counted_demand(step);
-    // The tickets of a gang must all be valid together: one that ends during the call is renewed.
-    let usual = u32::try_from(usable.len()).unwrap_or(u32::MAX);
-    let ahead = match step.gang {
-        true => terms.base_time + terms.time_per_worker * usual.min(USUAL_GANG_NAMES),
-        false => time::Duration::ZERO,
-    };
-    let mut unsure: Vec<_> = usable
-        .iter()
-        .filter(|one| {
-            let worker_id = &one.life.worker_id;
-            tickets.valid(worker_id, clock.now + ahead).is_none()
-        })
-        .collect();
-    let is_first = tickets.is_empty();
-    if !is_first {
-        unsure.retain(|one| one.room_for(demand) > 0);
-        if step.gang && !may_fit(usable, &unsure, step.task_count, demand, tickets) {
-            return Vec::new();
+        let advice = waiting.queue.advice;
+        if let Some(terms) = advice {
+            let needed_until = clock.now + advice::duration(&terms, lives.len());
+            let names = lives.iter().map(|life| life.worker_id.clone());
+            let names = names.filter(|worker_id| tickets.valid(worker_id, needed_until).is_none());
+            let names: Vec<_> = names.take(advice::MAX_NAMED).collect();
+            let may_ask = !tickets.is_asking()
+                && !names.is_empty()
+                && self.advisors.has_capacity_for(&terms, clock.now);
+            if may_ask {
+                self.ask_advice(key, terms, names, clock);
+            }
         }
+        pass.reserved
+            .extend(lives.into_iter().map(|life| (life, priority)));
     }
-    unsure.sort_by_key(|one| {
-        let is_allowed = tickets.is_allowed(&one.life.worker_id);
-        (!is_allowed, u32::MAX - one.room_for(demand).min(missing))
-    });
-    let each = unsure.first().map_or(1, |one| one.room_for(demand).max(1));
-    let needed = f64::from(missing.div_ceil(each)) / EXPECTED_ALLOWED_SHARE;
-    let limit = advice::naming_limit(&terms, needed.ceil() as usize);
-    let names = unsure.iter().take(limit);
-    names.map(|one| one.life.worker_id.clone()).collect()
 }
 
-/// Returns whether a gang would fit if every worker not asked yet allowed it.
-fn may_fit(
-    usable: &[Candidate],
-    unsure: &[&Candidate],
-    count: u32,
-    demand: &model::Demand,
-    tickets: &tickets::Tickets,
-) -> bool {
-    let allowed = usable
-        .iter()
-        .filter(|one| tickets.is_allowed(&one.life.worker_id));
-    let new = unsure
-        .iter()
-        .copied()
-        .filter(|one| !tickets.is_allowed(&one.life.worker_id));
-    let room = allowed
-        .chain(new)
-        .map(|one| one.room_for(demand))
-        .fold(0, u32::saturating_add);
-    room >= count
+fn rack_of(worker: &worker::Worker) -> model::Rack {
+    let report = worker.report.as_ref();
+    report.map_or_else(|| "".into(), |report| report.rack.clone())
 }
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -11,6 +11,7 @@
 
 use crate::advice;
 use crate::event;
+use crate::holds;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -67,6 +68,7 @@
             workers: IndexMap::new(),
             lives: collections::HashMap::new(),
             advisors: advice::Advisors::default(),
+            holds: holds::Holds::default(),
             waiting: collections::BTreeSet::new(),
             scheduled: collections::BTreeSet::new(),
             journal: journal::Journal::default(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 use crate::advice;
 use crate::event;
+use crate::holds;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -33,6 +34,8 @@
     /// The newest life of each worker that the directory lists.
     pub(crate) lives: collections::HashMap<model::WorkerId, model::WorkerLife>,
     pub(crate) advisors: advice::Advisors,
+    /// Room kept for gangs whose tickets are on their way.
+    pub(crate) holds: holds::Holds,
     /// Steps with waiting tasks, in the order in which they are served.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Occurrences that are not due yet, by the time of day.
@@ -180,9 +183,38 @@
     fn tick(&mut self, clock: event::Clock) {
         self.give_up_lapsed(clock);
         self.forget_outcomes(clock);
+        if self.advisors.report_load(clock.now) {
+            self.report_load();
+        }
         self.may_place = true;
     }
 
+    /// Logs how full the workers are, and what waits.
+    fn report_load(&self) {
+        let sum = |of: fn(&worker::Worker) -> model::Demand| {
+            let demands = self.workers.values().map(of);
+            demands.fold(model::Demand::default(), |sum, one| sum.plus(&one))
+        };
+        let (used, capacity) = (sum(|one| one.used), sum(worker::Worker::capacity));
+        let waiting = |is_gang: bool| {
+            let steps = self.waiting.iter().filter(|waiting| {
+                let state = self.jobs.get(&waiting.key.job_id);
+                let step = state.and_then(|state| state.step(waiting.key));
+                step.is_some_and(|(step, _)| step.gang == is_gang)
+            });
+            steps.count()
+        };
+        log::info!(
+            processors_used_milli = used.processors_milli,
+            processors_milli = capacity.processors_milli,
+            memory_used_mb = used.memory_mb,
+            memory_mb = capacity.memory_mb,
+            gangs_waiting = waiting(true),
+            other_steps_waiting = waiting(false);
+            "load of the workers"
+        );
+    }
+
     /// Lets go of outcomes that have been kept long enough.
     fn forget_outcomes(&mut self, clock: event::Clock) {
         let retention_ms = self.settings.outcome_retention.as_millis() as u64;
--- a/crates/jobs/src/tickets.rs
+++ b/crates/jobs/src/tickets.rs
@@ -7,7 +7,7 @@
 
 /// Time before the end of a ticket from which it is not used any more: a start takes as long to
 /// be carried out on a slow path between regions.
-const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(150);
+pub(crate) const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(150);
 
 /// Pause after it was found that no worker with room is left to ask about.
 const ASK_PAUSE: time::Duration = time::Duration::from_millis(40);
@@ -19,8 +19,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Tickets {
     verdicts: IndexMap<model::WorkerId, Verdict>,
-    /// Whether a call about this step is under way.
-    pub(crate) asking: bool,
+    /// Answers taken.
+    pub(crate) answers: u32,
+    /// Calls about this step that are under way.
+    pub(crate) calls: u32,
     /// When the service may be asked again; earlier calls would hardly help.
     ask_not_before: Option<time::Instant>,
 }
@@ -35,13 +37,16 @@
 }
 
 impl Tickets {
-    /// Takes the answer to a call that named `asked`.
+    /// Takes the answer to a call that named `asked`; returns how many workers were asked about for
+    /// the first time, and how many of them are allowed.
     pub(crate) fn take(
         &mut self,
         asked: &[model::WorkerId],
         tickets: Vec<model::Ticket>,
         valid_until: time::Instant,
-    ) {
+    ) -> (usize, usize) {
+        self.answers += 1;
+        let (mut new_asked, mut new_allowed) = (0, 0);
         let mut allowed: collections::HashMap<_, _> = tickets
             .into_iter()
             .map(|ticket| (ticket.worker_id, ticket.token))
@@ -51,8 +56,13 @@
                 Some(token) => Verdict::Allowed { token, valid_until },
                 None => Verdict::Refused,
             };
-            self.verdicts.insert(worker_id.clone(), verdict);
+            let is_allowed = matches!(verdict, Verdict::Allowed { .. });
+            if self.verdicts.insert(worker_id.clone(), verdict).is_none() {
+                new_asked += 1;
+                new_allowed += usize::from(is_allowed);
+            }
         }
+        (new_asked, new_allowed)
     }
 
     /// Forgets the ticket of a worker that rejected it.
@@ -62,9 +72,14 @@
         }
     }
 
+    /// Returns whether a call about this step is under way.
+    pub(crate) fn is_asking(&self) -> bool {
+        self.calls > 0
+    }
+
     /// Returns whether the service may be asked now.
     pub(crate) fn may_ask(&self, now: time::Instant) -> bool {
-        !self.asking && self.ask_not_before.is_none_or(|at| at <= now)
+        !self.is_asking() && self.ask_not_before.is_none_or(|at| at <= now)
     }
 
     /// Puts the next call off, as none would help now.
@@ -107,6 +122,19 @@
         matches!(self.verdicts.get(worker_id), Some(Verdict::Allowed { .. }))
     }
 
+    /// Returns how many workers the service was asked about.
+    pub(crate) fn asked_count(&self) -> usize {
+        self.verdicts.len()
+    }
+
+    /// Returns how many workers are known to be allowed.
+    pub(crate) fn allowed_count(&self) -> usize {
+        let verdicts = self.verdicts.values();
+        verdicts
+            .filter(|verdict| matches!(verdict, Verdict::Allowed { .. }))
+            .count()
+    }
+
     /// Returns whether nothing was ever asked.
     pub(crate) fn is_empty(&self) -> bool {
         self.verdicts.is_empty()
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -158,10 +158,15 @@
         })
     }
 
+    /// Returns what it has in all.
+    pub(crate) fn capacity(&self) -> model::Demand {
+        let report = self.report.as_ref();
+        report.map_or_else(model::Demand::default, |report| report.capacity)
+    }
+
     /// Returns what is free.
     pub(crate) fn free(&self) -> model::Demand {
-        let capacity = self.report.as_ref().map(|report| report.capacity);
-        capacity.unwrap_or_default().minus(&self.used)
+        self.capacity().minus(&self.used)
     }
 
     pub(crate) fn has_label(&self, label: &str) -> bool {
--- a/crates/jobs/tests/scheduler/always.rs
+++ b/crates/jobs/tests/scheduler/always.rs
@@ -52,6 +52,10 @@
     let mut job = world::job(id, "short", first.clone());
     if world.random(3) == 0 {
         first.gang = world.random(2) == 0;
+        if first.gang && first.max_per_worker.is_some() {
+            // The recommendation service allows each step half of the workers at least.
+            first.task_count = first.task_count.min(3);
+        }
         first.after = vec![0];
         job.steps.push(first);
         job.queue = "long".into();
--- a/crates/jobs/tests/scheduler/crest.rs
+++ b/crates/jobs/tests/scheduler/crest.rs
@@ -242,3 +242,43 @@
         .filter(|token| world.replies.contains_key(token));
     assert_eq!(answered.count(), passed_on, "the others are in doubt");
 }
+
+/// Pattern: wide gangs come faster than the workers take them, and the recommendation service is
+/// slow and allows few workers.
+#[test]
+fn gangs_that_wait_for_room_do_not_fill_the_recommendation_service() {
+    let mut world = World::new(10, 40, Some(0.4));
+    world.slow_advice(700, 6);
+    world.run_ms(200);
+    let gang = model::Step {
+        gang: true,
+        ..world::step(14, 4_000, 2_500)
+    };
+    submit_each(&mut world, 1, 20, 300, "long", &gang);
+    world.run_ms(40_000);
+    for id in 1..=20 {
+        let completed = model::JobReply::Status(model::JobStatus::Completed);
+        assert_eq!(world.status(id), Some(completed), "gang {id}");
+    }
+    // Two to learn which workers they may use, and one or two for tickets once there is room.
+    let calls = world.advice_calls;
+    assert!(calls <= 20 * 4, "{calls} calls for 20 gangs");
+}
+
+/// Pattern: an idle fleet, and gangs of which each worker may hold one task.
+#[test]
+fn a_gang_that_spreads_learns_as_many_workers_as_it_needs() {
+    let mut world = World::new(11, 6, Some(0.6));
+    world.run_ms(200);
+    let gang = model::Step {
+        gang: true,
+        max_per_worker: Some(1),
+        ..world::step(3, 1_000, 300)
+    };
+    submit_each(&mut world, 1, 10, 500, "long", &gang);
+    world.run_ms(2_000);
+    for id in 1..=10 {
+        let completed = model::JobReply::Status(model::JobStatus::Completed);
+        assert_eq!(world.status(id), Some(completed), "gang {id}");
+    }
+}
--- a/crates/jobs/tests/scheduler/world/mod.rs
+++ b/crates/jobs/tests/scheduler/world/mod.rs
@@ -16,6 +16,8 @@
 
 /// Time of a call to a worker or to the store, one way, in milliseconds.
 const WAY_MS: u64 = 5;
+/// Time between looks for an end while a call to hold waits, in milliseconds.
+const HOLD_LOOK_MS: u64 = 20;
 /// How long an order is waited for, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 400;
 /// Time of day at the start, in milliseconds since 1970.
@@ -37,7 +39,8 @@
     Start(jobs::StartOrder, bool),
     Stop(jobs::StopOrder, bool),
     Hold(jobs::HoldOrder),
-    HoldEnds(jobs::HoldOrder),
+    /// A call to hold is looked at again; it is answered at this time at the latest.
+    HoldEnds(jobs::HoldOrder, u64),
     Commit(model::Term, jobs::Batch, bool),
     /// Comes to the leader of this term, if it still leads.
     Tell(model::Term, jobs::Event),
@@ -78,6 +81,22 @@
     /// Calls to the recommendation service under way, and the most there were.
     advice_under_way: usize,
     pub(crate) most_advice_under_way: usize,
+    /// Calls to the recommendation service so far.
+    pub(crate) advice_calls: usize,
+    /// Time that the service takes for a call, in milliseconds; `None` if the queue's terms say.
+    advice_ms: Option<u64>,
+    /// Instances through which the service is asked.
+    advisors: usize,
+    /// When the calls of each instance are done; the service takes them in turn.
+    advisors_busy_until_ms: collections::HashMap<model::InstanceId, u64>,
+    /// Calls and the time that the service has spent on them, in milliseconds, by queue.
+    pub(crate) advice_load: collections::BTreeMap<model::QueueName, (usize, u64)>,
+    /// Share of workers allowed for a queue, where it is not `allowed_share`.
+    pub(crate) allowed_shares: collections::HashMap<model::QueueName, f64>,
+    /// Run times of a step's tasks that differ from the estimate, in milliseconds.
+    pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
+    /// When the last task of a job was listed as done, in milliseconds.
+    pub(crate) ended_at_ms: collections::HashMap<model::JobId, u64>,
     pub(crate) max_failures: u32,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
     pub(crate) allowed_share: Option<f64>,
@@ -110,6 +129,14 @@
             store_refuses: false,
             advice_under_way: 0,
             most_advice_under_way: 0,
+            advice_calls: 0,
+            advice_ms: Some(20),
+            advisors: 2,
+            advisors_busy_until_ms: collections::HashMap::new(),
+            advice_load: collections::BTreeMap::new(),
+            allowed_shares: collections::HashMap::new(),
+            run_times_ms: collections::HashMap::new(),
+            ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
             allowed_share,
         };
@@ -124,6 +151,27 @@
         }
     }
 
+    /// Lets the recommendation service take the time that the queues' terms say, through so many
+    /// instances, and elects anew.
+    pub(crate) fn slow_advice(&mut self, base_ms: u64, advisors: usize) {
+        let mut manifest = self.manifest.clone();
+        for queue in manifest.queues.values_mut() {
+            if let Some(terms) = &mut sync::Arc::make_mut(queue).advice {
+                terms.base_time = time::Duration::from_millis(base_ms);
+            }
+        }
+        self.use_manifest(manifest, advisors);
+    }
+
+    /// Puts another manifest in force, whose terms the recommendation service keeps to, and elects
+    /// anew.
+    pub(crate) fn use_manifest(&mut self, manifest: jobs::Manifest, advisors: usize) {
+        self.manifest = manifest;
+        self.advice_ms = None;
+        self.advisors = advisors;
+        self.elect();
+    }
+
     /// Lets the leader die; nobody leads until the next election.
     pub(crate) fn kill_leader(&mut self) {
         self.scheduler = None;
@@ -153,7 +201,9 @@
         let term = self.term;
         let manifest = self.manifest.clone();
         self.tell(term, jobs::Event::Manifest(manifest));
-        self.tell(term, jobs::Event::Advisors(vec!["a".into(), "b".into()]));
+        let advisors = (0..self.advisors).map(|number| format!("advisor-{number}").into());
+        let advisors = advisors.collect();
+        self.tell(term, jobs::Event::Advisors(advisors));
         self.push(50, Event::Tick(term));
     }
 
@@ -214,24 +264,7 @@
             }
             jobs::Action::Hold(order) => self.push(WAY_MS, Event::Hold(order)),
             jobs::Action::Advise(call) => {
-                let step = call.request.step;
-                let named = call.request.worker_ids.into_iter();
-                let allowed = named.filter(|worker_id| self.is_allowed(step, worker_id));
-                let tickets = allowed.map(|worker_id| model::Ticket {
-                    worker_id,
-                    token: "t".to_owned(),
-                });
-                let reply = model::AdviceReply {
-                    tickets: tickets.collect(),
-                    validity_ms: None,
-                };
-                let event = jobs::Event::Advice {
-                    call: call.call,
-                    outcome: Ok(reply),
-                };
-                self.advice_under_way += 1;
-                self.most_advice_under_way = self.most_advice_under_way.max(self.advice_under_way);
-                self.push(20, Event::Tell(term, event));
+                self.advise(term, call);
             }
             jobs::Action::Commit(batch) => {
                 let lost = self.rng.random_bool(self.faults.lost_commits);
@@ -242,14 +275,61 @@
         }
     }
 
-    fn is_allowed(&self, step: model::StepKey, worker_id: &model::WorkerId) -> bool {
-        let share = self.allowed_share.unwrap_or(1.0);
+    fn advise(&mut self, term: model::Term, call: jobs::AdviceCall) {
+        let step = call.request.step;
+        let queue = self.accepted[&step.job_id].queue.clone();
+        let terms = self.manifest.queues[&queue].advice;
+        let terms = terms.expect("only queues with advice are asked about");
+        let named = u32::try_from(call.request.worker_ids.len()).expect("few");
+        let duration = match self.advice_ms {
+            Some(ms) => time::Duration::from_millis(ms),
+            None => terms.base_time + terms.time_per_worker * named,
+        };
+        let duration_ms = duration.as_millis() as u64;
+        let busy = self.advisors_busy_until_ms.entry(call.instance_id.clone());
+        let busy_until_ms = busy.or_default();
+        *busy_until_ms = (*busy_until_ms).max(self.now_ms) + duration_ms;
+        let done_ms = *busy_until_ms;
+        let valid_until_ms = done_ms + terms.validity.as_millis() as u64;
+        let named = call.request.worker_ids.into_iter();
+        let allowed = named.filter(|worker_id| self.is_allowed(&queue, step, worker_id));
+        let tickets = allowed.map(|worker_id| model::Ticket {
+            worker_id,
+            token: valid_until_ms.to_string(),
+        });
+        let reply = model::AdviceReply {
+            tickets: tickets.collect(),
+            validity_ms: None,
+        };
+        let event = jobs::Event::Advice {
+            call: call.call,
+            outcome: Ok(reply),
+        };
+        self.advice_under_way += 1;
+        self.most_advice_under_way = self.most_advice_under_way.max(self.advice_under_way);
+        self.advice_calls += 1;
+        let load = self.advice_load.entry(queue.clone()).or_default();
+        *load = (load.0 + 1, load.1 + duration_ms);
+        self.push(done_ms - self.now_ms, Event::Tell(term, event));
+    }
+
+    fn is_allowed(
+        &self,
+        queue: &model::QueueName,
+        step: model::StepKey,
+        worker_id: &model::WorkerId,
+    ) -> bool {
         let number: u64 = worker_id
             .trim_start_matches('w')
             .parse()
             .unwrap_or_default();
-        let mixed = (step.job_id ^ (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 7;
-        (mixed % 1_000) as f64 <= share * 1_000.0
+        if let Some(share) = self.allowed_shares.get(queue) {
+            return scatter(step, number) < *share;
+        }
+        // Each step may use as many workers as any other, so that none can never run.
+        let share = self.allowed_share.unwrap_or(1.0);
+        let place = (7 * number + 3 * step.job_id + u64::from(step.step)) % 10;
+        (place as f64) < share * 10.0
     }
 
     /// Returns when an order is carried out, and whether it is answered.
@@ -290,7 +370,7 @@
             Event::Start(order, answered) => self.start(order, answered),
             Event::Stop(order, answered) => self.stop(order, answered),
             Event::Hold(order) => self.hold(order),
-            Event::HoldEnds(order) => self.hold_ends(order),
+            Event::HoldEnds(order, until_ms) => self.hold_ends(order, until_ms),
             Event::Commit(term, batch, lost) => {
                 if term != self.term {
                     return;
@@ -331,15 +411,22 @@
             return;
         };
         self.workers[index].expire(now_ms);
-        let outcome = self.workers[index].admit(&order, now_ms);
+        let outcome = if is_expired(&order, now_ms) {
+            jobs::StartOutcome::Rejected(jobs::StartRejection::Ticket)
+        } else {
+            self.workers[index].admit(&order, now_ms)
+        };
         if outcome == jobs::StartOutcome::Started && !self.workers[index].has(order.run) {
             self.check_start(index, &order);
             let job_id = order.run.task.job_id;
             self.started_at_ms.entry(job_id).or_insert(now_ms);
             let fails = self.hopeless.contains(&order.run.task.job_id);
             let job = &self.accepted[&order.run.task.job_id];
-            let step = &job.steps[usize::from(order.run.task.step)];
-            self.workers[index].begin(&order, step, fails, now_ms);
+            let step_index = order.run.task.step;
+            let step = &job.steps[usize::from(step_index)];
+            let run_ms = self.run_times_ms.get(&(job_id, step_index)).copied();
+            let run_ms = run_ms.unwrap_or(u64::from(step.estimated_ms));
+            self.workers[index].begin(&order, step.demand, run_ms, fails, now_ms);
         }
         if answered {
             self.answer_start(&order, outcome);
@@ -427,14 +514,8 @@
                 return;
             }
             self.note_forgotten(index, order.forget_up_to);
-            let end = self.workers[index].next_end_ms(now_ms);
-            let wait_ms = order.wait.as_millis() as u64;
-            let delay_ms = match end {
-                _ if self.workers[index].has_ended() => 0,
-                Some(end) => wait_ms.min(end.saturating_sub(now_ms) + 1),
-                None => wait_ms,
-            };
-            self.push(delay_ms, Event::HoldEnds(order));
+            let until_ms = now_ms + order.wait.as_millis() as u64;
+            self.push(0, Event::HoldEnds(order, until_ms));
             return;
         }
         self.hold_unanswered(order);
@@ -449,16 +530,25 @@
         self.push(delay_ms, Event::Tell(order.term, event));
     }
 
-    fn hold_ends(&mut self, order: jobs::HoldOrder) {
+    fn hold_ends(&mut self, order: jobs::HoldOrder, until_ms: u64) {
         let now_ms = self.now_ms;
         let Some(index) = self.worker_index(&order.life) else {
             self.hold_unanswered(order);
             return;
         };
+        self.workers[index].expire(now_ms);
+        if !self.workers[index].has_ended() && now_ms < until_ms {
+            let end_ms = self.workers[index].next_end_ms(now_ms);
+            let next_ms = end_ms.unwrap_or(u64::MAX).clamp(now_ms + 1, until_ms);
+            let delay_ms = (next_ms - now_ms).min(HOLD_LOOK_MS);
+            self.push(delay_ms, Event::HoldEnds(order, until_ms));
+            return;
+        }
         let listing = self.workers[index].listing(now_ms);
         for row in &listing.ended {
             if row.how == jobs::RunEnd::Done {
                 self.mark_done(row.run.task);
+                self.ended_at_ms.insert(row.run.task.job_id, now_ms);
             }
         }
         let event = jobs::Event::Hold {
@@ -529,6 +619,25 @@
     }
 }
 
+/// Returns a figure from 0 to 1 that a step and a worker have in common.
+fn scatter(step: model::StepKey, worker: u64) -> f64 {
+    let seed = step.job_id.wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ u64::from(step.step);
+    let mut mixed = seed ^ (worker + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((mixed ^ (mixed >> 31)) % 1_000_000) as f64 / 1e6
+}
+
+/// Returns whether the ticket of an order is no longer valid; it holds the end of its validity.
+fn is_expired(order: &jobs::StartOrder, now_ms: u64) -> bool {
+    let ticket = order.ticket.as_deref();
+    ticket.is_some_and(|ticket| {
+        ticket
+            .parse::<u64>()
+            .is_ok_and(|until_ms| until_ms < now_ms)
+    })
+}
+
 fn manifest(allowed_share: Option<f64>) -> jobs::Manifest {
     let queue = |name: &str, priority| jobs::Queue {
         name: name.into(),
--- a/crates/jobs/tests/scheduler/world/worker.rs
+++ b/crates/jobs/tests/scheduler/world/worker.rs
@@ -2,7 +2,8 @@
 
 use std::collections;
 
-const CAPACITY: model::Demand = model::Demand {
+/// What a worker has unless it is said otherwise.
+pub(crate) const CAPACITY: model::Demand = model::Demand {
     processors_milli: 8_000,
     memory_mb: 16_000,
     accelerators: 0,
@@ -23,6 +24,7 @@
     /// Whether no call arrives, while runs go on.
     pub(crate) is_cut: bool,
     pub(crate) draining: bool,
+    pub(crate) capacity: model::Demand,
     fence: model::Term,
     lease_end_ms: u64,
     runs: indexmap::IndexMap<model::RunKey, Run>,
@@ -43,6 +45,7 @@
             is_up: true,
             is_cut: false,
             draining: false,
+            capacity: CAPACITY,
             fence: 0,
             lease_end_ms: 0,
             runs: indexmap::IndexMap::new(),
@@ -54,7 +57,9 @@
 
     /// Starts again under the same id, knowing nothing.
     pub(crate) fn rebirth(&mut self) {
+        let capacity = self.capacity;
         *self = Self::in_life(self.life.worker_id.clone(), self.life.born_ms + 1);
+        self.capacity = capacity;
     }
 
     pub(crate) fn report(&self) -> jobs::WorkerReport {
@@ -65,7 +70,7 @@
             data_centre: "dc".into(),
             rack: "r".into(),
             labels: vec!["kind".into(), "r".into()],
-            capacity: CAPACITY,
+            capacity: self.capacity,
             draining: self.draining,
         }
     }
@@ -75,7 +80,7 @@
             .runs
             .values()
             .fold(model::Demand::default(), |sum, run| sum.plus(&run.demand));
-        CAPACITY.minus(&used)
+        self.capacity.minus(&used)
     }
 
     pub(crate) fn has(&self, run: model::RunKey) -> bool {
@@ -159,13 +164,14 @@
     pub(crate) fn begin(
         &mut self,
         order: &jobs::StartOrder,
-        step: &model::Step,
+        demand: model::Demand,
+        run_ms: u64,
         fails: bool,
         now_ms: u64,
     ) {
         let run = Run {
-            demand: step.demand,
-            ends_at_ms: now_ms + u64::from(step.estimated_ms),
+            demand,
+            ends_at_ms: now_ms + run_ms,
             end: if fails {
                 jobs::RunEnd::Failed
             } else {
