--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -33,6 +33,8 @@
     /// Workers kept free for gangs that come earlier in the order, with the priority of the gang;
     /// work of a higher priority is not kept off.
     reserved: collections::HashMap<model::WorkerLife, u32>,
+    /// Whether a gang found no more workers that may be kept free.
+    is_reserved_out: bool,
     /// What gangs that come earlier in the order wait for.
     awaited: model::Demand,
     /// What is free on all workers together; found when first needed.
@@ -119,8 +121,8 @@
             return true;
         };
         let (step, step_state, advice) = (waiting.step, waiting.step_state, waiting.queue.advice);
-        let allowed = self.allowed(&waiting, pass, clock);
         let demand = workers::counted_demand(step);
+        let allowed = self.allowed(&waiting, pass, clock);
         let allowed: Vec<_> = allowed.iter().collect();
         let assignment = candidate::assign_gang(&allowed, step, &demand);
         let is_asking = step_state.tickets.is_asking();
@@ -452,11 +454,10 @@
     /// Keeps workers free for a gang that waits long, so that it is not passed by for ever, and
     /// their tickets valid, so that it starts once there is room.
     fn reserve_for(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) {
-        let budget = self.workers.len() / RESERVED_PART;
-        let has_room = pass.reserved.is_empty() || pass.reserved.len() < budget;
-        let Some(waiting) = self.waiting_step(key).filter(|_| has_room) else {
+        let Some(waiting) = self.waiting_step(key).filter(|_| !pass.is_reserved_out) else {
             return;
         };
+        let budget = self.workers.len() / RESERVED_PART;
         let demand = workers::counted_demand(waiting.step);
         let tickets = &waiting.step_state.tickets;
         let mut allowed = self.candidates(&waiting, self.workers.iter(), pass, clock);
@@ -477,7 +478,11 @@
         let priority = waiting.queue.priority;
         let lives: Vec<_> = lives.map(|one| one.life.clone()).collect();
         let is_within = pass.reserved.is_empty() || pass.reserved.len() + lives.len() <= budget;
-        if capacity < f64::from(waiting.step.task_count) || !is_within {
+        if capacity < f64::from(waiting.step.task_count) {
+            return;
+        }
+        if !is_within {
+            pass.is_reserved_out = true;
             return;
         }
         let advice = waiting.queue.advice;
--- a/crates/jobs/src/tickets.rs
+++ b/crates/jobs/src/tickets.rs
@@ -21,6 +21,8 @@
     verdicts: IndexMap<model::WorkerId, Verdict>,
     /// Answers taken.
     pub(crate) answers: u32,
+    /// When the last ticket ends.
+    last_valid: Option<time::Instant>,
     /// Calls about this step that are under way.
     pub(crate) calls: u32,
     /// When the service may be asked again; earlier calls would hardly help.
@@ -46,6 +48,7 @@
         valid_until: time::Instant,
     ) -> (usize, usize) {
         self.answers += 1;
+        self.last_valid = self.last_valid.max(Some(valid_until));
         let (mut new_asked, mut new_allowed) = (0, 0);
         let mut allowed: collections::HashMap<_, _> = tickets
             .into_iter()
@@ -92,13 +95,15 @@
         &self,
         now: time::Instant,
     ) -> impl Iterator<Item = &model::WorkerId> {
-        let valid = self
-            .verdicts
-            .iter()
-            .filter(move |(_, verdict)| match verdict {
-                Verdict::Allowed { valid_until, .. } => now + EXPIRY_MARGIN < *valid_until,
-                Verdict::Refused => false,
-            });
+        // Most steps that wait long have no valid ticket.
+        let has_valid = self
+            .last_valid
+            .is_some_and(|until| now + EXPIRY_MARGIN < until);
+        let verdicts = self.verdicts.iter().filter(move |_| has_valid);
+        let valid = verdicts.filter(move |(_, verdict)| match verdict {
+            Verdict::Allowed { valid_until, .. } => now + EXPIRY_MARGIN < *valid_until,
+            Verdict::Refused => false,
+        });
         valid.map(|(worker_id, _)| worker_id)
     }
 
