Let all members of a gang resume from the same progress

Each task kept its own, so the members of a gang that started anew carried different ones. A gang's progress is now kept once, and a run keeps what it resumes from, so that each start order of it carries the same.

The workers of the tests' world save progress, and the world checks what runs resume from: both properties failed before.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -1,5 +1,7 @@
 //! Gangs: tasks that run only all together.
 
+use std::sync;
+
 use crate::event;
 use crate::job;
 use crate::scheduler;
@@ -19,6 +21,20 @@
         u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX)
     }
 
+    /// Keeps the saved progress of a task; that of any member of a gang stands for the gang.
+    pub(crate) fn save_progress(&mut self, index: u32, is_gang: bool, checkpoint: &sync::Arc<str>) {
+        let index = if is_gang { 0 } else { index as usize };
+        if let Some(task) = self.tasks.get_mut(index) {
+            task.checkpoint = Some(sync::Arc::clone(checkpoint));
+        }
+    }
+
+    /// Returns what a run of a task resumes from; the same for all members of a gang.
+    pub(crate) fn saved_progress(&self, index: u32, is_gang: bool) -> Option<sync::Arc<str>> {
+        let index = if is_gang { 0 } else { index as usize };
+        self.tasks.get(index)?.checkpoint.clone()
+    }
+
     /// Marks every member done: one such end stands for all.
     pub(crate) fn finish_gang(&mut self) {
         for index in 0..self.tasks.len() {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -78,7 +78,7 @@
     pub(crate) last_run: model::RunNumber,
     /// Runs that failed; those of a gang are kept at its first task.
     pub(crate) failed_runs: Vec<model::RunNumber>,
-    /// Latest saved progress.
+    /// Latest saved progress; that of a gang is kept at its first task.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
 }
 
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -417,8 +417,11 @@
                 run: task.last_run,
             };
             if let Some(worker) = self.workers.get_mut(&life) {
+                let checkpoint = step_state.saved_progress(index, step.gang);
                 let planned = worker::RunPhase::Planned;
-                worker.add_run(run, worker::WorkerRun::new(demand, planned, clock.now));
+                let planned = worker::WorkerRun::new(demand, planned, clock.now)
+                    .resume_from(checkpoint.filter(|_| step.checkpointing));
+                worker.add_run(run, planned);
             }
             effects.push(job::Effect::Launch(life, run));
         }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -95,7 +95,7 @@
             return;
         };
         let (is_gang, is_lasting) = (step.gang, step.long_running);
-        let Some(task) = step_state.tasks.get_mut(key.task.index as usize) else {
+        let Some(task) = step_state.tasks.get(key.task.index as usize) else {
             return;
         };
         if task.phase == job::Phase::Done {
@@ -106,7 +106,7 @@
             && step.checkpointing
             && is_latest
         {
-            task.checkpoint = Some(sync::Arc::clone(checkpoint));
+            step_state.save_progress(key.task.index, is_gang, checkpoint);
         }
         if is_latest {
             step_state.set_phase(key.task.index, job::Phase::Waiting);
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -62,7 +62,7 @@
             return false;
         };
         let queue = Self::queue_of(&self.manifest, state);
-        let Some((step, step_state)) = state.step(key.task.step_key()) else {
+        let Some((_, step_state)) = state.step(key.task.step_key()) else {
             return false;
         };
         let ticket = match queue.advice {
@@ -72,8 +72,6 @@
                 None => return false,
             },
         };
-        let task = &step_state.tasks[key.task.index as usize];
-        let checkpoint = task.checkpoint.clone().filter(|_| step.checkpointing);
         let spec = sync::Arc::clone(&state.job.spec);
         let Some(worker) = self.workers.get_mut(life) else {
             return false;
@@ -86,9 +84,12 @@
         else {
             return false;
         };
+        let run = worker.runs.get(&key);
+        let checkpoint = run.and_then(|run| run.checkpoint.clone());
+        let address = sync::Arc::clone(&report.address);
         let order = worker_api::StartOrder {
             life: life.clone(),
-            address: sync::Arc::clone(&report.address),
+            address,
             run: key,
             spec,
             lease_end_ms,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -1,6 +1,7 @@
 //! The state of one life of a worker.
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use indexmap::IndexMap;
@@ -53,6 +54,8 @@
 pub(crate) struct WorkerRun {
     /// What it takes, without what does not count.
     pub(crate) demand: model::Demand,
+    /// Saved progress that it resumes from; every start order of it carries the same.
+    pub(crate) checkpoint: Option<sync::Arc<str>>,
     pub(crate) phase: RunPhase,
     /// Since when the run is in this phase.
     pub(crate) since: time::Instant,
@@ -256,6 +259,7 @@
     pub(crate) fn new(demand: model::Demand, phase: RunPhase, now: time::Instant) -> Self {
         Self {
             demand,
+            checkpoint: None,
             phase,
             since: now,
             unanswered: false,
@@ -264,6 +268,12 @@
         }
     }
 
+    /// Sets the saved progress that the run resumes from.
+    pub(crate) fn resume_from(mut self, checkpoint: Option<sync::Arc<str>>) -> Self {
+        self.checkpoint = checkpoint;
+        self
+    }
+
     pub(crate) fn set_phase(&mut self, phase: RunPhase, now: time::Instant) {
         self.phase = phase;
         self.since = now;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -288,11 +288,14 @@
         else {
             return;
         };
-        let Some(task) = step_state.tasks.get_mut(key.task.index as usize) else {
+        let Some(task) = step_state.tasks.get(key.task.index as usize) else {
             return;
         };
-        if step.checkpointing && task.last_run == key.run && row.checkpoint.is_some() {
-            task.checkpoint = row.checkpoint;
+        if let Some(checkpoint) = &row.checkpoint
+            && step.checkpointing
+            && task.last_run == key.run
+        {
+            step_state.save_progress(key.task.index, step.gang, checkpoint);
         }
     }
 
--- a/crates/jobs/tests/scheduler/always.rs
+++ b/crates/jobs/tests/scheduler/always.rs
@@ -44,6 +44,7 @@
         500 + 500 * world.random(6) as u32,
         run_ms as u32,
     );
+    first.checkpointing = world.random(2) == 0;
     match world.random(4) {
         0 => first.gang = true,
         1 => first.max_per_worker = Some(1),
--- a/crates/jobs/tests/scheduler/world/mod.rs
+++ b/crates/jobs/tests/scheduler/world/mod.rs
@@ -93,6 +93,9 @@
     pub(crate) advice_load: collections::BTreeMap<model::QueueName, (usize, u64)>,
     /// Share of workers allowed for a queue, where it is not `allowed_share`.
     pub(crate) allowed_shares: collections::HashMap<model::QueueName, f64>,
+    /// What the first member of each run of a gang resumed from.
+    gang_checkpoints:
+        collections::HashMap<(model::StepKey, model::RunNumber), Option<sync::Arc<str>>>,
     /// Run times of a step's tasks that differ from the estimate, in milliseconds.
     pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
     /// When the last task of a job was listed as done, in milliseconds.
@@ -135,6 +138,7 @@
             advisors_busy_until_ms: collections::HashMap::new(),
             advice_load: collections::BTreeMap::new(),
             allowed_shares: collections::HashMap::new(),
+            gang_checkpoints: collections::HashMap::new(),
             run_times_ms: collections::HashMap::new(),
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
@@ -426,7 +430,8 @@
             let step = &job.steps[usize::from(step_index)];
             let run_ms = self.run_times_ms.get(&(job_id, step_index)).copied();
             let run_ms = run_ms.unwrap_or(u64::from(step.estimated_ms));
-            self.workers[index].begin(&order, step.demand, run_ms, fails, now_ms);
+            let saves = step.checkpointing;
+            self.workers[index].begin(&order, step.demand, run_ms, saves, fails, now_ms);
         }
         if answered {
             self.answer_start(&order, outcome);
@@ -480,12 +485,34 @@
                 assert!(self.done.contains(&before), "{task:?} before {before:?}");
             }
         }
+        self.check_checkpoint(order);
+        let step = &self.accepted[&task.job_id].steps[usize::from(task.step)];
         if let Some(most) = step.max_per_worker {
             let here = self.workers[index].count_of(task.step_key());
             assert!(here < most, "{task:?} is one too many on a worker");
         }
     }
 
+    /// Checks that a run resumes from progress of its own, the members of a gang from the same.
+    fn check_checkpoint(&mut self, order: &jobs::StartOrder) {
+        let task = order.run.task;
+        let step = &self.accepted[&task.job_id].steps[usize::from(task.step)];
+        if let Some(checkpoint) = &order.checkpoint {
+            assert!(step.checkpointing, "{task:?} saves nothing");
+            let mut parts = checkpoint.split('-').skip(1);
+            let (job, index) = (parts.next(), parts.next());
+            assert_eq!(job, Some(task.job_id.to_string().as_str()), "{task:?}");
+            let is_own = index == Some(task.index.to_string().as_str());
+            assert!(is_own || step.gang, "{task:?} resumes from {checkpoint}");
+        }
+        if step.gang {
+            let run = (task.step_key(), order.run.run);
+            let first = self.gang_checkpoints.entry(run);
+            let first = first.or_insert_with(|| order.checkpoint.clone());
+            assert_eq!(*first, order.checkpoint, "{task:?} and another member");
+        }
+    }
+
     fn stop(&mut self, order: jobs::StopOrder, answered: bool) {
         let now_ms = self.now_ms;
         let outcome = match self.worker_index(&order.life) {
--- a/crates/jobs/tests/scheduler/world/worker.rs
+++ b/crates/jobs/tests/scheduler/world/worker.rs
@@ -1,6 +1,7 @@
 //! A worker that keeps the contract with the leader: fences, leases, tombstones, lists.
 
 use std::collections;
+use std::sync;
 
 /// What a worker has unless it is said otherwise.
 pub(crate) const CAPACITY: model::Demand = model::Demand {
@@ -14,8 +15,30 @@
 #[derive(Debug)]
 struct Run {
     demand: model::Demand,
+    began_at_ms: u64,
     ends_at_ms: u64,
     end: jobs::RunEnd,
+    /// Work that was saved before, in milliseconds; `None` if the task saves none.
+    resumed_ms: Option<u64>,
+}
+
+/// Time between two savings, in milliseconds of work.
+const SAVE_MS: u64 = 500;
+
+impl Run {
+    /// Returns what is saved at a time.
+    fn checkpoint(&self, task: model::TaskKey, now_ms: u64) -> Option<sync::Arc<str>> {
+        let worked_ms = now_ms.min(self.ends_at_ms) - self.began_at_ms;
+        let saved_ms = self.resumed_ms? + worked_ms / SAVE_MS * SAVE_MS;
+        let text = || format!("{saved_ms}-{}-{}", task.job_id, task.index).into();
+        (saved_ms > 0).then(text)
+    }
+}
+
+/// Returns the work that a checkpoint stands for, in milliseconds.
+pub(crate) fn saved_ms(checkpoint: &str) -> u64 {
+    let (saved_ms, _) = checkpoint.split_once('-').unwrap_or_default();
+    saved_ms.parse().unwrap_or_default()
 }
 
 pub(crate) struct FakeWorker {
@@ -112,10 +135,11 @@
                     } else {
                         jobs::RunEnd::Lapsed
                     },
+                    run.checkpoint(key.task, now_ms),
                 )
             })
             .collect();
-        for (key, how) in due {
+        for (key, how, checkpoint) in due {
             self.runs.swap_remove(&key);
             self.close(key);
             self.last_sequence += 1;
@@ -123,7 +147,7 @@
                 sequence: self.last_sequence,
                 run: key,
                 how,
-                checkpoint: None,
+                checkpoint,
             });
         }
     }
@@ -166,12 +190,16 @@
         order: &jobs::StartOrder,
         demand: model::Demand,
         run_ms: u64,
+        saves: bool,
         fails: bool,
         now_ms: u64,
     ) {
+        let resumed_ms = order.checkpoint.as_deref().map_or(0, saved_ms);
         let run = Run {
             demand,
-            ends_at_ms: now_ms + run_ms,
+            began_at_ms: now_ms,
+            ends_at_ms: now_ms + run_ms.saturating_sub(resumed_ms),
+            resumed_ms: saves.then_some(resumed_ms),
             end: if fails {
                 jobs::RunEnd::Failed
             } else {
@@ -229,9 +257,9 @@
 
     pub(crate) fn listing(&mut self, now_ms: u64) -> jobs::Listing {
         self.expire(now_ms);
-        let running = self.runs.keys().map(|run| jobs::RunningRow {
-            run: *run,
-            checkpoint: None,
+        let running = self.runs.iter().map(|(key, run)| jobs::RunningRow {
+            run: *key,
+            checkpoint: run.checkpoint(key.task, now_ms),
             percent: 0,
             usage: None,
         });
