Keep lasting tasks running on full workers, and pace filling ones

Lasting tasks had to wait for room like any other, and filling tasks were never held back: on a deployment with either, lasting tasks would be missing for seconds, and services would be harmed.

- Steps with lasting tasks are served first.
After 0.7 s without room, runs that neither last nor belong to a gang are stopped for them, those that lose least first; the room is kept meanwhile.
- A worker that serves and fills is asked for its tails every 0.4 s; filling runs get a third, then nothing, while a tail is above its target, and more again when it is calm.
A new leader begins with a cautious share.
- What a step's tasks keep while they ask is given up with the answer; it was kept until its end.

Patterns in tests/scheduler/lasting.rs; without pacing, filling_work_is_held_back_where_it_harms_services fails (harmed for 4000 ms), without preemption lasting_tasks_get_room_on_full_workers.

--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -39,6 +39,15 @@
                 outcome,
             })
         }
+        jobs::Action::Pace(order) => {
+            let outcome = workers.pace(&order, timeout).await;
+            Some(jobs::Event::Pace {
+                life: order.life,
+                run: order.run,
+                percent: order.percent,
+                outcome,
+            })
+        }
         jobs::Action::Hold(order) => {
             let outcome = workers.hold(&order, HOLD_SLACK).await;
             Some(jobs::Event::Hold {
--- a/crates/controller/src/platform.rs
+++ b/crates/controller/src/platform.rs
@@ -64,6 +64,13 @@
         timeout: time::Duration,
     ) -> impl future::Future<Output = jobs::StopOutcome> + Send;
 
+    /// Sets the share of idle processors that a filling run may use.
+    fn pace(
+        &self,
+        order: &jobs::PaceOrder,
+        timeout: time::Duration,
+    ) -> impl future::Future<Output = jobs::PaceOutcome> + Send;
+
     /// Renews a lease and reads what the worker runs; `timeout` counts on top of the wait.
     fn hold(
         &self,
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -56,6 +56,17 @@
         /// How.
         outcome: worker_api::StopOutcome,
     },
+    /// A pace order has ended.
+    Pace {
+        /// The worker.
+        life: model::WorkerLife,
+        /// The run.
+        run: model::RunKey,
+        /// The share that was ordered, in percent.
+        percent: u32,
+        /// How.
+        outcome: worker_api::PaceOutcome,
+    },
     /// A call to hold a worker has ended.
     Hold {
         /// The worker.
@@ -89,6 +100,8 @@
     Start(worker_api::StartOrder),
     /// Sends a stop order.
     Stop(worker_api::StopOrder),
+    /// Sets the share of a filling run.
+    Pace(worker_api::PaceOrder),
     /// Renews a worker's lease and asks what it runs.
     Hold(worker_api::HoldOrder),
     /// Asks the recommendation service.
--- a/crates/jobs/src/holds.rs
+++ b/crates/jobs/src/holds.rs
@@ -65,6 +65,11 @@
         self.steps.insert(step, Hold { lives, until });
     }
 
+    /// Returns whether room is kept for a step.
+    pub(crate) fn keeps_for(&self, step: model::StepKey) -> bool {
+        self.steps.contains_key(&step)
+    }
+
     /// Gives up what is kept for a step.
     pub(crate) fn release(&mut self, step: model::StepKey) {
         let Some(hold) = self.steps.swap_remove(&step) else {
--- /dev/null
+++ b/crates/jobs/src/pacing.rs
@@ -0,0 +1,169 @@
+//! Pacing: tasks that fill idle processors slow down those that serve users of their own, and are
+//! held back where they do.
+
+use std::sync;
+use std::time;
+
+use crate::event;
+use crate::runs::run_name;
+use crate::scheduler;
+use crate::worker;
+use crate::worker_api;
+
+/// Shortest time between two changes on a worker: the worker tells the tail of the last half second,
+/// and a change takes effect within about a tenth.
+const CHANGE_INTERVAL: time::Duration = time::Duration::from_millis(600);
+/// Longest time for which a worker keeps a listing back that tells the tails of shared processors.
+pub(crate) const LISTING_WAIT: time::Duration = time::Duration::from_millis(400);
+/// Part of its target below which a tail leaves room for more filling work.
+const CALM_BELOW: f64 = 0.75;
+/// Multiple of its target above which filling work is stopped from working at once.
+const SEVERE_ABOVE: f64 = 1.4;
+/// Divisor of the share of filling work while a tail is above its target.
+const CUT: u32 = 3;
+/// Share below which a cut is to nothing, in percent.
+const LEAST_PERCENT: u32 = 12;
+/// By how much the share of filling work rises, in percent points.
+const RAISE_POINTS: u32 = 8;
+/// Share from which a leader that does not know the current one goes on, in percent.
+const UNKNOWN_PERCENT: u32 = 30;
+
+/// The share of idle processors that filling runs of a worker may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pacing {
+    pub(crate) percent: u32,
+    changed_at: Option<time::Instant>,
+}
+
+impl Default for Pacing {
+    fn default() -> Self {
+        Self {
+            percent: 100,
+            changed_at: None,
+        }
+    }
+}
+
+impl Pacing {
+    /// Takes the worst tail of the serving runs, as a multiple of its target; returns whether the
+    /// share changes.
+    pub(crate) fn note_tail(&mut self, tail: f64, now: time::Instant) -> bool {
+        let is_due = self
+            .changed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= CHANGE_INTERVAL);
+        if !is_due {
+            return false;
+        }
+        let percent = match tail {
+            tail if tail > SEVERE_ABOVE => 0,
+            tail if tail > 1.0 => Some(self.percent / CUT)
+                .filter(|percent| *percent >= LEAST_PERCENT)
+                .unwrap_or_default(),
+            tail if tail < CALM_BELOW => (self.percent + RAISE_POINTS).min(100),
+            _ => self.percent,
+        };
+        let changes = percent != self.percent;
+        if changes {
+            self.percent = percent;
+            self.changed_at = Some(now);
+        }
+        changes
+    }
+
+    /// Goes on from a cautious share, as that of an earlier leader is not known.
+    pub(crate) fn start_unknown(&mut self) {
+        self.percent = UNKNOWN_PERCENT;
+    }
+}
+
+impl worker::Worker {
+    /// Returns whether runs that serve and runs that fill share the worker's processors.
+    pub(crate) fn is_shared(&self) -> bool {
+        let serves = self.runs.values().any(|run| run.target_tail_ms.is_some());
+        serves && self.runs.values().any(|run| run.fills_idle)
+    }
+
+    /// Returns the worst tail of the listed runs as a multiple of its target.
+    fn worst_tail(&self, rows: &[worker_api::RunningRow]) -> Option<f64> {
+        let tails = rows.iter().filter_map(|row| {
+            let target_ms = self.runs.get(&row.run)?.target_tail_ms?;
+            Some(f64::from(row.usage?) / f64::from(target_ms))
+        });
+        tails.max_by(f64::total_cmp)
+    }
+}
+
+impl scheduler::Scheduler {
+    /// Sets the share of filling runs by the tails that a worker lists.
+    pub(crate) fn pace(
+        &mut self,
+        life: &model::WorkerLife,
+        rows: &[worker_api::RunningRow],
+        clock: event::Clock,
+    ) {
+        let term = self.term;
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        if !worker.runs.values().any(|run| run.fills_idle) {
+            worker.pacing = Pacing::default();
+            return;
+        }
+        let tail = worker.worst_tail(rows);
+        let changes = worker.pacing.note_tail(tail.unwrap_or_default(), clock.now);
+        let percent = worker.pacing.percent;
+        if changes {
+            log::info!(
+                worker:% = life.worker_id,
+                percent,
+                tail_percent_of_target = (tail.unwrap_or_default() * 100.0) as u32;
+                "share of filling runs set"
+            );
+        }
+        let Some(report) = &worker.report else {
+            return;
+        };
+        let address = sync::Arc::clone(&report.address);
+        for (key, run) in &mut worker.runs {
+            let is_paced = !run.fills_idle || run.percent == Some(percent);
+            if is_paced || run.phase != worker::RunPhase::Running {
+                continue;
+            }
+            // Until the worker has confirmed it, the share counts as unknown.
+            run.percent = None;
+            self.actions
+                .push(event::Action::Pace(worker_api::PaceOrder {
+                    life: life.clone(),
+                    address: sync::Arc::clone(&address),
+                    run: *key,
+                    percent,
+                    term,
+                }));
+        }
+    }
+
+    pub(crate) fn paced(
+        &mut self,
+        life: &model::WorkerLife,
+        key: model::RunKey,
+        percent: u32,
+        outcome: worker_api::PaceOutcome,
+    ) {
+        match outcome {
+            worker_api::PaceOutcome::Accepted => {
+                if let Some(run) = self.run_mut(life, key) {
+                    run.percent = Some(percent);
+                }
+            }
+            worker_api::PaceOutcome::Fenced => self.actions.push(event::Action::StepDown),
+            worker_api::PaceOutcome::Failed => {
+                log::info!(
+                    run:% = run_name(key),
+                    worker:% = life.worker_id,
+                    percent;
+                    "share not set, it is set anew at the next listing"
+                );
+            }
+        }
+    }
+}
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -27,7 +27,7 @@
 
 /// What one pass over the waiting steps has set aside.
 #[derive(Debug, Default)]
-struct Pass {
+pub(crate) struct Pass {
     /// Steps that were looked at; their kept room is not taken by later ones.
     served: collections::HashSet<model::StepKey>,
     /// Workers kept free for gangs that come earlier in the order, with the priority of the gang;
@@ -42,11 +42,11 @@
 }
 
 /// A step with waiting tasks, and what decides about it.
-struct Waiting<'a> {
+pub(crate) struct Waiting<'a> {
     key: model::StepKey,
-    queue: &'a manifest::Queue,
-    step: &'a model::Step,
-    step_state: &'a job::StepState,
+    pub(crate) queue: &'a manifest::Queue,
+    pub(crate) step: &'a model::Step,
+    pub(crate) step_state: &'a job::StepState,
     objective_ms: u64,
 }
 
@@ -101,18 +101,23 @@
         let assignment = candidate::assign_tasks(allowed, step_state, &demand);
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
         let missing = step_state.waiting_count - placed;
-        if missing > 0
-            && let Some(terms) = advice
-        {
-            self.ask_for_tasks(key, missing, terms, pass, clock);
-        }
+        let is_asking = step_state.tickets.is_asking();
+        let keeps_on = step.long_running && missing > 0;
         if !assignment.is_empty() {
             self.plan_runs(key, assignment, clock);
         }
-        if missing > 0 {
-            self.note_blocked(key, pass, clock);
+        if !is_asking && !keeps_on {
+            self.holds.release(key);
+        }
+        if missing == 0 {
+            return true;
+        }
+        if !is_asking && let Some(terms) = advice {
+            self.ask_for_tasks(key, missing, terms, pass, clock);
         }
-        missing == 0
+        self.note_blocked(key, pass, clock);
+        self.preempt_for(key, clock);
+        false
     }
 
     /// Places all tasks of a gang, or none; returns whether they are placed.
@@ -173,14 +178,10 @@
         });
         match call {
             Some(Some(ask::TaskCall { names, rooms })) => {
-                self.keep_room(
-                    key,
-                    &rooms,
-                    holds::Binding::Later,
-                    terms,
-                    names.len(),
-                    clock,
-                );
+                if !self.holds.keeps_for(key) {
+                    let binding = holds::Binding::Later;
+                    self.keep_room(key, &rooms, binding, terms, names.len(), clock);
+                }
                 self.ask_advice(key, terms, names, clock);
             }
             Some(None) => self.ask_later(key, clock),
@@ -287,7 +288,7 @@
         }
     }
 
-    fn waiting_step(&self, key: model::StepKey) -> Option<Waiting<'_>> {
+    pub(crate) fn waiting_step(&self, key: model::StepKey) -> Option<Waiting<'_>> {
         let state = self.jobs.get(&key.job_id)?;
         let (step, step_state) = state.step(key)?;
         Some(Waiting {
@@ -313,7 +314,7 @@
     }
 
     /// Returns those of `workers` on which tasks of a step may start, as far as is known.
-    fn candidates<'a>(
+    pub(crate) fn candidates<'a>(
         &self,
         waiting: &Waiting<'_>,
         workers: impl Iterator<Item = (&'a model::WorkerLife, &'a worker::Worker)>,
@@ -420,6 +421,7 @@
                 let checkpoint = step_state.saved_progress(index, step.gang);
                 let planned = worker::RunPhase::Planned;
                 let planned = worker::WorkerRun::new(demand, planned, clock.now)
+                    .of_step(step)
                     .resume_from(checkpoint.filter(|_| step.checkpointing));
                 worker.add_run(run, planned);
             }
--- /dev/null
+++ b/crates/jobs/src/preempt.rs
@@ -0,0 +1,131 @@
+//! Room for tasks that last: they run all the time, also when the workers are full.
+
+use std::time;
+
+use crate::event;
+use crate::holds;
+use crate::journal;
+use crate::runs::run_name;
+use crate::scheduler;
+use crate::worker;
+use crate::workers;
+
+/// How long a lasting task waits for room before other runs are stopped for it.
+const PREEMPT_AFTER: time::Duration = time::Duration::from_millis(700);
+/// How long the room is kept that stopped runs leave: a stop takes a fraction of a second, and the
+/// ticket may have to be asked for again.
+const KEEP_ROOM: time::Duration = time::Duration::from_millis(3_000);
+/// Tasks of a step for which runs are stopped at once.
+const TASKS_AT_ONCE: u32 = 8;
+
+/// Runs of a worker that would leave enough room for a task.
+struct Victims {
+    life: model::WorkerLife,
+    runs: Vec<model::RunKey>,
+    /// Work that is lost, in processor milliseconds of a thousandth of a core.
+    cost: u64,
+}
+
+impl scheduler::Scheduler {
+    /// Stops runs that do not last so that waiting tasks of a lasting step get room.
+    pub(crate) fn preempt_for(&mut self, key: model::StepKey, clock: event::Clock) {
+        let Some((step, step_state)) = self.jobs.get(&key.job_id).and_then(|one| one.step(key))
+        else {
+            return;
+        };
+        let waits_since = step_state.blocked_since.unwrap_or(clock.now);
+        let waited = clock.now.saturating_duration_since(waits_since);
+        if !step.long_running || waited < PREEMPT_AFTER || self.holds.keeps_for(key) {
+            return;
+        }
+        let demand = workers::counted_demand(step);
+        let wanted = step_state.waiting_count.min(TASKS_AT_ONCE) as usize;
+        let mut found = self.victims(key, clock);
+        found.sort_by_key(|victims| victims.cost);
+        found.truncate(wanted);
+        if found.is_empty() {
+            return;
+        }
+        let lives: Vec<_> = found.iter().map(|victims| victims.life.clone()).collect();
+        let until = clock.now + KEEP_ROOM;
+        self.holds
+            .keep(key, &lives, &demand, holds::Binding::All, until);
+        for victims in found {
+            for run in victims.runs {
+                log::info!(
+                    job:% = journal::hex(key.job_id),
+                    step = key.step,
+                    run:% = run_name(run),
+                    worker:% = victims.life.worker_id,
+                    waited_ms = waited.as_millis() as u64;
+                    "run stopped for a lasting task"
+                );
+                self.stop_run(&victims.life, run, clock);
+            }
+        }
+    }
+
+    /// Returns for each worker that a step may use which runs would have to go for one task.
+    fn victims(&self, key: model::StepKey, clock: event::Clock) -> Vec<Victims> {
+        let Some(waiting) = self.waiting_step(key) else {
+            return Vec::new();
+        };
+        let demand = workers::counted_demand(waiting.step);
+        let tickets = &waiting.step_state.tickets;
+        let pass = crate::place::Pass::default();
+        let mut usable = self.candidates(&waiting, self.workers.iter(), &pass, clock);
+        usable.retain(|one| {
+            let is_allowed =
+                waiting.queue.advice.is_none() || tickets.is_allowed(&one.life.worker_id);
+            is_allowed && one.capacity_for(&demand) > 0
+        });
+        let victims = usable.into_iter().filter_map(|one| {
+            let worker = self.workers.get(&one.life)?;
+            self.victims_on(&one.life, worker, one.free, &demand, clock)
+        });
+        victims.collect()
+    }
+
+    fn victims_on(
+        &self,
+        life: &model::WorkerLife,
+        worker: &worker::Worker,
+        mut free: model::Demand,
+        demand: &model::Demand,
+        clock: event::Clock,
+    ) -> Option<Victims> {
+        let mut stoppable: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(key, run)| run.phase == worker::RunPhase::Running && self.may_stop(**key))
+            .map(|(key, run)| {
+                let worked = clock.now.saturating_duration_since(run.since).as_millis() as u64;
+                let cost = worked * u64::from(run.demand.processors_milli);
+                (cost, *key, run.demand)
+            })
+            .collect();
+        stoppable.sort_by_key(|(cost, ..)| *cost);
+        let mut victims = Victims {
+            life: life.clone(),
+            runs: Vec::new(),
+            cost: 0,
+        };
+        for (cost, key, freed) in stoppable {
+            if demand.fits_in(&free) {
+                break;
+            }
+            free = free.plus(&freed);
+            victims.runs.push(key);
+            victims.cost += cost;
+        }
+        (demand.fits_in(&free) && !victims.runs.is_empty()).then_some(victims)
+    }
+
+    /// Returns whether a run may be stopped for a lasting task: it does not last itself, and is no
+    /// member of a gang, all of which would stop with it.
+    fn may_stop(&self, key: model::RunKey) -> bool {
+        let state = self.jobs.get(&key.task.job_id);
+        let step = state.and_then(|state| state.step(key.task.step_key()));
+        step.is_some_and(|(step, _)| !step.long_running && !step.gang)
+    }
+}
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -149,7 +149,18 @@
                 let step = state.step(run.task.step_key());
                 let demand = step.map(|(step, _)| workers::counted_demand(step));
                 let is_over = state.outcome.is_some();
-                inherited.push((life, run, demand.unwrap_or_default(), is_over));
+                let phase = if is_over {
+                    worker::RunPhase::Stopping(clock.now)
+                } else {
+                    worker::RunPhase::Inherited
+                };
+                let mut inherited_run =
+                    worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now);
+                if let Some((step, _)) = step {
+                    inherited_run = inherited_run.of_step(step);
+                }
+                inherited_run.percent = None;
+                inherited.push((life, run, inherited_run));
             }
         }
         log::info!(
@@ -161,17 +172,15 @@
             runs = inherited.len();
             "state recovered"
         );
-        for (life, key, demand, is_over) in inherited {
+        for (life, key, run) in inherited {
             let worker = self
                 .workers
                 .entry(life)
                 .or_insert_with(|| worker::Worker::new(None, lapsed_at));
-            let phase = if is_over {
-                worker::RunPhase::Stopping(clock.now)
-            } else {
-                worker::RunPhase::Inherited
-            };
-            worker.add_run(key, worker::WorkerRun::new(demand, phase, clock.now));
+            if run.fills_idle {
+                worker.pacing.start_unknown();
+            }
+            worker.add_run(key, run);
         }
         for job_id in self.jobs.keys().copied().collect::<Vec<_>>() {
             self.enqueue(job_id, clock);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -55,6 +55,8 @@
 /// Whether a job that waits can still end in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Lateness {
+    /// It has tasks that run all the time.
+    Lasting,
     InTime,
     /// Its objective has passed, and its result is worth less.
     Late,
@@ -103,6 +105,12 @@
                 self.started(&life, run, outcome, clock);
             }
             event::Event::Stop { life, run, outcome } => self.stopped(&life, run, outcome, clock),
+            event::Event::Pace {
+                life,
+                run,
+                percent,
+                outcome,
+            } => self.paced(&life, run, percent, outcome),
             event::Event::Hold { life, outcome } => self.held(&life, outcome, clock),
             event::Event::Advice { call, outcome } => self.advised(call, outcome, clock),
             event::Event::Committed(batch) => self.committed(batch, clock),
@@ -286,6 +294,12 @@
         let Some(state) = self.jobs.get(&step.key.job_id) else {
             return Lateness::InTime;
         };
+        if state
+            .step(step.key)
+            .is_some_and(|(step, _)| step.long_running)
+        {
+            return Lateness::Lasting;
+        }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
         if waited_ms < state.objective_ms {
             Lateness::InTime
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 
+use crate::pacing;
 use crate::worker_api;
 
 /// Start orders sent for one run before the run is given up and stopped.
@@ -38,6 +39,7 @@
     /// Since when it has not answered.
     pub(crate) silent_since: Option<time::Instant>,
     pub(crate) health: Health,
+    pub(crate) pacing: pacing::Pacing,
 }
 
 /// The call that renews the lease.
@@ -54,6 +56,12 @@
 pub(crate) struct WorkerRun {
     /// What it takes, without what does not count.
     pub(crate) demand: model::Demand,
+    /// Whether it uses only processors that others leave idle.
+    pub(crate) fills_idle: bool,
+    /// Bound of the tail latency of its own users, in milliseconds.
+    pub(crate) target_tail_ms: Option<u32>,
+    /// Share of idle processors that it has, in percent, if that is known.
+    pub(crate) percent: Option<u32>,
     /// Saved progress that it resumes from; every start order of it carries the same.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
     pub(crate) phase: RunPhase,
@@ -140,6 +148,7 @@
             lapsed_at,
             silent_since: None,
             health: Health::default(),
+            pacing: pacing::Pacing::default(),
         }
     }
 
@@ -259,6 +268,9 @@
     pub(crate) fn new(demand: model::Demand, phase: RunPhase, now: time::Instant) -> Self {
         Self {
             demand,
+            fills_idle: false,
+            target_tail_ms: None,
+            percent: Some(100),
             checkpoint: None,
             phase,
             since: now,
@@ -268,6 +280,13 @@
         }
     }
 
+    /// Sets how the run of a step shares the processors.
+    pub(crate) fn of_step(mut self, step: &model::Step) -> Self {
+        self.fills_idle = step.fills_idle;
+        self.target_tail_ms = step.target_tail_ms;
+        self
+    }
+
     /// Sets the saved progress that the run resumes from.
     pub(crate) fn resume_from(mut self, checkpoint: Option<sync::Arc<str>>) -> Self {
         self.checkpoint = checkpoint;
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -58,6 +58,21 @@
     pub term: model::Term,
 }
 
+/// Sets the share of idle processors that a filling run may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// The life meant.
+    pub life: model::WorkerLife,
+    /// Address of the worker.
+    pub address: sync::Arc<str>,
+    /// The run.
+    pub run: model::RunKey,
+    /// Share, in percent; 100 at the start of a run.
+    pub percent: u32,
+    /// Term of the leader.
+    pub term: model::Term,
+}
+
 /// Renews a worker's lease and asks what it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldOrder {
@@ -122,6 +137,17 @@
     NoAnswer,
 }
 
+/// How a pace order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceOutcome {
+    /// The share holds.
+    Accepted,
+    /// The worker has seen a higher term.
+    Fenced,
+    /// No answer, or the run is not there.
+    Failed,
+}
+
 /// How a call to hold a worker ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HoldOutcome {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -6,6 +6,7 @@
 
 use crate::event;
 use crate::job;
+use crate::pacing;
 use crate::runs;
 use crate::scheduler;
 use crate::worker;
@@ -155,10 +156,10 @@
             lease_end_ms,
             term: self.term,
             forget_up_to: worker.forget_up_to(),
-            wait: if may_wait {
-                settings.hold_wait
-            } else {
-                time::Duration::ZERO
+            wait: match may_wait {
+                true if worker.is_shared() => settings.hold_wait.min(pacing::LISTING_WAIT),
+                true => settings.hold_wait,
+                false => time::Duration::ZERO,
             },
         };
         worker.forgotten_end = order.forget_up_to;
@@ -226,9 +227,10 @@
             self.may_place = true;
         }
         let running: collections::HashSet<_> = listing.running.iter().map(|row| row.run).collect();
-        for row in listing.running {
+        for row in &listing.running {
             self.take_running(life, row, clock);
         }
+        self.pace(life, &listing.running, clock);
         let mut ended = collections::HashSet::new();
         for row in listing.ended {
             ended.insert(row.run);
@@ -253,7 +255,7 @@
     fn take_running(
         &mut self,
         life: &model::WorkerLife,
-        row: worker_api::RunningRow,
+        row: &worker_api::RunningRow,
         clock: event::Clock,
     ) {
         let key = row.run;
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -2,4 +2,5 @@
 
 mod always;
 mod crest;
+mod lasting;
 mod world;
