jobs: stop all members of a gang once one of them is given up

Cause: a member whose start order stays unanswered, is rejected after an unanswered attempt, or whose ticket expires before the next attempt is stopped, but the other members learn of it only when the next listing of that worker shows its end. A listing may be delayed by up to 1.5 s, twice in turn, and the attempts before it take 1.4 s, so the others wait longer than a worker lets a gang wait; they end incomplete. An end listed as stopped, lapsed or incomplete did not stop the others at all.

Tests: gangs.rs, two loads without network.

--- a/crates/jobs/benches/mix.rs
+++ b/crates/jobs/benches/mix.rs
@@ -317,6 +317,10 @@
         let busy_s = *busy_ms as f64 / 1_000.0;
         println!("  advice for {queue}: {calls} calls, {busy_s:.0} s");
     }
+    println!(
+        "  decisions took {} ms of processor time",
+        simulation.decision_time.as_millis()
+    );
     results
 }
 
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -49,7 +49,18 @@
 }
 
 impl scheduler::Scheduler {
-    /// Stops the other members of a gang after one of them was lost without a listed end.
+    /// Stops a run, and the other members if it belongs to a gang: they would wait for it in vain.
+    pub(crate) fn stop_run_and_gang(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) {
+        self.stop_run(incarnation, key, clock);
+        self.stop_gang_members(key, clock);
+    }
+
+    /// Stops the other members of a gang after one of them has ended without success.
     pub(crate) fn stop_gang_members(&mut self, key: model::RunKey, clock: event::Clock) {
         let Some(state) = self.jobs.get(&key.task.job_id) else {
             return;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -141,13 +141,11 @@
                     tries = run.attempts;
                     "start order not answered"
                 );
-                if is_starting {
-                    let next = if run.may_retry_start() {
-                        worker::RunPhase::Retrying(clock.now + START_RETRY_PAUSE)
-                    } else {
-                        worker::RunPhase::Stopping(clock.now)
-                    };
+                if is_starting && run.may_retry_start() {
+                    let next = worker::RunPhase::Retrying(clock.now + START_RETRY_PAUSE);
                     run.set_phase(next, clock.now);
+                } else if is_starting {
+                    self.stop_run_and_gang(incarnation, key, clock);
                 }
             }
             worker_api::StartOutcome::Rejected(reason) => {
@@ -201,7 +199,7 @@
         }
         if run.unanswered || reason == worker_api::StartRejection::Outdated {
             // An earlier copy of the order may still be executed.
-            run.set_phase(worker::RunPhase::Stopping(clock.now), clock.now);
+            self.stop_run_and_gang(incarnation, key, clock);
         } else {
             self.withdraw(incarnation, key, clock);
         }
@@ -277,7 +275,7 @@
         for (key, phase) in due {
             if matches!(phase, worker::RunPhase::Retrying(_)) {
                 if !self.send_start(incarnation, key, clock) {
-                    self.stop_run(incarnation, key, clock);
+                    self.stop_run_and_gang(incarnation, key, clock);
                 }
             } else {
                 self.send_stop(incarnation, key, clock);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -76,6 +76,9 @@
         }
         self.mark_job_started(key);
         self.apply_end(incarnation, &ended, clock);
+        if ended.end.leaves_gang_incomplete() {
+            self.stop_gang_members(key, clock);
+        }
         if let Some(state) = self.jobs.get_mut(&job_id) {
             let forget = job::Effect::ForgetEnd(incarnation.clone(), ended.sequence);
             state.effects.push(forget);
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -220,6 +220,12 @@
 }
 
 impl RunEnd {
+    /// Returns whether other members of a gang may wait on for a member that has ended so: workers
+    /// end all members only when one of a complete gang ends.
+    pub(crate) fn leaves_gang_incomplete(self) -> bool {
+        matches!(self, Self::Stopped | Self::Lapsed | Self::GangIncomplete)
+    }
+
     /// Returns the name used in logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler in a simulation with virtual time, without network.
 
+mod gangs;
 mod invariants;
 mod long_running;
 mod peak_load;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -99,11 +99,18 @@
     /// Checkpoint from which the first member of each run of a gang resumed.
     gang_checkpoints:
         collections::HashMap<(model::StepKey, model::RunNumber), Option<sync::Arc<str>>>,
+    /// Since when some members of a run of a gang are present and others have never been, in
+    /// milliseconds; `None` once all members were present.
+    incomplete_gangs: collections::HashMap<(model::StepKey, model::RunNumber), Option<u64>>,
+    /// Longest time for which members of a gang have waited for the others, in milliseconds.
+    pub(crate) max_gang_wait_ms: u64,
     /// Run times of the tasks of steps whose estimate is wrong, in milliseconds.
     pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
     /// When the last task of a job was listed as done, in milliseconds.
     pub(crate) ended_at_ms: collections::HashMap<model::JobId, u64>,
     pub(crate) max_failures: u32,
+    /// Real time that the scheduler has taken so far.
+    pub(crate) decision_time: time::Duration,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
     pub(crate) allowed_share: Option<f64>,
 }
@@ -142,9 +149,12 @@
             advice_load: collections::BTreeMap::new(),
             allowed_shares: collections::HashMap::new(),
             gang_checkpoints: collections::HashMap::new(),
+            incomplete_gangs: collections::HashMap::new(),
+            max_gang_wait_ms: 0,
             run_times_ms: collections::HashMap::new(),
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
+            decision_time: time::Duration::ZERO,
             allowed_share,
         };
         simulation.elect_leader();
@@ -170,6 +180,19 @@
         self.use_manifest(manifest, advisors);
     }
 
+    /// Changes how long the tickets of the recommendation service are valid, and elects a new
+    /// leader.
+    pub(crate) fn use_ticket_validity_ms(&mut self, validity_ms: u64) {
+        let mut manifest = self.manifest.clone();
+        for queue in manifest.queues.values_mut() {
+            if let Some(terms) = &mut sync::Arc::make_mut(queue).advice {
+                terms.validity = time::Duration::from_millis(validity_ms);
+            }
+        }
+        let advisors = self.advisors;
+        self.use_manifest(manifest, advisors);
+    }
+
     /// Replaces the manifest, whose terms then apply to the recommendation service, and elects a
     /// new leader.
     pub(crate) fn use_manifest(&mut self, manifest: jobs::Manifest, advisors: usize) {
@@ -232,8 +255,10 @@
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
+        let began_at = time::Instant::now();
         scheduler.handle(event, clock);
         let actions = scheduler.finish(clock);
+        self.decision_time += began_at.elapsed();
         for action in actions {
             self.execute(term, action);
         }
@@ -369,6 +394,7 @@
             Event::Deliver(term, event) => self.deliver(term, event),
             Event::Tick(term) => {
                 self.check_tail_latency();
+                self.measure_gang_waits();
                 if term == self.term && self.scheduler.is_some() {
                     let reports = self.workers.iter().filter(|one| one.is_up);
                     let reports = reports.map(SimulatedWorker::report).collect();
@@ -420,6 +446,31 @@
         }
     }
 
+    /// Updates how long members of gangs have waited for the other members.
+    fn measure_gang_waits(&mut self) {
+        let mut present = collections::HashMap::new();
+        let workers = self.workers.iter().filter(|worker| worker.is_up);
+        for run in workers.flat_map(SimulatedWorker::run_keys) {
+            let members: &mut u32 = present.entry((run.task.step_key(), run.run)).or_default();
+            *members += 1;
+        }
+        self.incomplete_gangs
+            .retain(|gang, since_ms| since_ms.is_none() || present.contains_key(gang));
+        for ((step_key, run), members) in present {
+            let step = &self.accepted[&step_key.job_id].steps[usize::from(step_key.step)];
+            if !step.gang {
+                continue;
+            }
+            let since_ms = self.incomplete_gangs.entry((step_key, run));
+            let since_ms = since_ms.or_insert(Some(self.now_ms));
+            if members == step.task_count {
+                *since_ms = None;
+            } else if let Some(since_ms) = *since_ms {
+                self.max_gang_wait_ms = self.max_gang_wait_ms.max(self.now_ms - since_ms);
+            }
+        }
+    }
+
     fn worker_index(&self, incarnation: &model::WorkerIncarnation) -> Option<usize> {
         let mut workers = self.workers.iter();
         workers.position(|one| one.is_up && !one.is_partitioned && one.incarnation == *incarnation)
@@ -433,6 +484,17 @@
             }
             return;
         };
+        if self.workers[index].drops_starts {
+            if answered {
+                let event = jobs::Event::Start {
+                    incarnation: order.incarnation,
+                    run: order.run,
+                    outcome: jobs::StartOutcome::NoAnswer,
+                };
+                self.push(ORDER_TIMEOUT_MS, Event::Deliver(order.term, event));
+            }
+            return;
+        }
         self.workers[index].expire(now_ms);
         let outcome = if is_expired(&order, now_ms) {
             jobs::StartOutcome::Rejected(jobs::StartRejection::Ticket)
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -56,6 +56,8 @@
     /// Whether it is unreachable while its runs continue.
     pub(crate) is_partitioned: bool,
     pub(crate) draining: bool,
+    /// Whether start orders are lost before they are executed.
+    pub(crate) drops_starts: bool,
     pub(crate) capacity: model::Demand,
     /// By how much one best-effort run raises the tail latency of another run, as a share of its
     /// target.
@@ -80,6 +82,7 @@
             is_up: true,
             is_partitioned: false,
             draining: false,
+            drops_starts: false,
             capacity: CAPACITY,
             interference: 0.0,
             fence: 0,
@@ -130,6 +133,10 @@
         self.runs.keys().find(|run| run.task == task).copied()
     }
 
+    pub(crate) fn run_keys(&self) -> impl Iterator<Item = model::RunKey> {
+        self.runs.keys().copied()
+    }
+
     pub(crate) fn run_count(&self, step: model::StepKey) -> u32 {
         let here = self.runs.keys().filter(|run| run.task.step_key() == step);
         here.count() as u32
