--- a/crates/jobs/src/advice_planner.rs
+++ b/crates/jobs/src/advice_planner.rs
@@ -25,7 +25,7 @@
 /// The state of a step from which its next call is planned.
 pub(crate) struct AdvicePlanner<'a> {
     /// Every worker on which the step may start, as far as the leader knows.
-    pub(crate) usable: &'a [Candidate],
+    pub(crate) usable: &'a [Candidate<'a>],
     pub(crate) step: &'a model::Step,
     pub(crate) demand: model::Demand,
     /// Mean number of tasks of the step that fit on a worker.
@@ -127,15 +127,15 @@
     /// Returns the workers of an assignment whose tickets must be renewed, and some spare ones.
     fn workers_to_renew(
         &self,
-        allowed: &[&Candidate],
+        allowed: &[&Candidate<'_>],
         assignment: &candidate::Assignment,
     ) -> Vec<model::WorkerId> {
-        let is_assigned = |one: &Candidate| {
+        let is_assigned = |one: &Candidate<'_>| {
             assignment
                 .iter()
-                .any(|(_, incarnation)| *incarnation == one.incarnation)
+                .any(|(_, incarnation)| incarnation == one.incarnation)
         };
-        let (assigned, others): (Vec<&Candidate>, Vec<&Candidate>) =
+        let (assigned, others): (Vec<&Candidate<'_>>, Vec<&Candidate<'_>>) =
             allowed.iter().partition(|one| is_assigned(one));
         let spares = others
             .into_iter()
@@ -184,7 +184,7 @@
     }
 }
 
-fn worker_ids_of<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Vec<model::WorkerId> {
+fn worker_ids_of<'a>(candidates: impl Iterator<Item = &'a Candidate<'a>>) -> Vec<model::WorkerId> {
     candidates
         .map(|one| one.incarnation.worker_id.clone())
         .collect()
--- a/crates/jobs/src/advisors.rs
+++ b/crates/jobs/src/advisors.rs
@@ -5,11 +5,10 @@
 
 use std::time;
 
-use indexmap::IndexMap;
-
 use crate::event;
 use crate::journal;
 use crate::manifest;
+use crate::maps;
 use crate::scheduler;
 use crate::tickets;
 
@@ -43,10 +42,10 @@
 /// The instances through which the service is called, and the calls in flight.
 #[derive(Debug, Default)]
 pub(crate) struct Advisors {
-    instances: IndexMap<model::InstanceId, Advisor>,
-    calls: IndexMap<event::CallId, Call>,
+    instances: maps::IndexMap<model::InstanceId, Advisor>,
+    calls: maps::IndexMap<event::CallId, Call>,
     next_call: event::CallId,
-    queue_stats: IndexMap<model::QueueName, QueueStats>,
+    queue_stats: maps::IndexMap<model::QueueName, QueueStats>,
     logged_at: Option<time::Instant>,
 }
 
--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -6,9 +6,10 @@
 
 /// A worker on which tasks of a step may start.
 #[derive(Debug)]
-pub(crate) struct Candidate {
-    pub(crate) incarnation: model::WorkerIncarnation,
-    pub(crate) rack: model::Rack,
+pub(crate) struct Candidate<'a> {
+    pub(crate) incarnation: &'a model::WorkerIncarnation,
+    /// Its rack; empty if not known.
+    pub(crate) rack: &'a str,
     pub(crate) free: model::Demand,
     pub(crate) capacity: model::Demand,
     /// Number of further tasks of this step that the worker may get.
@@ -21,7 +22,7 @@
 /// Task indexes of a step, each with the worker that it is assigned to.
 pub(crate) type Assignment = Vec<(u32, model::WorkerIncarnation)>;
 
-impl Candidate {
+impl Candidate<'_> {
     /// Returns how many tasks of `demand` fit into the free capacity.
     pub(crate) fn fit_count(&self, demand: &model::Demand) -> u32 {
         count_fitting(demand, &self.free).min(self.task_limit)
@@ -49,7 +50,7 @@
 /// Assigns waiting tasks one by one: to workers in the rack of the step's data first, then to those
 /// with the fewest failures, then by best fit, which leaves the fewest processors free.
 pub(crate) fn assign_tasks(
-    mut candidates: Vec<Candidate>,
+    mut candidates: Vec<Candidate<'_>>,
     step_state: &job::StepState,
     demand: &model::Demand,
 ) -> Assignment {
@@ -82,13 +83,12 @@
 /// Assigns all members of a gang, or none; within one rack if the step asks for it and one has
 /// enough capacity.
 pub(crate) fn assign_gang(
-    candidates: &[&Candidate],
+    candidates: &[&Candidate<'_>],
     step: &model::Step,
     demand: &model::Demand,
 ) -> Assignment {
     if step.same_rack {
-        let racks: collections::BTreeSet<_> =
-            candidates.iter().map(|one| one.rack.clone()).collect();
+        let racks: collections::BTreeSet<_> = candidates.iter().map(|one| one.rack).collect();
         for rack in racks {
             let within = candidates.iter().copied().filter(|one| one.rack == rack);
             let assignment = assign_greedily(within.collect(), step.task_count, demand);
@@ -104,7 +104,7 @@
 /// step's data first, then those with the fewest failures, then those that most tasks fit on. Empty
 /// if not all tasks fit.
 fn assign_greedily(
-    mut candidates: Vec<&Candidate>,
+    mut candidates: Vec<&Candidate<'_>>,
     count: u32,
     demand: &model::Demand,
 ) -> Assignment {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,9 +3,8 @@
 use std::sync;
 use std::time;
 
-use indexmap::IndexMap;
-
 use crate::manifest;
+use crate::maps;
 use crate::record;
 use crate::tickets;
 
@@ -66,7 +65,7 @@
     pub(crate) waiting_count: u32,
     pub(crate) tickets: tickets::Tickets,
     /// Failed runs by worker, so that a retry prefers another worker.
-    pub(crate) failures_by_worker: IndexMap<model::WorkerId, u32>,
+    pub(crate) failures_by_worker: maps::IndexMap<model::WorkerId, u32>,
     /// Since when waiting tasks could not be placed for lack of capacity or advice.
     pub(crate) blocked_since: Option<time::Instant>,
 }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -2,10 +2,9 @@
 
 use std::time;
 
-use indexmap::IndexSet;
-
 use crate::event;
 use crate::job;
+use crate::maps;
 use crate::record;
 use crate::scheduler;
 use crate::segments;
@@ -57,7 +56,7 @@
 /// Jobs that have changed since they were last stored, and the batches in flight.
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
-    dirty: IndexSet<model::JobId>,
+    dirty: maps::IndexSet<model::JobId>,
     pub(crate) segments: segments::Segments,
     /// Batches in flight, oldest first.
     in_flight: Vec<InFlightBatch>,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod job;
 mod journal;
 mod manifest;
+mod maps;
 mod orders;
 mod placement;
 mod preemption;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -23,7 +23,9 @@
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
     ) -> Option<&mut worker::WorkerRun> {
-        self.workers.get_mut(incarnation)?.runs.get_mut(&key)
+        let worker = self.workers.get_mut(incarnation)?;
+        worker.request_call_check();
+        worker.runs.get_mut(&key)
     }
 
     /// Sends the first start order of a planned run, once the plan is stored.
@@ -104,6 +106,7 @@
         worker.expires_at = worker
             .expires_at
             .max(clock.now + self.settings.lease_horizon());
+        worker.request_call_check();
         if let Some(run) = worker.runs.get_mut(&key) {
             run.attempts += 1;
             run.set_phase(worker::RunPhase::Starting, clock.now);
@@ -119,10 +122,7 @@
         outcome: worker_api::StartOutcome,
         clock: event::Clock,
     ) {
-        let Some(worker) = self.workers.get_mut(incarnation) else {
-            return;
-        };
-        let Some(run) = worker.runs.get_mut(&key) else {
+        let Some(run) = self.run_mut(incarnation, key) else {
             return;
         };
         let is_starting = run.phase == worker::RunPhase::Starting;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -1,6 +1,5 @@
 //! Placement: assigns waiting tasks to workers.
 
-use std::collections;
 use std::time;
 
 use crate::advice_planner;
@@ -11,6 +10,7 @@
 use crate::job;
 use crate::journal;
 use crate::manifest;
+use crate::maps;
 use crate::reservations;
 use crate::scheduler;
 use crate::worker;
@@ -25,14 +25,19 @@
 /// long runs.
 const RESERVED_CAPACITY_FACTOR: f64 = 1.5;
 
+/// Number of steps that cannot be placed after which a partial pass ends.
+pub(crate) const PARTIAL_PASS_BLOCKED_STEPS: usize = 40;
+
 /// State of one pass over the waiting steps.
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
+    /// Indexes of the workers that accept runs.
+    usable: Vec<usize>,
     /// Steps already considered; later ones must not use the capacity reserved for them.
-    visited: collections::HashSet<model::StepKey>,
+    visited: maps::HashSet<model::StepKey>,
     /// Workers reserved for gangs earlier in the scheduling order, with the priority of the gang;
     /// work of a higher priority may still use them.
-    reserved_workers: collections::HashMap<model::WorkerIncarnation, u32>,
+    reserved_workers: maps::HashMap<model::WorkerIncarnation, u32>,
     /// Whether the reservation for a gang would have exceeded the limit of reserved workers.
     is_reservation_limit_reached: bool,
     /// Total demand of waiting gangs earlier in the scheduling order.
@@ -60,15 +65,33 @@
 }
 
 impl scheduler::Scheduler {
-    /// Places waiting tasks where they fit, in the scheduling order.
-    pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
-        let mut pass = Pass::default();
+    /// Starts a pass over the waiting steps.
+    pub(crate) fn new_pass(&self, clock: event::Clock) -> Pass {
+        let workers = self.workers.values().enumerate();
+        let usable = workers.filter(|(_, worker)| worker.accepts_runs(clock.now));
+        Pass {
+            usable: usable.map(|(index, _)| index).collect(),
+            ..Pass::default()
+        }
+    }
+
+    /// Places waiting tasks where they fit, in the scheduling order; unless `is_full`, only until
+    /// `PARTIAL_PASS_BLOCKED_STEPS` steps could not be placed.
+    pub(crate) fn place_waiting(&mut self, is_full: bool, clock: event::Clock) {
+        let mut pass = self.new_pass(clock);
         self.reservations.expire(clock.now);
+        let mut blocked = 0;
         for step in self.scheduling_order(clock) {
             if self.place_step(step.key, &mut pass, clock) {
                 self.waiting.remove(&step);
+            } else {
+                blocked += 1;
             }
             pass.visited.insert(step.key);
+            self.placement_visits += 1;
+            if !is_full && blocked >= PARTIAL_PASS_BLOCKED_STEPS {
+                break;
+            }
         }
     }
 
@@ -139,7 +162,7 @@
         let total = demand.times(step.task_count);
         if !has_call_in_flight && let Some(terms) = advice {
             self.reservations.release(key);
-            if self.has_capacity_beyond_earlier_gangs(pass, clock) {
+            if self.has_capacity_beyond_earlier_gangs(pass) {
                 self.request_advice_for_gang(key, terms, pass, clock);
             }
         }
@@ -150,10 +173,9 @@
 
     /// Returns whether more capacity is free than earlier gangs wait for; otherwise a gang would
     /// request tickets in vain.
-    fn has_capacity_beyond_earlier_gangs(&self, pass: &mut Pass, clock: event::Clock) -> bool {
+    fn has_capacity_beyond_earlier_gangs(&self, pass: &mut Pass) -> bool {
         let free = *pass.total_free.get_or_insert_with(|| {
-            let workers = self.workers.values();
-            let usable = workers.filter(|worker| worker.accepts_runs(clock.now));
+            let usable = pass.usable.iter().map(|index| &self.workers[*index]);
             usable.fold(model::Demand::default(), |sum, worker| {
                 sum.plus(&worker.free())
             })
@@ -275,13 +297,13 @@
         if !context.step_state.tickets.may_call(clock.now) {
             return None;
         }
-        let usable = self.candidates(&context, self.workers.iter(), pass, clock);
+        let usable = self.candidates(&context, self.usable_workers(pass), pass);
         let demand = workers::counted_demand(context.step);
         Some(decide(&advice_planner::AdvicePlanner {
             usable: &usable,
             step: context.step,
             demand,
-            mean_fit_count: self.mean_fit_count(&context, &demand, clock),
+            mean_fit_count: self.mean_fit_count(&context, &demand, pass),
             blocked_ratio: context.blocked_ratio(clock),
             tickets: &context.step_state.tickets,
             terms,
@@ -296,13 +318,14 @@
         &self,
         context: &StepContext<'_>,
         demand: &model::Demand,
-        clock: event::Clock,
+        pass: &Pass,
     ) -> f64 {
         let pool = &context.queue.pool;
         let task_limit = context.step.max_per_worker.unwrap_or(u32::MAX);
-        let workers = self.workers.values().filter(|worker| {
+        let workers = self.usable_workers(pass).map(|(_, worker)| worker);
+        let workers = workers.filter(|worker| {
             let report = worker.report.as_ref();
-            worker.accepts_runs(clock.now) && report.is_some_and(|report| report.pool == *pool)
+            report.is_some_and(|report| report.pool == *pool)
         });
         let (mut count, mut fitting) = (0_u32, 0_u32);
         for worker in workers {
@@ -334,34 +357,66 @@
 
     /// Returns the workers on which a step may start now: those with a valid ticket if its queue
     /// needs advice.
-    fn startable_workers(
-        &self,
-        context: &StepContext<'_>,
+    fn startable_workers<'a>(
+        &'a self,
+        context: &StepContext<'a>,
         pass: &Pass,
         clock: event::Clock,
-    ) -> Vec<Candidate> {
+    ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.workers.iter(), pass, clock);
+            return self.candidates(context, self.usable_workers(pass), pass);
         }
-        let tickets = &context.step_state.tickets;
-        let ticketed = tickets
-            .valid_workers(clock.now)
+        let ticketed = context.step_state.tickets.valid_workers(clock.now);
+        let ticketed = self.usable_by_id(ticketed, clock);
+        self.candidates(context, ticketed, pass)
+    }
+
+    /// Returns the workers that accept runs.
+    fn usable_workers(
+        &self,
+        pass: &Pass,
+    ) -> impl Iterator<Item = (&model::WorkerIncarnation, &worker::Worker)> {
+        let indexes = pass.usable.iter();
+        indexes.filter_map(|index| self.workers.get_index(*index))
+    }
+
+    /// Returns those of the named workers that accept runs.
+    fn usable_by_id<'a>(
+        &'a self,
+        worker_ids: impl Iterator<Item = &'a model::WorkerId>,
+        clock: event::Clock,
+    ) -> impl Iterator<Item = (&'a model::WorkerIncarnation, &'a worker::Worker)> {
+        worker_ids
             .filter_map(|worker_id| self.newest_incarnations.get(worker_id))
-            .filter_map(|incarnation| self.workers.get_key_value(incarnation));
-        self.candidates(context, ticketed, pass, clock)
+            .filter_map(|incarnation| self.workers.get_key_value(incarnation))
+            .filter(move |(_, worker)| worker.accepts_runs(clock.now))
+    }
+
+    /// Returns the workers on which a step may start once they have capacity and, if its queue
+    /// needs advice, a valid ticket.
+    pub(crate) fn allowed_workers<'a>(
+        &'a self,
+        context: &StepContext<'a>,
+        pass: &Pass,
+        clock: event::Clock,
+    ) -> Vec<Candidate<'a>> {
+        if context.queue.advice.is_none() {
+            return self.candidates(context, self.usable_workers(pass), pass);
+        }
+        let allowed = context.step_state.tickets.allowed_workers();
+        self.candidates(context, self.usable_by_id(allowed, clock), pass)
     }
 
-    /// Returns those of `workers` on which tasks of a step may start, as far as the leader knows.
-    pub(crate) fn candidates<'a>(
+    /// Returns those of `workers`, which accept runs, on which tasks of a step may start, as far as
+    /// the leader knows.
+    fn candidates<'a>(
         &self,
         context: &StepContext<'_>,
         workers: impl Iterator<Item = (&'a model::WorkerIncarnation, &'a worker::Worker)>,
         pass: &Pass,
-        clock: event::Clock,
-    ) -> Vec<Candidate> {
+    ) -> Vec<Candidate<'a>> {
         let (step, step_state) = (context.step, context.step_state);
-        let mut placed: collections::HashMap<&model::WorkerIncarnation, u32> =
-            collections::HashMap::new();
+        let mut placed: maps::HashMap<&model::WorkerIncarnation, u32> = maps::HashMap::default();
         if step.max_per_worker.is_some() {
             for task in &step_state.tasks {
                 if let job::Phase::Placed(incarnation) = &task.phase {
@@ -376,8 +431,7 @@
                 .is_some_and(|of| *of <= priority)
         };
         let usable = workers.filter(|(incarnation, worker)| {
-            worker.accepts_runs(clock.now)
-                && !is_reserved(incarnation)
+            !is_reserved(incarnation)
                 && !step_state.tickets.is_refused(&incarnation.worker_id)
                 && worker
                     .report
@@ -395,7 +449,7 @@
                 .max_per_worker
                 .map_or(u32::MAX, |most| most.saturating_sub(already));
             Candidate {
-                incarnation: incarnation.clone(),
+                incarnation,
                 rack: rack_of(worker),
                 free: worker.free().minus(&self.reservations.reserved_by_others(
                     context.key,
@@ -513,10 +567,7 @@
         let limit = self.workers.len() / RESERVED_WORKERS_DIVISOR;
         let demand = workers::counted_demand(context.step);
         let tickets = &context.step_state.tickets;
-        let mut allowed = self.candidates(&context, self.workers.iter(), pass, clock);
-        allowed.retain(|one| {
-            context.queue.advice.is_none() || tickets.is_allowed(&one.incarnation.worker_id)
-        });
+        let mut allowed = self.allowed_workers(&context, pass, clock);
         allowed.sort_by_key(|one| {
             let free = one.free.processors_milli;
             (u32::MAX - one.fit_count(&demand), u32::MAX - free)
@@ -563,7 +614,7 @@
     }
 }
 
-fn rack_of(worker: &worker::Worker) -> model::Rack {
+fn rack_of(worker: &worker::Worker) -> &str {
     let report = worker.report.as_ref();
-    report.map_or_else(|| "".into(), |report| report.rack.clone())
+    report.map_or("", |report| &report.rack)
 }
--- a/crates/jobs/src/preemption.rs
+++ b/crates/jobs/src/preemption.rs
@@ -80,17 +80,12 @@
             return Vec::new();
         };
         let demand = workers::counted_demand(context.step);
-        let tickets = &context.step_state.tickets;
-        let pass = crate::placement::Pass::default();
-        let mut usable = self.candidates(&context, self.workers.iter(), &pass, clock);
-        usable.retain(|one| {
-            let is_allowed =
-                context.queue.advice.is_none() || tickets.is_allowed(&one.incarnation.worker_id);
-            is_allowed && one.idle_fit_count(&demand) > 0
-        });
+        let pass = self.new_pass(clock);
+        let mut usable = self.allowed_workers(&context, &pass, clock);
+        usable.retain(|one| one.idle_fit_count(&demand) > 0);
         let victims = usable.into_iter().filter_map(|one| {
-            let worker = self.workers.get(&one.incarnation)?;
-            self.victims_on(&one.incarnation, worker, one.free, &demand, clock)
+            let worker = self.workers.get(one.incarnation)?;
+            self.victims_on(one.incarnation, worker, one.free, &demand, clock)
         });
         victims.collect()
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -6,12 +6,12 @@
 
 use std::sync;
 
-use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::event;
 use crate::manifest;
+use crate::maps;
 
 /// Prefix of the keys of segments.
 pub const SEGMENT_PREFIX: &str = "ferry/segment/";
@@ -120,7 +120,7 @@
 
 /// Table of the worker incarnations that the tasks of one job refer to by index.
 #[derive(Debug, Default)]
-pub(crate) struct IncarnationTable(IndexSet<model::WorkerIncarnation>);
+pub(crate) struct IncarnationTable(maps::IndexSet<model::WorkerIncarnation>);
 
 impl IncarnationTable {
     /// Returns the index of an incarnation, adding it if it is new.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -7,13 +7,12 @@
 use std::collections;
 use std::time;
 
-use indexmap::IndexMap;
-
 use crate::advisors;
 use crate::event;
 use crate::job;
 use crate::journal;
 use crate::manifest;
+use crate::maps;
 use crate::record;
 use crate::reservations;
 use crate::scheduler;
@@ -63,10 +62,10 @@
             settings,
             term,
             manifest: manifest::Manifest::default(),
-            jobs: IndexMap::new(),
-            ended: IndexMap::new(),
-            workers: IndexMap::new(),
-            newest_incarnations: collections::HashMap::new(),
+            jobs: maps::IndexMap::default(),
+            ended: maps::IndexMap::default(),
+            workers: maps::IndexMap::default(),
+            newest_incarnations: maps::HashMap::default(),
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
             waiting: collections::BTreeSet::new(),
@@ -78,9 +77,11 @@
             store_lost_at: None,
             placement_needed: true,
             last_placement_at: None,
+            last_full_pass_at: None,
+            placement_visits: 0,
         };
-        let mut definitions = IndexMap::new();
-        let mut progress = IndexMap::new();
+        let mut definitions = maps::IndexMap::default();
+        let mut progress = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
             scheduler.journal.segments.add(id, bytes);
@@ -128,7 +129,7 @@
     fn restore_outcomes(
         &mut self,
         archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
-        progress: &mut IndexMap<model::JobId, record::Progress>,
+        progress: &mut maps::IndexMap<model::JobId, record::Progress>,
     ) {
         for (key, outcomes) in archives {
             let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
--- a/crates/jobs/src/reservations.rs
+++ b/crates/jobs/src/reservations.rs
@@ -1,16 +1,15 @@
 //! Capacity reserved for steps that wait for tickets or for stopped runs to end.
 
-use std::collections;
 use std::time;
 
-use indexmap::IndexMap;
+use crate::maps;
 
 /// Capacity reserved on workers, by step.
 #[derive(Debug, Default)]
 pub(crate) struct Reservations {
-    steps: IndexMap<model::StepKey, Reservation>,
+    steps: maps::IndexMap<model::StepKey, Reservation>,
     /// The same reservations by worker.
-    workers: collections::HashMap<model::WorkerIncarnation, Vec<ReservedDemand>>,
+    workers: maps::HashMap<model::WorkerIncarnation, Vec<ReservedDemand>>,
 }
 
 #[derive(Debug)]
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -228,6 +228,7 @@
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
+        worker.request_call_check();
         let Some(run) = worker.runs.get_mut(&key) else {
             return;
         };
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -3,21 +3,26 @@
 use std::collections;
 use std::time;
 
-use indexmap::IndexMap;
-
 use crate::advisors;
 use crate::event;
 use crate::job;
 use crate::journal;
 use crate::manifest;
+use crate::maps;
+use crate::placement;
 use crate::record;
 use crate::reservations;
 use crate::settings;
 use crate::worker;
 
-/// Shortest time between two placement passes: at peak load each pass visits all waiting steps,
-/// which is expensive.
+/// Shortest time between two placement passes.
 const MIN_PLACEMENT_INTERVAL: time::Duration = time::Duration::from_millis(4);
+/// Time added to the interval between placement passes for each step that a pass visits, so that
+/// passes take a bounded share of the time.
+const PLACEMENT_INTERVAL_PER_STEP: time::Duration = time::Duration::from_micros(150);
+/// Time between two placement passes that visit every waiting step; the ones in between visit the
+/// first steps in the scheduling order only.
+const FULL_PASS_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Decides which task of which job runs on which worker.
 ///
@@ -28,12 +33,12 @@
     pub(crate) settings: settings::Settings,
     pub(crate) term: model::Term,
     pub(crate) manifest: manifest::Manifest,
-    pub(crate) jobs: IndexMap<model::JobId, job::JobState>,
+    pub(crate) jobs: maps::IndexMap<model::JobId, job::JobState>,
     /// Outcomes of ended jobs, in the order of their ends.
-    pub(crate) ended: IndexMap<model::JobId, record::Ending>,
-    pub(crate) workers: IndexMap<model::WorkerIncarnation, worker::Worker>,
+    pub(crate) ended: maps::IndexMap<model::JobId, record::Ending>,
+    pub(crate) workers: maps::IndexMap<model::WorkerIncarnation, worker::Worker>,
     /// The newest incarnation of each worker that the directory lists.
-    pub(crate) newest_incarnations: collections::HashMap<model::WorkerId, model::WorkerIncarnation>,
+    pub(crate) newest_incarnations: maps::HashMap<model::WorkerId, model::WorkerIncarnation>,
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
@@ -51,6 +56,10 @@
     pub(crate) placement_needed: bool,
     /// When the last placement pass was made.
     pub(crate) last_placement_at: Option<time::Instant>,
+    /// When the last placement pass that visited every waiting step was made.
+    pub(crate) last_full_pass_at: Option<time::Instant>,
+    /// How many times it was tried to place a waiting step.
+    pub(crate) placement_visits: u64,
 }
 
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
@@ -89,6 +98,8 @@
     pub runs: usize,
     /// Worker incarnations that are listed in the directory and answer.
     pub usable_workers: usize,
+    /// Attempts to place a waiting step since the term began.
+    pub placement_visits: u64,
 }
 
 impl Scheduler {
@@ -140,17 +151,33 @@
         self.enqueue_due_occurrences(clock);
         let is_due = self
             .last_placement_at
-            .is_none_or(|at| clock.now.saturating_duration_since(at) >= MIN_PLACEMENT_INTERVAL);
+            .is_none_or(|at| clock.now.saturating_duration_since(at) >= self.placement_interval());
         if self.placement_needed && is_due {
             self.placement_needed = false;
             self.last_placement_at = Some(clock.now);
-            self.place_waiting(clock);
+            let is_full_pass_due = self
+                .last_full_pass_at
+                .is_none_or(|at| clock.now.saturating_duration_since(at) >= FULL_PASS_INTERVAL);
+            if is_full_pass_due {
+                self.last_full_pass_at = Some(clock.now);
+            }
+            self.place_waiting(is_full_pass_due, clock);
         }
         self.send_due_calls(clock);
         self.flush(clock);
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the shortest time between two placement passes at the current backlog.
+    fn placement_interval(&self) -> time::Duration {
+        let visited = self
+            .waiting
+            .len()
+            .min(placement::PARTIAL_PASS_BLOCKED_STEPS);
+        let visited = u32::try_from(visited).unwrap_or(u32::MAX);
+        MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_STEP * visited
+    }
+
     /// Returns whether [`Scheduler::finish`] should be called again within some milliseconds.
     #[must_use]
     pub fn needs_finish(&self) -> bool {
@@ -170,6 +197,7 @@
                 .values()
                 .filter(|worker| worker.is_listed && worker.silent_since.is_none())
                 .count(),
+            placement_visits: self.placement_visits,
         }
     }
 
--- a/crates/jobs/src/segments.rs
+++ b/crates/jobs/src/segments.rs
@@ -2,8 +2,7 @@
 
 use std::collections;
 
-use indexmap::IndexMap;
-
+use crate::maps;
 use crate::record;
 
 /// Archived outcomes: one value with the outcomes of many ended jobs.
@@ -34,7 +33,7 @@
     segments: collections::BTreeMap<record::SegmentId, Segment>,
     /// Sum over `segments`.
     bytes: usize,
-    locations: IndexMap<model::JobId, RecordLocation>,
+    locations: maps::IndexMap<model::JobId, RecordLocation>,
     /// Ended jobs whose outcomes are not archived yet.
     pub(crate) unarchived: Vec<model::JobId>,
     archives: collections::VecDeque<Archive>,
--- a/crates/jobs/src/tickets.rs
+++ b/crates/jobs/src/tickets.rs
@@ -1,9 +1,8 @@
 //! Tickets and verdicts that the recommendation service has given for a step.
 
-use std::collections;
 use std::time;
 
-use indexmap::IndexMap;
+use crate::maps;
 
 /// Remaining validity below which a ticket is no longer used: a start order takes as long to reach
 /// its worker on a slow path between regions.
@@ -18,7 +17,7 @@
 /// expires.
 #[derive(Debug, Default)]
 pub(crate) struct Tickets {
-    verdicts: IndexMap<model::WorkerId, Verdict>,
+    verdicts: maps::IndexMap<model::WorkerId, Verdict>,
     /// Number of answers received.
     pub(crate) answers: u32,
     /// When the last ticket expires.
@@ -50,7 +49,7 @@
         self.answers += 1;
         self.last_expiry = self.last_expiry.max(Some(valid_until));
         let (mut new_asked, mut new_allowed) = (0, 0);
-        let mut allowed: collections::HashMap<_, _> = tickets
+        let mut allowed: maps::HashMap<_, _> = tickets
             .into_iter()
             .map(|ticket| (ticket.worker_id, ticket.token))
             .collect();
@@ -107,6 +106,13 @@
         valid.map(|(worker_id, _)| worker_id)
     }
 
+    /// Returns the workers known to be allowed, even if their tickets have expired.
+    pub(crate) fn allowed_workers(&self) -> impl Iterator<Item = &model::WorkerId> {
+        let verdicts = self.verdicts.iter();
+        let allowed = verdicts.filter(|(_, verdict)| matches!(verdict, Verdict::Allowed { .. }));
+        allowed.map(|(worker_id, _)| worker_id)
+    }
+
     /// Returns the token of the ticket for a worker if it is still valid at `now`.
     pub(crate) fn valid_token(
         &self,
@@ -138,10 +144,7 @@
 
     /// Returns how many workers are known to be allowed.
     pub(crate) fn allowed_count(&self) -> usize {
-        let verdicts = self.verdicts.values();
-        verdicts
-            .filter(|verdict| matches!(verdict, Verdict::Allowed { .. }))
-            .count()
+        self.allowed_workers().count()
     }
 
     /// Returns whether the service has not been asked about any worker.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -5,8 +5,7 @@
 use std::sync;
 use std::time;
 
-use indexmap::IndexMap;
-
+use crate::maps;
 use crate::throttling;
 use crate::worker_api;
 
@@ -25,7 +24,7 @@
     /// Its clock in milliseconds, and when that reading was received.
     clock: Option<(i64, time::Instant)>,
     /// Every run that may exist there.
-    pub(crate) runs: IndexMap<model::RunKey, WorkerRun>,
+    pub(crate) runs: maps::IndexMap<model::RunKey, WorkerRun>,
     /// Sum of the demands of `runs`.
     pub(crate) used: model::Demand,
     /// Sequence numbers of listed ends that the worker must still keep.
@@ -35,6 +34,8 @@
     /// Highest sequence number of an end that the worker was told to forget.
     pub(crate) sent_forget_up_to: u64,
     pub(crate) renewal: RenewalState,
+    /// When its orders and its renewal are to be checked next; `None` for as soon as possible.
+    call_check_at: Option<time::Instant>,
     /// When every run there has certainly ended, unless the lease is renewed again.
     pub(crate) expires_at: time::Instant,
     /// Since when it has not answered.
@@ -141,12 +142,13 @@
             report,
             is_fenced: false,
             clock: None,
-            runs: IndexMap::new(),
+            runs: maps::IndexMap::default(),
             used: model::Demand::default(),
             pending_ends: collections::BTreeSet::new(),
             highest_end: 0,
             sent_forget_up_to: 0,
             renewal: RenewalState::default(),
+            call_check_at: None,
             expires_at,
             silent_since: None,
             health: Health::default(),
@@ -164,6 +166,29 @@
             && self.report.as_ref().is_some_and(|report| !report.draining)
     }
 
+    /// Makes the next pass over the workers check which calls are due; to be called after every
+    /// change of the runs, the pending ends or the renewal.
+    pub(crate) fn request_call_check(&mut self) {
+        self.call_check_at = None;
+    }
+
+    /// Returns whether to check which calls are due.
+    pub(crate) fn is_call_check_due(&self, now: time::Instant) -> bool {
+        self.call_check_at.is_none_or(|at| at <= now)
+    }
+
+    /// Schedules the next check for when a call becomes due, unless a change requests one earlier;
+    /// `limit` bounds the time until then.
+    pub(crate) fn schedule_call_check(&mut self, limit: time::Duration, now: time::Instant) {
+        let orders = self.runs.values().filter_map(|run| match run.phase {
+            RunPhase::Retrying(at) | RunPhase::Stopping(at) => Some(at),
+            _ => None,
+        });
+        let times = orders.chain(self.renewal.not_before);
+        let next = times.filter(|at| *at > now).min();
+        self.call_check_at = Some(next.unwrap_or(now + limit).min(now + limit));
+    }
+
     /// Returns whether a start or stop order is due.
     pub(crate) fn has_due_orders(&self, now: time::Instant) -> bool {
         self.runs.values().any(|run| match run.phase {
@@ -195,12 +220,14 @@
             self.used = self.used.minus(&before.demand);
         }
         self.used = self.used.plus(&demand);
+        self.request_call_check();
     }
 
     /// Removes a run and frees its demand.
     pub(crate) fn remove_run(&mut self, key: &model::RunKey) -> Option<WorkerRun> {
         let run = self.runs.swap_remove(key)?;
         self.used = self.used.minus(&run.demand);
+        self.request_call_check();
         Some(run)
     }
 
@@ -252,6 +279,7 @@
     /// Marks an end as processed, so that the worker may forget it.
     pub(crate) fn mark_end_processed(&mut self, sequence: u64) {
         self.pending_ends.remove(&sequence);
+        self.request_call_check();
     }
 
     /// Returns the sequence number up to which the worker may forget ends.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -1,11 +1,11 @@
 //! Workers: directory reports, lease renewals and listings.
 
-use std::collections;
 use std::sync;
 use std::time;
 
 use crate::event;
 use crate::job;
+use crate::maps;
 use crate::runs;
 use crate::scheduler;
 use crate::throttling;
@@ -17,6 +17,8 @@
 /// Shortest time between two renewals of a worker, so that runs that end at about the same time are
 /// reported by one.
 const MIN_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(10);
+/// Longest time between two checks of which calls to a worker are due.
+const MAX_CALL_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 impl scheduler::Scheduler {
     /// Applies a complete listing of the directory.
@@ -25,7 +27,7 @@
         reports: Vec<worker_api::WorkerReport>,
         clock: event::Clock,
     ) {
-        let listed: collections::HashSet<_> = reports
+        let listed: maps::HashSet<_> = reports
             .iter()
             .map(|report| report.incarnation.clone())
             .collect();
@@ -56,6 +58,7 @@
             }
             worker.is_listed = true;
             worker.report = Some(report);
+            worker.request_call_check();
             return;
         }
         log::info!(
@@ -141,14 +144,19 @@
             let Some((incarnation, worker)) = self.workers.get_index(index) else {
                 break;
             };
-            if !worker.has_due_orders(clock.now)
-                && !needs_renewal(worker, self.settings.renew_before, clock.now)
-            {
+            if !worker.is_call_check_due(clock.now) {
                 continue;
             }
-            let incarnation = incarnation.clone();
-            self.send_due_orders(&incarnation, clock);
-            self.renew(&incarnation, clock);
+            if worker.has_due_orders(clock.now)
+                || needs_renewal(worker, self.settings.renew_before, clock.now)
+            {
+                let incarnation = incarnation.clone();
+                self.send_due_orders(&incarnation, clock);
+                self.renew(&incarnation, clock);
+            }
+            if let Some((_, worker)) = self.workers.get_index_mut(index) {
+                worker.schedule_call_check(MAX_CALL_CHECK_INTERVAL, clock.now);
+            }
         }
     }
 
@@ -207,6 +215,7 @@
         let Some(sent_at) = worker.renewal.sent_at.take() else {
             return;
         };
+        worker.request_call_check();
         worker.renewal.not_before = Some(clock.now + MIN_RENEWAL_INTERVAL);
         match outcome {
             worker_api::RenewalOutcome::Listing(listing) => {
@@ -258,12 +267,12 @@
             worker.is_fenced = true;
             self.placement_needed = true;
         }
-        let running: collections::HashSet<_> = listing.running.iter().map(|row| row.run).collect();
+        let running: maps::HashSet<_> = listing.running.iter().map(|row| row.run).collect();
         for row in &listing.running {
             self.apply_running(incarnation, row, clock);
         }
         self.adjust_throttling(incarnation, &listing.running, clock);
-        let mut ended = collections::HashSet::new();
+        let mut ended = maps::HashSet::default();
         for row in listing.ended {
             ended.insert(row.run);
             let is_new = self
@@ -363,7 +372,7 @@
     fn lose_unlisted_runs(
         &mut self,
         incarnation: &model::WorkerIncarnation,
-        running: &collections::HashSet<model::RunKey>,
+        running: &maps::HashSet<model::RunKey>,
         sent_at: time::Instant,
         clock: event::Clock,
     ) {
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -55,6 +55,30 @@
     assert!(last_short <= Some(first_after), "a gang went first");
 }
 
+/// A backlog that no worker has room for: every event makes the leader look for room again. It must
+/// not visit the whole backlog each time, or it has no time left for anything else.
+#[test]
+fn backlog_does_not_multiply_placement_work() {
+    let mut simulation = Simulation::new(8, 6, None);
+    simulation.run_ms(200);
+    let small = simulation::step(1, 250, 80);
+    let long = simulation::step(6, 7_000, 60_000);
+    simulation.submit(simulation::job(1, "short", long));
+    simulation.run_ms(100);
+    let wide = simulation::step(1, 4_000, 1_000);
+    submit_at_interval(&mut simulation, 100, 400, 0, "long", &wide);
+    let before = simulation.placement_visits();
+    // A stream of short tasks, which fit beside the long ones, brings an event every few
+    // milliseconds.
+    submit_at_interval(&mut simulation, 1_000, 200, 5, "short", &small);
+    let visits = simulation.placement_visits() - before;
+    // At most a tenth of the backlog of 400 at each of the 200 or more events, and all of it ten
+    // times.
+    assert!(visits <= 12_000, "{visits} visits in a second");
+    let started = (1_000..1_200).filter(|id| simulation.started_at_ms.contains_key(id));
+    assert!(started.count() > 180, "short tasks wait behind the backlog");
+}
+
 /// A steady stream of small jobs of the same priority keeps every worker partly occupied, which
 /// would starve a wide gang unless workers were reserved for it.
 #[test]
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -745,6 +745,12 @@
         self.replies.get(&token).cloned()
     }
 
+    /// Returns how many times the leader has tried to place a waiting step; 0 without a leader.
+    pub(crate) fn placement_visits(&self) -> u64 {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or(0, |scheduler| scheduler.summary().placement_visits)
+    }
+
     pub(crate) fn random(&mut self, below: u64) -> u64 {
         self.rng.random_range(0..below)
     }
