peer: channels of messages in both directions on one stream

The leader is to send its orders to workers through other instances, some hundred small messages a second in each direction. A request for each would cost a stream, two heads and a task. A channel is one h2 stream that stays open; each message is preceded by its length. A message that cannot be decoded ends its channel and nothing else.

Tests moved into one binary (tests/links) so that both files share the server.

--- a/crates/peer/benches/requests.rs
+++ b/crates/peer/benches/requests.rs
@@ -2,7 +2,7 @@
 
 // The tests use items that the benchmark does not.
 #[allow(dead_code)]
-#[path = "../tests/common/mod.rs"]
+#[path = "../tests/links/common.rs"]
 mod common;
 
 use std::time;
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -67,6 +67,18 @@
     stream.send_data(message, true)
 }
 
+/// Sends `message` as flow control allows, and leaves the stream open.
+pub(crate) async fn send_part(
+    stream: &mut SendStream<bytes::Bytes>,
+    mut message: bytes::Bytes,
+) -> Result<(), h2::Error> {
+    while !message.is_empty() {
+        let granted_bytes = wait_for_capacity(stream, message.len()).await?;
+        stream.send_data(message.split_to(granted_bytes), false)?;
+    }
+    Ok(())
+}
+
 async fn wait_for_capacity(
     stream: &mut SendStream<bytes::Bytes>,
     wanted_bytes: usize,
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -2,10 +2,18 @@
 
 use h2::client;
 
+use crate::channel;
 use crate::codec;
 use crate::error;
 use crate::handshake;
 
+/// Target of a request.
+const REQUEST_URI: &str = "http://peer/request";
+/// Target of the request that opens a channel.
+const CHANNEL_URI: &str = "http://peer/channel";
+/// Path of the request that opens a channel.
+pub(crate) const CHANNEL_PATH: &str = "/channel";
+
 /// Progress of a request, which determines the kind of error if it fails.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Progress {
@@ -46,7 +54,7 @@
     progress: &mut Progress,
 ) -> Result<Vec<u8>, error::Error> {
     let (response, mut stream) = sender
-        .send_request(request_head(), false)
+        .send_request(request_head(http::Uri::from_static(REQUEST_URI)), false)
         .map_err(|cause| progress.h2_failure(&cause))?;
     let send_result = codec::send_all(&mut stream, message).await;
     progress.sent = send_result.is_ok();
@@ -93,9 +101,38 @@
     }
 }
 
-fn request_head() -> http::Request<()> {
+/// Opens a channel on a new stream.
+pub(crate) async fn open_channel(
+    sender: &mut client::SendRequest<bytes::Bytes>,
+    max_message_bytes: usize,
+    progress: &mut Progress,
+) -> Result<channel::Channel, error::Error> {
+    let head = request_head(http::Uri::from_static(CHANNEL_URI));
+    let (response, send_stream) = sender
+        .send_request(head, false)
+        .map_err(|cause| progress.h2_failure(&cause))?;
+    progress.sent = true;
+    let response = response
+        .await
+        .map_err(|cause| progress.h2_failure(&cause))?;
+    if let Some(reason) = handshake::refusal_reason(&response) {
+        return Err(refused_error(reason));
+    }
+    if response.status() != http::StatusCode::OK {
+        let status = response.status();
+        return Err(protocol_error(format!("unexpected status {status}")));
+    }
+    let receive_stream = response.into_body();
+    Ok(channel::Channel::new(
+        send_stream,
+        receive_stream,
+        max_message_bytes,
+    ))
+}
+
+fn request_head(uri: http::Uri) -> http::Request<()> {
     let mut request = http::Request::new(());
     *request.method_mut() = http::Method::POST;
-    *request.uri_mut() = http::Uri::from_static("http://peer/request");
+    *request.uri_mut() = uri;
     request
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -2,6 +2,7 @@
 
 use std::future;
 
+use crate::channel;
 use crate::message;
 
 /// Answers the requests of other instances.
@@ -15,4 +16,16 @@
         from: model::InstanceId,
         request: Self::Request,
     ) -> impl future::Future<Output = <Self::Request as message::Message>::Response> + Send;
+
+    /// Serves a channel that the instance `from` has opened; the channel ends with the future.
+    ///
+    /// Unless implemented, every channel is closed at once.
+    fn serve_channel(
+        &self,
+        _from: model::InstanceId,
+        channel: channel::Channel,
+    ) -> impl future::Future<Output = ()> + Send {
+        drop(channel);
+        future::ready(())
+    }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,8 +1,10 @@
 //! Links between instances: requests and responses in bincode, each pair on its own h2 stream.
 //!
 //! [`Server`] answers the requests of other instances through a [`Handler`]; [`Link`] sends
-//! requests to one other instance, many concurrently over one connection.
+//! requests to one other instance, many concurrently over one connection. A [`Channel`] carries many
+//! messages in both directions on one stream of that connection.
 
+mod channel;
 mod codec;
 mod counts;
 mod error;
@@ -15,6 +17,9 @@
 mod server;
 mod session;
 
+pub use channel::Channel;
+pub use channel::ChannelReceiver;
+pub use channel::ChannelSender;
 pub use counts::Counts;
 pub use counts::Volume;
 pub use error::Error;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task;
 
+use crate::channel;
 use crate::codec;
 use crate::counts;
 use crate::error;
@@ -91,6 +92,28 @@
         )))
     }
 
+    /// Opens a channel on the link's connection; it ends with the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other end cannot be reached, does not answer in time, or refuses.
+    pub async fn open_channel(
+        &self,
+        timeout: time::Duration,
+    ) -> Result<channel::Channel, error::Error> {
+        let mut progress = exchange::Progress::default();
+        let opening = self.shared.open_channel(&mut progress);
+        if let Ok(opened) = tokio::time::timeout(timeout, opening).await {
+            return opened;
+        }
+        let context = format!(
+            "{} did not open a channel within {} ms",
+            self.shared.address,
+            timeout.as_millis()
+        );
+        Err(progress.failure(context))
+    }
+
     /// Drops the connection; requests in flight fail, as unanswered if they were sent, and the next
     /// one reconnects.
     pub fn replace(&self) {
@@ -167,6 +190,15 @@
             .ok_or_else(|| exchange::protocol_error("response cannot be decoded"))
     }
 
+    async fn open_channel(
+        &self,
+        progress: &mut exchange::Progress,
+    ) -> Result<channel::Channel, error::Error> {
+        let mut sender = self.ready_sender(progress).await?;
+        let max_bytes = self.settings.max_message_bytes;
+        exchange::open_channel(&mut sender, max_bytes, progress).await
+    }
+
     async fn ready_sender(
         &self,
         progress: &mut exchange::Progress,
--- a/crates/peer/src/session.rs
+++ b/crates/peer/src/session.rs
@@ -8,9 +8,11 @@
 use tokio::task;
 use tokio_util::sync::CancellationToken;
 
+use crate::channel;
 use crate::codec;
 use crate::counts;
 use crate::error;
+use crate::exchange;
 use crate::handler;
 use crate::handshake;
 use crate::identity;
@@ -141,6 +143,10 @@
         request: Request,
         mut respond: Respond,
     ) {
+        if request.uri().path() == exchange::CHANNEL_PATH {
+            self.serve_channel(from, request, respond).await;
+            return;
+        }
         let (request, category) = match self.read_request(request).await {
             Ok(Some(decoded)) => decoded,
             Ok(None) => return,
@@ -161,6 +167,15 @@
         }
     }
 
+    async fn serve_channel(&self, from: model::InstanceId, request: Request, mut respond: Respond) {
+        let Ok(send_stream) = respond.send_response(http::Response::new(()), false) else {
+            return;
+        };
+        let receive_stream = request.into_body();
+        let channel = channel::Channel::new(send_stream, receive_stream, self.max_message_bytes);
+        self.handler.serve_channel(from, channel).await;
+    }
+
     /// Returns the request, or `None` if it was not received completely.
     async fn read_request(
         &self,
--- a/crates/peer/tests/common/mod.rs
+++ b/crates/peer/tests/links/common.rs
@@ -50,6 +50,18 @@
             _ => model::PeerResponse::Accepted,
         }
     }
+
+    /// Sends each text back, until one is `end`.
+    async fn serve_channel(&self, from: model::InstanceId, mut channel: peer::Channel) {
+        assert_eq!(&*from, "client#1");
+        while let Ok(Some(text)) = channel.receiver.receive::<String>().await {
+            self.handled.fetch_add(1, atomic::Ordering::SeqCst);
+            if text == "end" || channel.sender.send(&text).await.is_err() {
+                break;
+            }
+        }
+        self.started.notify_one();
+    }
 }
 
 pub(crate) fn text_response(text: &str) -> model::PeerResponse {
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/links/link.rs
@@ -1,6 +1,6 @@
 //! Tests requests, limits, refusals, silent connections and shutdown over real connections.
 
-mod common;
+use crate::common;
 
 use std::sync::atomic;
 
--- /dev/null
+++ b/crates/peer/tests/links/main.rs
@@ -0,0 +1,5 @@
+//! Tests of links between instances over real connections.
+
+mod channel;
+mod common;
+mod link;
