relay, controller: call workers through relays; the leader only decides

Now each instance opens a channel to the leader and offers to relay. The leader sends orders (starts, stops, shares, renewals, calls for advice) in batches and gets results in batches. A new crate, relay, decides without I/O: which relay calls which worker (same data centre first, strong machines first, weighted rendezvous hashing by machine, so that a change of leader or relay moves few workers), and which orders are in flight (each ends exactly once, with its result or as lost). A relay keeps nothing that must last: what runs where is the worker's listing. A renewal that is lost with its relay says nothing about the worker and is sent again at once; a listing carries its age. A check that comes late ends no orders and excludes no relay: their messages may wait to be read. At a relay, orders to one worker share a connection (call lanes).

Ways weighed: (1) a request for each batch instead of a channel: two heads and a task for each of some thousand messages a second; (2) numbered and acknowledged batches that are sent again: not needed, as a lost order is the same as an unanswered one, which the scheduler already asks about, and ends are listed until they are stored; (3) relays that renew leases on their own permission: a thawed relay could extend a lease that the leader counts as ended. Orders carry the end of the lease on the worker's clock, so a late one is refused.

Tests: crate relay (every_order_ends_exactly_once and others), jobs relay_loss.rs (fails if a lost renewal counts as silence), platform no_run_is_repeated_as_relays_leave_with_calls_under_way.

--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -6,7 +6,6 @@
 use crate::heartbeat;
 use crate::instance;
 use crate::platform;
-use crate::platform::Advisor as _;
 
 /// Pause before a request is retried.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(40);
@@ -257,8 +256,9 @@
     ) -> model::ControllerReply {
         match request {
             model::ControllerRequest::Heartbeat(heartbeat) => {
-                let now = time::Instant::now();
-                instance::lock(&self.shared.followers).record(&heartbeat, now);
+                if let Some(leading) = &*self.shared.leading.borrow() {
+                    leading.relays.record_heartbeat(&heartbeat);
+                }
                 model::ControllerReply::Heartbeat(heartbeat::build_heartbeat(&self.shared))
             }
             model::ControllerRequest::Job {
@@ -271,10 +271,6 @@
                     self.handle_job(manifest_version, remaining, request).await,
                 )
             }
-            model::ControllerRequest::Advise(request) => {
-                let reply = self.shared.platform.advisor().advise(&request);
-                model::ControllerReply::Advice(reply.await)
-            }
             model::ControllerRequest::Manifest => {
                 let manifest = self.shared.manifest.borrow();
                 let encoded = manifest.as_ref().map(|active| active.encoded.to_vec());
@@ -282,4 +278,11 @@
             }
         }
     }
+
+    async fn serve_channel(&self, from: model::InstanceId, channel: peer::Channel) {
+        let leading = self.shared.leading.borrow().clone();
+        if let Some(leading) = leading {
+            leading.relays.serve(from, channel).await;
+        }
+    }
 }
--- a/crates/controller/src/heartbeat.rs
+++ b/crates/controller/src/heartbeat.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic;
 use std::time;
 
-use indexmap::IndexMap;
 use rand::seq::IteratorRandom as _;
 
 use crate::instance;
@@ -15,49 +14,6 @@
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Number of peers that an instance asks in turn for the leader while the store is unreachable.
 const QUERIED_PEERS: usize = 3;
-/// Time without a heartbeat after which a follower no longer counts as live.
-const FOLLOWER_SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Followers of the leader, by their heartbeats.
-#[derive(Debug, Default)]
-pub(crate) struct Followers(IndexMap<model::InstanceId, Follower>);
-
-#[derive(Debug)]
-struct Follower {
-    address: sync::Arc<str>,
-    last_heartbeat_at: time::Instant,
-}
-
-impl Followers {
-    /// Records the heartbeat of a follower, and removes a follower that drains.
-    pub(crate) fn record(&mut self, heartbeat: &model::ControllerHeartbeat, now: time::Instant) {
-        if heartbeat.draining {
-            self.0.swap_remove(&heartbeat.instance_id);
-            return;
-        }
-        let follower = Follower {
-            address: heartbeat.address.as_str().into(),
-            last_heartbeat_at: now,
-        };
-        self.0
-            .insert(sync::Arc::clone(&heartbeat.instance_id), follower);
-    }
-
-    /// Returns the address of a follower.
-    pub(crate) fn address_of(&self, instance_id: &model::InstanceId) -> Option<sync::Arc<str>> {
-        self.0
-            .get(instance_id)
-            .map(|follower| sync::Arc::clone(&follower.address))
-    }
-
-    /// Returns the live followers and forgets the others.
-    pub(crate) fn live(&mut self, now: time::Instant) -> Vec<model::InstanceId> {
-        self.0.retain(|_, follower| {
-            now.saturating_duration_since(follower.last_heartbeat_at) < FOLLOWER_SILENCE_LIMIT
-        });
-        self.0.keys().cloned().collect()
-    }
-}
 
 /// Sends heartbeats to the leader until the instance stops.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task;
 
+use crate::call_lanes;
 use crate::cluster_entries;
 use crate::control_thread;
 use crate::election;
@@ -17,6 +18,8 @@
 use crate::links;
 use crate::platform;
 use crate::registration;
+use crate::relay_worker;
+use crate::relays;
 use crate::settings;
 use crate::watches;
 
@@ -32,6 +35,7 @@
     pub(crate) member: elect::Member,
     pub(crate) metrics: telemetry::Metrics,
     pub(crate) links: links::Links,
+    pub(crate) call_lanes: call_lanes::CallLanes,
     /// Live instances and the leader, as last reported by the store or a peer.
     pub(crate) cluster: watch::Sender<elect::ClusterView>,
     /// The newest manifest.
@@ -41,7 +45,6 @@
     /// Send time of the last call by which the store confirmed this instance's lease.
     pub(crate) lease_confirmed_at: sync::Mutex<Option<time::Instant>>,
     pub(crate) leader_health: sync::Mutex<elect::LeaderHealth>,
-    pub(crate) followers: sync::Mutex<heartbeat::Followers>,
     /// Id of the store lease that keeps this instance's entries; 0 if there is none.
     pub(crate) store_lease_id: atomic::AtomicI64,
     /// Wakes the registration after another task has found that the lease has ended.
@@ -60,6 +63,7 @@
 pub(crate) struct Leading {
     pub(crate) term: model::Term,
     pub(crate) control: control_thread::Handle,
+    pub(crate) relays: sync::Arc<relays::Relays>,
 }
 
 impl<P: platform::Platform> Shared<P> {
@@ -129,12 +133,12 @@
             member,
             metrics,
             links: links::Links::new(identity.clone()),
+            call_lanes: call_lanes::CallLanes::default(),
             cluster: watch::Sender::default(),
             manifest: watch::Sender::default(),
             leading: watch::Sender::default(),
             lease_confirmed_at: sync::Mutex::default(),
             leader_health: sync::Mutex::default(),
-            followers: sync::Mutex::default(),
             store_lease_id: atomic::AtomicI64::new(0),
             lease_ended: tokio::sync::Notify::new(),
             store_regained: tokio::sync::Notify::new(),
@@ -155,6 +159,7 @@
         tasks.spawn(watches::watch_manifest(sync::Arc::clone(&shared)));
         tasks.spawn(heartbeat::run(sync::Arc::clone(&shared)));
         tasks.spawn(election::run(sync::Arc::clone(&shared)));
+        tasks.spawn(relay_worker::run(sync::Arc::clone(&shared)));
         tasks.close();
         Ok(Self {
             shared,
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -16,6 +16,7 @@
 use crate::instance;
 use crate::orders;
 use crate::platform;
+use crate::relays;
 
 /// Maximum number of entries read at once.
 const PAGE_ENTRIES: u32 = 500;
@@ -44,11 +45,14 @@
     let scheduler = recover(shared, term).await?;
     let (actions, actions_receiver) = mpsc::unbounded_channel();
     let control = control_thread::ControlThread::start(scheduler, actions)?;
+    let term_ended = CancellationToken::new();
+    let relays = relays::Relays::new(shared, term, control.handle(), term_ended.clone());
     let leadership = Leadership {
         shared: sync::Arc::clone(shared),
         term,
         control: control.handle(),
-        term_ended: CancellationToken::new(),
+        relays: sync::Arc::new(relays),
+        term_ended,
         tasks: tokio_util::task::TaskTracker::new(),
     };
     let result = leadership.run(actions_receiver).await;
@@ -112,6 +116,7 @@
     shared: sync::Arc<instance::Shared<P>>,
     term: model::Term,
     control: control_thread::Handle,
+    relays: sync::Arc<relays::Relays>,
     /// Cancelled when the term ends.
     term_ended: CancellationToken,
     tasks: tokio_util::task::TaskTracker,
@@ -137,15 +142,17 @@
             let _ = commit_result.send(commit_task.await);
         });
         self.send_manifest();
-        self.send_advisors();
+        self.check_relays();
         self.tasks.spawn(poll_directory(
             sync::Arc::clone(&self.shared),
             self.control.clone(),
+            sync::Arc::clone(&self.relays),
             self.term_ended.clone(),
         ));
         self.shared.leading.send_replace(Some(instance::Leading {
             term: self.term,
             control: self.control.clone(),
+            relays: sync::Arc::clone(&self.relays),
         }));
         log::info!(term = self.term; "leadership started");
         self.shared.metrics.count("leader.terms");
@@ -174,7 +181,7 @@
                     }
                 }
                 _ = check.tick() => {
-                    self.send_advisors();
+                    self.check_relays();
                     if let Err(cause) = self.check_lease_confirmed() {
                         break Err(cause);
                     }
@@ -231,9 +238,8 @@
         }
     }
 
-    fn send_advisors(&self) {
-        let mut live = instance::lock(&self.shared.followers).live(time::Instant::now());
-        live.push(sync::Arc::clone(&self.shared.member.instance_id));
+    fn check_relays(&self) {
+        let live = self.relays.check(TERM_CHECK_INTERVAL);
         self.control.send_event(jobs::Event::AdviceInstances(live));
     }
 
@@ -304,18 +310,23 @@
         Ok(())
     }
 
+    /// Sends an order through its relay, or executes it here if there is none.
     fn execute(&self, action: jobs::Action) {
+        let timeout = self.shared.settings.order_timeout;
+        let Some(action) = self.relays.send(action, timeout) else {
+            return;
+        };
+        let Some(order) = self.relays.begin_own(action, timeout) else {
+            return;
+        };
         let shared = sync::Arc::clone(&self.shared);
-        let control = self.control.clone();
+        let relays = sync::Arc::clone(&self.relays);
         let term_ended = self.term_ended.clone();
-        let timeout = shared.settings.order_timeout;
         self.tasks.spawn(async move {
-            let event = tokio::select! {
-                event = orders::execute(&shared, action, timeout) => event,
-                () = term_ended.cancelled() => None,
-            };
-            if let Some(event) = event {
-                control.send_event(event);
+            let executing = orders::execute(&shared, order.request, order.timeout);
+            tokio::select! {
+                response = executing => relays.complete_own(order.id, response),
+                () = term_ended.cancelled() => {}
             }
         });
     }
@@ -350,6 +361,7 @@
 async fn poll_directory<P: platform::Platform>(
     shared: sync::Arc<instance::Shared<P>>,
     control: control_thread::Handle,
+    relays: sync::Arc<relays::Relays>,
     term_ended: CancellationToken,
 ) {
     let prefix = shared.platform.keys().workers.clone();
@@ -358,7 +370,9 @@
         tokio::select! {
             read = tokio::time::timeout(DIRECTORY_READ_TIMEOUT, read) => match read {
                 Ok(Ok(entries)) => {
-                    control.send_event(jobs::Event::Directory(decode_workers(&shared, &entries)));
+                    let reports = decode_workers(&shared, &entries);
+                    relays.set_workers(&reports);
+                    control.send_event(jobs::Event::Directory(reports));
                 }
                 Ok(Err(cause)) => log::warn!(
                     cause:% = cause;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,6 +5,7 @@
 //! recovers the scheduler's state from the store and executes its actions. A [`Platform`] provides
 //! access to the store, the workers and the recommendation service.
 
+mod call_lanes;
 mod cluster_entries;
 mod committer;
 mod control_thread;
@@ -18,6 +19,8 @@
 mod orders;
 mod platform;
 mod registration;
+mod relay_worker;
+mod relays;
 mod settings;
 mod watches;
 
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -1,5 +1,4 @@
-//! Execution of the scheduler's actions: orders to workers, and calls to the recommendation
-//! service.
+//! Execution of orders: calls to workers and to the recommendation service.
 
 use std::time;
 
@@ -11,86 +10,49 @@
 /// Time that a renewal call may take on top of the wait it asks for.
 const RENEWAL_SLACK: time::Duration = time::Duration::from_millis(600);
 
-/// Executes an action; returns its outcome as an event, if it has one.
+/// Makes the call that an order asks for, and returns its result.
+///
+/// `timeout` applies to each call but a renewal, which takes the wait it asks for, and a call to the
+/// recommendation service, which has its own.
 pub(crate) async fn execute<P: platform::Platform>(
     shared: &instance::Shared<P>,
-    action: jobs::Action,
+    request: relay::Request,
     timeout: time::Duration,
-) -> Option<jobs::Event> {
+) -> relay::Response {
     let workers = shared.platform.workers();
-    match action {
-        jobs::Action::Start(order) => {
+    match request {
+        relay::Request::Start(order) => {
+            let _lane = shared.call_lanes.enter(&order.address).await;
             let outcome = workers.start(&order, timeout).await;
             shared.metrics.count(match &outcome {
                 jobs::StartOutcome::Started => "start.started",
                 jobs::StartOutcome::Rejected(_) => "start.rejected",
                 jobs::StartOutcome::NoAnswer => "start.unanswered",
             });
-            Some(jobs::Event::Start {
-                incarnation: order.incarnation,
-                run: order.run,
-                outcome,
-            })
+            relay::Response::Start(outcome)
         }
-        jobs::Action::Stop(order) => {
-            let outcome = workers.stop(&order, timeout).await;
-            Some(jobs::Event::Stop {
-                incarnation: order.incarnation,
-                run: order.run,
-                outcome,
-            })
+        relay::Request::Stop(order) => {
+            let _lane = shared.call_lanes.enter(&order.address).await;
+            relay::Response::Stop(workers.stop(&order, timeout).await)
         }
-        jobs::Action::Throttle(order) => {
-            let outcome = workers.throttle(&order, timeout).await;
-            Some(jobs::Event::Throttle {
-                incarnation: order.incarnation,
-                run: order.run,
-                percent: order.percent,
-                outcome,
-            })
+        relay::Request::Throttle(order) => {
+            let _lane = shared.call_lanes.enter(&order.address).await;
+            relay::Response::Throttle(workers.throttle(&order, timeout).await)
         }
-        jobs::Action::Renew(order) => {
-            let outcome = workers.renew_lease(&order, RENEWAL_SLACK).await;
-            Some(jobs::Event::Renewal {
-                incarnation: order.incarnation,
-                outcome,
-            })
+        relay::Request::Renew(order) => {
+            relay::Response::Renewal(workers.renew_lease(&order, RENEWAL_SLACK).await)
         }
-        jobs::Action::Advise(call) => {
-            let outcome = advise(shared, &call).await;
-            Some(jobs::Event::Advice {
-                call: call.call,
-                outcome,
-            })
+        relay::Request::Advise(request) => {
+            relay::Response::Advice(shared.platform.advisor().advise(&request).await)
         }
-        jobs::Action::Reply(..) | jobs::Action::Commit(_) | jobs::Action::StepDown => None,
     }
 }
 
-/// Calls the recommendation service from the instance chosen by the scheduler.
-async fn advise<P: platform::Platform>(
-    shared: &instance::Shared<P>,
-    call: &jobs::AdviceCall,
-) -> Result<model::AdviceReply, model::AdviceFailure> {
-    if call.instance_id == shared.member.instance_id {
-        return shared.platform.advisor().advise(&call.request).await;
-    }
-    let address = instance::lock(&shared.followers).address_of(&call.instance_id);
-    let Some(address) = address else {
-        return Err(model::AdviceFailure::NoAnswer);
-    };
-    let request = model::ControllerRequest::Advise(call.request.clone());
-    let timeout = time::Duration::from_millis(call.request.timeout_ms);
-    match shared.links.to(&address).request(&request, timeout).await {
-        Ok(model::ControllerReply::Advice(outcome)) => outcome,
-        Ok(_) => Err(model::AdviceFailure::Protocol),
-        Err(cause) => {
-            log::info!(
-                instance:% = call.instance_id,
-                cause:% = cause;
-                "recommendation call through another instance failed"
-            );
-            Err(model::AdviceFailure::NoAnswer)
-        }
+/// Returns how long an order may take at the instance that executes it.
+pub(crate) fn time_limit(action: &jobs::Action, timeout: time::Duration) -> time::Duration {
+    match action {
+        jobs::Action::Renew(order) => order.wait + RENEWAL_SLACK,
+        jobs::Action::Advise(call) => time::Duration::from_millis(call.request.timeout_ms),
+        _ => timeout,
     }
 }
--- /dev/null
+++ b/crates/controller/src/relay_worker.rs
@@ -0,0 +1,168 @@
+//! The side of a relay: makes the calls that the leader orders, and reports their results.
+
+use std::sync;
+use std::time;
+
+use tokio::sync::mpsc;
+use tokio_util::task;
+
+use crate::instance;
+use crate::orders;
+use crate::platform;
+
+/// Time within which the leader must accept a channel.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Pause before a lost channel is opened again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// How long a result that the leader waits for may wait for others, to be reported together.
+const URGENT_REPORT_DELAY: time::Duration = time::Duration::from_millis(4);
+/// How long any other result may wait for others.
+const REPORT_DELAY: time::Duration = time::Duration::from_millis(20);
+
+/// Result of an order, and when it was received.
+struct TimedReport {
+    report: relay::Report,
+    received_at: time::Instant,
+}
+
+/// Relays for whichever instance leads, until this instance stops.
+pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
+    let mut cluster = shared.cluster.subscribe();
+    let calls = task::TaskTracker::new();
+    loop {
+        let leader = cluster.borrow_and_update().leader().cloned();
+        let leader = leader.filter(|one| one.member.instance_id != shared.member.instance_id);
+        if let Some(leader) = leader {
+            let serving = serve_leader(&shared, &leader, &calls);
+            let is_other_leader = |view: &elect::ClusterView| {
+                view.leader()
+                    .is_none_or(|current| current.term != leader.term)
+            };
+            tokio::select! {
+                ended = serving => match ended {
+                    Ok(()) => log::info!(leader:% = leader.member.instance_id, term = leader.term; "relay channel closed by the leader"),
+                    Err(cause) => log::info!(
+                        leader:% = leader.member.instance_id,
+                        term = leader.term,
+                        cause:% = cause;
+                        "relay channel lost"
+                    ),
+                },
+                _ = cluster.wait_for(is_other_leader) => continue,
+                () = shared.stop.cancelled() => break,
+            }
+            tokio::select! {
+                () = tokio::time::sleep(RETRY_PAUSE) => {}
+                () = shared.stop.cancelled() => break,
+            }
+            continue;
+        }
+        tokio::select! {
+            _ = cluster.changed() => {}
+            () = shared.stop.cancelled() => break,
+        }
+    }
+    calls.close();
+    calls.wait().await;
+}
+
+/// Relays for a leader until the channel to it ends.
+///
+/// Calls that are being made when the channel ends are completed, and their results dropped: what
+/// they have done is in the workers' listings.
+async fn serve_leader<P: platform::Platform>(
+    shared: &sync::Arc<instance::Shared<P>>,
+    leader: &elect::Leader,
+    calls: &task::TaskTracker,
+) -> Result<(), peer::Error> {
+    let link = shared.links.to(&leader.member.address);
+    let peer::Channel {
+        mut sender,
+        mut receiver,
+    } = link.open_channel(OPEN_TIMEOUT).await?;
+    let hello = relay::Hello {
+        term: leader.term,
+        data_centre: sync::Arc::clone(&shared.settings.data_centre),
+        strength_milli: shared.settings.strength_milli,
+    };
+    sender.send(&hello).await?;
+    log::info!(leader:% = leader.member.instance_id, term = leader.term; "relaying for the leader");
+    let (reports, mut reports_receiver) = mpsc::unbounded_channel();
+    let receive = async {
+        while let Some(batch) = receiver.receive::<relay::OrderBatch>().await? {
+            for order in batch.into_orders() {
+                calls.spawn(execute(sync::Arc::clone(shared), order, reports.clone()));
+            }
+        }
+        Ok(())
+    };
+    let send = async {
+        loop {
+            let batch = next_batch(&mut reports_receiver).await;
+            sender.send(&batch).await?;
+        }
+    };
+    tokio::select! {
+        ended = receive => ended,
+        ended = send => ended,
+    }
+}
+
+async fn execute<P: platform::Platform>(
+    shared: sync::Arc<instance::Shared<P>>,
+    order: relay::Order,
+    reports: mpsc::UnboundedSender<TimedReport>,
+) {
+    let executing = orders::execute(&shared, order.request, order.timeout);
+    let response = tokio::select! {
+        response = executing => response,
+        () = shared.stop.cancelled() => return,
+    };
+    let report = TimedReport {
+        report: relay::Report {
+            id: order.id,
+            response,
+        },
+        received_at: time::Instant::now(),
+    };
+    // The receiver is gone once the channel has ended.
+    let _ = reports.send(report);
+}
+
+/// Collects the results that are reported together.
+async fn next_batch(reports: &mut mpsc::UnboundedReceiver<TimedReport>) -> relay::ReportBatch {
+    let mut collected = Vec::new();
+    let mut send_at: Option<time::Instant> = None;
+    loop {
+        let deadline = send_at.map(tokio::time::Instant::from_std);
+        let received = match deadline {
+            None => reports.recv().await,
+            Some(deadline) => match tokio::time::timeout_at(deadline, reports.recv()).await {
+                Ok(received) => received,
+                Err(_) => break,
+            },
+        };
+        let Some(report) = received else {
+            // The channel's receiving side holds a sender, so this does not happen while it lives.
+            break;
+        };
+        let delay = match report.report.response.is_urgent() {
+            true => URGENT_REPORT_DELAY,
+            false => REPORT_DELAY,
+        };
+        let due_at = report.received_at + delay;
+        send_at = Some(send_at.map_or(due_at, |at| at.min(due_at)));
+        collected.push(report);
+    }
+    let now = time::Instant::now();
+    let reports = collected.into_iter().map(|timed| {
+        let waited = now.saturating_duration_since(timed.received_at);
+        relay::Report {
+            id: timed.report.id,
+            response: timed.report.response.aged_by(waited),
+        }
+    });
+    relay::ReportBatch {
+        reports: reports.collect(),
+    }
+}
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net;
 use std::time;
 
+use indexmap::IndexMap;
+
 /// Settings of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -13,6 +15,10 @@
     /// Processor time of the machine, in thousandths of a core; the leader is preferably a strong
     /// machine.
     pub strength_milli: u32,
+    /// Data centre of the machine.
+    pub data_centre: model::DataCentre,
+    /// Region of each data centre.
+    pub regions: IndexMap<model::DataCentre, model::Region>,
     /// Name of the cluster; connections from instances of other clusters are refused.
     pub cluster: String,
     /// Time to live of the store lease that keeps this instance's entries.
@@ -44,6 +50,8 @@
             name: name.into(),
             peer_address,
             strength_milli: 1_000,
+            data_centre: "".into(),
+            regions: IndexMap::new(),
             cluster: "ferry".to_owned(),
             store_lease_ttl: ms(2_000),
             store_renewal_interval: ms(500),
@@ -64,6 +72,23 @@
         self
     }
 
+    /// Sets the data centre of the machine.
+    #[must_use]
+    pub fn data_centre(mut self, data_centre: impl Into<model::DataCentre>) -> Self {
+        self.data_centre = data_centre.into();
+        self
+    }
+
+    /// Sets the region of each data centre.
+    #[must_use]
+    pub fn regions(
+        mut self,
+        regions: impl Into<IndexMap<model::DataCentre, model::Region>>,
+    ) -> Self {
+        self.regions = regions.into();
+        self
+    }
+
     /// Sets the settings of the job scheduler.
     #[must_use]
     pub fn jobs(mut self, jobs: impl Into<jobs::Settings>) -> Self {
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -3,6 +3,9 @@
 use std::sync;
 use std::time;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The entry of a worker in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerReport {
@@ -25,7 +28,7 @@
 }
 
 /// Orders a worker to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The addressed incarnation; any other one rejects the order.
     pub incarnation: model::WorkerIncarnation,
@@ -47,7 +50,7 @@
 }
 
 /// Orders a worker to stop a run, or never to start it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StopOrder {
     /// The addressed incarnation.
     pub incarnation: model::WorkerIncarnation,
@@ -60,7 +63,7 @@
 }
 
 /// Sets the share of idle processors that a best-effort run may use.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ThrottleOrder {
     /// The addressed incarnation.
     pub incarnation: model::WorkerIncarnation,
@@ -75,7 +78,7 @@
 }
 
 /// Renews a worker's lease and fetches its listing of runs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewalOrder {
     /// The addressed incarnation.
     pub incarnation: model::WorkerIncarnation,
@@ -92,7 +95,7 @@
 }
 
 /// Result of a start order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
     /// The worker has the run.
     Started,
@@ -103,7 +106,7 @@
 }
 
 /// Why a worker rejected a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartRejection {
     /// It has seen a higher term.
     Fenced,
@@ -126,7 +129,7 @@
 }
 
 /// Result of a stop order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopOutcome {
     /// The run is being stopped, or will never start.
     Accepted,
@@ -139,7 +142,7 @@
 }
 
 /// Result of a throttle order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ThrottleOutcome {
     /// The share is in force.
     Accepted,
@@ -150,7 +153,7 @@
 }
 
 /// Result of a lease renewal.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RenewalOutcome {
     /// The worker's listing of runs.
     Listing(Listing),
@@ -160,15 +163,19 @@
     OtherIncarnation,
     /// No answer.
     NoAnswer,
+    /// The call was lost before or after the worker, which says nothing about the worker.
+    Lost,
 }
 
 /// Runs that a worker lists as running or ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Start of the worker's incarnation, in milliseconds since 1970, if reported.
     pub born_ms: Option<u64>,
     /// The worker's monotonic clock, in milliseconds.
     pub clock_ms: i64,
+    /// How long ago the listing was received by the instance that made the call.
+    pub age: time::Duration,
     /// Runs in progress.
     pub running: Vec<RunningRow>,
     /// Ended runs, oldest first, without those that the worker was allowed to forget.
@@ -176,7 +183,7 @@
 }
 
 /// A run that a worker lists as running.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningRow {
     /// The run.
     pub run: model::RunKey,
@@ -190,7 +197,7 @@
 }
 
 /// A run that a worker lists as ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRow {
     /// Sequence number of the end within the worker's incarnation, from 1.
     pub sequence: u64,
@@ -203,7 +210,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RunEnd {
     /// It has succeeded.
     Done,
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -14,6 +14,8 @@
 
 /// Pause before a renewal that was not answered is sent again.
 const UNANSWERED_RENEWAL_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Pause before a renewal that was lost on its way is sent again.
+const LOST_RENEWAL_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Shortest time between two renewals of a worker, so that runs that end at about the same time are
 /// reported by one.
 const MIN_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(10);
@@ -239,6 +241,9 @@
                     );
                 }
             }
+            worker_api::RenewalOutcome::Lost => {
+                worker.renewal.not_before = Some(clock.now + LOST_RENEWAL_PAUSE);
+            }
             worker_api::RenewalOutcome::OtherIncarnation => self.end_incarnation(
                 incarnation,
                 "another incarnation answered at the address",
@@ -258,7 +263,9 @@
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
-        worker.record_clock(listing.clock_ms, clock.now);
+        // An age beyond the clock's range counts as none; it would only shorten the lease.
+        let read_at = clock.now.checked_sub(listing.age).unwrap_or(clock.now);
+        worker.record_clock(listing.clock_ms, read_at);
         if let Some(since) = worker.silent_since.take() {
             let silent_ms = clock.now.saturating_duration_since(since).as_millis() as u64;
             log::info!(worker:% = incarnation.worker_id, silent_ms; "worker answers again");
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -4,4 +4,5 @@
 mod invariants;
 mod long_running;
 mod peak_load;
+mod relay_loss;
 mod simulation;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -22,6 +22,8 @@
 const RENEWAL_POLL_MS: u64 = 20;
 /// Timeout of an order, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 400;
+/// Time until a lost relay is noticed, in milliseconds.
+const RELAY_LOSS_MS: u64 = 900;
 /// Wall-clock time at the start, in milliseconds since 1970.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 
@@ -32,6 +34,8 @@
     pub(crate) lost_answers: f64,
     /// Orders that are not answered and executed two to twelve seconds later.
     pub(crate) late_orders: f64,
+    /// Renewals that are lost with the relay that was to make them.
+    pub(crate) lost_renewals: f64,
     /// Batches that are applied and confirmed only when they are sent again, after 300 ms.
     pub(crate) late_confirmations: f64,
 }
@@ -75,6 +79,8 @@
     pub(crate) failing_jobs: collections::HashSet<model::JobId>,
     /// When the first run of a job started, in milliseconds.
     pub(crate) started_at_ms: collections::HashMap<model::JobId, u64>,
+    /// Number of runs that have started.
+    pub(crate) start_count: u32,
     /// When a request was answered, in milliseconds.
     pub(crate) answered_at_ms: collections::HashMap<jobs::RequestToken, u64>,
     /// Latency of the store for a batch, in milliseconds.
@@ -137,6 +143,7 @@
             done: collections::HashSet::new(),
             failing_jobs: collections::HashSet::new(),
             started_at_ms: collections::HashMap::new(),
+            start_count: 0,
             answered_at_ms: collections::HashMap::new(),
             store_ms: ONE_WAY_MS,
             store_refuses: false,
@@ -295,6 +302,13 @@
                 self.push(delay_ms, Event::Stop(order, answered));
             }
             jobs::Action::Throttle(order) => self.push(ONE_WAY_MS, Event::Throttle(order)),
+            jobs::Action::Renew(order) if self.rng.random_bool(self.faults.lost_renewals) => {
+                let event = jobs::Event::Renewal {
+                    incarnation: order.incarnation,
+                    outcome: jobs::RenewalOutcome::Lost,
+                };
+                self.push(RELAY_LOSS_MS, Event::Deliver(term, event));
+            }
             jobs::Action::Renew(order) => self.push(ONE_WAY_MS, Event::Renewal(order)),
             jobs::Action::Advise(call) => {
                 self.advise(term, call);
@@ -503,6 +517,7 @@
         };
         if outcome == jobs::StartOutcome::Started && !self.workers[index].has_run(order.run) {
             self.check_start(index, &order);
+            self.start_count += 1;
             let job_id = order.run.task.job_id;
             self.started_at_ms.entry(job_id).or_insert(now_ms);
             let fails = self.failing_jobs.contains(&order.run.task.job_id);
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -346,6 +346,7 @@
         jobs::Listing {
             born_ms: Some(self.incarnation.born_ms),
             clock_ms: now_ms as i64,
+            age: std::time::Duration::ZERO,
             running: running.collect(),
             ended: self.ended.clone(),
         }
--- /dev/null
+++ b/crates/relay/tests/relays/message.rs
@@ -0,0 +1,69 @@
+//! Batches of orders and reports.
+
+use std::sync;
+use std::time;
+
+fn order(id: u64, spec: &sync::Arc<str>) -> relay::Order {
+    relay::Order {
+        id,
+        timeout: time::Duration::from_millis(400),
+        request: relay::Request::Start(jobs::StartOrder {
+            incarnation: model::WorkerIncarnation {
+                worker_id: "w".into(),
+                born_ms: 1,
+            },
+            address: "address".into(),
+            run: model::RunKey {
+                task: model::TaskKey {
+                    job_id: 1,
+                    occurrence: 0,
+                    step: 0,
+                    index: u32::try_from(id).unwrap_or_default(),
+                },
+                run: 1,
+            },
+            spec: sync::Arc::clone(spec),
+            lease_end_ms: 1,
+            term: 1,
+            checkpoint: Some("saved".into()),
+            ticket: Some("ticket".to_owned()),
+        }),
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).expect("encodable")
+}
+
+fn decode<T: serde::de::DeserializeOwned>(encoded: &[u8]) -> T {
+    let decoded = bincode::serde::decode_from_slice(encoded, bincode::config::standard());
+    decoded.expect("decodable").0
+}
+
+/// A wide step starts at once: its specification travels once for all tasks.
+#[test]
+fn batch_carries_the_specification_of_a_job_once() {
+    let spec: sync::Arc<str> = "s".repeat(4_000).into();
+    let other: sync::Arc<str> = "other".into();
+    let mut orders: Vec<_> = (0..25).map(|id| order(id, &spec)).collect();
+    orders.push(order(25, &other));
+    let encoded = encode(&relay::OrderBatch::new(orders.clone()));
+    assert!(encoded.len() < 4_000 + 26 * 60, "{} bytes", encoded.len());
+    let decoded: relay::OrderBatch = decode(&encoded);
+    assert_eq!(decoded.into_orders().collect::<Vec<_>>(), orders);
+}
+
+#[test]
+fn waiting_at_the_relay_adds_to_the_age_of_a_listing() {
+    let listing = jobs::Listing {
+        age: time::Duration::from_millis(2),
+        ..jobs::Listing::default()
+    };
+    let response = relay::Response::Renewal(jobs::RenewalOutcome::Listing(listing));
+    let aged = response.aged_by(time::Duration::from_millis(5));
+    let relay::Response::Renewal(jobs::RenewalOutcome::Listing(listing)) = decode(&encode(&aged))
+    else {
+        panic!("a listing");
+    };
+    assert_eq!(listing.age, time::Duration::from_millis(7));
+}
