--- a/crates/ctl/tests/docs.rs
+++ b/crates/ctl/tests/docs.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path;
 
-const DEPLOYMENTS: [&str; 2] = ["nusqa", "sulina"];
+const DEPLOYMENTS: [&str; 3] = ["nusqa", "sulina", "zoomwerk"];
 
 fn read(file: &str) -> String {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
@@ -146,6 +146,28 @@
     }
 }
 
+#[test]
+fn every_error_in_the_bad_lists_is_found_with_its_place() {
+    let findings = lists::Lists::parse_documents(
+        lists::Document::new(
+            "bad-customers.ini",
+            &read("examples/zoomwerk/bad-customers.ini"),
+        ),
+        lists::Document::new("bad-plans.ini", &read("examples/zoomwerk/bad-plans.ini")),
+    )
+    .unwrap_err();
+    expect_test::expect![[r#"
+        bad-customers.ini:6: [winkel-haarlem] plan: 'counter' given, expected a listed plan: counters, ateliers
+        bad-customers.ini:14: [winkel-leiden] token_sha256: not a digest, expected the sha-256 of the token in 64 hexadecimal digits
+        bad-customers.ini:17: [winkel-zwolle] region: the key is missing, expected a text
+        bad-customers.ini:25: [atelier-zuid] token_sha256: the same as that of [winkel-zwolle], expected one of its own
+        bad-customers.ini:26: [atelier-zuid] shop: unknown key, expected one of: plan, region, token_sha256
+        bad-plans.ini:6: [counters] weight: '0' given, expected a whole number from 1 to 10000
+        bad-plans.ini:13: [ateliers] processors_milli: '1200 cores' given, expected a whole number from 1 to 4294967295
+        bad-plans.ini:15: [ateliers] classes: 'gangs' given, expected service, batch or gang"#]]
+    .assert_eq(&findings.to_string());
+}
+
 /// One line of a samples file.
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -193,7 +193,7 @@
 
 #[test]
 fn the_committed_experiments_have_no_findings() {
-    for name in ["nusqa", "sulina"] {
+    for name in ["nusqa", "sulina", "zoomwerk"] {
         let path = format!("{}/experiments/{name}.ini", env!("CARGO_MANIFEST_DIR"));
         let text = std::fs::read_to_string(path).expect("a file");
         let parsed = load::Experiment::parse(name, &text);
--- a/scripts/failover.sh
+++ b/scripts/failover.sh
@@ -3,7 +3,7 @@
 # on all instances, and how long the partitions and workers of a killed instance remain without a
 # holder.
 #
-# Usage: scripts/failover.sh [nusqa|sulina] [ROUNDS]
+# Usage: scripts/failover.sh [nusqa|sulina|zoomwerk] [ROUNDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=${1:-nusqa} rounds=${2:-3}
