admit, controller: bound and order what waits for the leader, limit what instances send it

Cause: requests, events and store answers shared one unbounded first-come channel to the control thread; a round took all that had arrived, also from callers who had gone, and every instance repeated every request each second and each 40 ms after a failure.

Change: crate admit has Inbox (events before changes before reads, at most 64 requests between two looks at the events, callers that have gone dropped), Overload (inputs wait over 400 ms for 250 ms: new jobs are refused at once, each with a turn of its own behind the queue; known jobs are answered as before, as the scheduler looks the id up first) and RetryBudget (a fifth of the first attempts and five a second). Instances send at most 64 requests at once, keep a late attempt until it may be repeated, so that a reply that is ready is delivered, and read each queue's pending_jobs once for all callers within 500 ms. Weighed and not taken: refusing by the estimated drain time alone (a burst after a quiet second would be refused), reads answered from what the leader publishes to all instances (100 reads a second on the large site; publishing to 97 instances costs more).

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -1,7 +1,7 @@
 //! The control thread, which runs the scheduler during a term.
 
 use std::collections;
-use std::sync::mpsc;
+use std::sync;
 use std::thread;
 use std::time;
 
@@ -9,61 +9,151 @@
 use tokio::sync::oneshot;
 
 use crate::error;
+use crate::instance;
 
 /// Shortest time between two ticks of the scheduler, which handle expired leases and outcomes; also
 /// the longest wait for an input.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Longest wait for an input while the scheduler still has waiting tasks to process.
 const BACKLOG_TICK_INTERVAL: time::Duration = time::Duration::from_millis(4);
+/// Most requests that wait for the thread. Instances limit theirs, so that this many are only there
+/// if hundreds of instances send as many as they may.
+const MAX_WAITING_REQUESTS: usize = 16_384;
 
-/// Input of the control thread.
-pub(crate) enum Input {
-    /// An event for the scheduler.
-    Event(jobs::Event),
-    /// A caller's request.
-    Request {
-        manifest_version: model::ManifestVersion,
-        request: model::JobRequest,
-        reply: oneshot::Sender<model::JobReply>,
-    },
-    /// The term has ended.
-    Stop,
+/// A caller's request.
+struct Request {
+    manifest_version: model::ManifestVersion,
+    request: model::JobRequest,
+    reply: oneshot::Sender<model::JobReply>,
+}
+
+/// What the control thread shares with those that send to it.
+struct Mailbox {
+    state: sync::Mutex<MailboxState>,
+    /// Notified when an input is added or the thread is to stop.
+    changed: sync::Condvar,
+}
+
+struct MailboxState {
+    inbox: admit::Inbox<jobs::Event, Request>,
+    /// Whether the term has ended.
+    is_stopping: bool,
+    /// Whether the thread has ended, so that nothing takes the inputs any more.
+    is_closed: bool,
+}
+
+/// Inputs that the thread handles together.
+struct Work {
+    round: admit::Round<jobs::Event, Request>,
+    is_stopping: bool,
+}
+
+impl Mailbox {
+    fn new() -> Self {
+        Self {
+            state: sync::Mutex::new(MailboxState {
+                inbox: admit::Inbox::new(MAX_WAITING_REQUESTS),
+                is_stopping: false,
+                is_closed: false,
+            }),
+            changed: sync::Condvar::new(),
+        }
+    }
+
+    /// Waits for inputs, at most for `pause`, and takes them.
+    fn take(&self, pause: time::Duration) -> Work {
+        let state = instance::lock(&self.state);
+        let is_idle = |state: &mut MailboxState| state.inbox.is_empty() && !state.is_stopping;
+        let waited = self.changed.wait_timeout_while(state, pause, is_idle);
+        let (mut state, _) = waited.unwrap_or_else(sync::PoisonError::into_inner);
+        let round = state
+            .inbox
+            .take(time::Instant::now(), |request| request.reply.is_closed());
+        Work {
+            round,
+            is_stopping: state.is_stopping,
+        }
+    }
+
+    /// Refuses all further inputs; returns the requests that wait.
+    fn close(&self) -> Vec<Request> {
+        let mut state = instance::lock(&self.state);
+        state.is_closed = true;
+        state.inbox.clear()
+    }
+}
+
+/// Closes the mailbox when the thread ends, also by a panic, so that no caller waits for it.
+struct CloseOnDrop(sync::Arc<Mailbox>);
+
+impl Drop for CloseOnDrop {
+    fn drop(&mut self) {
+        self.0.close();
+    }
 }
 
 /// A running control thread.
-#[derive(Debug)]
 pub(crate) struct ControlThread {
-    inputs: mpsc::Sender<Input>,
+    mailbox: sync::Arc<Mailbox>,
     thread: thread::JoinHandle<()>,
 }
 
 /// Sends inputs to the control thread of a term; clones send to the same thread.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Handle {
-    inputs: mpsc::Sender<Input>,
+    mailbox: sync::Arc<Mailbox>,
+}
+
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Handle").finish_non_exhaustive()
+    }
 }
 
 impl Handle {
     /// Sends an event; has no effect once the term has ended.
     pub(crate) fn send_event(&self, event: jobs::Event) {
-        let _ = self.inputs.send(Input::Event(event));
+        let mut state = instance::lock(&self.mailbox.state);
+        if !state.is_closed {
+            state.inbox.push_event(event, time::Instant::now());
+            self.mailbox.changed.notify_one();
+        }
     }
 
-    /// Sends a caller's request and waits for the reply; `None` if the term ends before that.
+    /// Sends a caller's request and waits for the reply; `None` if the term ends before that or too
+    /// many requests wait.
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
         request: model::JobRequest,
     ) -> Option<model::JobReply> {
+        let rank = match &request {
+            model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. } => admit::Rank::Change,
+            model::JobRequest::Status { .. } | model::JobRequest::Pending { .. } => {
+                admit::Rank::Read
+            }
+        };
         let (reply, receiver) = oneshot::channel();
-        let input = Input::Request {
+        let request = Request {
             manifest_version,
             request,
             reply,
         };
-        self.inputs.send(input).ok()?;
+        self.push_request(rank, request)?;
         receiver.await.ok()
     }
+
+    fn push_request(&self, rank: admit::Rank, request: Request) -> Option<()> {
+        let mut state = instance::lock(&self.mailbox.state);
+        if state.is_closed {
+            return None;
+        }
+        let pushed = state
+            .inbox
+            .push_request(rank, request, time::Instant::now());
+        self.mailbox.changed.notify_one();
+        pushed.ok()
+    }
 }
 
 impl ControlThread {
@@ -74,26 +164,29 @@
     /// Fails if the thread cannot be started.
     pub(crate) fn start(
         scheduler: jobs::Scheduler,
+        metrics: telemetry::Metrics,
         actions: tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
     ) -> Result<Self, error::Error> {
-        let (inputs, receiver) = mpsc::channel();
+        let mailbox = sync::Arc::new(Mailbox::new());
+        let inputs = CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || run(scheduler, &receiver, &actions))
+            .spawn(move || run(scheduler, &metrics, &inputs.0, &actions))
             .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))?;
-        Ok(Self { inputs, thread })
+        Ok(Self { mailbox, thread })
     }
 
     pub(crate) fn handle(&self) -> Handle {
         Handle {
-            inputs: self.inputs.clone(),
+            mailbox: sync::Arc::clone(&self.mailbox),
         }
     }
 
     /// Stops the thread and waits for it; callers to whom the scheduler has not replied by then get
     /// no reply.
     pub(crate) fn stop(self) {
-        let _ = self.inputs.send(Input::Stop);
+        instance::lock(&self.mailbox.state).is_stopping = true;
+        self.mailbox.changed.notify_one();
         if self.thread.join().is_err() {
             log::error!("control thread panicked");
         }
@@ -102,53 +195,103 @@
 
 fn run(
     mut scheduler: jobs::Scheduler,
-    inputs: &mpsc::Receiver<Input>,
+    metrics: &telemetry::Metrics,
+    mailbox: &Mailbox,
     actions: &tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
 ) {
     let mut pending = PendingReplies::default();
     let mut ticked_at = time::Instant::now();
+    let mut overload = OverloadPeriod::default();
     loop {
         let pause = if scheduler.needs_finish() {
             BACKLOG_TICK_INTERVAL
         } else {
             TICK_INTERVAL
         };
-        let first = match inputs.recv_timeout(pause) {
-            Ok(input) => Some(input),
-            Err(mpsc::RecvTimeoutError::Timeout) => None,
-            Err(mpsc::RecvTimeoutError::Disconnected) => return,
-        };
+        let Work { round, is_stopping } = mailbox.take(pause);
         let clock = clock();
-        for input in first.into_iter().chain(inputs.try_iter()) {
-            let event = match input {
-                Input::Event(event) => event,
-                Input::Request {
-                    manifest_version,
-                    request,
-                    reply,
-                } => jobs::Event::Request {
-                    token: pending.insert(reply),
-                    manifest_version,
-                    request,
-                },
-                Input::Stop => {
-                    pending.send_replies(scheduler.end_term());
-                    return;
-                }
+        metrics.time("control.wait", round.longest_wait);
+        metrics.count_by("control.caller_gone", round.gone);
+        overload.update(round.overload, round.longest_wait);
+        for event in round.events {
+            scheduler.handle(event, clock);
+        }
+        for Request {
+            manifest_version,
+            request,
+            reply,
+        } in round.requests
+        {
+            let event = jobs::Event::Request {
+                token: pending.insert(reply),
+                manifest_version,
+                request,
+                overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
         }
+        if is_stopping {
+            pending.send_replies(scheduler.end_term());
+            for waiting in mailbox.close() {
+                // The caller may have stopped waiting.
+                let _ = waiting.reply.send(model::JobReply::NotLeading);
+            }
+            return;
+        }
         if clock.now.saturating_duration_since(ticked_at) >= TICK_INTERVAL {
             ticked_at = clock.now;
             scheduler.handle(jobs::Event::Tick, clock);
         }
-        let other_actions = pending.send_replies(scheduler.finish(clock));
+        let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
+        overload.refused += refused;
         if !other_actions.is_empty() && actions.send(other_actions).is_err() {
             return;
         }
     }
 }
 
+/// The overload of the control thread, if there is one.
+#[derive(Default)]
+struct OverloadPeriod {
+    overload: Option<admit::Overload>,
+    /// Requests refused since it began.
+    refused: u32,
+}
+
+impl OverloadPeriod {
+    fn update(&mut self, overload: Option<admit::Overload>, longest_wait: time::Duration) {
+        match (self.overload, overload) {
+            (None, Some(overload)) => log::warn!(
+                wait_ms = longest_wait.as_millis() as u64,
+                drain_ms = overload.drain.as_millis() as u64;
+                "leader overloaded; refusing new jobs"
+            ),
+            (Some(_), None) => {
+                log::info!(refused = self.refused; "leader no longer overloaded");
+                self.refused = 0;
+            }
+            _ => {}
+        }
+        self.overload = overload;
+    }
+
+    /// Returns the delay after which the caller of a new job should retry, in milliseconds.
+    fn retry_ms(&self) -> Option<u64> {
+        let retry_after = self.overload?.retry_after(self.refused);
+        Some(retry_after.as_millis() as u64)
+    }
+}
+
+fn is_overload_refusal(reply: &model::JobReply) -> bool {
+    matches!(
+        reply,
+        model::JobReply::Refused {
+            reason: model::RefusalReason::Overloaded,
+            ..
+        }
+    )
+}
+
 /// Reads both clocks.
 pub(crate) fn clock() -> jobs::Clock {
     let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
@@ -173,12 +316,15 @@
         self.last_token
     }
 
-    /// Sends the replies among `actions` and returns the other actions.
-    fn send_replies(&mut self, actions: Vec<jobs::Action>) -> Vec<jobs::Action> {
+    /// Sends the replies among `actions`; returns the other actions, and the number of requests that
+    /// were refused because of an overload.
+    fn send_replies(&mut self, actions: Vec<jobs::Action>) -> (Vec<jobs::Action>, u32) {
         let mut other_actions = Vec::new();
+        let mut overload_refusals = 0;
         for action in actions {
             match action {
                 jobs::Action::Reply(token, reply) => {
+                    overload_refusals += u32::from(is_overload_refusal(&reply));
                     if let Some(caller) = self.senders.remove(&token) {
                         // The caller may have stopped waiting.
                         let _ = caller.send(reply);
@@ -187,6 +333,6 @@
                 action => other_actions.push(action),
             }
         }
-        other_actions
+        (other_actions, overload_refusals)
     }
 }
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -9,8 +9,8 @@
 
 /// Pause before a request is retried.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(40);
-/// Timeout of one attempt at the leader; a retry joins the earlier attempt if that is still in
-/// progress.
+/// Time after which an attempt at the leader is repeated, if the budget allows it; a retry joins the
+/// earlier attempt if that is still in progress.
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Longest timeout of a request that changes nothing.
 const MAX_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -60,6 +60,19 @@
         &self,
         request: model::JobRequest,
         timeout: time::Duration,
+    ) -> model::JobReply {
+        let model::JobRequest::Pending { queue } = &request else {
+            return self.ask_leader(request, timeout).await;
+        };
+        let queue = sync::Arc::clone(queue);
+        let read = self.ask_leader(request, timeout);
+        self.shared.pending_counts.get_or_read(&queue, read).await
+    }
+
+    async fn ask_leader(
+        &self,
+        request: model::JobRequest,
+        timeout: time::Duration,
     ) -> model::JobReply {
         let started = time::Instant::now();
         let is_mutation = matches!(
@@ -74,6 +87,7 @@
         let mut pending = PendingRequest {
             shared: &self.shared,
             attempts: admit::Attempts::new(&request),
+            forwarded_term: None,
             failed_attempts: 0,
         };
         loop {
@@ -97,6 +111,8 @@
 struct PendingRequest<'a, P: platform::Platform> {
     shared: &'a sync::Arc<instance::Shared<P>>,
     attempts: admit::Attempts,
+    /// Term of the leader to which the request was last sent.
+    forwarded_term: Option<model::Term>,
     /// Number of attempts that failed on the link to the leader.
     failed_attempts: u32,
 }
@@ -125,15 +141,24 @@
         request: &model::JobRequest,
         remaining: time::Duration,
     ) -> Option<model::JobReply> {
+        let started = time::Instant::now();
+        let slot = self.shared.forward_slots.acquire();
+        let Ok(Ok(_slot)) = tokio::time::timeout(remaining, slot).await else {
+            self.shared.metrics.count("forward.no_slot");
+            return None;
+        };
+        let remaining = remaining.saturating_sub(started.elapsed());
         let mut cluster = self.shared.cluster.subscribe();
         let leader = cluster.borrow_and_update().leader().cloned()?;
         if leader.member.instance_id == self.shared.member.instance_id {
             return None;
         }
-        let timeout = remaining.min(ATTEMPT_TIMEOUT);
+        if !self.may_send(leader.term) {
+            return None;
+        }
         let message = model::ControllerRequest::Job {
             manifest_version: self.shared.manifest_version(),
-            remaining_ms: timeout.as_millis() as u64,
+            remaining_ms: remaining.as_millis() as u64,
             request: request.clone(),
         };
         let link = self.shared.links.to(&leader.member.address);
@@ -142,12 +167,17 @@
                 .is_none_or(|current| current.term != leader.term)
         };
         let reply = tokio::select! {
-            reply = link.request(&message, timeout) => reply,
+            reply = link.request(&message, remaining) => reply,
             _ = cluster.wait_for(is_replaced) => {
                 self.shared.metrics.count("forward.leader_replaced");
                 self.attempts.record_unanswered(leader.term);
                 return None;
             }
+            () = self.wait_to_repeat() => {
+                self.shared.metrics.count("forward.late");
+                self.attempts.record_unanswered(leader.term);
+                return None;
+            }
         };
         match reply {
             Ok(model::ControllerReply::Job(reply)) => self.attempts.accept(reply, leader.term),
@@ -169,6 +199,30 @@
         }
     }
 
+    /// Returns whether the request may be sent to the leader of `term`; repetitions are limited.
+    fn may_send(&mut self, term: model::Term) -> bool {
+        let is_repetition = self.forwarded_term == Some(term);
+        let mut budget = instance::lock(&self.shared.retry_budget);
+        if !is_repetition {
+            budget.record_first_attempt();
+        } else if !budget.try_retry(time::Instant::now()) {
+            self.shared.metrics.count("forward.retry_withheld");
+            return false;
+        }
+        self.forwarded_term = Some(term);
+        true
+    }
+
+    /// Waits until an attempt is late and a repetition is allowed: the connection may be dead.
+    async fn wait_to_repeat(&self) {
+        loop {
+            tokio::time::sleep(ATTEMPT_TIMEOUT).await;
+            if instance::lock(&self.shared.retry_budget).has_retry(time::Instant::now()) {
+                return;
+            }
+        }
+    }
+
     /// Counts a failed attempt; only the first one of a request is logged, as an outage causes
     /// thousands.
     fn record_failure(&mut self, leader: &elect::Leader, cause: &peer::Error) {
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::gateway;
 use crate::heartbeat;
 use crate::links;
+use crate::pending_counts;
 use crate::platform;
 use crate::registration;
 use crate::relay_worker;
@@ -28,6 +29,10 @@
 /// Length of the secret with which instances authenticate each other, in bytes.
 const SECRET_BYTES: usize = 32;
 
+/// Most requests of an instance at the leader at once; more wait here. Some ten are there when the
+/// store is at its slowest, so that this many mean that the leader does not answer.
+const MAX_FORWARDED_REQUESTS: usize = 64;
+
 /// State shared by the tasks of an instance.
 pub(crate) struct Shared<P: platform::Platform> {
     pub(crate) platform: P,
@@ -36,6 +41,10 @@
     pub(crate) metrics: telemetry::Metrics,
     pub(crate) links: links::Links,
     pub(crate) call_lanes: call_lanes::CallLanes,
+    /// Permits for requests at another instance that leads.
+    pub(crate) forward_slots: tokio::sync::Semaphore,
+    pub(crate) retry_budget: sync::Mutex<admit::RetryBudget>,
+    pub(crate) pending_counts: pending_counts::PendingCounts,
     /// Live instances and the leader, as last reported by the store or a peer.
     pub(crate) cluster: watch::Sender<elect::ClusterView>,
     /// The newest manifest.
@@ -141,6 +150,9 @@
             metrics,
             links: links::Links::new(identity.clone()),
             call_lanes: call_lanes::CallLanes::default(),
+            forward_slots: tokio::sync::Semaphore::new(MAX_FORWARDED_REQUESTS),
+            retry_budget: sync::Mutex::new(admit::RetryBudget::new(time::Instant::now())),
+            pending_counts: pending_counts::PendingCounts::default(),
             cluster: watch::Sender::default(),
             manifest: watch::Sender::default(),
             leading: watch::Sender::default(),
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -44,7 +44,7 @@
 ) -> Result<(), error::Error> {
     let scheduler = recover(shared, term).await?;
     let (actions, actions_receiver) = mpsc::unbounded_channel();
-    let control = control_thread::ControlThread::start(scheduler, actions)?;
+    let control = control_thread::ControlThread::start(scheduler, shared.metrics.clone(), actions)?;
     let term_ended = CancellationToken::new();
     let relays = relays::Relays::new(shared, term, control.handle(), term_ended.clone());
     let leadership = Leadership {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,6 +17,7 @@
 mod leadership;
 mod links;
 mod orders;
+mod pending_counts;
 mod platform;
 mod registration;
 mod relay_worker;
--- a/crates/controller/src/watches.rs
+++ b/crates/controller/src/watches.rs
@@ -120,6 +120,9 @@
         is_newer
     });
     if applied {
+        if let Some(active) = &*shared.manifest.borrow() {
+            shared.pending_counts.retain(&active.manifest);
+        }
         log::info!(version; "manifest put in force");
         shared.metrics.count("manifest.changes");
     }
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -31,6 +31,8 @@
         manifest_version: model::ManifestVersion,
         /// The request.
         request: model::JobRequest,
+        /// Delay before callers should retry, in milliseconds, if the leader takes in no new jobs.
+        overload_retry_ms: Option<u64>,
     },
     /// A manifest to put in force.
     Manifest(manifest::Manifest),
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -21,10 +21,19 @@
         token: job::RequestToken,
         manifest_version: model::ManifestVersion,
         request: model::JobRequest,
+        overload_retry_ms: Option<u64>,
         clock: event::Clock,
     ) {
         let reply = match request {
-            model::JobRequest::Submit(job) => self.submit(token, manifest_version, *job, clock),
+            model::JobRequest::Submit(job) => {
+                match (self.resubmit(token, job), overload_retry_ms) {
+                    (Ok(reply), _) => reply,
+                    (Err(_), Some(retry_ms)) => {
+                        Some(refused(model::RefusalReason::Overloaded, retry_ms))
+                    }
+                    (Err(job), None) => self.submit(token, manifest_version, *job, clock),
+                }
+            }
             model::JobRequest::Status { job_id } => Some(self.status(job_id)),
             model::JobRequest::Cancel { job_id } => self.cancel(token, job_id, clock),
             model::JobRequest::Pending { queue } => Some(self.pending(&queue)),
@@ -34,6 +43,37 @@
         }
     }
 
+    /// Handles the submission of a known job; returns the job if it is not known.
+    ///
+    /// The reply is `None` while the job is not stored.
+    fn resubmit(
+        &mut self,
+        token: job::RequestToken,
+        job: Box<model::Job>,
+    ) -> Result<Option<model::JobReply>, Box<model::Job>> {
+        if self.ended.contains_key(&job.id) {
+            return Ok(Some(model::JobReply::Accepted));
+        }
+        let Some(state) = self.jobs.get_mut(&job.id) else {
+            return Err(job);
+        };
+        if *state.job != *job {
+            log::warn!(
+                job:% = journal::job_id_hex(job.id);
+                "submission refused: its id belongs to another job"
+            );
+            return Ok(Some(refused(model::RefusalReason::IdInUse, 0)));
+        }
+        if state.is_stored {
+            return Ok(Some(model::JobReply::Accepted));
+        }
+        let reply = job::Effect::Reply(token, model::JobReply::Accepted);
+        state.effects.push(reply);
+        self.journal.mark_dirty(job.id);
+        Ok(None)
+    }
+
+    /// Takes in a job that is not known yet.
     fn submit(
         &mut self,
         token: job::RequestToken,
@@ -42,25 +82,6 @@
         clock: event::Clock,
     ) -> Option<model::JobReply> {
         let job_id = job.id;
-        if self.ended.contains_key(&job_id) {
-            return Some(model::JobReply::Accepted);
-        }
-        if let Some(state) = self.jobs.get_mut(&job_id) {
-            if *state.job != job {
-                log::warn!(
-                    job:% = journal::job_id_hex(job_id);
-                    "submission refused: its id belongs to another job"
-                );
-                return Some(refused(model::RefusalReason::IdInUse, 0));
-            }
-            if state.is_stored {
-                return Some(model::JobReply::Accepted);
-            }
-            let reply = job::Effect::Reply(token, model::JobReply::Accepted);
-            state.effects.push(reply);
-            self.journal.mark_dirty(job_id);
-            return None;
-        }
         let Some(queue) = self.manifest.queues.get(&job.queue) else {
             if manifest_version > self.manifest.version {
                 return Some(model::JobReply::NotLeading);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -110,7 +110,8 @@
                 token,
                 manifest_version,
                 request,
-            } => self.on_request(token, manifest_version, request, clock),
+                overload_retry_ms,
+            } => self.on_request(token, manifest_version, request, overload_retry_ms, clock),
             event::Event::Manifest(manifest) => self.apply_manifest(manifest),
             event::Event::Directory(reports) => self.apply_directory(reports, clock),
             event::Event::AdviceInstances(instances) => {
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -408,3 +408,38 @@
         assert_eq!(simulation.status(id), Some(completed), "gang {id}");
     }
 }
+
+/// Everyone retries at once while the leader is overloaded: a new job is refused before it is
+/// recorded, and a caller who repeats the submission of an accepted or ended job learns that.
+#[test]
+fn overloaded_leader_refuses_new_jobs_and_keeps_known_ones() {
+    let mut simulation = Simulation::new(4, 6, None);
+    simulation.run_ms(200);
+    let running = simulation::job(1, "short", simulation::step(1, 1_000, 60_000));
+    let ended = simulation::job(2, "short", simulation::step(1, 1_000, 50));
+    for job in [&running, &ended] {
+        simulation.submit(job.clone());
+    }
+    simulation.run_ms(2_000);
+    simulation.overload_retry_ms = Some(3_000);
+    let unsaved = simulation::job(3, "short", simulation::step(1, 1_000, 50));
+    let tokens = [running, ended, unsaved].map(|job| simulation.submit(job));
+    let cancelled = simulation.cancel(1);
+    simulation.run_ms(500);
+    let refused = model::JobReply::Refused {
+        reason: model::RefusalReason::Overloaded,
+        retry_after_ms: 3_000,
+    };
+    let replies = tokens.map(|token| simulation.replies[&token].clone());
+    let accepted = model::JobReply::Accepted;
+    assert_eq!(replies, [accepted.clone(), accepted, refused]);
+    let cancelled = &simulation.replies[&cancelled];
+    let status = model::JobReply::Status(model::JobStatus::Cancelled);
+    assert_eq!(*cancelled, status);
+    assert_eq!(simulation.status(3), Some(model::JobReply::Unknown));
+    simulation.overload_retry_ms = None;
+    let again = simulation::job(3, "short", simulation::step(1, 1_000, 50));
+    let token = simulation.submit(again);
+    simulation.run_ms(500);
+    assert_eq!(simulation.replies[&token], model::JobReply::Accepted);
+}
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -72,6 +72,8 @@
     manifest: jobs::Manifest,
     pub(crate) replies: collections::HashMap<jobs::RequestToken, model::JobReply>,
     next_token: jobs::RequestToken,
+    /// Given to the leader with each request; set while it is overloaded.
+    pub(crate) overload_retry_ms: Option<u64>,
     pub(crate) accepted: collections::HashMap<model::JobId, model::Job>,
     /// Tasks with a successful end that a worker was allowed to forget.
     pub(crate) forgotten_done: collections::HashSet<model::TaskKey>,
@@ -145,6 +147,7 @@
             manifest: manifest(allowed_share),
             replies: collections::HashMap::new(),
             next_token: 0,
+            overload_retry_ms: None,
             accepted: collections::HashMap::new(),
             forgotten_done: collections::HashSet::new(),
             forgotten_failures: collections::HashMap::new(),
@@ -764,6 +767,7 @@
             token,
             manifest_version: 1,
             request,
+            overload_retry_ms: self.overload_retry_ms,
         };
         self.deliver(self.term, event);
         token
