admit, controller: withhold a refusal that the leader's successor will lift

Change: an instance that reaches the store itself keeps such a refusal for up to 500 ms, sends the request to the successor if one comes, and passes the refusal on otherwise, at once when it loses the store too. Ruled out: replacing the leader sooner (its silence limit of 500 ms tells a slow store from a lost one).

--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -3,6 +3,8 @@
 use std::sync;
 use std::time;
 
+use tokio::sync::watch;
+
 use crate::heartbeat;
 use crate::instance;
 use crate::platform;
@@ -12,6 +14,8 @@
 /// Time after which an attempt at the leader is repeated, if the budget allows it; a retry joins the
 /// earlier attempt if that is still in progress.
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time between two checks whether this instance still reaches the store.
+const STORE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Longest timeout of a request that changes nothing.
 const MAX_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -86,6 +90,7 @@
         };
         let mut pending = PendingRequest {
             shared: &self.shared,
+            started,
             attempts: admit::Attempts::new(&request),
             forwarded_term: None,
             failed_attempts: 0,
@@ -110,6 +115,7 @@
 /// A caller's request during the attempts to get a reply from the leader.
 struct PendingRequest<'a, P: platform::Platform> {
     shared: &'a sync::Arc<instance::Shared<P>>,
+    started: time::Instant,
     attempts: admit::Attempts,
     /// Term of the leader to which the request was last sent.
     forwarded_term: Option<model::Term>,
@@ -180,7 +186,13 @@
             }
         };
         match reply {
-            Ok(model::ControllerReply::Job(reply)) => self.attempts.accept(reply, leader.term),
+            Ok(model::ControllerReply::Job(reply)) => {
+                let reply = self.attempts.accept(reply, leader.term)?;
+                let is_lifted = self
+                    .wait_for_successor(&reply, &mut cluster, leader.term)
+                    .await;
+                (!is_lifted).then_some(reply)
+            }
             Ok(_) => {
                 log::warn!(
                     leader:% = leader.member.instance_id;
@@ -199,6 +211,35 @@
         }
     }
 
+    /// Waits for a successor if `reply` is a refusal that it may lift; returns whether there is one.
+    async fn wait_for_successor(
+        &self,
+        reply: &model::JobReply,
+        cluster: &mut watch::Receiver<elect::ClusterView>,
+        term: model::Term,
+    ) -> bool {
+        let settings = &self.shared.settings;
+        let remaining = settings.leader_wait.saturating_sub(self.started.elapsed());
+        let is_store_reachable = self.shared.is_store_reachable();
+        let Some(wait) = admit::successor_wait(reply, is_store_reachable, remaining) else {
+            return false;
+        };
+        self.shared.metrics.count("forward.refusal_withheld");
+        let has_successor =
+            |view: &elect::ClusterView| view.leader().is_some_and(|current| current.term > term);
+        let lose_store = async {
+            while self.shared.is_store_reachable() {
+                tokio::time::sleep(STORE_CHECK_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            changed = tokio::time::timeout(wait, cluster.wait_for(has_successor)) => {
+                matches!(changed, Ok(Ok(_)))
+            }
+            () = lose_store => false,
+        }
+    }
+
     /// Returns whether the request may be sent to the leader of `term`; repetitions are limited.
     fn may_send(&mut self, term: model::Term) -> bool {
         let is_repetition = self.forwarded_term == Some(term);
