--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -14,6 +14,9 @@
 /// Shortest time between two ticks of the scheduler, which handle expired leases and outcomes; also
 /// the longest wait for an input.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Shortest time between two rounds: inputs that arrive meanwhile are handled together, as each round
+/// has a cost of its own, and a few milliseconds are little beside a write to the store.
+const MIN_ROUND_INTERVAL: time::Duration = time::Duration::from_millis(4);
 /// Longest wait for an input while the scheduler still has waiting tasks to process.
 const BACKLOG_TICK_INTERVAL: time::Duration = time::Duration::from_millis(4);
 /// Most requests that wait for the thread. Instances limit theirs, so that this many are only there
@@ -60,12 +63,18 @@
         }
     }
 
-    /// Waits for inputs, at most for `pause`, and takes them.
-    fn take(&self, pause: time::Duration) -> Work {
+    /// Waits for inputs, at most for `pause` and at least until `earliest`, and takes them.
+    fn take(&self, pause: time::Duration, earliest: time::Instant) -> Work {
         let state = instance::lock(&self.state);
         let is_idle = |state: &mut MailboxState| state.inbox.is_empty() && !state.is_stopping;
         let waited = self.changed.wait_timeout_while(state, pause, is_idle);
         let (mut state, _) = waited.unwrap_or_else(sync::PoisonError::into_inner);
+        let early_by = earliest.saturating_duration_since(time::Instant::now());
+        if !early_by.is_zero() {
+            drop(state);
+            thread::sleep(early_by);
+            state = instance::lock(&self.state);
+        }
         let round = state
             .inbox
             .take(time::Instant::now(), |request| request.reply.is_closed());
@@ -201,6 +210,7 @@
 ) {
     let mut pending = PendingReplies::default();
     let mut ticked_at = time::Instant::now();
+    let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
     loop {
         let pause = if scheduler.needs_finish() {
@@ -208,8 +218,9 @@
         } else {
             TICK_INTERVAL
         };
-        let Work { round, is_stopping } = mailbox.take(pause);
+        let Work { round, is_stopping } = mailbox.take(pause, earliest);
         let clock = clock();
+        earliest = clock.now + MIN_ROUND_INTERVAL;
         metrics.time("control.wait", round.longest_wait);
         metrics.count_by("control.caller_gone", round.gone);
         overload.update(round.overload, round.longest_wait);
