store, controller: a late reply to an earlier attempt confirms a batch

Nothing was confirmed for 1.9 s, the leader reported that the store rejects its batches, refused 82 submissions, was replaced by a leader that met the same, and 100 accepted jobs ended too late.

An attempt in flight is no longer in doubt, so that fewer batches are when the store comes back. Ruled out: a longer first timeout (it would hide dead connections), the slow store itself (it answers each write after 0.3 s).

--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -63,6 +63,52 @@
     reported_unreachable: bool,
 }
 
+/// The attempts to write a batch.
+struct BatchWrite {
+    batch: sync::Arc<jobs::Batch>,
+    attempts: store::Hedged<Result<(), error::Error>>,
+    /// Whether an attempt that is no longer in flight may have taken effect, or still may.
+    in_doubt: bool,
+    /// Pause before the next retry.
+    pause: time::Duration,
+    /// Time without a reply after which another attempt is made.
+    reply_timeout: time::Duration,
+    next_attempt_at: tokio::time::Instant,
+}
+
+impl BatchWrite {
+    fn new(batch: jobs::Batch, reply_timeout: time::Duration) -> Self {
+        Self {
+            batch: sync::Arc::new(batch),
+            attempts: store::Hedged::default(),
+            in_doubt: false,
+            pause: RETRY_PAUSE,
+            reply_timeout,
+            next_attempt_at: tokio::time::Instant::now(),
+        }
+    }
+
+    /// Returns whether no attempt so far has taken effect or will.
+    fn cannot_take_effect(&self) -> bool {
+        !self.in_doubt && self.attempts.is_empty()
+    }
+
+    /// Schedules the next attempt after one has failed.
+    fn retry_after_pause(&mut self) {
+        let retry_at = tokio::time::Instant::now() + self.pause;
+        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+        self.next_attempt_at = match self.attempts.is_empty() {
+            true => retry_at,
+            false => self.next_attempt_at.min(retry_at),
+        };
+    }
+
+    fn late_reply(&self) -> error::Error {
+        let context = format!("no reply within {} ms", self.reply_timeout.as_millis());
+        store::Error::new(store::ErrorKind::OutcomeUnknown, context).into()
+    }
+}
+
 impl<S: store::Store> Committer<S> {
     /// Creates the committer of a term.
     pub(crate) fn new(
@@ -85,73 +131,79 @@
 
     /// Writes a batch, retrying without a limit, and reports the outcome to the control thread.
     ///
-    /// A batch that cannot have taken effect, as no attempt is in doubt, is reported as rejected
-    /// once the store counts as unreachable.
+    /// A late attempt is waited for beside the next one, so that a store that has become slow
+    /// confirms a batch with its first reply. A batch that cannot have taken effect, as no attempt is
+    /// in flight or in doubt, is reported as rejected once the store counts as unreachable.
     ///
     /// # Errors
     ///
     /// Fails with [`error::ErrorKind::LeadershipLost`] if the term has ended; the batch has then
     /// not taken effect, unless an attempt was unanswered.
     pub(crate) async fn commit(self, batch: jobs::Batch) -> Result<(), error::Error> {
-        // Whether an attempt may have taken effect or still may.
-        let mut in_doubt = false;
-        let mut pause = RETRY_PAUSE;
-        let mut reply_timeout = self.reply_timeout();
+        let mut write = BatchWrite::new(batch, self.reply_timeout());
         loop {
-            let attempt = tokio::time::timeout(reply_timeout, self.attempt(&batch));
-            let outcome = tokio::select! {
-                outcome = attempt => outcome,
-                () = self.store_regained.notified() => {
-                    in_doubt = true;
-                    continue;
-                }
-            };
-            let limit = match &outcome {
-                Ok(_) => REFUSAL_LIMIT,
-                Err(_) => self.record_silence(reply_timeout),
-            };
-            let outcome = outcome.unwrap_or_else(|_| {
-                let context = format!("no reply within {} ms", reply_timeout.as_millis());
-                Err(store::Error::new(store::ErrorKind::OutcomeUnknown, context).into())
-            });
-            reply_timeout = (reply_timeout * 2).min(MAX_REPLY_TIMEOUT);
-            match outcome {
-                Ok(()) => {
-                    self.record_success();
-                    self.control
-                        .send_event(jobs::Event::BatchCommitted(batch.id));
-                    return Ok(());
-                }
-                Err(cause) if cause.kind() == error::ErrorKind::LeadershipLost => {
-                    return Err(cause);
-                }
-                Err(cause) => {
-                    log::warn!(
-                        batch = batch.id,
-                        term = self.term,
-                        cause:% = cause;
-                        "batch not confirmed by the store"
-                    );
-                    in_doubt |= cause.is_in_doubt();
-                    self.control.send_event(jobs::Event::BatchUnconfirmed);
-                    if self.record_failure(limit) && !in_doubt {
+            tokio::select! {
+                reply = write.attempts.next_reply() => match reply {
+                    Ok(()) => {
+                        self.record_success();
                         self.control
-                            .send_event(jobs::Event::BatchRejected(batch.id));
+                            .send_event(jobs::Event::BatchCommitted(write.batch.id));
                         return Ok(());
                     }
+                    Err(cause) if cause.kind() == error::ErrorKind::LeadershipLost => {
+                        return Err(cause);
+                    }
+                    Err(cause) => {
+                        write.in_doubt |= cause.is_in_doubt();
+                        let is_unreachable =
+                            self.record_failed_attempt(&write.batch, REFUSAL_LIMIT, &cause);
+                        if is_unreachable && write.cannot_take_effect() {
+                            self.control
+                                .send_event(jobs::Event::BatchRejected(write.batch.id));
+                            return Ok(());
+                        }
+                        write.retry_after_pause();
+                    }
+                },
+                () = tokio::time::sleep_until(write.next_attempt_at) => {
+                    if !write.attempts.is_empty() {
+                        let cause = write.late_reply();
+                        let limit = self.record_silence(write.reply_timeout);
+                        self.record_failed_attempt(&write.batch, limit, &cause);
+                        write.reply_timeout = (write.reply_timeout * 2).min(MAX_REPLY_TIMEOUT);
+                    }
+                    let attempt = self.clone().attempt(sync::Arc::clone(&write.batch));
+                    write.in_doubt |= write.attempts.start(attempt);
+                    write.next_attempt_at = tokio::time::Instant::now() + write.reply_timeout;
+                }
+                () = self.store_regained.notified() => {
+                    write.next_attempt_at = tokio::time::Instant::now();
                 }
             }
-            tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                () = self.store_regained.notified() => {}
-            }
-            pause = (pause * 2).min(MAX_RETRY_PAUSE);
         }
     }
 
-    async fn attempt(&self, batch: &jobs::Batch) -> Result<(), error::Error> {
+    /// Records an attempt that has failed or is late; returns whether the store counts as
+    /// unreachable.
+    fn record_failed_attempt(
+        &self,
+        batch: &jobs::Batch,
+        limit: time::Duration,
+        cause: &error::Error,
+    ) -> bool {
+        log::warn!(
+            batch = batch.id,
+            term = self.term,
+            cause:% = cause;
+            "batch not confirmed by the store"
+        );
+        self.control.send_event(jobs::Event::BatchUnconfirmed);
+        self.record_failure(limit)
+    }
+
+    async fn attempt(self, batch: sync::Arc<jobs::Batch>) -> Result<(), error::Error> {
         let sent_at = time::Instant::now();
-        let committed = self.store.commit(self.transaction(batch)).await?;
+        let committed = self.store.commit(self.transaction(&batch)).await?;
         self.record_reply_latency(sent_at.elapsed());
         if committed.succeeded {
             return Ok(());
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,12 +1,13 @@
 //! Client of the platform's key-value service.
 //!
 //! [`Store`] is the interface that the scheduler uses; [`Etcd`] implements it over the JSON gateway
-//! of etcd v3. [`read_put_outcome`] determines the outcome of a write whose response was lost.
+//! of etcd v3. [`Hedged`] makes several attempts at a call at once, and [`read_put_outcome`] determines the outcome of a write whose response was lost.
 
 mod calls;
 mod entry;
 mod error;
 mod etcd;
+mod hedged;
 mod put_outcome;
 mod store;
 mod transport;
@@ -28,6 +29,7 @@
 pub use error::ErrorKind;
 pub use etcd::Etcd;
 pub use etcd::EtcdBuilder;
+pub use hedged::Hedged;
 pub use put_outcome::PutOutcome;
 pub use put_outcome::read_put_outcome;
 pub use store::Store;
