--- a/crates/controller/src/cluster_entries.rs
+++ b/crates/controller/src/cluster_entries.rs
@@ -48,7 +48,7 @@
 
 fn put_entry(view: &mut elect::ClusterView, entry: store::Entry) {
     if entry.key == LEADER_KEY {
-        view.set_leader(decode_leader(&entry));
+        view.set_leader(Some(decode_leader(&entry)));
     } else if entry.key == STRONGEST_KEY {
         view.set_recorded_strength(decode(&entry.value).unwrap_or_default());
     } else if entry.key.starts_with(INSTANCE_PREFIX)
@@ -59,11 +59,12 @@
 }
 
 /// Decodes the leader from the leader's entry.
-pub(crate) fn decode_leader(entry: &store::Entry) -> Option<elect::Leader> {
-    decode_member(entry).map(|member| elect::Leader {
-        member,
-        term: entry.modified_revision,
-    })
+pub(crate) fn decode_leader(entry: &store::Entry) -> elect::Leader {
+    let term = entry.modified_revision;
+    match decode_member(entry) {
+        Some(member) => elect::Leader { member, term },
+        None => elect::Leader::unreadable(term),
+    }
 }
 
 fn decode_member(entry: &store::Entry) -> Option<elect::Member> {
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -162,7 +162,7 @@
             return None;
         }
     };
-    let leader = entry.as_ref().and_then(cluster_entries::decode_leader);
+    let leader = entry.as_ref().map(cluster_entries::decode_leader);
     let term = leader.as_ref().map(|leader| leader.term);
     let is_own = leader
         .as_ref()
--- a/crates/controller/src/heartbeat.rs
+++ b/crates/controller/src/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats that followers send to the leader; its replies show that it is alive.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -12,16 +13,24 @@
 
 /// Time after which a heartbeat, or another request of this module, counts as unanswered.
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Time between two checks for links to instances that have left.
+const LINK_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(60);
 /// Number of peers that an instance asks in turn for the leader while the store is unreachable.
 const QUERIED_PEERS: usize = 3;
 
 /// Sends heartbeats to the leader until the instance stops.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut cluster = shared.cluster.subscribe();
+    let mut links_checked_at = time::Instant::now();
     loop {
+        if links_checked_at.elapsed() >= LINK_CHECK_INTERVAL && shared.is_store_reachable() {
+            links_checked_at = time::Instant::now();
+            close_unused_links(&shared).await;
+        }
         let leader = cluster.borrow_and_update().leader().cloned();
         if let Some(leader) = leader
             && leader.member.instance_id != shared.member.instance_id
+            && !leader.is_unreadable()
         {
             send_heartbeat(&shared, &leader).await;
         }
@@ -36,6 +45,22 @@
     }
 }
 
+/// Closes links to instances that are no longer members.
+async fn close_unused_links<P: platform::Platform>(shared: &instance::Shared<P>) {
+    let in_use: collections::HashSet<_> = {
+        let cluster = shared.cluster.borrow();
+        let leader = cluster.leader().map(|leader| &leader.member);
+        let members = cluster.members().chain(leader);
+        members
+            .map(|member| sync::Arc::clone(&member.address))
+            .collect()
+    };
+    shared
+        .links
+        .retain(|address| in_use.contains(address))
+        .await;
+}
+
 async fn send_heartbeat<P: platform::Platform>(
     shared: &instance::Shared<P>,
     leader: &elect::Leader,
@@ -66,9 +91,11 @@
     match reply {
         Ok(model::ControllerReply::Heartbeat(heartbeat)) => {
             if heartbeat.instance_id == leader.member.instance_id {
-                health.last_reply_at = Some(time::Instant::now());
-                health.has_lost_store = !heartbeat.store_reachable;
-                health.is_draining = heartbeat.draining;
+                health.record_reply(
+                    time::Instant::now(),
+                    !heartbeat.store_reachable,
+                    heartbeat.draining,
+                );
             } else {
                 health.is_gone = true;
             }
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -76,15 +76,15 @@
     // The reads are consistent: batches of earlier leaders fail, as they depend on the leader's
     // entry.
     let (segments, outcomes) = tokio::try_join!(
-        read_all(store, jobs::SEGMENT_PREFIX),
-        read_all(store, jobs::OUTCOME_PREFIX),
+        store::read_all(store, jobs::SEGMENT_PREFIX, PAGE_ENTRIES),
+        store::read_all(store, jobs::OUTCOME_PREFIX, PAGE_ENTRIES),
     )?;
     let settings = shared.settings.jobs.clone();
     let leadership_timeout = shared.settings.leadership_timeout;
     // Megabytes take a weak machine longer to decode than its peers wait for a heartbeat.
     let built = task::spawn_blocking(move || {
         let mut recovery = jobs::Recovery::default();
-        for entry in segments.into_iter().chain(outcomes) {
+        for entry in segments.entries.into_iter().chain(outcomes.entries) {
             if let Err(cause) = recovery.add(&entry.key, &entry.value) {
                 log::error!(
                     key:% = entry.key,
@@ -100,23 +100,6 @@
         .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))
 }
 
-/// Reads all entries whose keys begin with `prefix`.
-async fn read_all<S: store::Store>(
-    store: &S,
-    prefix: &str,
-) -> Result<Vec<store::Entry>, error::Error> {
-    let mut entries: Vec<store::Entry> = Vec::new();
-    loop {
-        let after = entries.last().map(|entry| entry.key.clone());
-        let page = store.range(prefix, PAGE_ENTRIES, after.as_deref()).await?;
-        let more = page.more && !page.entries.is_empty();
-        entries.extend(page.entries);
-        if !more {
-            return Ok(entries);
-        }
-    }
-}
-
 /// State shared by the tasks of a term.
 struct Leadership<P: platform::Platform> {
     shared: sync::Arc<instance::Shared<P>>,
@@ -373,11 +356,11 @@
 ) {
     let prefix = shared.platform.keys().workers.clone();
     loop {
-        let read = read_all(shared.platform.store(), &prefix);
+        let read = store::read_all(shared.platform.store(), &prefix, PAGE_ENTRIES);
         tokio::select! {
             read = tokio::time::timeout(DIRECTORY_READ_TIMEOUT, read) => match read {
-                Ok(Ok(entries)) => {
-                    let reports = decode_workers(&shared, &entries);
+                Ok(Ok(page)) => {
+                    let reports = decode_workers(&shared, &page.entries);
                     relays.set_workers(&reports);
                     control.send_event(jobs::Event::Directory(reports));
                 }
--- a/crates/controller/src/registration.rs
+++ b/crates/controller/src/registration.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use store::Store as _;
-use tokio::task;
 
 use crate::cluster_entries;
 use crate::instance;
@@ -114,16 +113,12 @@
     store: &S,
     lease_id: store::LeaseId,
 ) -> Result<bool, store::Error> {
-    let mut attempts = task::JoinSet::new();
+    let mut attempts = store::Hedged::default();
     loop {
         let store = store.clone();
-        attempts.spawn(async move { store.renew_lease(lease_id).await });
+        attempts.start(async move { store.renew_lease(lease_id).await });
         tokio::select! {
-            Some(ended) = attempts.join_next() => {
-                return ended.unwrap_or_else(|cause| {
-                    Err(store::Error::new(store::ErrorKind::OutcomeUnknown, cause.to_string()))
-                });
-            }
+            reply = attempts.next_reply() => return reply,
             () = tokio::time::sleep(HEDGE_DELAY) => {}
         }
     }
--- a/crates/controller/src/watches.rs
+++ b/crates/controller/src/watches.rs
@@ -41,9 +41,8 @@
     shared: &instance::Shared<P>,
 ) -> Result<std::convert::Infallible, store::Error> {
     let store = shared.platform.store();
-    let page = store
-        .range(cluster_entries::CLUSTER_PREFIX, CLUSTER_PAGE_ENTRIES, None)
-        .await?;
+    let prefix = cluster_entries::CLUSTER_PREFIX;
+    let page = store::read_all(store, prefix, CLUSTER_PAGE_ENTRIES).await?;
     let revision = page.revision;
     shared
         .cluster
--- a/crates/elect/src/claim.rs
+++ b/crates/elect/src/claim.rs
@@ -33,6 +33,8 @@
 pub enum ClaimReason {
     /// The store has no leader entry.
     Vacant,
+    /// The leader entry cannot be decoded.
+    LeaderUnreadable,
     /// The leader entry belongs to an earlier process of this machine, or to an earlier term of
     /// this process.
     OwnEarlierTerm,
@@ -52,6 +54,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Vacant => "vacant",
+            Self::LeaderUnreadable => "leader_unreadable",
             Self::OwnEarlierTerm => "own_earlier_term",
             Self::LeaderLostStore => "leader_lost_store",
             Self::LeaderDraining => "leader_leaves",
@@ -98,6 +101,9 @@
 
 /// Returns why `leader` should be replaced, if there is a reason.
 fn replacement_reason(leader: &member::Leader, context: &ClaimContext<'_>) -> Option<ClaimReason> {
+    if leader.is_unreadable() {
+        return Some(ClaimReason::LeaderUnreadable);
+    }
     if leader.member.address == context.own.address {
         return Some(ClaimReason::OwnEarlierTerm);
     }
--- a/crates/elect/src/leader_health.rs
+++ b/crates/elect/src/leader_health.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// Records a reply of the leader itself, which is therefore alive.
+    pub fn record_reply(&mut self, now: time::Instant, has_lost_store: bool, is_draining: bool) {
+        self.last_reply_at = Some(now);
+        self.is_gone = false;
+        self.has_lost_store = has_lost_store;
+        self.is_draining = is_draining;
+    }
+
     /// Returns whether the last reply is at least `limit` old.
     #[must_use]
     pub fn is_silent(&self, limit: time::Duration, now: time::Instant) -> bool {
--- a/crates/elect/src/member.rs
+++ b/crates/elect/src/member.rs
@@ -24,3 +24,24 @@
     /// Revision of the leader's entry in the store.
     pub term: model::Term,
 }
+
+impl Leader {
+    /// Creates the leader of a term whose entry cannot be decoded: any instance may replace it.
+    #[must_use]
+    pub fn unreadable(term: model::Term) -> Self {
+        Self {
+            member: Member {
+                instance_id: "".into(),
+                address: "".into(),
+                strength_milli: 0,
+            },
+            term,
+        }
+    }
+
+    /// Returns whether its entry cannot be decoded.
+    #[must_use]
+    pub fn is_unreadable(&self) -> bool {
+        self.member.instance_id.is_empty()
+    }
+}
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -177,6 +177,12 @@
                 return;
             }
             worker_api::StartRejection::Unhealthy => {
+                log::info!(
+                    worker:% = incarnation.worker_id,
+                    run:% = run_name(key),
+                    term = self.term;
+                    "start rejected by a worker that is unhealthy"
+                );
                 worker.health.record_failure(clock.now);
             }
             worker_api::StartRejection::Unreachable | worker_api::StartRejection::OtherLife => {
