--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -443,3 +443,56 @@
     simulation.run_ms(500);
     assert_eq!(simulation.replies[&token], model::JobReply::Accepted);
 }
+
+/// The leader is killed at full load, and everyone whose submission had no answer retries at once at
+/// its successor. Waits are back to normal within half a second, and no run is repeated.
+#[test]
+fn successor_catches_up_after_the_leader_is_killed_at_full_load() {
+    for seed in 0..5 {
+        let mut simulation = Simulation::new(seed, 6, None);
+        simulation.run_ms(200);
+        let small = simulation::step(1, 500, 200);
+        let before = submit_at_interval(&mut simulation, 1, 200, 10, "short", &small);
+        simulation.kill_leader();
+        let during = submit_at_interval(&mut simulation, 1_000, 60, 10, "short", &small);
+        let sent = (1..201).zip(before).chain((1_000..1_060).zip(during));
+        let unanswered: Vec<_> = sent
+            .filter(|(_, token)| !simulation.replies.contains_key(token))
+            .map(|(id, _)| id)
+            .collect();
+        assert!(unanswered.len() >= 60);
+        simulation.elect_leader();
+        let elected_ms = simulation.now_ms;
+        let retries: Vec<_> = unanswered
+            .into_iter()
+            .map(|id| simulation.submit(simulation::job(id, "short", small.clone())))
+            .collect();
+        submit_at_interval(&mut simulation, 2_000, 150, 10, "short", &small);
+        simulation.run_ms(3_000);
+        for token in &retries {
+            let waited_ms = simulation.answered_at_ms[token] - elected_ms;
+            assert!(
+                waited_ms < 300,
+                "seed {seed}: accepted after {waited_ms} ms"
+            );
+        }
+        // Submitted from half a second after the election.
+        for id in 2_050..2_150 {
+            let submitted_ms = elected_ms + 10 * (id - 2_000);
+            let waited_ms = simulation.started_at_ms[&id] - submitted_ms;
+            assert!(waited_ms < 200, "seed {seed}: started after {waited_ms} ms");
+        }
+        for id in (1..201).chain(1_000..1_060).chain(2_000..2_150) {
+            let completed = model::JobReply::Status(model::JobStatus::Completed);
+            assert_eq!(
+                simulation.status(id),
+                Some(completed),
+                "seed {seed}: job {id}"
+            );
+        }
+        assert_eq!(
+            simulation.start_count, 410,
+            "seed {seed}: a run was repeated"
+        );
+    }
+}
