controller, relay, store: begin a term warm, and let orders count as heartbeats

It read 3,000 worker entries each 0.7 s.

Change: a channel waits for its instance to lead; a new leader waits up to 200 ms for four fifths of the other instances before its first orders; a batch of orders carries the leader's state and counts as a heartbeat's reply, so that a relay sends one only after a full interval without orders, or after 1.2 s; the loss of its channel makes it ask at once.

--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -173,7 +173,7 @@
                         write.reply_timeout = (write.reply_timeout * 2).min(MAX_REPLY_TIMEOUT);
                     }
                     let attempt = self.clone().attempt(sync::Arc::clone(&write.batch));
-                    write.in_doubt |= write.attempts.start(attempt);
+                    write.attempts.start(attempt);
                     write.next_attempt_at = tokio::time::Instant::now() + write.reply_timeout;
                 }
                 () = self.store_regained.notified() => {
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -16,6 +16,8 @@
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Time between two checks whether this instance still reaches the store.
 const STORE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// How long the channel of a relay waits for this instance to lead.
+const RECOVERY_WAIT: time::Duration = time::Duration::from_secs(2);
 /// Longest timeout of a request that changes nothing.
 const MAX_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -297,6 +299,16 @@
         Self { shared }
     }
 
+    /// Waits until this instance leads: relays may hear of its term before it has recovered its state.
+    async fn wait_to_lead(&self) -> Option<instance::Leading> {
+        let mut leading = self.shared.leading.subscribe();
+        tokio::select! {
+            recovered = leading.wait_for(Option::is_some) => recovered.ok()?.clone(),
+            () = tokio::time::sleep(RECOVERY_WAIT) => None,
+            () = self.shared.stop.cancelled() => None,
+        }
+    }
+
     async fn handle_job(
         &self,
         manifest_version: model::ManifestVersion,
@@ -366,7 +378,7 @@
     }
 
     async fn serve_channel(&self, from: model::InstanceId, channel: peer::Channel) {
-        let leading = self.shared.leading.borrow().clone();
+        let leading = self.wait_to_lead().await;
         if let Some(leading) = leading {
             leading.relays.serve(from, channel).await;
         }
--- a/crates/controller/src/heartbeat.rs
+++ b/crates/controller/src/heartbeat.rs
@@ -15,12 +15,16 @@
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// Time between two checks for links to instances that have left.
 const LINK_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(60);
+/// Intervals after which a heartbeat is sent although the leader's orders show that it is alive: its
+/// reply also has the version of the manifest.
+const MAX_SKIPPED_HEARTBEATS: u32 = 4;
 /// Number of peers that an instance asks in turn for the leader while the store is unreachable.
 const QUERIED_PEERS: usize = 3;
 
 /// Sends heartbeats to the leader until the instance stops.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut cluster = shared.cluster.subscribe();
+    let mut sent_at = None;
     let mut links_checked_at = time::Instant::now();
     loop {
         if links_checked_at.elapsed() >= LINK_CHECK_INTERVAL && shared.is_store_reachable() {
@@ -28,23 +32,66 @@
             close_unused_links(&shared).await;
         }
         let leader = cluster.borrow_and_update().leader().cloned();
+        let mut pause = shared.settings.heartbeat_interval;
         if let Some(leader) = leader
             && leader.member.instance_id != shared.member.instance_id
             && !leader.is_unreadable()
         {
-            send_heartbeat(&shared, &leader).await;
+            match pause_after_orders(&shared, &leader, sent_at) {
+                Some(shorter) => pause = shorter,
+                None => {
+                    sent_at = Some(time::Instant::now());
+                    send_heartbeat(&shared, &leader).await;
+                }
+            }
         }
         if !shared.is_store_reachable() && shared.leading.borrow().is_none() {
             query_peers_for_leader(&shared).await;
         }
         tokio::select! {
-            () = tokio::time::sleep(shared.settings.heartbeat_interval) => {}
+            () = tokio::time::sleep(pause) => {}
             _ = cluster.changed() => {}
+            () = shared.leader_lost.notified() => sent_at = None,
             () = shared.stop.cancelled() => return,
         }
     }
 }
 
+/// Returns the time until the next heartbeat if none is needed now, as orders of the leader show that
+/// it is alive; `sent_at` is when the last one was sent.
+fn pause_after_orders<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    leader: &elect::Leader,
+    sent_at: Option<time::Instant>,
+) -> Option<time::Duration> {
+    let interval = shared.settings.heartbeat_interval;
+    if sent_at?.elapsed() >= interval * MAX_SKIPPED_HEARTBEATS {
+        return None;
+    }
+    let health = instance::lock(&shared.leader_health);
+    if health.term != leader.term || health.is_gone {
+        return None;
+    }
+    let age = health.last_reply_at?.elapsed();
+    (age < interval).then(|| interval - age)
+}
+
+/// Records what the leader of `term` tells with its orders.
+pub(crate) fn record_leader_state<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    term: model::Term,
+    state: relay::LeaderState,
+) {
+    let mut health = instance::lock(&shared.leader_health);
+    if health.term == term {
+        health.record_reply(
+            time::Instant::now(),
+            state.has_lost_store,
+            state.is_draining,
+        );
+    }
+}
+
 /// Closes links to instances that are no longer members.
 async fn close_unused_links<P: platform::Platform>(shared: &instance::Shared<P>) {
     let in_use: collections::HashSet<_> = {
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -54,6 +54,8 @@
     /// Send time of the last call by which the store confirmed this instance's lease.
     pub(crate) lease_confirmed_at: sync::Mutex<Option<time::Instant>>,
     pub(crate) leader_health: sync::Mutex<elect::LeaderHealth>,
+    /// Wakes the heartbeat after the relay channel to the leader has been lost.
+    pub(crate) leader_lost: tokio::sync::Notify,
     /// Id of the store lease that keeps this instance's entries; 0 if there is none.
     pub(crate) store_lease_id: atomic::AtomicI64,
     /// Smoothed time until the store replies to a call of the registration.
@@ -66,7 +68,7 @@
     pub(crate) store_reachable_since: sync::Mutex<Option<time::Instant>>,
     /// Whether the store does not accept the batches of this instance as leader.
     pub(crate) store_rejects_batches: sync::Arc<atomic::AtomicBool>,
-    pub(crate) is_draining: atomic::AtomicBool,
+    pub(crate) is_draining: sync::Arc<atomic::AtomicBool>,
     pub(crate) stop: CancellationToken,
 }
 
@@ -164,7 +166,8 @@
             store_regained: sync::Arc::default(),
             store_reachable_since: sync::Mutex::new(Some(time::Instant::now())),
             store_rejects_batches: sync::Arc::default(),
-            is_draining: atomic::AtomicBool::new(false),
+            is_draining: sync::Arc::default(),
+            leader_lost: tokio::sync::Notify::new(),
             stop: CancellationToken::new(),
             settings,
         });
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -12,6 +12,7 @@
 use crate::cluster_entries;
 use crate::committer;
 use crate::control_thread;
+use crate::directory;
 use crate::error;
 use crate::instance;
 use crate::orders;
@@ -29,6 +30,12 @@
 const MIN_TERM_BEFORE_YIELD: time::Duration = time::Duration::from_secs(3);
 /// Timeout of a read of the worker directory: some hundred kilobytes over a slow link.
 const DIRECTORY_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Share of the other instances that should relay before the first order.
+const EXPECTED_RELAYS_PERCENT: usize = 80;
+/// Longest wait for them: about as long as connecting to hundreds of workers takes.
+const MAX_RELAY_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Time between two checks how many instances relay.
+const RELAY_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Time between two checks of the conditions that end the term.
 const TERM_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
@@ -347,6 +354,21 @@
     Ok(())
 }
 
+/// Waits until most of the other instances relay, so that a new leader does not connect to every
+/// worker itself.
+async fn wait_for_relays<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    relays: &relays::Relays,
+) {
+    let others = shared.cluster.borrow().members().count().saturating_sub(1);
+    let expected = others * EXPECTED_RELAYS_PERCENT / 100;
+    let started = time::Instant::now();
+    while relays.channel_count() < expected && started.elapsed() < MAX_RELAY_WAIT {
+        tokio::time::sleep(RELAY_CHECK_INTERVAL).await;
+    }
+    relays.check(TERM_CHECK_INTERVAL);
+}
+
 /// Reads the worker directory periodically until the term ends.
 async fn poll_directory<P: platform::Platform>(
     shared: sync::Arc<instance::Shared<P>>,
@@ -355,12 +377,19 @@
     term_ended: CancellationToken,
 ) {
     let prefix = shared.platform.keys().workers.clone();
+    let mut reader = directory::Reader::default();
+    let mut interval = shared.settings.directory_interval;
+    tokio::select! {
+        () = wait_for_relays(&shared, &relays) => {}
+        () = term_ended.cancelled() => return,
+    }
     loop {
         let read = store::read_all(shared.platform.store(), &prefix, PAGE_ENTRIES);
         tokio::select! {
             read = tokio::time::timeout(DIRECTORY_READ_TIMEOUT, read) => match read {
                 Ok(Ok(page)) => {
-                    let reports = decode_workers(&shared, &page.entries);
+                    interval = directory::interval(&shared, page.entries.len());
+                    let reports = reader.decode(&shared, &page.entries);
                     relays.set_workers(&reports);
                     control.send_event(jobs::Event::Directory(reports));
                 }
@@ -373,34 +402,12 @@
             () = term_ended.cancelled() => return,
         }
         tokio::select! {
-            () = tokio::time::sleep(shared.settings.directory_interval) => {}
+            () = tokio::time::sleep(interval) => {}
             () = term_ended.cancelled() => return,
         }
     }
 }
 
-fn decode_workers<P: platform::Platform>(
-    shared: &instance::Shared<P>,
-    entries: &[store::Entry],
-) -> Vec<jobs::WorkerReport> {
-    let decoded = entries.iter().filter_map(|entry| {
-        let report = shared.platform.decode_worker(entry);
-        match report {
-            Ok(report) => Some(report),
-            Err(cause) => {
-                shared.metrics.count("directory.unreadable");
-                log::debug!(
-                    key:% = entry.key,
-                    cause;
-                    "skipping a worker entry that cannot be decoded"
-                );
-                None
-            }
-        }
-    });
-    decoded.collect()
-}
-
 fn leadership_lost(context: impl std::fmt::Display) -> error::Error {
     error::Error::new(error::ErrorKind::LeadershipLost, context)
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod cluster_entries;
 mod committer;
 mod control_thread;
+mod directory;
 mod election;
 mod error;
 mod gateway;
--- a/crates/controller/src/relay_worker.rs
+++ b/crates/controller/src/relay_worker.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 use tokio_util::task;
 
+use crate::heartbeat;
 use crate::instance;
 use crate::orders;
 use crate::platform;
@@ -39,15 +40,10 @@
                     .is_none_or(|current| current.term != leader.term)
             };
             tokio::select! {
-                ended = serving => match ended {
-                    Ok(()) => log::info!(leader:% = leader.member.instance_id, term = leader.term; "relay channel closed by the leader"),
-                    Err(cause) => log::info!(
-                        leader:% = leader.member.instance_id,
-                        term = leader.term,
-                        cause:% = cause;
-                        "relay channel lost"
-                    ),
-                },
+                ended = serving => {
+                    shared.leader_lost.notify_one();
+                    log_end(&leader, ended);
+                }
                 _ = cluster.wait_for(is_other_leader) => continue,
                 () = shared.stop.cancelled() => break,
             }
@@ -66,6 +62,23 @@
     calls.wait().await;
 }
 
+fn log_end(leader: &elect::Leader, ended: Result<(), peer::Error>) {
+    let leader_id = &leader.member.instance_id;
+    match ended {
+        Ok(()) => log::info!(
+            leader:% = leader_id,
+            term = leader.term;
+            "relay channel closed by the leader"
+        ),
+        Err(cause) => log::info!(
+            leader:% = leader_id,
+            term = leader.term,
+            cause:% = cause;
+            "relay channel lost"
+        ),
+    }
+}
+
 /// Relays for a leader until the channel to it ends.
 ///
 /// Calls that are being made when the channel ends are completed, and their results dropped: what
@@ -90,6 +103,7 @@
     let (reports, mut reports_receiver) = mpsc::unbounded_channel();
     let receive = async {
         while let Some(batch) = receiver.receive::<relay::OrderBatch>().await? {
+            heartbeat::record_leader_state(shared, leader.term, batch.leader);
             for order in batch.into_orders() {
                 calls.spawn(execute(sync::Arc::clone(shared), order, reports.clone()));
             }
--- a/crates/controller/src/relays.rs
+++ b/crates/controller/src/relays.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use indexmap::IndexMap;
@@ -33,6 +34,8 @@
     control: control_thread::Handle,
     /// Cancelled when the term ends.
     term_ended: CancellationToken,
+    is_draining: sync::Arc<atomic::AtomicBool>,
+    store_rejects_batches: sync::Arc<atomic::AtomicBool>,
     state: sync::Mutex<State>,
 }
 
@@ -76,6 +79,8 @@
             own_id: sync::Arc::clone(&shared.member.instance_id),
             control,
             term_ended,
+            is_draining: sync::Arc::clone(&shared.is_draining),
+            store_rejects_batches: sync::Arc::clone(&shared.store_rejects_batches),
             state: sync::Mutex::new(State {
                 assignments: relay::Assignments::new(own, shared.settings.regions.clone()),
                 in_flight: relay::InFlight::default(),
@@ -169,6 +174,11 @@
         self.send_events(event.into_iter().collect());
     }
 
+    /// Returns the number of relays with an open channel.
+    pub(crate) fn channel_count(&self) -> usize {
+        instance::lock(&self.state).channels.len()
+    }
+
     /// Updates which relays are used, and ends orders without a result in time; to be called at a
     /// fixed interval. Returns the instances through which the recommendation service is called.
     pub(crate) fn check(&self, interval: time::Duration) -> Vec<model::InstanceId> {
@@ -210,7 +220,7 @@
         let send = async {
             let mut orders = Vec::new();
             while outbox.recv_many(&mut orders, MAX_BATCH_ORDERS).await > 0 {
-                let batch = relay::OrderBatch::new(orders.drain(..));
+                let batch = relay::OrderBatch::new(self.leader_state(), orders.drain(..));
                 if let Err(cause) = sender.send(&batch).await {
                     return cause.to_string();
                 }
@@ -234,6 +244,13 @@
         self.close(&from, number, &why);
     }
 
+    fn leader_state(&self) -> relay::LeaderState {
+        relay::LeaderState {
+            has_lost_store: self.store_rejects_batches.load(atomic::Ordering::Relaxed),
+            is_draining: self.is_draining.load(atomic::Ordering::Relaxed),
+        }
+    }
+
     fn open(
         &self,
         from: &model::InstanceId,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub use in_flight::InFlight;
 pub use in_flight::OrderId;
 pub use message::Hello;
+pub use message::LeaderState;
 pub use message::Order;
 pub use message::OrderBatch;
 pub use message::Report;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -43,11 +43,22 @@
     Advise(model::AdviceRequest),
 }
 
+/// What a leader tells about itself with its orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderState {
+    /// Whether the store does not accept its batches.
+    pub has_lost_store: bool,
+    /// Whether it is to stop.
+    pub is_draining: bool,
+}
+
 /// Orders that are sent together.
 ///
 /// The specification of a job is sent once for all tasks of the job that start together.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OrderBatch {
+    /// State of the leader; a batch shows that it is alive, as the reply to a heartbeat does.
+    pub leader: LeaderState,
     specs: Vec<sync::Arc<str>>,
     /// Orders, each with the index of its specification if it is a start.
     orders: Vec<(Order, Option<u32>)>,
@@ -56,8 +67,11 @@
 impl OrderBatch {
     /// Creates a batch of `orders`.
     #[must_use]
-    pub fn new(orders: impl IntoIterator<Item = Order>) -> Self {
-        let mut batch = Self::default();
+    pub fn new(leader: LeaderState, orders: impl IntoIterator<Item = Order>) -> Self {
+        let mut batch = Self {
+            leader,
+            ..Self::default()
+        };
         for mut order in orders {
             let spec = match &mut order.request {
                 Request::Start(start) => Some(std::mem::replace(&mut start.spec, "".into())),
--- a/crates/store/src/hedged.rs
+++ b/crates/store/src/hedged.rs
@@ -1,6 +1,5 @@
 //! Attempts at one call, several at once.
 
-use std::collections::VecDeque;
 use std::future;
 
 use tokio::task;
@@ -16,35 +15,29 @@
 #[derive(Debug)]
 pub struct Hedged<T> {
     attempts: task::JoinSet<T>,
-    /// Oldest first; some may have ended.
-    handles: VecDeque<task::AbortHandle>,
 }
 
 impl<T> Default for Hedged<T> {
     fn default() -> Self {
         Self {
             attempts: task::JoinSet::new(),
-            handles: VecDeque::new(),
         }
     }
 }
 
 impl<T: Send + 'static> Hedged<T> {
-    /// Starts an attempt; returns whether the oldest one has been abandoned for it.
-    pub fn start(&mut self, attempt: impl future::Future<Output = T> + Send + 'static) -> bool {
-        self.handles.retain(|handle| !handle.is_finished());
-        let is_full = self.handles.len() >= MAX_IN_FLIGHT;
-        if is_full && let Some(oldest) = self.handles.pop_front() {
-            oldest.abort();
+    /// Starts an attempt, unless too many are in flight; none is abandoned, so that each ends with a
+    /// reply or by its own timeout.
+    pub fn start(&mut self, attempt: impl future::Future<Output = T> + Send + 'static) {
+        if self.attempts.len() < MAX_IN_FLIGHT {
+            self.attempts.spawn(attempt);
         }
-        self.handles.push_back(self.attempts.spawn(attempt));
-        is_full
     }
 
     /// Returns whether no attempt is in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.handles.iter().all(task::AbortHandle::is_finished)
+        self.attempts.is_empty()
     }
 
     /// Waits for the next reply to any attempt, for ever if none is in flight.
@@ -54,7 +47,6 @@
         loop {
             match self.attempts.join_next().await {
                 Some(Ok(reply)) => return reply,
-                Some(Err(cause)) if cause.is_cancelled() => {}
                 Some(Err(cause)) => log::error!(cause:% = cause; "attempt at a store call failed"),
                 None => future::pending().await,
             }
