jobs: consider at most 768 workers for a step at one visit

Change: a visit considers the first 768 that fit the step's pool, labels and reservations; where there are more, the next visit begins with others. Sites of up to 768 workers decide as before.

--- a/crates/jobs/benches/mix.rs
+++ b/crates/jobs/benches/mix.rs
@@ -1,7 +1,7 @@
 //! A mix of gangs, wide steps and short jobs on many workers, in virtual time: how much of its
 //! worth each kind earns by ending in time, and how it loads the recommendation service.
 //!
-//! `cargo bench -p jobs --bench mix [-- SEEDS]`
+//! `cargo bench -p jobs --bench mix [-- SEEDS [WORKERS]]`; jobs arrive in proportion to the workers.
 
 #[path = "../tests/scheduler/simulation/mod.rs"]
 #[allow(dead_code, clippy::expect_used)]
@@ -29,6 +29,9 @@
 const STRAGGLER_SHARE: f64 = 0.03;
 const STRAGGLER_FACTOR: f64 = 7.0;
 
+/// Workers to which the rates of the kinds apply.
+const BASE_WORKERS: usize = 350;
+
 /// One kind of job.
 struct Kind {
     name: &'static str,
@@ -199,9 +202,9 @@
     (job, submitted)
 }
 
-fn run_seed(seed: u64) -> Vec<(usize, f64)> {
+fn run_seed(seed: u64, workers: usize) -> Vec<(usize, f64)> {
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
-    let mut simulation = simulation::Simulation::new(seed, 350, Some(1.0));
+    let mut simulation = simulation::Simulation::new(seed, workers, Some(1.0));
     for worker in &mut simulation.workers {
         worker.capacity = model::Demand {
             processors_milli: 32_000,
@@ -213,7 +216,8 @@
         .iter()
         .map(|kind| (kind.name.into(), kind.allowed_share))
         .collect();
-    simulation.use_manifest(manifest(), 36);
+    let scale = workers as f64 / BASE_WORKERS as f64;
+    simulation.use_manifest(manifest(), (36.0 * scale) as usize);
     simulation.run_ms(500);
     let mut submitted = collections::HashMap::new();
     let mut next_id = 0;
@@ -225,7 +229,7 @@
         for (kind, of) in KINDS.iter().enumerate() {
             let is_burst = of.is_gang && BURST_TIME_MS.contains(&since_ms);
             let factor = if is_burst { BURST_FACTOR } else { 1.0 };
-            let expected = of.per_second * wave * factor / 100.0;
+            let expected = of.per_second * scale * wave * factor / 100.0;
             let mut count = expected.floor() as u32;
             count += u32::from(rng.random_bool(expected.fract()));
             for _ in 0..count {
@@ -325,12 +329,15 @@
 }
 
 fn main() {
-    let seeds = std::env::args().find_map(|argument| argument.parse().ok());
-    let seeds: u64 = seeds.unwrap_or(3);
+    let mut numbers = std::env::args().filter_map(|argument| argument.parse::<u64>().ok());
+    let seeds = numbers.next().unwrap_or(3);
+    let workers = numbers
+        .next()
+        .map_or(BASE_WORKERS, |number| number as usize);
     let mut sums = [0.0; KINDS.len()];
     for seed in 1..=seeds {
         println!("seed {seed}");
-        for (kind, worth) in run_seed(seed) {
+        for (kind, worth) in run_seed(seed, workers) {
             sums[kind] += worth;
         }
     }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -28,6 +28,10 @@
 /// Number of steps that cannot be placed after which a partial pass ends.
 pub(crate) const PARTIAL_PASS_BLOCKED_STEPS: usize = 40;
 
+/// Most workers considered for a step at one visit; the next visit begins with others. A choice among
+/// hundreds is about as good as one among thousands, and the cost of a decision stays bounded.
+const MAX_CONSIDERED_WORKERS: usize = 768;
+
 /// State of one pass over the waiting steps.
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
@@ -297,7 +301,7 @@
         if !context.step_state.tickets.may_call(clock.now) {
             return None;
         }
-        let usable = self.candidates(&context, self.usable_workers(pass), pass);
+        let usable = self.candidates(&context, self.rotated_workers(pass), pass);
         let demand = workers::counted_demand(context.step);
         Some(decide(&advice_planner::AdvicePlanner {
             usable: &usable,
@@ -322,11 +326,12 @@
     ) -> f64 {
         let pool = &context.queue.pool;
         let task_limit = context.step.max_per_worker.unwrap_or(u32::MAX);
-        let workers = self.usable_workers(pass).map(|(_, worker)| worker);
+        let workers = self.rotated_workers(pass).map(|(_, worker)| worker);
         let workers = workers.filter(|worker| {
             let report = worker.report.as_ref();
             report.is_some_and(|report| report.pool == *pool)
         });
+        let workers = workers.take(MAX_CONSIDERED_WORKERS);
         let (mut count, mut fitting) = (0_u32, 0_u32);
         for worker in workers {
             count += 1;
@@ -364,7 +369,7 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.usable_workers(pass), pass);
+            return self.candidates(context, self.rotated_workers(pass), pass);
         }
         let ticketed = context.step_state.tickets.valid_workers(clock.now);
         let ticketed = self.usable_by_id(ticketed, clock);
@@ -380,6 +385,22 @@
         indexes.filter_map(|index| self.workers.get_index(*index))
     }
 
+    /// Returns the workers that accept runs, from another one at each visit if there are more than are
+    /// considered for a step.
+    fn rotated_workers(
+        &self,
+        pass: &Pass,
+    ) -> impl Iterator<Item = (&model::WorkerIncarnation, &worker::Worker)> {
+        let count = pass.usable.len();
+        let first = match count > MAX_CONSIDERED_WORKERS {
+            true => (self.placement_visits as usize).wrapping_mul(MAX_CONSIDERED_WORKERS) % count,
+            false => 0,
+        };
+        let (before, after) = pass.usable.split_at(first);
+        let indexes = after.iter().chain(before);
+        indexes.filter_map(|index| self.workers.get_index(*index))
+    }
+
     /// Returns those of the named workers that accept runs.
     fn usable_by_id<'a>(
         &'a self,
@@ -401,13 +422,13 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.usable_workers(pass), pass);
+            return self.candidates(context, self.rotated_workers(pass), pass);
         }
         let allowed = context.step_state.tickets.allowed_workers();
         self.candidates(context, self.usable_by_id(allowed, clock), pass)
     }
 
-    /// Returns those of `workers`, which accept runs, on which tasks of a step may start, as far as
+    /// Returns the first of `workers`, which accept runs, on which tasks of a step may start, as far as
     /// the leader knows.
     fn candidates<'a>(
         &self,
@@ -465,7 +486,7 @@
                 failures: step_state.failures_on(&incarnation.worker_id),
             }
         });
-        candidates.collect()
+        candidates.take(MAX_CONSIDERED_WORKERS).collect()
     }
 
     /// Plans the runs of an assignment; their start orders are sent once the plan is stored.
