--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::error;
-use crate::instance;
+use crate::mailbox;
 
 /// Shortest time between two ticks of the scheduler, which handle expired leases and outcomes; also
 /// the longest wait for an input.
@@ -19,98 +19,16 @@
 const MIN_ROUND_INTERVAL: time::Duration = time::Duration::from_millis(4);
 /// Longest wait for an input while the scheduler still has waiting tasks to process.
 const BACKLOG_TICK_INTERVAL: time::Duration = time::Duration::from_millis(4);
-/// Most requests that wait for the thread. Instances limit theirs, so that this many are only there
-/// if hundreds of instances send as many as they may.
-const MAX_WAITING_REQUESTS: usize = 16_384;
-
-/// A caller's request.
-struct Request {
-    manifest_version: model::ManifestVersion,
-    request: model::JobRequest,
-    reply: oneshot::Sender<model::JobReply>,
-}
-
-/// What the control thread shares with those that send to it.
-struct Mailbox {
-    state: sync::Mutex<MailboxState>,
-    /// Notified when an input is added or the thread is to stop.
-    changed: sync::Condvar,
-}
-
-struct MailboxState {
-    inbox: admit::Inbox<jobs::Event, Request>,
-    /// Whether the term has ended.
-    is_stopping: bool,
-    /// Whether the thread has ended, so that nothing takes the inputs any more.
-    is_closed: bool,
-}
-
-/// Inputs that the thread handles together.
-struct Work {
-    round: admit::Round<jobs::Event, Request>,
-    is_stopping: bool,
-}
-
-impl Mailbox {
-    fn new() -> Self {
-        Self {
-            state: sync::Mutex::new(MailboxState {
-                inbox: admit::Inbox::new(MAX_WAITING_REQUESTS),
-                is_stopping: false,
-                is_closed: false,
-            }),
-            changed: sync::Condvar::new(),
-        }
-    }
-
-    /// Waits for inputs, at most for `pause` and at least until `earliest`, and takes them.
-    fn take(&self, pause: time::Duration, earliest: time::Instant) -> Work {
-        let state = instance::lock(&self.state);
-        let is_idle = |state: &mut MailboxState| state.inbox.is_empty() && !state.is_stopping;
-        let waited = self.changed.wait_timeout_while(state, pause, is_idle);
-        let (mut state, _) = waited.unwrap_or_else(sync::PoisonError::into_inner);
-        let early_by = earliest.saturating_duration_since(time::Instant::now());
-        if !early_by.is_zero() {
-            drop(state);
-            thread::sleep(early_by);
-            state = instance::lock(&self.state);
-        }
-        let round = state
-            .inbox
-            .take(time::Instant::now(), |request| request.reply.is_closed());
-        Work {
-            round,
-            is_stopping: state.is_stopping,
-        }
-    }
-
-    /// Refuses all further inputs; returns the requests that wait.
-    fn close(&self) -> Vec<Request> {
-        let mut state = instance::lock(&self.state);
-        state.is_closed = true;
-        state.inbox.clear()
-    }
-}
-
-/// Closes the mailbox when the thread ends, also by a panic, so that no caller waits for it.
-struct CloseOnDrop(sync::Arc<Mailbox>);
-
-impl Drop for CloseOnDrop {
-    fn drop(&mut self) {
-        self.0.close();
-    }
-}
-
 /// A running control thread.
 pub(crate) struct ControlThread {
-    mailbox: sync::Arc<Mailbox>,
+    mailbox: sync::Arc<mailbox::Mailbox>,
     thread: thread::JoinHandle<()>,
 }
 
 /// Sends inputs to the control thread of a term; clones send to the same thread.
 #[derive(Clone)]
 pub(crate) struct Handle {
-    mailbox: sync::Arc<Mailbox>,
+    mailbox: sync::Arc<mailbox::Mailbox>,
 }
 
 impl std::fmt::Debug for Handle {
@@ -122,11 +40,7 @@
 impl Handle {
     /// Sends an event; has no effect once the term has ended.
     pub(crate) fn send_event(&self, event: jobs::Event) {
-        let mut state = instance::lock(&self.mailbox.state);
-        if !state.is_closed {
-            state.inbox.push_event(event, time::Instant::now());
-            self.mailbox.changed.notify_one();
-        }
+        self.mailbox.push_event(event);
     }
 
     /// Sends a caller's request and waits for the reply; `None` if the term ends before that or too
@@ -143,26 +57,14 @@
             }
         };
         let (reply, receiver) = oneshot::channel();
-        let request = Request {
+        let request = mailbox::Request {
             manifest_version,
             request,
             reply,
         };
-        self.push_request(rank, request)?;
+        self.mailbox.push_request(rank, request)?;
         receiver.await.ok()
     }
-
-    fn push_request(&self, rank: admit::Rank, request: Request) -> Option<()> {
-        let mut state = instance::lock(&self.mailbox.state);
-        if state.is_closed {
-            return None;
-        }
-        let pushed = state
-            .inbox
-            .push_request(rank, request, time::Instant::now());
-        self.mailbox.changed.notify_one();
-        pushed.ok()
-    }
 }
 
 impl ControlThread {
@@ -176,8 +78,8 @@
         metrics: telemetry::Metrics,
         actions: tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
     ) -> Result<Self, error::Error> {
-        let mailbox = sync::Arc::new(Mailbox::new());
-        let inputs = CloseOnDrop(sync::Arc::clone(&mailbox));
+        let mailbox = sync::Arc::new(mailbox::Mailbox::new());
+        let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || run(scheduler, &metrics, &inputs.0, &actions))
@@ -194,8 +96,7 @@
     /// Stops the thread and waits for it; callers to whom the scheduler has not replied by then get
     /// no reply.
     pub(crate) fn stop(self) {
-        instance::lock(&self.mailbox.state).is_stopping = true;
-        self.mailbox.changed.notify_one();
+        self.mailbox.stop();
         if self.thread.join().is_err() {
             log::error!("control thread panicked");
         }
@@ -205,7 +106,7 @@
 fn run(
     mut scheduler: jobs::Scheduler,
     metrics: &telemetry::Metrics,
-    mailbox: &Mailbox,
+    mailbox: &mailbox::Mailbox,
     actions: &tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
 ) {
     let mut pending = PendingReplies::default();
@@ -218,7 +119,7 @@
         } else {
             TICK_INTERVAL
         };
-        let Work { round, is_stopping } = mailbox.take(pause, earliest);
+        let mailbox::Work { round, is_stopping } = mailbox.take(pause, earliest);
         let clock = clock();
         earliest = clock.now + MIN_ROUND_INTERVAL;
         metrics.time("control.wait", round.longest_wait);
@@ -227,7 +128,7 @@
         for event in round.events {
             scheduler.handle(event, clock);
         }
-        for Request {
+        for mailbox::Request {
             manifest_version,
             request,
             reply,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,6 +17,7 @@
 mod instance;
 mod leadership;
 mod links;
+mod mailbox;
 mod orders;
 mod pending_counts;
 mod platform;
--- a/crates/controller/src/pending_counts.rs
+++ b/crates/controller/src/pending_counts.rs
@@ -18,28 +18,49 @@
     queues: sync::Mutex<IndexMap<model::QueueName, sync::Arc<Slot>>>,
 }
 
-/// The last number of a queue and when it was asked for; locked while it is being read.
-type Slot = tokio::sync::Mutex<Option<(time::Instant, u64)>>;
+/// The last read of a queue; locked while one is made.
+type Slot = tokio::sync::Mutex<Option<LastRead>>;
+
+#[derive(Debug)]
+struct LastRead {
+    asked_at: time::Instant,
+    ended_at: time::Instant,
+    reply: model::JobReply,
+}
+
+impl LastRead {
+    /// Returns whether it answers a caller who came at `arrived_at`: as a read that the caller has
+    /// waited for, or as a number that is recent.
+    fn answers(&self, arrived_at: time::Instant) -> bool {
+        let is_recent = self.asked_at.elapsed() < MAX_AGE;
+        let is_number = matches!(self.reply, model::JobReply::Pending(_));
+        self.ended_at >= arrived_at || (is_number && is_recent)
+    }
+}
 
 impl PendingCounts {
-    /// Returns the reply to a caller: the last number if it is recent, else the reply of `read`.
+    /// Returns the reply to a caller: that of the last read if it answers the caller, else that of
+    /// `read`.
     pub(crate) async fn get_or_read(
         &self,
         queue: &model::QueueName,
         read: impl future::Future<Output = model::JobReply>,
     ) -> model::JobReply {
+        let arrived_at = time::Instant::now();
         let slot = self.slot(queue);
         let mut last = slot.lock().await;
-        if let Some((asked_at, count)) = *last
-            && asked_at.elapsed() < MAX_AGE
+        if let Some(last) = &*last
+            && last.answers(arrived_at)
         {
-            return model::JobReply::Pending(count);
+            return last.reply.clone();
         }
         let asked_at = time::Instant::now();
         let reply = read.await;
-        if let model::JobReply::Pending(count) = reply {
-            *last = Some((asked_at, count));
-        }
+        *last = Some(LastRead {
+            asked_at,
+            ended_at: time::Instant::now(),
+            reply: reply.clone(),
+        });
         reply
     }
 
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -301,7 +301,7 @@
         if !context.step_state.tickets.may_call(clock.now) {
             return None;
         }
-        let usable = self.candidates(&context, self.rotated_workers(pass), pass);
+        let usable = self.candidates(&context, self.usable_workers(pass), pass);
         let demand = workers::counted_demand(context.step);
         Some(decide(&advice_planner::AdvicePlanner {
             usable: &usable,
@@ -326,7 +326,7 @@
     ) -> f64 {
         let pool = &context.queue.pool;
         let task_limit = context.step.max_per_worker.unwrap_or(u32::MAX);
-        let workers = self.rotated_workers(pass).map(|(_, worker)| worker);
+        let workers = self.usable_workers(pass).map(|(_, worker)| worker);
         let workers = workers.filter(|worker| {
             let report = worker.report.as_ref();
             report.is_some_and(|report| report.pool == *pool)
@@ -369,25 +369,16 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.rotated_workers(pass), pass);
+            return self.candidates(context, self.usable_workers(pass), pass);
         }
         let ticketed = context.step_state.tickets.valid_workers(clock.now);
         let ticketed = self.usable_by_id(ticketed, clock);
         self.candidates(context, ticketed, pass)
     }
 
-    /// Returns the workers that accept runs.
-    fn usable_workers(
-        &self,
-        pass: &Pass,
-    ) -> impl Iterator<Item = (&model::WorkerIncarnation, &worker::Worker)> {
-        let indexes = pass.usable.iter();
-        indexes.filter_map(|index| self.workers.get_index(*index))
-    }
-
     /// Returns the workers that accept runs, from another one at each visit if there are more than are
     /// considered for a step.
-    fn rotated_workers(
+    fn usable_workers(
         &self,
         pass: &Pass,
     ) -> impl Iterator<Item = (&model::WorkerIncarnation, &worker::Worker)> {
@@ -422,7 +413,7 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.rotated_workers(pass), pass);
+            return self.candidates(context, self.usable_workers(pass), pass);
         }
         let allowed = context.step_state.tickets.allowed_workers();
         self.candidates(context, self.usable_by_id(allowed, clock), pass)
