telemetry: write logs in short writes of whole lines

'log lines dropped' said nothing, since the buffer was not full.

Writes now take at most 8 KiB of whole lines; a longer line is written by itself. The test records each write; it failed before (a write of many lines beyond 8 KiB).

--- a/crates/telemetry/src/buffered.rs
+++ b/crates/telemetry/src/buffered.rs
@@ -11,6 +11,8 @@
 
 /// Time between two writes, in which lines are buffered.
 const WRITE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Most bytes in one write: collectors that read a process's output by the write cut a longer one.
+const MAX_WRITE_BYTES: usize = 8 * 1024;
 
 /// Lines that are not written yet.
 #[derive(Debug, Default)]
@@ -129,7 +131,7 @@
             )
         };
         // A failed write cannot be logged, since this is the output of the log.
-        let _ = output.write_all(&bytes);
+        let _ = write_lines(&mut output, &bytes);
         if dropped_lines > 0 {
             let _ = writeln!(
                 output,
@@ -143,3 +145,29 @@
         thread::sleep(WRITE_INTERVAL);
     }
 }
+
+/// Writes whole lines, at most [`MAX_WRITE_BYTES`] at once; a longer line is written by itself.
+fn write_lines<W: io::Write>(output: &mut W, mut lines: &[u8]) -> io::Result<()> {
+    while !lines.is_empty() {
+        let (chunk, rest) = lines.split_at(chunk_len(lines));
+        output.write_all(chunk)?;
+        lines = rest;
+    }
+    Ok(())
+}
+
+/// Returns the length of the whole lines that one write takes from the start of `lines`.
+fn chunk_len(lines: &[u8]) -> usize {
+    if lines.len() <= MAX_WRITE_BYTES {
+        return lines.len();
+    }
+    let (first, rest) = lines.split_at(MAX_WRITE_BYTES);
+    let is_newline = |byte: &u8| *byte == b'\n';
+    match first.iter().rposition(is_newline) {
+        Some(newline) => newline + 1,
+        None => rest
+            .iter()
+            .position(is_newline)
+            .map_or(lines.len(), |newline| MAX_WRITE_BYTES + newline + 1),
+    }
+}
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -94,6 +94,48 @@
     assert!(dropped > 0, "{text}");
 }
 
+/// A collector that cuts long writes loses no line of a busy process: writes are short and end with
+/// whole lines.
+#[test]
+fn buffered_lines_are_written_in_short_writes_of_whole_lines() {
+    use std::io::Write as _;
+
+    const MAX_WRITE_BYTES: usize = 8 * 1024;
+    let output = WriteRecorder::default();
+    let (mut writer, logs) =
+        telemetry::spawn_log_writer(output.clone(), 1_000_000).expect("the thread starts");
+    let long_line = [vec![b'x'; 2 * MAX_WRITE_BYTES], vec![b'\n']].concat();
+    let lines = (0..2_000).map(|number| format!("line {number} of a busy process\n").into_bytes());
+    let lines = lines.chain([long_line.clone(), b"last\n".to_vec()]);
+    let lines: Vec<_> = lines.collect();
+    for line in &lines {
+        writer.write_all(line).expect("writes never fail");
+    }
+    logs.close();
+    let writes = output.0.lock().expect("no writer panicked");
+    for write in writes.iter() {
+        assert!(write.ends_with(b"\n"), "a write ends within a line");
+        assert!(write.len() <= MAX_WRITE_BYTES || *write == long_line);
+    }
+    assert_eq!(writes.concat(), lines.concat());
+}
+
+/// An output that keeps each write by itself.
+#[derive(Clone, Default)]
+struct WriteRecorder(std::sync::Arc<std::sync::Mutex<Vec<Vec<u8>>>>);
+
+impl std::io::Write for WriteRecorder {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut writes = self.0.lock().expect("no writer panicked");
+        writes.push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// An output whose content tests can read.
 #[derive(Clone, Default)]
 struct CapturedOutput(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
