jobs: send no start order that a shrunk capacity has no room for

What one could see: a worker that does not guard its capacity is told to start more than it has. Its capacity had shrunk and its directory entry had said so for seconds.

Cause: the capacity was compared with the newest report when a run was planned, and never again. Between the plan and its first start order lies a commit, which takes many seconds while the store is slow; a start order without an answer was repeated in the same way. `send_start` checked the job, the ticket and that the worker accepts runs.

Change: whatever sends a start order compares what the worker has, by its newest report, with everything that is planned, unanswered, running or being stopped there. A planned run that no longer fits is withdrawn and its task waits again; a start that would be repeated is stopped instead, as an earlier copy may have been executed. A gang is checked as a whole before its first member starts, so that none starts for nothing. Resources that a task does not demand do not count: a best-effort task needs memory only. Runs beyond the smaller capacity go on.

The reason is one enum, in the log and in `start.withheld.REASON`; a change of a worker's capacity is logged with what is used there.

Why it works: the report that the check uses is the one that the rule's bound is counted from, and no start order is sent by another path.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -156,6 +156,9 @@
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
         overload.refused += refused;
+        for (obstacle, count) in scheduler.take_withheld_starts() {
+            metrics.count_by(&format!("start.withheld.{}", obstacle.as_str()), count);
+        }
         if !other_actions.is_empty() && actions.send(other_actions).is_err() {
             return;
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -43,6 +43,7 @@
 pub use manifest::Manifest;
 pub use manifest::Pool;
 pub use manifest::Queue;
+pub use orders::StartObstacle;
 pub use record::OUTCOME_PREFIX;
 pub use record::SEGMENT_PREFIX;
 pub use recovery::Recovery;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -16,6 +16,32 @@
 /// Time after which a stop order is sent again if no result of it is reported.
 const STOP_RESULT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Why a start order that was due is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StartObstacle {
+    /// The job has ended.
+    JobEnded,
+    /// The worker has left, is draining, does not answer or is suspended.
+    WorkerUnavailable,
+    /// The ticket of the recommendation service has expired.
+    TicketExpired,
+    /// The worker's capacity has shrunk since the run was planned.
+    CapacityShrunk,
+}
+
+impl StartObstacle {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::JobEnded => "job_ended",
+            Self::WorkerUnavailable => "worker_unavailable",
+            Self::TicketExpired => "ticket_expired",
+            Self::CapacityShrunk => "capacity_shrunk",
+        }
+    }
+}
+
 impl scheduler::Scheduler {
     /// Returns a run that may exist on a worker.
     pub(crate) fn run_mut(
@@ -42,53 +68,134 @@
         if planned.is_none_or(|run| run.phase != worker::RunPhase::Planned) {
             return;
         }
-        if !self.send_start(incarnation, key, clock) {
-            log::info!(
-                run:% = run_name(key),
-                worker:% = incarnation.worker_id;
-                "planned run withdrawn before its start order was sent"
-            );
-            self.withdraw(incarnation, key, clock);
+        if let Some((blocked_on, obstacle)) = self.gang_obstacle(key, clock) {
+            self.withhold_planned(incarnation, key, &blocked_on, obstacle, clock);
+        } else if let Err(obstacle) = self.send_start(incarnation, key, clock) {
+            self.withhold_planned(incarnation, key, incarnation, obstacle, clock);
         }
     }
 
-    /// Sends a start order; returns false if the job is gone, or if the worker or its ticket does
-    /// not permit a start now.
-    fn send_start(
+    /// Withdraws a planned run that may not be started now because of the worker `blocked_on`.
+    fn withhold_planned(
         &mut self,
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
+        blocked_on: &model::WorkerIncarnation,
+        obstacle: StartObstacle,
         clock: event::Clock,
-    ) -> bool {
-        let run_lease = self.settings.run_lease;
+    ) {
+        log::info!(
+            run:% = run_name(key),
+            worker:% = blocked_on.worker_id,
+            reason = obstacle.as_str();
+            "planned run withdrawn before its start order was sent"
+        );
+        self.count_withheld_start(obstacle);
+        self.withdraw(incarnation, key, clock);
+    }
+
+    /// Returns a worker on which a planned member of a run's gang may not be started, and why: no
+    /// member starts unless all may.
+    fn gang_obstacle(
+        &self,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) -> Option<(model::WorkerIncarnation, StartObstacle)> {
+        let (step, step_state) = self.jobs.get(&key.task.job_id)?.step(key.task.step_key())?;
+        if !step.gang {
+            return None;
+        }
+        step_state.tasks.iter().zip(0..).find_map(|(task, index)| {
+            let job::Phase::Placed(incarnation) = &task.phase else {
+                return None;
+            };
+            let member = model::RunKey {
+                task: model::TaskKey { index, ..key.task },
+                run: key.run,
+            };
+            let run = self.workers.get(incarnation)?.runs.get(&member)?;
+            if run.phase != worker::RunPhase::Planned {
+                return None;
+            }
+            let obstacle = self.start_obstacle(incarnation, member, clock)?;
+            Some((incarnation.clone(), obstacle))
+        })
+    }
+
+    /// Returns why a run may not be started now; `None` if it may.
+    fn start_obstacle(
+        &self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) -> Option<StartObstacle> {
         let Some(state) = self.jobs.get(&key.task.job_id) else {
-            return false;
+            return Some(StartObstacle::JobEnded);
         };
-        let queue = Self::queue_of(&self.manifest, state);
         let Some((_, step_state)) = state.step(key.task.step_key()) else {
-            return false;
+            return Some(StartObstacle::JobEnded);
         };
-        let ticket = match queue.advice {
-            None => None,
-            Some(_) => match step_state
-                .tickets
+        let Some(worker) = self.workers.get(incarnation) else {
+            return Some(StartObstacle::WorkerUnavailable);
+        };
+        if !worker.accepts_runs(clock.now) {
+            return Some(StartObstacle::WorkerUnavailable);
+        }
+        let needs_ticket = Self::queue_of(&self.manifest, state).advice.is_some();
+        let tickets = &step_state.tickets;
+        if needs_ticket
+            && tickets
                 .valid_token(&incarnation.worker_id, clock.now)
-            {
-                Some(token) => Some(token.to_owned()),
-                None => return false,
-            },
+                .is_none()
+        {
+            return Some(StartObstacle::TicketExpired);
+        }
+        let is_within_capacity = worker
+            .runs
+            .get(&key)
+            .is_none_or(|run| worker.fits_beside_others(&run.demand));
+        (!is_within_capacity).then_some(StartObstacle::CapacityShrunk)
+    }
+
+    fn count_withheld_start(&mut self, obstacle: StartObstacle) {
+        *self.withheld_starts.entry(obstacle).or_default() += 1;
+    }
+
+    /// Returns how many start orders were not sent since the last call, by the reason.
+    pub fn take_withheld_starts(&mut self) -> impl Iterator<Item = (StartObstacle, u64)> {
+        std::mem::take(&mut self.withheld_starts).into_iter()
+    }
+
+    /// Sends a start order, unless there is an obstacle.
+    fn send_start(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) -> Result<(), StartObstacle> {
+        if let Some(obstacle) = self.start_obstacle(incarnation, key, clock) {
+            return Err(obstacle);
+        }
+        let run_lease = self.settings.run_lease;
+        let Some(state) = self.jobs.get(&key.task.job_id) else {
+            return Err(StartObstacle::JobEnded);
         };
+        let needs_ticket = Self::queue_of(&self.manifest, state).advice.is_some();
+        let step = state.step(key.task.step_key());
+        let ticket = step.filter(|_| needs_ticket).and_then(|(_, step_state)| {
+            let token = step_state
+                .tickets
+                .valid_token(&incarnation.worker_id, clock.now);
+            token.map(str::to_owned)
+        });
         let spec = sync::Arc::clone(&state.job.spec);
         let Some(worker) = self.workers.get_mut(incarnation) else {
-            return false;
+            return Err(StartObstacle::WorkerUnavailable);
         };
-        if !worker.accepts_runs(clock.now) {
-            return false;
-        }
         let (Some(report), Some(lease_end_ms)) =
             (&worker.report, worker.lease_end_ms(run_lease, clock.now))
         else {
-            return false;
+            return Err(StartObstacle::WorkerUnavailable);
         };
         let run = worker.runs.get(&key);
         let checkpoint = run.and_then(|run| run.checkpoint.clone());
@@ -112,7 +219,7 @@
             run.set_phase(worker::RunPhase::Starting, clock.now);
         }
         self.actions.push(event::Action::Start(order));
-        true
+        Ok(())
     }
 
     pub(crate) fn on_started(
@@ -280,7 +387,14 @@
         let due: Vec<_> = due.map(|(key, run)| (*key, run.phase)).collect();
         for (key, phase) in due {
             if matches!(phase, worker::RunPhase::Retrying(_)) {
-                if !self.send_start(incarnation, key, clock) {
+                if let Err(obstacle) = self.send_start(incarnation, key, clock) {
+                    log::info!(
+                        run:% = run_name(key),
+                        worker:% = incarnation.worker_id,
+                        reason = obstacle.as_str();
+                        "start order not repeated"
+                    );
+                    self.count_withheld_start(obstacle);
                     self.stop_run_and_gang(incarnation, key, clock);
                 }
             } else {
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -79,6 +79,7 @@
             last_placement_at: None,
             last_full_pass_at: None,
             placement_visits: 0,
+            withheld_starts: maps::IndexMap::default(),
         };
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::journal;
 use crate::manifest;
 use crate::maps;
+use crate::orders;
 use crate::placement;
 use crate::record;
 use crate::reservations;
@@ -60,6 +61,8 @@
     pub(crate) last_full_pass_at: Option<time::Instant>,
     /// How many times it was tried to place a waiting step.
     pub(crate) placement_visits: u64,
+    /// Start orders that were due and not sent, since they were last taken for metrics.
+    pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
 }
 
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -25,7 +25,7 @@
     clock: Option<(i64, time::Instant)>,
     /// Every run that may exist there.
     pub(crate) runs: maps::IndexMap<model::RunKey, WorkerRun>,
-    /// Sum of the demands of `runs`.
+    /// Sum of the demands of `runs`; exceeds the capacity if that has shrunk since they started.
     pub(crate) used: model::Demand,
     /// Sequence numbers of listed ends that the worker must still keep.
     pending_ends: collections::BTreeSet<u64>,
@@ -203,11 +203,17 @@
         report.map_or_else(model::Demand::default, |report| report.capacity)
     }
 
-    /// Returns its free capacity.
+    /// Returns its free capacity; none of a resource of which more is used than there is.
     pub(crate) fn free(&self) -> model::Demand {
         self.capacity().minus(&self.used)
     }
 
+    /// Returns whether a run of `demand`, which `used` includes, fits beside the others.
+    pub(crate) fn fits_beside_others(&self, demand: &model::Demand) -> bool {
+        let others = self.used.minus(demand);
+        demand.fits_in(&self.capacity().minus(&others))
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let report = self.report.as_ref();
         report.is_some_and(|report| report.labels.iter().any(|one| &**one == label))
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -58,6 +58,7 @@
             if report.draining && !was_draining {
                 log::info!(worker:% = incarnation.worker_id; "worker is draining");
             }
+            log_capacity_change(worker, &report);
             worker.is_listed = true;
             worker.report = Some(report);
             worker.request_call_check();
@@ -400,6 +401,20 @@
     }
 }
 
+fn log_capacity_change(worker: &worker::Worker, report: &worker_api::WorkerReport) {
+    let (old, new) = (worker.capacity(), report.capacity);
+    if worker.report.is_none() || old == new {
+        return;
+    }
+    log::info!(
+        worker:% = report.incarnation.worker_id,
+        old:? = old,
+        new:? = new,
+        used:? = worker.used;
+        "capacity of the worker changed"
+    );
+}
+
 /// Returns whether a worker's lease must be renewed or its listing fetched.
 fn needs_renewal(
     worker: &worker::Worker,
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler in a simulation with virtual time, without network.
 
+mod capacity_changes;
 mod gangs;
 mod invariants;
 mod long_running;
