jobs: preemption counts what a worker uses beyond its capacity

What one could see: a run is stopped to make room for a long-running task, and the task does not start there; after 3 s another run is stopped.

Cause: the room that victims make was added to the worker's free capacity. That is zero, not negative, on a worker whose capacity has shrunk below what it uses, so the end of one run seemed to make room that it does not.

Change: what is used without the victims is compared with the capacity.

Evidence: `preemption_counts_what_a_worker_uses_beyond_its_capacity` on the code before: the long-running task had not started 2 s after it was submitted, as a run was stopped on the worker with 8 of 2 cores in use.

--- a/crates/jobs/src/preemption.rs
+++ b/crates/jobs/src/preemption.rs
@@ -90,11 +90,13 @@
         victims.collect()
     }
 
+    /// Returns which runs of a worker must be stopped to fit one task; `free` is its free capacity
+    /// without what is reserved for other steps.
     fn victims_on(
         &self,
         incarnation: &model::WorkerIncarnation,
         worker: &worker::Worker,
-        mut free: model::Demand,
+        free: model::Demand,
         demand: &model::Demand,
         clock: event::Clock,
     ) -> Option<Victims> {
@@ -111,20 +113,26 @@
             })
             .collect();
         stoppable.sort_by_key(|(cost, ..)| *cost);
+        let reserved = worker.free().minus(&free);
+        let mut used = worker.used;
+        let has_room = |used: &model::Demand| {
+            let free = worker.capacity().minus(used).minus(&reserved);
+            demand.fits_in(&free)
+        };
         let mut victims = Victims {
             incarnation: incarnation.clone(),
             runs: Vec::new(),
             cost: 0,
         };
         for (cost, key, freed) in stoppable {
-            if demand.fits_in(&free) {
+            if has_room(&used) {
                 break;
             }
-            free = free.plus(&freed);
+            used = used.minus(&freed);
             victims.runs.push(key);
             victims.cost += cost;
         }
-        (demand.fits_in(&free) && !victims.runs.is_empty()).then_some(victims)
+        (has_room(&used) && !victims.runs.is_empty()).then_some(victims)
     }
 
     /// Returns whether a run may be stopped for a long-running task: it is not long-running itself,
--- a/crates/jobs/tests/scheduler/capacity_changes.rs
+++ b/crates/jobs/tests/scheduler/capacity_changes.rs
@@ -139,6 +139,30 @@
     }
 }
 
+/// Guards against a run that is stopped for a long-running task on a worker that uses more than its
+/// capacity, where the end of that run makes no room.
+#[test]
+fn preemption_counts_what_a_worker_uses_beyond_its_capacity() {
+    let mut simulation = Simulation::new(1, 2, None);
+    simulation.run_ms(200);
+    for job_id in [1, 2] {
+        let step = simulation::step(4, 2_000, 20_000);
+        simulation.submit(simulation::job(job_id, "short", step));
+        simulation.run_ms(500);
+    }
+    // Job 2 has worked for a shorter time, so that stopping its runs costs less.
+    simulation.change_processors(1, 2_000);
+    simulation.run_ms(worker::BEAT_MS);
+    let long_running = model::Step {
+        long_running: true,
+        ..simulation::step(1, 2_000, 10_000_000)
+    };
+    simulation.submit(simulation::job(3, "short", long_running));
+    simulation.run_ms(2_000);
+    assert!(simulation.started_at_ms.contains_key(&3));
+    assert_eq!(used_milli(&simulation, 1), PROCESSORS_MILLI);
+}
+
 /// A change of capacities, or other trouble, while jobs are submitted.
 #[derive(Clone, Copy, Debug)]
 enum Operation {
