controller, jobs: start nothing by an outdated worker directory

What one could see: while the store accepts writes and its list of workers cannot be read (reads that time out, are refused or lose their answers), workers are started more than they have, for as long as that lasts.

Cause: a failed read left the last directory in force without limit. The scheduler did not know how old the reports were that it placed by.

Change: the event of a directory says when its read began, and a worker accepts no runs by a report that is 3 s old. The capacity in a report may have shrunk one report interval before it could have been seen; a smaller capacity binds 4 s after that, and a start order may be under way for 700 ms. Withheld starts are counted as `start.withheld.report_outdated`.

So that the limit does not hold up starts for nothing: the interval between reads runs from the beginning of a read, is at most 1.5 s for any number of workers (it grew by 0.4 ms for each), a read may take 2 s, and the directory is read at once when the store is back.

Evidence: on the code before,

jobs nothing_starts_by_an_outdated_directory: job_id: 49, index: 0 does not fit in Demand { processors_milli: 0, ... } platform nothing_starts_by_an_outdated_directory: five runs started 3.5 s after the store had begun to refuse the list of workers

--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -11,14 +11,20 @@
 /// leader more time than deciding.
 const INTERVAL_PER_WORKER: time::Duration = time::Duration::from_micros(400);
 
-/// Returns the time until the next read of a directory of `workers`.
+/// Longest time between two reads: no run is started by a directory that is some seconds old.
+const MAX_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
+
+/// Returns the time between the beginnings of two reads of a directory of `workers`.
 pub(crate) fn interval<P: platform::Platform>(
     shared: &instance::Shared<P>,
     workers: usize,
 ) -> time::Duration {
     let workers = u32::try_from(workers).unwrap_or(u32::MAX);
     let scaled = INTERVAL_PER_WORKER.saturating_mul(workers);
-    shared.settings.directory_interval.max(scaled)
+    shared
+        .settings
+        .directory_interval
+        .max(scaled.min(MAX_INTERVAL))
 }
 
 /// Decodes reads of the directory; entries that have not changed are decoded once.
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -28,8 +28,9 @@
 /// Time as leader after which a weak machine yields to a stronger one: all machines have started by
 /// then.
 const MIN_TERM_BEFORE_YIELD: time::Duration = time::Duration::from_secs(3);
-/// Timeout of a read of the worker directory: some hundred kilobytes over a slow link.
-const DIRECTORY_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Timeout of a read of the worker directory: some hundred kilobytes over a slow link, or several
+/// pages of a slow store.
+const DIRECTORY_READ_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
 /// Share of the other instances that should relay before the first order.
 const EXPECTED_RELAYS_PERCENT: usize = 80;
 /// Longest wait for them: about as long as connecting to hundreds of workers takes.
@@ -384,6 +385,7 @@
         () = term_ended.cancelled() => return,
     }
     loop {
+        let read_at = time::Instant::now();
         let read = store::read_all(shared.platform.store(), &prefix, PAGE_ENTRIES);
         tokio::select! {
             read = tokio::time::timeout(DIRECTORY_READ_TIMEOUT, read) => match read {
@@ -391,7 +393,7 @@
                     interval = directory::interval(&shared, page.entries.len());
                     let reports = reader.decode(&shared, &page.entries);
                     relays.set_workers(&reports);
-                    control.send_event(jobs::Event::Directory(reports));
+                    control.send_event(jobs::Event::Directory { reports, read_at });
                 }
                 Ok(Err(cause)) => log::warn!(
                     cause:% = cause;
@@ -402,7 +404,8 @@
             () = term_ended.cancelled() => return,
         }
         tokio::select! {
-            () = tokio::time::sleep(interval) => {}
+            () = tokio::time::sleep_until((read_at + interval).into()) => {}
+            () = shared.store_regained.notified() => {}
             () = term_ended.cancelled() => return,
         }
     }
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -36,8 +36,13 @@
     },
     /// A manifest to put in force.
     Manifest(manifest::Manifest),
-    /// All workers that the directory lists at the moment.
-    Directory(Vec<worker_api::WorkerReport>),
+    /// The directory has been read.
+    Directory {
+        /// All workers that it lists.
+        reports: Vec<worker_api::WorkerReport>,
+        /// When the read began: the reports are at least as recent.
+        read_at: time::Instant,
+    },
     /// The instances through which the recommendation service can be called.
     AdviceInstances(Vec<model::InstanceId>),
     /// A start order was answered or timed out.
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -23,6 +23,8 @@
     JobEnded,
     /// The worker has left, is draining, does not answer or is suspended.
     WorkerUnavailable,
+    /// The directory has not been read for so long that the worker's capacity may have shrunk.
+    ReportOutdated,
     /// The ticket of the recommendation service has expired.
     TicketExpired,
     /// The worker's capacity has shrunk since the run was planned.
@@ -36,6 +38,7 @@
         match self {
             Self::JobEnded => "job_ended",
             Self::WorkerUnavailable => "worker_unavailable",
+            Self::ReportOutdated => "report_outdated",
             Self::TicketExpired => "ticket_expired",
             Self::CapacityShrunk => "capacity_shrunk",
         }
@@ -138,6 +141,9 @@
         let Some(worker) = self.workers.get(incarnation) else {
             return Some(StartObstacle::WorkerUnavailable);
         };
+        if !worker.has_recent_report(clock.now) {
+            return Some(StartObstacle::ReportOutdated);
+        }
         if !worker.accepts_runs(clock.now) {
             return Some(StartObstacle::WorkerUnavailable);
         }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -181,7 +181,7 @@
             let worker = self
                 .workers
                 .entry(incarnation)
-                .or_insert_with(|| worker::Worker::new(None, expires_at));
+                .or_insert_with(|| worker::Worker::new(expires_at));
             if run.fills_idle {
                 worker.throttling.reset_to_inherited();
             }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -116,7 +116,9 @@
                 overload_retry_ms,
             } => self.on_request(token, manifest_version, request, overload_retry_ms, clock),
             event::Event::Manifest(manifest) => self.apply_manifest(manifest),
-            event::Event::Directory(reports) => self.apply_directory(reports, clock),
+            event::Event::Directory { reports, read_at } => {
+                self.apply_directory(reports, read_at, clock)
+            }
             event::Event::AdviceInstances(instances) => {
                 self.advisors.set_instances(instances, clock.now)
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -9,6 +9,10 @@
 use crate::throttling;
 use crate::worker_api;
 
+/// Age of a report from which no run is started by it: the capacity may have shrunk since, and a
+/// worker may start whatever it is told to. A smaller capacity binds the leader from 4 s after its
+/// report, and a start order may be under way for 700 ms.
+const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(3_000);
 /// Start orders sent for one run before the run is abandoned and stopped.
 const MAX_START_ATTEMPTS: u32 = 3;
 
@@ -17,6 +21,8 @@
 pub(crate) struct Worker {
     /// The newest directory report; `None` if the incarnation is known only from stored tasks.
     pub(crate) report: Option<worker_api::WorkerReport>,
+    /// When the read of the directory that returned `report` began.
+    pub(crate) reported_at: Option<time::Instant>,
     /// Whether the directory lists this incarnation.
     pub(crate) is_listed: bool,
     /// Whether it has answered under the leader's term, and so rejects orders of earlier leaders.
@@ -134,12 +140,13 @@
 }
 
 impl Worker {
-    /// Creates an incarnation that has not answered yet; its runs end by `expires_at` at the
-    /// latest.
-    pub(crate) fn new(report: Option<worker_api::WorkerReport>, expires_at: time::Instant) -> Self {
+    /// Creates an incarnation without a report that has not answered yet; its runs end by
+    /// `expires_at` at the latest.
+    pub(crate) fn new(expires_at: time::Instant) -> Self {
         Self {
-            is_listed: report.is_some(),
-            report,
+            is_listed: false,
+            report: None,
+            reported_at: None,
             is_fenced: false,
             clock: None,
             runs: maps::IndexMap::default(),
@@ -163,9 +170,24 @@
             && self.silent_since.is_none()
             && self.clock.is_some()
             && !self.health.is_suspended(now)
+            && self.has_recent_report(now)
             && self.report.as_ref().is_some_and(|report| !report.draining)
     }
 
+    /// Records its entry in the directory; the read that returned it began at `read_at`.
+    pub(crate) fn set_report(&mut self, report: worker_api::WorkerReport, read_at: time::Instant) {
+        self.is_listed = true;
+        self.report = Some(report);
+        self.reported_at = Some(read_at);
+        self.request_call_check();
+    }
+
+    /// Returns whether its capacity is known well enough to start runs.
+    pub(crate) fn has_recent_report(&self, now: time::Instant) -> bool {
+        self.reported_at
+            .is_some_and(|at| now.saturating_duration_since(at) < MAX_REPORT_AGE)
+    }
+
     /// Makes the next pass over the workers check which calls are due; to be called after every
     /// change of the runs, the pending ends or the renewal.
     pub(crate) fn request_call_check(&mut self) {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -23,10 +23,11 @@
 const MAX_CALL_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 impl scheduler::Scheduler {
-    /// Applies a complete listing of the directory.
+    /// Applies a complete listing of the directory, the read of which began at `read_at`.
     pub(crate) fn apply_directory(
         &mut self,
         reports: Vec<worker_api::WorkerReport>,
+        read_at: time::Instant,
         clock: event::Clock,
     ) {
         let listed: maps::HashSet<_> = reports
@@ -44,12 +45,17 @@
             }
         }
         for report in reports {
-            self.apply_report(report, clock);
+            self.apply_report(report, read_at, clock);
         }
         self.placement_needed = true;
     }
 
-    fn apply_report(&mut self, report: worker_api::WorkerReport, clock: event::Clock) {
+    fn apply_report(
+        &mut self,
+        report: worker_api::WorkerReport,
+        read_at: time::Instant,
+        clock: event::Clock,
+    ) {
         let incarnation = report.incarnation.clone();
         self.newest_incarnations
             .insert(incarnation.worker_id.clone(), incarnation.clone());
@@ -59,9 +65,7 @@
                 log::info!(worker:% = incarnation.worker_id; "worker is draining");
             }
             log_capacity_change(worker, &report);
-            worker.is_listed = true;
-            worker.report = Some(report);
-            worker.request_call_check();
+            worker.set_report(report, read_at);
             return;
         }
         log::info!(
@@ -71,7 +75,8 @@
             "worker listed in the directory"
         );
         self.end_earlier_incarnations(&incarnation, clock);
-        let worker = worker::Worker::new(Some(report), clock.now);
+        let mut worker = worker::Worker::new(clock.now);
+        worker.set_report(report, read_at);
         self.workers.insert(incarnation, worker);
     }
 
--- a/crates/jobs/tests/scheduler/capacity_changes.rs
+++ b/crates/jobs/tests/scheduler/capacity_changes.rs
@@ -86,6 +86,35 @@
     assert_eq!(simulation.status(1), COMPLETED);
 }
 
+/// Guards against starts by a directory that could not be read for so long that a capacity may have
+/// shrunk unseen, while the store goes on accepting plans.
+#[test]
+fn nothing_starts_by_an_outdated_directory() {
+    for allowed_share in [None, Some(1.0)] {
+        let mut simulation = Simulation::new(1, 2, allowed_share);
+        simulation.run_ms(200);
+        simulation.is_directory_unreadable = true;
+        simulation.change_processors(0, 0);
+        // Number of starts after each second.
+        let mut starts = Vec::new();
+        for job_id in 1..=100 {
+            let step = simulation::step(2, 3_500, 300);
+            simulation.submit(simulation::job(job_id, "short", step));
+            simulation.run_ms(100);
+            if job_id % 10 == 0 {
+                starts.push(simulation.start_count);
+            }
+        }
+        assert!(starts[1] > starts[0], "{starts:?}");
+        assert_eq!(starts[9], starts[3], "{starts:?}");
+        simulation.is_directory_unreadable = false;
+        simulation.run_ms(500);
+        assert!(simulation.start_count > starts[9]);
+        simulation.run_ms(60_000);
+        assert_eq!(simulation.status(100), COMPLETED);
+    }
+}
+
 /// Guards against runs that are stopped, or given up as lost, because the capacity has shrunk below
 /// what they use.
 #[test]
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -479,7 +479,8 @@
             worker.report()
         });
         let reports = reports.collect();
-        self.deliver(term, jobs::Event::Directory(reports));
+        let read_at = self.clock().now;
+        self.deliver(term, jobs::Event::Directory { reports, read_at });
     }
 
     /// Fails an attempt to write a batch, which is repeated; the store counts as unreachable after
