jobs: a run of unknown demand leaves a worker no free capacity

What one could see: a worker that lists a run of a job the leader does not know (a start order that was executed very late), and whose capacity has grown since, is started more than it has.

Cause: such a run was counted as what was free when it was found. That is less than it occupies if it runs beyond a capacity that has shrunk, and the difference became free once the capacity grew.

Change: its demand is marked as unknown, and nothing is free beside it until it has ended. The stop order is sent as before.

Evidence: `nothing_starts_beside_a_run_of_unknown_demand` on the code before:

job_id: 3, index: 0 does not fit in Demand { processors_milli: 0, ... }

The reason of a withheld start is now called `no_capacity`, as this is a second cause.

--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -27,8 +27,9 @@
     ReportOutdated,
     /// The ticket of the recommendation service has expired.
     TicketExpired,
-    /// The worker's capacity has shrunk since the run was planned.
-    CapacityShrunk,
+    /// The worker's capacity has shrunk since the run was planned, or a run of unknown demand has
+    /// been found there.
+    NoCapacity,
 }
 
 impl StartObstacle {
@@ -40,7 +41,7 @@
             Self::WorkerUnavailable => "worker_unavailable",
             Self::ReportOutdated => "report_outdated",
             Self::TicketExpired => "ticket_expired",
-            Self::CapacityShrunk => "capacity_shrunk",
+            Self::NoCapacity => "no_capacity",
         }
     }
 }
@@ -160,7 +161,7 @@
             .runs
             .get(&key)
             .is_none_or(|run| worker.fits_beside_others(&run.demand));
-        (!is_within_capacity).then_some(StartObstacle::CapacityShrunk)
+        (!is_within_capacity).then_some(StartObstacle::NoCapacity)
     }
 
     fn count_withheld_start(&mut self, obstacle: StartObstacle) {
--- a/crates/jobs/src/preemption.rs
+++ b/crates/jobs/src/preemption.rs
@@ -116,7 +116,7 @@
         let reserved = worker.free().minus(&free);
         let mut used = worker.used;
         let has_room = |used: &model::Demand| {
-            let free = worker.capacity().minus(used).minus(&reserved);
+            let free = worker.free_beside(used).minus(&reserved);
             demand.fits_in(&free)
         };
         let mut victims = Victims {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -33,6 +33,8 @@
     pub(crate) runs: maps::IndexMap<model::RunKey, WorkerRun>,
     /// Sum of the demands of `runs`; exceeds the capacity if that has shrunk since they started.
     pub(crate) used: model::Demand,
+    /// Number of `runs` whose demand is unknown, which `used` does not include.
+    unknown_demands: usize,
     /// Sequence numbers of listed ends that the worker must still keep.
     pending_ends: collections::BTreeSet<u64>,
     /// Highest sequence number of a listed end.
@@ -64,6 +66,8 @@
 pub(crate) struct WorkerRun {
     /// Capacity that it occupies; see `workers::counted_demand`.
     pub(crate) demand: model::Demand,
+    /// Whether its job is not known, and so neither its demand: nothing may start beside it.
+    pub(crate) has_unknown_demand: bool,
     /// Whether it is best-effort: it uses only processors that other runs leave idle.
     pub(crate) fills_idle: bool,
     /// Upper bound of the tail latency that its own users see, in milliseconds.
@@ -151,6 +155,7 @@
             clock: None,
             runs: maps::IndexMap::default(),
             used: model::Demand::default(),
+            unknown_demands: 0,
             pending_ends: collections::BTreeSet::new(),
             highest_end: 0,
             sent_forget_up_to: 0,
@@ -225,15 +230,23 @@
         report.map_or_else(model::Demand::default, |report| report.capacity)
     }
 
-    /// Returns its free capacity; none of a resource of which more is used than there is.
+    /// Returns its free capacity; none of a resource of which more is used than there is, and none
+    /// at all beside a run of unknown demand.
     pub(crate) fn free(&self) -> model::Demand {
-        self.capacity().minus(&self.used)
+        self.free_beside(&self.used)
+    }
+
+    /// Returns what would be free if the runs there used `used`.
+    pub(crate) fn free_beside(&self, used: &model::Demand) -> model::Demand {
+        match self.unknown_demands {
+            0 => self.capacity().minus(used),
+            _ => model::Demand::default(),
+        }
     }
 
     /// Returns whether a run of `demand`, which `used` includes, fits beside the others.
     pub(crate) fn fits_beside_others(&self, demand: &model::Demand) -> bool {
-        let others = self.used.minus(demand);
-        demand.fits_in(&self.capacity().minus(&others))
+        demand.fits_in(&self.free_beside(&self.used.minus(demand)))
     }
 
     pub(crate) fn has_label(&self, label: &str) -> bool {
@@ -243,22 +256,28 @@
 
     /// Adds a run and allocates its demand.
     pub(crate) fn add_run(&mut self, key: model::RunKey, run: WorkerRun) {
-        let demand = run.demand;
+        let (demand, has_unknown_demand) = (run.demand, run.has_unknown_demand);
         if let Some(before) = self.runs.insert(key, run) {
-            self.used = self.used.minus(&before.demand);
+            self.release(&before);
         }
         self.used = self.used.plus(&demand);
+        self.unknown_demands += usize::from(has_unknown_demand);
         self.request_call_check();
     }
 
     /// Removes a run and frees its demand.
     pub(crate) fn remove_run(&mut self, key: &model::RunKey) -> Option<WorkerRun> {
         let run = self.runs.swap_remove(key)?;
-        self.used = self.used.minus(&run.demand);
+        self.release(&run);
         self.request_call_check();
         Some(run)
     }
 
+    fn release(&mut self, run: &WorkerRun) {
+        self.used = self.used.minus(&run.demand);
+        self.unknown_demands -= usize::from(run.has_unknown_demand);
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn record_clock(&mut self, clock_ms: i64, now: time::Instant) {
         self.clock = Some((clock_ms, now));
@@ -327,6 +346,7 @@
     pub(crate) fn new(demand: model::Demand, phase: RunPhase, now: time::Instant) -> Self {
         Self {
             demand,
+            has_unknown_demand: false,
             fills_idle: false,
             target_tail_ms: None,
             percent: Some(100),
@@ -339,6 +359,12 @@
         }
     }
 
+    /// Marks the run's demand as unknown.
+    pub(crate) fn with_unknown_demand(mut self) -> Self {
+        self.has_unknown_demand = true;
+        self
+    }
+
     /// Sets how the run shares processors, as its step specifies.
     pub(crate) fn with_sharing_of(mut self, step: &model::Step) -> Self {
         self.fills_idle = step.fills_idle;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -375,10 +375,13 @@
             worker:% = incarnation.worker_id;
             "worker lists an unknown run; stopping it"
         );
-        // A run of an unknown job has an unknown demand: all free capacity counts as occupied.
-        let demand = demand.unwrap_or_else(|| worker.free());
         let phase = worker::RunPhase::Stopping(clock.now);
-        worker.add_run(key, worker::WorkerRun::new(demand, phase, clock.now));
+        let run = worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now);
+        let run = match demand {
+            Some(_) => run,
+            None => run.with_unknown_demand(),
+        };
+        worker.add_run(key, run);
     }
 
     /// Marks as lost the runs that the worker would have listed if they existed.
--- a/crates/jobs/tests/scheduler/capacity_changes.rs
+++ b/crates/jobs/tests/scheduler/capacity_changes.rs
@@ -80,7 +80,7 @@
     simulation.run_ms(3_000);
     assert_eq!(simulation.max_gang_wait_ms, 0, "some members have started");
     let withheld = simulation.take_withheld_starts();
-    assert_eq!(withheld, [(jobs::StartObstacle::CapacityShrunk, 1)]);
+    assert_eq!(withheld, [(jobs::StartObstacle::NoCapacity, 1)]);
     simulation.change_processors(3, PROCESSORS_MILLI);
     simulation.run_ms(worker::BEAT_MS + 2_000);
     assert_eq!(simulation.status(1), COMPLETED);
@@ -192,6 +192,36 @@
     assert_eq!(used_milli(&simulation, 1), PROCESSORS_MILLI);
 }
 
+/// Guards against starts beside a run of unknown demand, which was counted as what was free when it
+/// was found, after the capacity has grown.
+#[test]
+fn nothing_starts_beside_a_run_of_unknown_demand() {
+    let mut simulation = Simulation::new(1, 1, None);
+    simulation.run_ms(200);
+    let step = simulation::step(1, 2_000, 30_000);
+    simulation.submit(simulation::job(1, "short", step));
+    let smaller = model::Demand {
+        processors_milli: 3_000,
+        memory_mb: 1_000,
+        accelerators: 0,
+    };
+    simulation.workers[0].change_capacity(smaller, simulation.now_ms);
+    simulation.run_ms(2 * worker::BEAT_MS);
+    simulation.workers[0].drops_stops = true;
+    let unknown = simulation::job(2, "short", simulation::step(1, 6_000, 30_000));
+    simulation.run_unknown_job(0, unknown);
+    simulation.run_ms(2 * worker::BEAT_MS);
+    simulation.change_processors(0, PROCESSORS_MILLI);
+    simulation.run_ms(worker::BEAT_MS);
+    let step = simulation::step(1, 5_000, 1_000);
+    simulation.submit(simulation::job(3, "short", step));
+    simulation.run_ms(2_000);
+    assert_eq!(simulation.start_count, 1);
+    simulation.workers[0].drops_stops = false;
+    simulation.run_ms(3_000);
+    assert_eq!(simulation.status(3), COMPLETED);
+}
+
 /// A change of capacities, or other trouble, while jobs are submitted.
 #[derive(Clone, Copy, Debug)]
 enum Operation {
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -664,8 +664,10 @@
     fn stop(&mut self, order: jobs::StopOrder, answered: bool) {
         let now_ms = self.now_ms;
         let outcome = match self.worker_index(&order.incarnation) {
-            Some(index) => self.workers[index].stop(&order, now_ms),
-            None => jobs::StopOutcome::NoAnswer,
+            Some(index) if !self.workers[index].drops_stops => {
+                self.workers[index].stop(&order, now_ms)
+            }
+            _ => jobs::StopOutcome::NoAnswer,
         };
         if answered {
             let event = jobs::Event::Stop {
@@ -782,6 +784,33 @@
         self.workers[worker].change_capacity(capacity, self.now_ms);
     }
 
+    /// Makes a worker run a task of a job that the leader does not know.
+    pub(crate) fn run_unknown_job(&mut self, worker: usize, job: model::Job) {
+        let now_ms = self.now_ms;
+        let order = jobs::StartOrder {
+            incarnation: self.workers[worker].incarnation.clone(),
+            address: "address".into(),
+            run: model::RunKey {
+                task: model::TaskKey {
+                    job_id: job.id,
+                    occurrence: 0,
+                    step: 0,
+                    index: 0,
+                },
+                run: 1,
+            },
+            spec: "text".into(),
+            lease_end_ms: 0,
+            term: self.term,
+            checkpoint: None,
+            ticket: None,
+        };
+        let step = &job.steps[0];
+        let run_ms = u64::from(step.estimated_ms);
+        self.workers[worker].start_run(&order, step, run_ms, false, now_ms);
+        self.accepted.insert(job.id, job);
+    }
+
     /// Sends a request to the leader; returns the token of the reply.
     pub(crate) fn request(&mut self, request: model::JobRequest) -> jobs::RequestToken {
         self.next_token += 1;
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -62,6 +62,8 @@
     pub(crate) draining: bool,
     /// Whether start orders are lost before they are executed.
     pub(crate) drops_starts: bool,
+    /// Whether stop orders are lost before they are executed.
+    pub(crate) drops_stops: bool,
     /// Its present capacity; `change_capacity` changes it once the simulation runs.
     pub(crate) capacity: model::Demand,
     /// Earlier capacities, each with the time until which it was in force, in milliseconds.
@@ -94,6 +96,7 @@
             is_partitioned: false,
             draining: false,
             drops_starts: false,
+            drops_stops: false,
             capacity: CAPACITY,
             earlier_capacities: Vec::new(),
             reported_capacity: CAPACITY,
