controller: start nothing by entries that workers could not replace in an outage

What one could see: the store is down for seconds, a worker's capacity shrinks meanwhile, and right after the store is back runs are started for the larger capacity: the first read shows the entry from before the outage.

Cause: a read of the directory tells what the store knows, which is what workers have reported only while they reach the store. A read right after an outage was taken for recent.

Change: after an outage an entry counts as current once its revision has changed, or 1.5 s (the longest time between two reports) after the store was back. An outage is a gap of more than 3 s between two reads of the leader, or, for a new leader, one that its instance has seen; shorter ones leave an entry young enough. Draining, addresses and the listing still apply at once; only starts wait.

Cost: at most 1.5 s without starts after such an outage, on workers whose entry is not rewritten sooner.

--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -27,21 +27,47 @@
         .max(scaled.min(MAX_INTERVAL))
 }
 
+/// Time between two reports of a worker, at most.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
+/// Time between two reads from which the store counts as having been unavailable to workers as well,
+/// for long enough that their entries may be out of date.
+const MAX_READ_GAP: time::Duration = time::Duration::from_millis(3_000);
+
 /// Decodes reads of the directory; entries that have not changed are decoded once.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Reader {
     /// Reports of the last read by key, with the revisions of their entries; `None` for an entry that
     /// cannot be decoded.
     reports: IndexMap<String, (store::Revision, Option<jobs::WorkerReport>)>,
+    /// When the last read began.
+    read_at: Option<time::Instant>,
+    /// From when every worker has had the time to report since the store was last unavailable;
+    /// `None` if it is not known to have been.
+    settles_at: Option<time::Instant>,
+    /// Revisions of the entries that may have been written before that; only used until `settles_at`.
+    old_revisions: IndexMap<String, store::Revision>,
 }
 
 impl Reader {
-    /// Returns the reports of all entries that can be decoded.
+    /// Creates a reader; the store was last reachable again at `store_regained_at`.
+    pub(crate) fn new(store_regained_at: Option<time::Instant>) -> Self {
+        Self {
+            reports: IndexMap::new(),
+            read_at: None,
+            settles_at: store_regained_at.map(|at| at + REPORT_INTERVAL),
+            old_revisions: IndexMap::new(),
+        }
+    }
+
+    /// Returns the reports of all entries that can be decoded; the read of them began at `read_at`.
     pub(crate) fn decode<P: platform::Platform>(
         &mut self,
         shared: &instance::Shared<P>,
         entries: &[store::Entry],
+        read_at: time::Instant,
     ) -> Vec<jobs::WorkerReport> {
+        self.note_read(entries, read_at);
+        let is_settled = self.settles_at.is_none_or(|at| at <= read_at);
         let mut last = std::mem::take(&mut self.reports);
         for entry in entries {
             let known = last
@@ -54,8 +80,36 @@
             self.reports
                 .insert(entry.key.clone(), (entry.modified_revision, report));
         }
-        let reports = self.reports.values();
-        reports.filter_map(|(_, report)| report.clone()).collect()
+        let reports = self.reports.iter().filter_map(|(key, (revision, report))| {
+            let is_current = is_settled || self.old_revisions.get(key) != Some(revision);
+            let report = report.clone()?;
+            Some(jobs::WorkerReport {
+                is_current,
+                ..report
+            })
+        });
+        reports.collect()
+    }
+
+    /// Keeps the revisions of entries that workers may have been unable to replace.
+    fn note_read(&mut self, entries: &[store::Entry], read_at: time::Instant) {
+        match self.read_at.replace(read_at) {
+            None => {
+                let revisions = entries
+                    .iter()
+                    .map(|entry| (entry.key.clone(), entry.modified_revision));
+                self.old_revisions = revisions.collect();
+            }
+            Some(last) if read_at.saturating_duration_since(last) > MAX_READ_GAP => {
+                self.settles_at = Some(read_at + REPORT_INTERVAL);
+                let revisions = self
+                    .reports
+                    .iter()
+                    .map(|(key, (revision, _))| (key.clone(), *revision));
+                self.old_revisions = revisions.collect();
+            }
+            Some(_) => {}
+        }
     }
 }
 
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -66,6 +66,8 @@
     pub(crate) store_regained: sync::Arc<tokio::sync::Notify>,
     /// Since when the store has replied to this instance; `None` if it does not.
     pub(crate) store_reachable_since: sync::Mutex<Option<time::Instant>>,
+    /// When the store was last reachable again after this instance had lost it.
+    pub(crate) store_regained_at: sync::Mutex<Option<time::Instant>>,
     /// Whether the store does not accept the batches of this instance as leader.
     pub(crate) store_rejects_batches: sync::Arc<atomic::AtomicBool>,
     pub(crate) is_draining: sync::Arc<atomic::AtomicBool>,
@@ -89,6 +91,15 @@
         lock(&self.store_reachable_since).is_some()
     }
 
+    /// Returns when the store was last reachable again, which may be only now; `None` if this
+    /// instance has never lost it.
+    pub(crate) fn store_regained_at(&self) -> Option<time::Instant> {
+        match self.is_store_reachable() {
+            true => *lock(&self.store_regained_at),
+            false => Some(time::Instant::now()),
+        }
+    }
+
     /// Returns whether the last confirmation of this instance's lease is younger than its TTL.
     pub(crate) fn has_confirmed_lease(&self) -> bool {
         let lease_confirmed_at = *lock(&self.lease_confirmed_at);
@@ -165,6 +176,7 @@
             store_latency: sync::Mutex::default(),
             store_regained: sync::Arc::default(),
             store_reachable_since: sync::Mutex::new(Some(time::Instant::now())),
+            store_regained_at: sync::Mutex::new(None),
             store_rejects_batches: sync::Arc::default(),
             is_draining: sync::Arc::default(),
             leader_lost: tokio::sync::Notify::new(),
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -378,7 +378,7 @@
     term_ended: CancellationToken,
 ) {
     let prefix = shared.platform.keys().workers.clone();
-    let mut reader = directory::Reader::default();
+    let mut reader = directory::Reader::new(shared.store_regained_at());
     let mut interval = shared.settings.directory_interval;
     tokio::select! {
         () = wait_for_relays(&shared, &relays) => {}
@@ -391,7 +391,7 @@
             read = tokio::time::timeout(DIRECTORY_READ_TIMEOUT, read) => match read {
                 Ok(Ok(page)) => {
                     interval = directory::interval(&shared, page.entries.len());
-                    let reports = reader.decode(&shared, &page.entries);
+                    let reports = reader.decode(&shared, &page.entries, read_at);
                     relays.set_workers(&reports);
                     control.send_event(jobs::Event::Directory { reports, read_at });
                 }
--- a/crates/controller/src/registration.rs
+++ b/crates/controller/src/registration.rs
@@ -75,6 +75,7 @@
             "store.lost"
         });
         if reachable {
+            *instance::lock(&shared.store_regained_at) = Some(time::Instant::now());
             shared.store_regained.notify_waiters();
         }
     }
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -23,7 +23,7 @@
     JobEnded,
     /// The worker has left, is draining, does not answer or is suspended.
     WorkerUnavailable,
-    /// The directory has not been read for so long that the worker's capacity may have shrunk.
+    /// The worker's report is so old that its capacity may have shrunk since.
     ReportOutdated,
     /// The ticket of the recommendation service has expired.
     TicketExpired,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Worker {
     /// The newest directory report; `None` if the incarnation is known only from stored tasks.
     pub(crate) report: Option<worker_api::WorkerReport>,
-    /// When the read of the directory that returned `report` began.
+    /// When the last read of the directory began that returned a current report.
     pub(crate) reported_at: Option<time::Instant>,
     /// Whether the directory lists this incarnation.
     pub(crate) is_listed: bool,
@@ -181,9 +181,11 @@
 
     /// Records its entry in the directory; the read that returned it began at `read_at`.
     pub(crate) fn set_report(&mut self, report: worker_api::WorkerReport, read_at: time::Instant) {
+        if report.is_current {
+            self.reported_at = Some(read_at);
+        }
         self.is_listed = true;
         self.report = Some(report);
-        self.reported_at = Some(read_at);
         self.request_call_check();
     }
 
--- a/crates/jobs/tests/scheduler/capacity_changes.rs
+++ b/crates/jobs/tests/scheduler/capacity_changes.rs
@@ -115,6 +115,24 @@
     }
 }
 
+/// Guards against starts by entries that workers could not replace while the store was unavailable.
+#[test]
+fn nothing_starts_by_a_report_that_is_not_current() {
+    let mut simulation = Simulation::new(1, 2, None);
+    simulation.run_ms(200);
+    simulation.kill_leader();
+    simulation.change_processors(0, 0);
+    simulation.workers[0].is_report_current = false;
+    simulation.run_ms(BINDING_AFTER_MS);
+    simulation.elect_leader();
+    let step = simulation::step(8, 2_000, 500);
+    simulation.submit(simulation::job(1, "short", step));
+    simulation.run_ms(1_000);
+    simulation.workers[0].is_report_current = true;
+    simulation.run_ms(5_000);
+    assert_eq!(simulation.status(1), COMPLETED);
+}
+
 /// Guards against runs that are stopped, or given up as lost, because the capacity has shrunk below
 /// what they use.
 #[test]
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -70,6 +70,8 @@
     earlier_capacities: Vec<(u64, model::Demand)>,
     /// The capacity in its entry of the directory.
     reported_capacity: model::Demand,
+    /// Whether it can replace its entry, which else does not count as current.
+    pub(crate) is_report_current: bool,
     /// When it writes its entry next, in milliseconds.
     next_beat_ms: u64,
     /// By how much one best-effort run raises the tail latency of another run, as a share of its
@@ -100,6 +102,7 @@
             capacity: CAPACITY,
             earlier_capacities: Vec::new(),
             reported_capacity: CAPACITY,
+            is_report_current: true,
             next_beat_ms: 0,
             interference: 0.0,
             fence: 0,
@@ -130,7 +133,7 @@
 
     /// Writes the entry in the directory if that is due.
     pub(crate) fn beat(&mut self, now_ms: u64) {
-        if now_ms >= self.next_beat_ms {
+        if self.is_report_current && now_ms >= self.next_beat_ms {
             self.next_beat_ms = now_ms + BEAT_MS;
             self.reported_capacity = self.capacity;
         }
@@ -156,6 +159,7 @@
             labels: vec!["kind".into(), "r".into()],
             capacity: self.reported_capacity,
             draining: self.draining,
+            is_current: self.is_report_current,
         }
     }
 
