jobs: start nothing on a worker that uses more than its capacity

What one could see: a best-effort task starts on a worker whose runs use more processors than its capacity has shrunk to. After the start the worker is told to hold more than it has; that the task adds no processors does not change that.

Cause: free capacity was computed for each resource by itself, so that memory was free while processors were exceeded.

Change: while one resource is exceeded, nothing is free. Steps that need no processors, or no accelerators, wait until the worker is within its capacity again.

Evidence: the simulation now compares all that a worker uses after a start with its capacity, not only what the started task demands. On the code before:

best_effort_tasks_wait_while_a_worker_is_beyond_its_capacity: makes worker 0 use 8000 of 4000 thousandths of a core no_worker_is_overcommitted_while_capacities_change: makes worker 1 use 5000 of 2000 thousandths of a core

--- a/crates/jobs/benches/mix.rs
+++ b/crates/jobs/benches/mix.rs
@@ -254,10 +254,10 @@
     since_ms: u64,
     submitted: &collections::HashMap<model::JobId, SubmittedJob>,
 ) {
-    let free: f64 = simulation
+    let used: f64 = simulation
         .workers
         .iter()
-        .map(|worker| f64::from(worker.free(simulation.now_ms).processors_milli))
+        .map(|worker| f64::from(worker.used().processors_milli))
         .sum();
     let all: f64 = simulation
         .workers
@@ -272,7 +272,7 @@
     println!(
         "  {:5.1} s: {:.0}% used, not begun: {} gang, {} wide, {} short",
         since_ms as f64 / 1_000.0,
-        100.0 * (1.0 - free / all),
+        100.0 * used / all,
         waiting(0),
         waiting(1),
         waiting(2)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -232,17 +232,19 @@
         report.map_or_else(model::Demand::default, |report| report.capacity)
     }
 
-    /// Returns its free capacity; none of a resource of which more is used than there is, and none
-    /// at all beside a run of unknown demand.
+    /// Returns its free capacity; see `free_beside`.
     pub(crate) fn free(&self) -> model::Demand {
         self.free_beside(&self.used)
     }
 
     /// Returns what would be free if the runs there used `used`.
+    ///
+    /// Nothing is free, of any resource, while one is exceeded, and beside a run of unknown demand.
     pub(crate) fn free_beside(&self, used: &model::Demand) -> model::Demand {
-        match self.unknown_demands {
-            0 => self.capacity().minus(used),
-            _ => model::Demand::default(),
+        let capacity = self.capacity();
+        match self.unknown_demands == 0 && used.fits_in(&capacity) {
+            true => capacity.minus(used),
+            false => model::Demand::default(),
         }
     }
 
--- a/crates/jobs/tests/scheduler/capacity_changes.rs
+++ b/crates/jobs/tests/scheduler/capacity_changes.rs
@@ -157,6 +157,28 @@
     assert_eq!(simulation.start_count, 6, "a run was started again");
 }
 
+/// Guards against best-effort tasks that start on a worker whose processors are exceeded, although
+/// they need memory only.
+#[test]
+fn best_effort_tasks_wait_while_a_worker_is_beyond_its_capacity() {
+    let mut simulation = Simulation::new(1, 1, None);
+    simulation.run_ms(200);
+    let step = simulation::step(4, 2_000, 9_000);
+    simulation.submit(simulation::job(1, "short", step));
+    simulation.run_ms(500);
+    simulation.change_processors(0, 4_000);
+    simulation.run_ms(BINDING_AFTER_MS);
+    let best_effort = model::Step {
+        fills_idle: true,
+        ..simulation::step(1, 2_000, 500)
+    };
+    simulation.submit(simulation::job(2, "short", best_effort));
+    simulation.run_ms(2_000);
+    assert!(!simulation.started_at_ms.contains_key(&2));
+    simulation.run_ms(5_000);
+    assert_eq!(simulation.status(2), COMPLETED);
+}
+
 /// Guards against room that stays idle after it has grown.
 #[test]
 fn grown_capacity_is_used_at_once() {
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -597,12 +597,16 @@
             .get(&task.job_id)
             .unwrap_or_else(|| panic!("{task:?} belongs to no submitted job"));
         let step = &job.steps[usize::from(task.step)];
-        let free = self.workers[index].free(self.now_ms);
         let mut demand = step.demand;
         if step.fills_idle {
             demand.processors_milli = 0;
         }
-        assert!(demand.fits_in(&free), "{task:?} does not fit in {free:?}");
+        let used = self.workers[index].used().plus(&demand);
+        let capacity = self.workers[index].binding_capacity(self.now_ms);
+        assert!(
+            used.fits_in(&capacity),
+            "{task:?} makes worker {index} use {used:?} of {capacity:?}"
+        );
         let now_ms = self.now_ms;
         for (other, worker) in self.workers.iter_mut().enumerate() {
             worker.expire(now_ms);
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -141,7 +141,7 @@
 
     /// Returns the capacity that starts must respect: a smaller one binds only once the leader has
     /// had the time to learn of it.
-    fn binding_capacity(&self, now_ms: u64) -> model::Demand {
+    pub(crate) fn binding_capacity(&self, now_ms: u64) -> model::Demand {
         let binding = self
             .earlier_capacities
             .iter()
@@ -169,11 +169,6 @@
         runs.fold(model::Demand::default(), |sum, run| sum.plus(&run.demand))
     }
 
-    /// Returns the capacity that a start may use.
-    pub(crate) fn free(&self, now_ms: u64) -> model::Demand {
-        self.binding_capacity(now_ms).minus(&self.used())
-    }
-
     pub(crate) fn has_run(&self, run: model::RunKey) -> bool {
         self.runs.contains_key(&run)
     }
