platform, jobs, controller: the platform's settings say how fast workers report and when a smaller capacity binds

The age from which a worker's report counts as out of date (3 s), and the time that workers get to report again after an outage of the store (1.5 s), were constants that came from one kind of deployment. The platform gives both figures in a process's settings: the interval of reports, and the time after which a smaller capacity has to be respected, from which a second is kept for an order on its way. Values on the deployments at hand are unchanged.

The wait for entries after an outage costs callers up to one report interval of starts; a start over a capacity that shrank in the outage would break a promise.

--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -27,15 +27,14 @@
         .max(scaled.min(MAX_INTERVAL))
 }
 
-/// Time between two reports of a worker, at most.
-const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
-/// Time between two reads from which the store counts as having been unavailable to workers as well,
-/// for long enough that their entries may be out of date.
-const MAX_READ_GAP: time::Duration = time::Duration::from_millis(3_000);
-
 /// Decodes reads of the directory; entries that have not changed are decoded once.
 #[derive(Debug)]
 pub(crate) struct Reader {
+    /// Time between two reports of a worker, at most.
+    report_interval: time::Duration,
+    /// Time between two reads from which the store counts as having been unavailable to workers as
+    /// well, for long enough that their entries may be out of date.
+    max_read_gap: time::Duration,
     /// Reports of the last read by key, with the revisions of their entries; `None` for an entry that
     /// cannot be decoded.
     reports: IndexMap<String, (store::Revision, Option<jobs::WorkerReport>)>,
@@ -50,11 +49,13 @@
 
 impl Reader {
     /// Creates a reader; the store was last reachable again at `store_regained_at`.
-    pub(crate) fn new(store_regained_at: Option<time::Instant>) -> Self {
+    pub(crate) fn new(settings: &jobs::Settings, store_regained_at: Option<time::Instant>) -> Self {
         Self {
+            report_interval: settings.report_interval,
+            max_read_gap: settings.max_report_age(),
             reports: IndexMap::new(),
             read_at: None,
-            settles_at: store_regained_at.map(|at| at + REPORT_INTERVAL),
+            settles_at: store_regained_at.map(|at| at + settings.report_interval),
             old_revisions: IndexMap::new(),
         }
     }
@@ -100,8 +101,8 @@
                     .map(|entry| (entry.key.clone(), entry.modified_revision));
                 self.old_revisions = revisions.collect();
             }
-            Some(last) if read_at.saturating_duration_since(last) > MAX_READ_GAP => {
-                self.settles_at = Some(read_at + REPORT_INTERVAL);
+            Some(last) if read_at.saturating_duration_since(last) > self.max_read_gap => {
+                self.settles_at = Some(read_at + self.report_interval);
                 let revisions = self
                     .reports
                     .iter()
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -378,7 +378,7 @@
     term_ended: CancellationToken,
 ) {
     let prefix = shared.platform.keys().workers.clone();
-    let mut reader = directory::Reader::new(shared.store_regained_at());
+    let mut reader = directory::Reader::new(&shared.settings.jobs, shared.store_regained_at());
     let mut interval = shared.settings.directory_interval;
     tokio::select! {
         () = wait_for_relays(&shared, &relays) => {}
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -15,6 +15,10 @@
     pub outcome_retention: time::Duration,
     /// Remaining time of a worker's lease at which it is renewed at the latest.
     pub renew_before: time::Duration,
+    /// Time between two reports of a worker to the directory, at most.
+    pub report_interval: time::Duration,
+    /// How long after its report a smaller capacity of a worker need not be respected yet.
+    pub capacity_notice: time::Duration,
     /// Number of waiting steps above which further jobs are refused.
     pub max_waiting_steps: usize,
 }
@@ -27,6 +31,8 @@
             max_renewal_wait: time::Duration::from_millis(1_500),
             outcome_retention: time::Duration::from_secs(180),
             renew_before: time::Duration::from_millis(3_500),
+            report_interval: time::Duration::from_millis(1_500),
+            capacity_notice: time::Duration::from_millis(4_000),
             max_waiting_steps: 20_000,
         }
     }
@@ -37,7 +43,20 @@
     pub(crate) fn lease_horizon(&self) -> time::Duration {
         self.run_lease.div_f64(1.0 - self.clock_drift) + LEASE_MARGIN
     }
+
+    /// Returns the age of a worker's report from which no run is started by it: its capacity may have
+    /// shrunk since, and a worker may start whatever it is told to.
+    #[must_use]
+    pub fn max_report_age(&self) -> time::Duration {
+        let age = self.capacity_notice.saturating_sub(START_TRANSFER_MARGIN);
+        age.max(MIN_REPORT_AGE)
+    }
 }
 
+/// Longest time that a start order spends between the leader and the worker, with a margin.
+const START_TRANSFER_MARGIN: time::Duration = time::Duration::from_millis(1_000);
+/// Lower bound of the age from which a report is out of date: the directory is read about once a
+/// second.
+const MIN_REPORT_AGE: time::Duration = time::Duration::from_millis(2_000);
 /// Covers the error of the estimate of a worker's clock between two of its answers.
 const LEASE_MARGIN: time::Duration = time::Duration::from_millis(300);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -9,10 +9,6 @@
 use crate::throttling;
 use crate::worker_api;
 
-/// Age of a report from which no run is started by it: the capacity may have shrunk since, and a
-/// worker may start whatever it is told to. A smaller capacity binds the leader from 4 s after its
-/// report, and a start order may be under way for 700 ms.
-const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(3_000);
 /// Start orders sent for one run before the run is abandoned and stopped.
 const MAX_START_ATTEMPTS: u32 = 3;
 
@@ -21,8 +17,8 @@
 pub(crate) struct Worker {
     /// The newest directory report; `None` if the incarnation is known only from stored tasks.
     pub(crate) report: Option<worker_api::WorkerReport>,
-    /// When the last read of the directory began that returned a current report.
-    pub(crate) reported_at: Option<time::Instant>,
+    /// Until when runs may be started by `report`; `None` if it has never been current.
+    pub(crate) report_expires_at: Option<time::Instant>,
     /// Whether the directory lists this incarnation.
     pub(crate) is_listed: bool,
     /// Whether it has answered under the leader's term, and so rejects orders of earlier leaders.
@@ -150,7 +146,7 @@
         Self {
             is_listed: false,
             report: None,
-            reported_at: None,
+            report_expires_at: None,
             is_fenced: false,
             clock: None,
             runs: maps::IndexMap::default(),
@@ -179,10 +175,14 @@
             && self.report.as_ref().is_some_and(|report| !report.draining)
     }
 
-    /// Records its entry in the directory; the read that returned it began at `read_at`.
-    pub(crate) fn set_report(&mut self, report: worker_api::WorkerReport, read_at: time::Instant) {
+    /// Records its entry in the directory, by which runs may be started until `expires_at`.
+    pub(crate) fn set_report(
+        &mut self,
+        report: worker_api::WorkerReport,
+        expires_at: time::Instant,
+    ) {
         if report.is_current {
-            self.reported_at = Some(read_at);
+            self.report_expires_at = Some(expires_at);
         }
         self.is_listed = true;
         self.report = Some(report);
@@ -191,8 +191,7 @@
 
     /// Returns whether its capacity is known well enough to start runs.
     pub(crate) fn has_recent_report(&self, now: time::Instant) -> bool {
-        self.reported_at
-            .is_some_and(|at| now.saturating_duration_since(at) < MAX_REPORT_AGE)
+        self.report_expires_at.is_some_and(|at| now < at)
     }
 
     /// Makes the next pass over the workers check which calls are due; to be called after every
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -56,6 +56,7 @@
         read_at: time::Instant,
         clock: event::Clock,
     ) {
+        let expires_at = read_at + self.settings.max_report_age();
         let incarnation = report.incarnation.clone();
         self.newest_incarnations
             .insert(incarnation.worker_id.clone(), incarnation.clone());
@@ -65,7 +66,7 @@
                 log::info!(worker:% = incarnation.worker_id; "worker is draining");
             }
             log_capacity_change(worker, &report);
-            worker.set_report(report, read_at);
+            worker.set_report(report, expires_at);
             return;
         }
         log::info!(
@@ -76,7 +77,7 @@
         );
         self.end_earlier_incarnations(&incarnation, clock);
         let mut worker = worker::Worker::new(clock.now);
-        worker.set_report(report, read_at);
+        worker.set_report(report, expires_at);
         self.workers.insert(incarnation, worker);
     }
 
