--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -47,16 +47,18 @@
         .min(per(available.accelerators, demand.accelerators))
 }
 
-/// Assigns waiting tasks one by one: to workers in the rack of the step's data first, then to those
+/// Assigns the included waiting tasks one by one: to workers in the rack of the step's data first, then to those
 /// with the fewest failures, then by best fit, which leaves the fewest processors free.
 pub(crate) fn assign_tasks(
     mut candidates: Vec<Candidate<'_>>,
     step_state: &job::StepState,
     demand: &model::Demand,
+    is_included: impl Fn(u32) -> bool,
 ) -> Assignment {
     let mut assignment = Assignment::new();
-    let tasks = step_state.tasks.iter().enumerate();
-    for (index, _) in tasks.filter(|(_, task)| task.phase == job::Phase::Waiting) {
+    let tasks = (0_u32..).zip(&step_state.tasks);
+    let waiting = tasks.filter(|(_, task)| task.phase == job::Phase::Waiting);
+    for (index, _) in waiting.filter(|(index, _)| is_included(*index)) {
         let best = candidates
             .iter_mut()
             .filter(|candidate| candidate.fit_count(demand) > 0)
@@ -72,10 +74,7 @@
             break;
         };
         best.add_task(demand);
-        assignment.push((
-            u32::try_from(index).unwrap_or(u32::MAX),
-            best.incarnation.clone(),
-        ));
+        assignment.push((index, best.incarnation.clone()));
     }
     assignment
 }
--- /dev/null
+++ b/crates/jobs/src/crashes.rs
@@ -0,0 +1,814 @@
+//! Tasks under which workers crash: attribution of crashes, isolation of suspects, and the limit
+//! at which a job is given up.
+//!
+//! A worker that crashes is silent at first: its runs are lost when its lease has expired, and only
+//! its return proves the crash. Each lost run is therefore kept until the fate of its worker is
+//! known. A worker that crashes takes innocent runs with it, so a task is given up only after a
+//! crash in isolation, or once the number of starts after `LIMITED_AFTER_WORKERS` crashes is used
+//! up.
+
+use std::sync;
+use std::time;
+
+use crate::event;
+use crate::job;
+use crate::journal;
+use crate::maps;
+use crate::record;
+use crate::runs::run_name;
+use crate::scheduler;
+use crate::worker;
+
+/// Runs of a task in which workers crashed, the last of them isolated, after which its job is given
+/// up.
+const MAX_CRASHED_RUNS: usize = 4;
+/// The same limit if every crash was early: workers that crash for other reasons rarely do so just
+/// after one task has begun, three times in a row.
+const MAX_EARLY_CRASHED_RUNS: usize = 3;
+/// Workers that must have crashed for certain before other lost workers count as crashed, too.
+const MIN_PROVEN_WORKERS: usize = 2;
+/// Longest time from the start of a run to the last sign of life of its worker for an early crash.
+const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Crashed workers after which only `MAX_LATER_RUNS` more runs of a task may start.
+const LIMITED_AFTER_WORKERS: usize = 3;
+/// Runs of a task that may start after `LIMITED_AFTER_WORKERS` workers have crashed under it.
+const MAX_LATER_RUNS: usize = 2;
+/// How long a task at its limit waits for the fate of the workers that held its lost runs.
+const VERDICT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// How long a lost run is kept whose worker has neither returned nor restarted.
+const LOSS_RETENTION: time::Duration = time::Duration::from_secs(120);
+/// Most lost runs kept for a task.
+const MAX_LOSSES_PER_TASK: usize = 64;
+/// How long the run of a suspect keeps the runs of other jobs off its worker.
+const ISOLATION_TIME: time::Duration = time::Duration::from_secs(5);
+/// At most one in this many workers of a pool is kept for suspects.
+const ISOLATED_WORKERS_DIVISOR: usize = 4;
+/// How long a suspect after its first crash waits for a worker without runs of other jobs.
+const FIRST_EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// How long a suspect after its first crash waits for a worker without other suspects.
+const FIRST_SUSPECT_FREE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// How long any other suspect waits for a worker without runs of other jobs.
+const EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// How long a suspect waits for a worker without long-running tasks and other suspects.
+const SPARING_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// How long a suspect waits for a worker without other suspects.
+const SUSPECT_FREE_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+/// How long a run must have worked to clear its task of earlier crashes.
+const CLEARED_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// Lost runs of the tasks of open jobs.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    /// By job, and by task; those of a gang are recorded at its first task.
+    jobs: maps::IndexMap<model::JobId, maps::IndexMap<model::TaskKey, TaskLosses>>,
+    /// Stored addresses of incarnations that the directory may no longer list.
+    addresses: maps::HashMap<model::WorkerIncarnation, sync::Arc<str>>,
+    /// Worker incarnations that crashed with runs on them, since the term began.
+    pub(crate) crashed_workers: u64,
+    /// Jobs given up since the term began.
+    pub(crate) given_up_jobs: u64,
+}
+
+/// Lost runs of a task or a gang.
+#[derive(Debug, Default)]
+struct TaskLosses {
+    /// In the order of their losses; no run and incarnation occurs twice.
+    losses: Vec<Loss>,
+    /// Since when a suspect waits to be placed.
+    waiting_since: Option<time::Instant>,
+    /// What a suspect must not share a worker with at its next start.
+    isolation: Isolation,
+}
+
+#[derive(Debug)]
+struct Loss {
+    record: record::LossRecord,
+    lost_at: time::Instant,
+}
+
+/// What the next run of a task must not share a worker with; each variant permits more workers than
+/// the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Isolation {
+    /// Any run of another job.
+    EmptyWorker,
+    /// Long-running tasks and suspects of other jobs.
+    Sparing,
+    /// Suspects of other jobs.
+    SuspectFree,
+    /// Nothing, but workers that are kept for suspects of other jobs are not available.
+    #[default]
+    None,
+}
+
+/// Waiting tasks of a step that ordinary placement must not start.
+#[derive(Debug, Default)]
+pub(crate) struct WithheldTasks {
+    indexes: maps::HashSet<u32>,
+    /// How many of them wait for the fate of a worker.
+    pub(crate) awaiting_verdict: u32,
+}
+
+/// Workers that have runs of suspects.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectWorkers {
+    workers: maps::HashMap<model::WorkerIncarnation, Suspects>,
+    kept: maps::HashMap<model::PoolName, KeptWorkers>,
+}
+
+/// Workers of a pool that take only runs of a suspect's job.
+#[derive(Debug)]
+struct KeptWorkers {
+    count: usize,
+    limit: usize,
+}
+
+/// The suspects on a worker.
+#[derive(Debug, Default)]
+struct Suspects {
+    job_ids: maps::HashSet<model::JobId>,
+    /// Whether the worker takes no runs of other jobs.
+    is_kept: bool,
+}
+
+impl WithheldTasks {
+    pub(crate) fn contains(&self, index: u32) -> bool {
+        self.indexes.contains(&index)
+    }
+
+    fn insert(&mut self, index: u32) {
+        self.indexes.insert(index);
+    }
+}
+
+impl SuspectWorkers {
+    fn has_others(&self, incarnation: &model::WorkerIncarnation, job_id: model::JobId) -> bool {
+        let suspects = self.workers.get(incarnation);
+        suspects.is_some_and(|one| one.job_ids.iter().any(|other| *other != job_id))
+    }
+
+    fn is_kept_for_others(
+        &self,
+        incarnation: &model::WorkerIncarnation,
+        job_id: model::JobId,
+    ) -> bool {
+        let suspects = self.workers.get(incarnation);
+        suspects.is_some_and(|one| one.is_kept) && self.has_others(incarnation, job_id)
+    }
+}
+
+impl TaskLosses {
+    /// Returns the distinct runs in which a worker crashed, in ascending order, with the number of
+    /// workers that crashed up to the end of each; `with_unresolved` counts every loss as a crash.
+    fn crashes_by_run(&self, with_unresolved: bool) -> Vec<(model::RunNumber, usize)> {
+        let counted = self.losses.iter().map(|loss| &loss.record);
+        let counted = counted.filter(|loss| with_unresolved || loss.is_crash);
+        let mut runs: Vec<_> = counted.map(|loss| loss.run).collect();
+        runs.sort_unstable();
+        let mut by_run: Vec<(model::RunNumber, usize)> = Vec::new();
+        for (index, run) in runs.into_iter().enumerate() {
+            match by_run.last_mut().filter(|(last, _)| *last == run) {
+                Some((_, workers)) => *workers = index + 1,
+                None => by_run.push((run, index + 1)),
+            }
+        }
+        by_run
+    }
+
+    fn crashed_run_count(&self) -> usize {
+        self.crashes_by_run(false).len()
+    }
+
+    fn last_run(&self) -> Option<model::RunNumber> {
+        self.losses.iter().map(|loss| loss.record.run).max()
+    }
+
+    fn crashed_worker_count(&self) -> usize {
+        let crashes = self.losses.iter().filter(|loss| loss.record.is_crash);
+        crashes.count()
+    }
+
+    /// Returns whether a further start could exceed the permitted number.
+    fn is_at_limit(&self, with_unresolved: bool) -> bool {
+        let by_run = self.crashes_by_run(with_unresolved);
+        let before_limit = by_run
+            .iter()
+            .take_while(|(_, workers)| *workers < LIMITED_AFTER_WORKERS);
+        by_run.len() > before_limit.count() + MAX_LATER_RUNS
+    }
+
+    /// Returns why the job must be given up, if it must.
+    fn reason_to_give_up(&self, now: time::Instant) -> Option<&'static str> {
+        if self.is_at_limit(false) {
+            return Some("no further start is permitted after its crashes");
+        }
+        // Some workers that have crashed are never heard of again.
+        let is_proven = self.crashed_worker_count() >= MIN_PROVEN_WORKERS;
+        if is_proven && self.is_at_limit(true) && !self.awaits_verdict(now) {
+            return Some("no further start is permitted after its crashes and losses");
+        }
+        let crashes = self.losses.iter().map(|loss| &loss.record);
+        let crashes = crashes.filter(|loss| loss.is_crash);
+        let last = crashes
+            .clone()
+            .max_by_key(|loss| (loss.run, loss.is_isolated))?;
+        let limit = match crashes.clone().all(|loss| loss.is_early) {
+            true => MAX_EARLY_CRASHED_RUNS,
+            false => MAX_CRASHED_RUNS,
+        };
+        (self.crashed_run_count() >= limit && last.is_isolated)
+            .then_some("its last crash was isolated")
+    }
+
+    /// Returns whether the next run is to be isolated: after a crash that was early, or if two runs
+    /// may have crashed their workers.
+    fn is_suspect(&self) -> bool {
+        let mut crashes = self.losses.iter().filter(|loss| loss.record.is_crash);
+        crashes.any(|loss| loss.record.is_early || self.crashes_by_run(true).len() > 1)
+    }
+
+    /// Returns whether a start must wait until the fate of a worker is known.
+    fn awaits_verdict(&self, now: time::Instant) -> bool {
+        let is_pending = |loss: &Loss| {
+            !loss.record.is_crash && now.saturating_duration_since(loss.lost_at) < VERDICT_TIMEOUT
+        };
+        self.is_at_limit(true) && self.losses.iter().any(is_pending)
+    }
+
+    /// Sets what the next run of a suspect must not share a worker with.
+    fn update_isolation(&mut self, now: time::Instant) {
+        if !self.is_suspect() {
+            self.isolation = Isolation::None;
+            return;
+        }
+        let since = *self.waiting_since.get_or_insert(now);
+        let waited = now.saturating_duration_since(since);
+        let is_first = self.crashed_run_count() == 1;
+        let (empty_timeout, sparing_timeout, suspect_free_timeout) = match is_first {
+            true => (
+                FIRST_EMPTY_WORKER_TIMEOUT,
+                FIRST_EMPTY_WORKER_TIMEOUT,
+                FIRST_SUSPECT_FREE_TIMEOUT,
+            ),
+            false => (EMPTY_WORKER_TIMEOUT, SPARING_TIMEOUT, SUSPECT_FREE_TIMEOUT),
+        };
+        self.isolation = if waited < empty_timeout {
+            Isolation::EmptyWorker
+        } else if waited < sparing_timeout {
+            Isolation::Sparing
+        } else if waited < suspect_free_timeout {
+            Isolation::SuspectFree
+        } else {
+            Isolation::None
+        };
+    }
+
+    fn add(&mut self, loss: Loss) {
+        let is_known = self.losses.iter().any(|known| {
+            known.record.run == loss.record.run
+                && known.record.incarnation == loss.record.incarnation
+        });
+        if is_known {
+            return;
+        }
+        if self.losses.len() >= MAX_LOSSES_PER_TASK {
+            let oldest_unresolved = self.losses.iter().position(|known| !known.record.is_crash);
+            self.losses.remove(oldest_unresolved.unwrap_or_default());
+        }
+        self.losses.push(loss);
+    }
+}
+
+impl Crashes {
+    /// Restores the lost runs of a job; the time for which they are kept begins anew.
+    pub(crate) fn restore(&mut self, stored: record::JobLosses, now: time::Instant) {
+        self.addresses.extend(stored.addresses);
+        let tasks = stored.tasks.into_iter().map(|(task, records)| {
+            let losses = records.into_iter().map(|record| Loss {
+                record,
+                lost_at: now,
+            });
+            let losses = TaskLosses {
+                losses: losses.collect(),
+                ..TaskLosses::default()
+            };
+            (task, losses)
+        });
+        self.jobs.insert(stored.job_id, tasks.collect());
+    }
+
+    /// Forgets a job that has ended.
+    pub(crate) fn remove_job(&mut self, job_id: model::JobId) {
+        self.jobs.swap_remove(&job_id);
+    }
+
+    /// Returns the isolation of the next run of a task.
+    pub(crate) fn isolation_of(&self, task: model::TaskKey) -> Isolation {
+        let losses = self.task(task);
+        losses.map_or(Isolation::None, |losses| losses.isolation)
+    }
+
+    /// Returns the isolation of the next run of a gang.
+    pub(crate) fn isolation_of_gang(&self, step: model::StepKey) -> Isolation {
+        self.isolation_of(first_task(step))
+    }
+
+    fn task(&self, task: model::TaskKey) -> Option<&TaskLosses> {
+        self.jobs.get(&task.job_id)?.get(&task)
+    }
+
+    fn task_mut(&mut self, task: model::TaskKey) -> Option<&mut TaskLosses> {
+        self.jobs.get_mut(&task.job_id)?.get_mut(&task)
+    }
+
+    fn tasks_mut(&mut self) -> impl Iterator<Item = (model::TaskKey, &mut TaskLosses)> {
+        let tasks = self.jobs.values_mut().flatten();
+        tasks.map(|(task, losses)| (*task, losses))
+    }
+
+    /// Returns the incarnations whose fate is not known, with their last addresses.
+    fn unresolved(&self) -> maps::IndexMap<model::WorkerIncarnation, Option<sync::Arc<str>>> {
+        let losses = self.jobs.values().flat_map(|tasks| tasks.values());
+        let losses = losses.flat_map(|task| &task.losses);
+        let unresolved = losses.filter(|loss| !loss.record.is_crash);
+        unresolved
+            .map(|loss| {
+                let address = loss.record.address.clone();
+                (loss.record.incarnation.clone(), address)
+            })
+            .collect()
+    }
+
+    /// Removes losses by a condition; returns the jobs that had such.
+    fn remove_losses(&mut self, is_removed: impl Fn(&Loss) -> bool) -> Vec<model::JobId> {
+        let mut changed = Vec::new();
+        self.jobs.retain(|job_id, tasks| {
+            tasks.retain(|_, task| {
+                let before = task.losses.len();
+                task.losses.retain(|loss| !is_removed(loss));
+                if task.losses.len() < before {
+                    changed.push(*job_id);
+                }
+                !task.losses.is_empty()
+            });
+            !tasks.is_empty()
+        });
+        changed.dedup();
+        changed
+    }
+}
+
+impl scheduler::Scheduler {
+    /// Returns the lost runs of a job, to be stored with it.
+    pub(crate) fn losses_of(&self, job_id: model::JobId) -> Option<record::JobLosses> {
+        let tasks = self.crashes.jobs.get(&job_id)?;
+        let placed = tasks.keys().flat_map(|task| self.placed_runs_of(*task));
+        let addresses = placed.filter_map(|(incarnation, _)| {
+            Some((incarnation.clone(), self.address_of(incarnation)?))
+        });
+        let addresses = addresses.collect();
+        let tasks = tasks.iter().map(|(task, losses)| {
+            let records = losses.losses.iter().map(|loss| loss.record.clone());
+            (*task, records.collect())
+        });
+        Some(record::JobLosses {
+            job_id,
+            tasks: tasks.collect(),
+            addresses,
+        })
+    }
+
+    fn address_of(&self, incarnation: &model::WorkerIncarnation) -> Option<sync::Arc<str>> {
+        let worker = self.workers.get(incarnation);
+        let report = worker.and_then(|worker| worker.report.as_ref());
+        let address = report.map(|report| &report.address);
+        let address = address.or_else(|| self.crashes.addresses.get(incarnation));
+        address.map(sync::Arc::clone)
+    }
+
+    /// Records that all runs of an incarnation are lost for a reason that may be a crash.
+    ///
+    /// Must be called before the runs are removed: whether a run was isolated depends on the
+    /// others.
+    pub(crate) fn record_losses(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        clock: event::Clock,
+    ) {
+        let Some(worker) = self.workers.get(incarnation) else {
+            return;
+        };
+        let report = worker.report.as_ref();
+        if report.is_some_and(|report| report.draining) {
+            return;
+        }
+        let address = self.address_of(incarnation);
+        let heard_at = worker.silent_since.unwrap_or(clock.now);
+        let executed = worker.runs.iter();
+        let executed = executed.filter(|(_, run)| run.phase != worker::RunPhase::Planned);
+        let executed: Vec<_> = executed.map(|(key, run)| (*key, run.since)).collect();
+        for (key, since) in &executed {
+            let Some(task) = self.crash_key(key.task) else {
+                continue;
+            };
+            let is_alone = executed
+                .iter()
+                .all(|(other, _)| other.task.job_id == key.task.job_id);
+            let age = heard_at.saturating_duration_since(*since);
+            let record = record::LossRecord {
+                run: key.run,
+                incarnation: incarnation.clone(),
+                address: address.clone(),
+                is_isolated: is_alone && age < ISOLATION_TIME,
+                is_early: age < EARLY_CRASH_TIME,
+                is_crash: false,
+            };
+            let tasks = self.crashes.jobs.entry(task.job_id).or_default();
+            tasks.entry(task).or_default().add(Loss {
+                record,
+                lost_at: clock.now,
+            });
+            self.journal.mark_dirty(task.job_id);
+        }
+    }
+
+    /// Returns the task at which the crashes of a task are recorded, unless it needs no record.
+    fn crash_key(&self, task: model::TaskKey) -> Option<model::TaskKey> {
+        let state = self.jobs.get(&task.job_id)?;
+        let (step, step_state) = state.step(task.step_key())?;
+        let is_open = state.outcome.is_none()
+            && step_state
+                .tasks
+                .get(task.index as usize)
+                .is_some_and(|task| task.phase != job::Phase::Done);
+        let index = if step.gang { 0 } else { task.index };
+        is_open.then_some(model::TaskKey { index, ..task })
+    }
+
+    /// Counts the lost runs of an incarnation as crashes, and gives up jobs that reach their limit.
+    pub(crate) fn attribute_crash(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        evidence: &str,
+        clock: event::Clock,
+    ) {
+        let mut crashed = Vec::new();
+        for (task, losses) in self.crashes.tasks_mut() {
+            let own = losses.losses.iter_mut().map(|loss| &mut loss.record);
+            let own = own.filter(|loss| loss.incarnation == *incarnation && !loss.is_crash);
+            for loss in own {
+                loss.is_crash = true;
+                crashed.push((
+                    model::RunKey {
+                        task,
+                        run: loss.run,
+                    },
+                    loss.is_isolated,
+                ));
+            }
+        }
+        if crashed.is_empty() {
+            return;
+        }
+        self.crashes.crashed_workers += 1;
+        for (key, is_isolated) in crashed {
+            let Some(losses) = self.crashes.task(key.task) else {
+                continue;
+            };
+            log::warn!(
+                run:% = run_name(key),
+                worker:% = incarnation.worker_id,
+                born_ms = incarnation.born_ms,
+                evidence,
+                crashed_runs = losses.crashed_run_count(),
+                crashed_workers = losses.crashed_worker_count(),
+                is_isolated;
+                "worker crashed under a run"
+            );
+            let reason = losses.reason_to_give_up(clock.now);
+            self.journal.mark_dirty(key.task.job_id);
+            if let Some(reason) = reason {
+                self.give_up(key, reason, clock);
+            }
+        }
+        self.placement_needed = true;
+    }
+
+    fn give_up(&mut self, key: model::RunKey, reason: &str, clock: event::Clock) {
+        let job_id = key.task.job_id;
+        let state = self.jobs.get(&job_id);
+        if state.is_none_or(|state| state.outcome.is_some()) {
+            return;
+        }
+        let losses = self.crashes.task(key.task);
+        log::warn!(
+            job:% = journal::job_id_hex(job_id),
+            run:% = run_name(key),
+            crashed_runs = losses.map_or(0, TaskLosses::crashed_run_count),
+            crashed_workers = losses.map_or(0, TaskLosses::crashed_worker_count),
+            reason;
+            "job given up because workers crash under it"
+        );
+        self.crashes.given_up_jobs += 1;
+        self.decide_outcome(job_id, model::JobStatus::Failed, clock);
+    }
+
+    /// Resolves lost runs by what the directory lists.
+    pub(crate) fn resolve_losses(&mut self, clock: event::Clock) {
+        if self.crashes.jobs.is_empty() {
+            return;
+        }
+        let unresolved = self.crashes.unresolved();
+        if unresolved.is_empty() {
+            return;
+        }
+        let listed = self.workers.iter().filter(|(_, worker)| worker.is_listed);
+        let by_address: maps::HashMap<_, _> = listed
+            .filter_map(|(incarnation, worker)| {
+                let address = sync::Arc::clone(&worker.report.as_ref()?.address);
+                Some((address, incarnation.clone()))
+            })
+            .collect();
+        for (incarnation, address) in unresolved {
+            let worker = self.workers.get(&incarnation);
+            let report = worker.and_then(|worker| worker.report.as_ref());
+            if report.is_some_and(|report| report.draining) {
+                self.clear_losses_on(&incarnation);
+                continue;
+            }
+            let newest = self.newest_incarnations.get(&incarnation.worker_id);
+            let has_restarted = newest.is_some_and(|newest| newest.born_ms > incarnation.born_ms);
+            let is_listed = worker.is_some_and(|worker| worker.is_listed);
+            let is_replaced = !is_listed
+                && address
+                    .and_then(|address| by_address.get(&address))
+                    .is_some_and(|other| other.born_ms > incarnation.born_ms);
+            if has_restarted {
+                self.attribute_crash(&incarnation, "a later incarnation is listed", clock);
+            } else if is_replaced {
+                self.attribute_crash(&incarnation, "another worker has its address", clock);
+            }
+        }
+    }
+
+    /// Forgets the unresolved losses on an incarnation that has not crashed.
+    pub(crate) fn clear_losses_on(&mut self, incarnation: &model::WorkerIncarnation) {
+        if self.crashes.jobs.is_empty() {
+            return;
+        }
+        let cleared = self
+            .crashes
+            .remove_losses(|loss| !loss.record.is_crash && loss.record.incarnation == *incarnation);
+        self.mark_all_dirty(cleared);
+    }
+
+    /// Forgets unresolved losses after their retention time, and the crashes of tasks that have
+    /// worked for long since.
+    pub(crate) fn expire_losses(&mut self, clock: event::Clock) {
+        if self.crashes.jobs.is_empty() {
+            return;
+        }
+        let expired = self.crashes.remove_losses(|loss| {
+            let age = clock.now.saturating_duration_since(loss.lost_at);
+            !loss.record.is_crash && age >= LOSS_RETENTION
+        });
+        self.mark_all_dirty(expired);
+        let tasks = self.crashes.jobs.values().flat_map(|tasks| tasks.keys());
+        let tasks: Vec<_> = tasks.copied().collect();
+        for task in tasks {
+            let runs = self.confirmed_runs(task);
+            let is_cleared = !runs.is_empty()
+                && runs
+                    .iter()
+                    .all(|(_, since)| clock.now.saturating_duration_since(*since) >= CLEARED_AFTER);
+            let losses = self.crashes.task(task);
+            if let Some(reason) = losses.and_then(|losses| losses.reason_to_give_up(clock.now)) {
+                let run = losses.and_then(TaskLosses::last_run).unwrap_or_default();
+                self.give_up(model::RunKey { task, run }, reason, clock);
+            } else if is_cleared && let Some(tasks) = self.crashes.jobs.get_mut(&task.job_id) {
+                log::info!(task:? = task; "task cleared of earlier crashes");
+                tasks.swap_remove(&task);
+                if tasks.is_empty() {
+                    self.crashes.remove_job(task.job_id);
+                }
+                self.journal.mark_dirty(task.job_id);
+            }
+        }
+    }
+
+    fn mark_all_dirty(&mut self, job_ids: Vec<model::JobId>) {
+        for job_id in job_ids {
+            self.journal.mark_dirty(job_id);
+        }
+    }
+
+    /// Returns the workers of the confirmed runs of a task, or of all members of its gang, and since
+    /// when they have run.
+    fn confirmed_runs(
+        &self,
+        task: model::TaskKey,
+    ) -> Vec<(&model::WorkerIncarnation, time::Instant)> {
+        let runs = self.placed_runs_of(task).into_iter();
+        let running = runs.filter(|(_, run)| run.phase == worker::RunPhase::Running);
+        let running = running.map(|(incarnation, run)| (incarnation, run.since));
+        running.collect()
+    }
+
+    /// Returns the runs of a task, or of all members of its gang, with their workers.
+    fn placed_runs_of(
+        &self,
+        task: model::TaskKey,
+    ) -> Vec<(&model::WorkerIncarnation, &worker::WorkerRun)> {
+        let state = self.jobs.get(&task.job_id);
+        let Some((step, step_state)) = state.and_then(|state| state.step(task.step_key())) else {
+            return Vec::new();
+        };
+        let members = if step.gang {
+            0..step.task_count
+        } else {
+            task.index..task.index + 1
+        };
+        let placed = members.filter_map(|index| {
+            let member = step_state.tasks.get(index as usize)?;
+            let job::Phase::Placed(incarnation) = &member.phase else {
+                return None;
+            };
+            let key = model::RunKey {
+                task: model::TaskKey { index, ..task },
+                run: member.last_run,
+            };
+            let run = self.workers.get(incarnation)?.runs.get(&key)?;
+            Some((incarnation, run))
+        });
+        placed.collect()
+    }
+
+    /// Returns the workers that have runs of suspects.
+    pub(crate) fn suspect_workers(&self, clock: event::Clock) -> SuspectWorkers {
+        let mut suspects = SuspectWorkers::default();
+        let tasks = self.crashes.jobs.values().flatten();
+        for (task, _) in tasks.filter(|(_, losses)| losses.is_suspect()) {
+            for (incarnation, run) in self.placed_runs_of(*task) {
+                let has_settled = run.phase == worker::RunPhase::Running
+                    && clock.now.saturating_duration_since(run.since) >= ISOLATION_TIME;
+                if !has_settled {
+                    self.add_suspect(incarnation, task.job_id, &mut suspects);
+                }
+            }
+        }
+        suspects
+    }
+
+    /// Adds a suspect to a worker, which is kept for it unless too many of the pool are.
+    fn add_suspect(
+        &self,
+        incarnation: &model::WorkerIncarnation,
+        job_id: model::JobId,
+        suspects: &mut SuspectWorkers,
+    ) {
+        let on_worker = suspects.workers.entry(incarnation.clone()).or_default();
+        on_worker.job_ids.insert(job_id);
+        if on_worker.is_kept {
+            return;
+        }
+        let worker = self.workers.get(incarnation);
+        let is_isolated = |worker: &&worker::Worker| {
+            let mut runs = worker.runs.keys();
+            runs.all(|run| run.task.job_id == job_id)
+        };
+        let report = worker.filter(is_isolated);
+        let Some(report) = report.and_then(|worker| worker.report.as_ref()) else {
+            return;
+        };
+        let kept = suspects.kept.entry(report.pool.clone());
+        let kept = kept.or_insert_with(|| KeptWorkers {
+            count: 0,
+            limit: self.kept_worker_limit(&report.pool),
+        });
+        if kept.count < kept.limit {
+            kept.count += 1;
+            on_worker.is_kept = true;
+        }
+    }
+
+    /// Returns how many workers of a pool may be kept for suspects.
+    fn kept_worker_limit(&self, pool: &model::PoolName) -> usize {
+        let in_pool = self.workers.values().filter(|worker| {
+            let report = worker.report.as_ref();
+            report.is_some_and(|report| report.pool == *pool)
+        });
+        match in_pool.count() {
+            0 | 1 => 0,
+            count => (count / ISOLATED_WORKERS_DIVISOR).max(1),
+        }
+    }
+
+    /// Returns whether the runs on a worker permit a run of a job there.
+    pub(crate) fn permits_beside(
+        &self,
+        incarnation: &model::WorkerIncarnation,
+        job_id: model::JobId,
+        isolation: Isolation,
+        suspects: &SuspectWorkers,
+    ) -> bool {
+        if suspects.is_kept_for_others(incarnation, job_id) {
+            return false;
+        }
+        if isolation == Isolation::None {
+            return true;
+        }
+        if suspects.has_others(incarnation, job_id) {
+            return false;
+        }
+        let runs = self.workers.get(incarnation).map(|worker| &worker.runs);
+        let others = runs.into_iter().flat_map(|runs| runs.keys());
+        let mut others = others.filter(|other| other.task.job_id != job_id);
+        match isolation {
+            Isolation::EmptyWorker => others.next().is_none(),
+            Isolation::Sparing => !others.any(|other| self.is_long_running(other.task)),
+            Isolation::SuspectFree | Isolation::None => true,
+        }
+    }
+
+    fn is_long_running(&self, task: model::TaskKey) -> bool {
+        let state = self.jobs.get(&task.job_id);
+        let step = state.and_then(|state| state.step(task.step_key()));
+        step.is_some_and(|(step, _)| step.long_running)
+    }
+
+    /// Returns the waiting tasks of a step that ordinary placement must not start, and the suspects
+    /// among them that may start now.
+    pub(crate) fn withheld_tasks(
+        &mut self,
+        key: model::StepKey,
+        clock: event::Clock,
+    ) -> (WithheldTasks, Vec<model::TaskKey>) {
+        let (mut withheld, mut suspects) = (WithheldTasks::default(), Vec::new());
+        let Some(tasks) = self.crashes.jobs.get_mut(&key.job_id) else {
+            return (withheld, suspects);
+        };
+        let Some((_, step_state)) = self.jobs.get(&key.job_id).and_then(|one| one.step(key)) else {
+            return (withheld, suspects);
+        };
+        for (task, losses) in tasks.iter_mut().filter(|(task, _)| task.step_key() == key) {
+            let state = step_state.tasks.get(task.index as usize);
+            if state.is_none_or(|state| state.phase != job::Phase::Waiting) {
+                continue;
+            }
+            losses.update_isolation(clock.now);
+            if losses.awaits_verdict(clock.now) {
+                withheld.insert(task.index);
+                withheld.awaiting_verdict += 1;
+            } else if losses.is_suspect() {
+                withheld.insert(task.index);
+                suspects.push(*task);
+            }
+        }
+        (withheld, suspects)
+    }
+
+    /// Notes that runs of a suspect, or of all members of its gang, are planned.
+    pub(crate) fn on_suspect_planned(
+        &mut self,
+        task: model::TaskKey,
+        suspects: &mut SuspectWorkers,
+        clock: event::Clock,
+    ) {
+        let Some(losses) = self
+            .crashes
+            .task_mut(task)
+            .filter(|losses| losses.is_suspect())
+        else {
+            return;
+        };
+        let waited = losses.waiting_since.take();
+        log::info!(
+            job:% = journal::job_id_hex(task.job_id),
+            step = task.step,
+            task = task.index,
+            isolation:? = losses.isolation,
+            crashed_runs = losses.crashed_run_count(),
+            waited_ms = waited.map_or(0, |at| {
+                clock.now.saturating_duration_since(at).as_millis() as u64
+            });
+            "run of a suspect planned"
+        );
+        let incarnations = self.placed_runs_of(task).into_iter();
+        for incarnation in incarnations
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect::<Vec<_>>()
+        {
+            self.add_suspect(&incarnation, task.job_id, suspects);
+        }
+    }
+}
+
+/// Returns the task at which the losses of a gang are recorded.
+fn first_task(step: model::StepKey) -> model::TaskKey {
+    model::TaskKey {
+        job_id: step.job_id,
+        occurrence: step.occurrence,
+        step: step.step,
+        index: 0,
+    }
+}
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -50,6 +50,8 @@
 const TASK_BYTES: usize = 30;
 /// Approximate size of a worker incarnation that tasks refer to.
 const INCARNATION_BYTES: usize = 30;
+/// Approximate size of a lost run.
+const LOSS_BYTES: usize = 60;
 /// Number of the oldest segments that are compacted at once.
 const COMPACTED_SEGMENTS: usize = 16;
 
@@ -172,20 +174,25 @@
             deletes: Vec::new(),
             archive: None,
         };
-        let mut records = Vec::new();
+        let (mut records, mut losses) = (Vec::new(), Vec::new());
         let mut bytes = 0;
         while bytes < MAX_BATCH_BYTES
             && let Some(job_id) = self.journal.dirty.shift_remove_index(0)
         {
             if let Some(record) = self.record_of(job_id, &mut in_flight, clock) {
                 bytes += record_size(&record);
+                let is_open = matches!(record.progress, record::Progress::Open { .. });
+                if let Some(lost) = self.losses_of(job_id).filter(|_| is_open) {
+                    bytes += losses_size(&lost);
+                    losses.push(lost);
+                }
                 records.push(record);
             }
         }
         let mut batch = event::Batch {
             id: id.batch,
             segment_key: id.key(record::SEGMENT_PREFIX),
-            segment: record::encode(&records),
+            segment: record::encode_segment(&records, &losses),
             outcomes: None,
             deletes: Vec::new(),
         };
@@ -377,6 +384,7 @@
         self.ended_job_effects.append(&mut state.effects);
         self.jobs.swap_remove(&stored.job_id);
         self.journal.clear_dirty(stored.job_id);
+        self.crashes.remove_job(stored.job_id);
         self.ended.insert(stored.job_id, ending);
     }
 
@@ -412,6 +420,11 @@
     RECORD_HEADER_BYTES + definition + progress
 }
 
+fn losses_size(losses: &record::JobLosses) -> usize {
+    let runs = losses.tasks.iter().map(|(_, runs)| runs.len());
+    LOSS_BYTES * runs.sum::<usize>()
+}
+
 impl job::JobState {
     /// Returns the approximate size of the definition and the progress in bytes.
     fn record_size(&self) -> usize {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 mod advice_planner;
 mod advisors;
 mod candidate;
+mod crashes;
 mod event;
 mod gangs;
 mod job;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -6,6 +6,7 @@
 use crate::advisors;
 use crate::candidate;
 use crate::candidate::Candidate;
+use crate::crashes;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -48,6 +49,8 @@
     gang_demand_ahead: model::Demand,
     /// Free capacity of all workers together; computed on first use.
     total_free: Option<model::Demand>,
+    /// Workers that have runs of tasks under which workers have crashed.
+    suspects: crashes::SuspectWorkers,
 }
 
 /// A step with waiting tasks, and the state that placement needs.
@@ -57,6 +60,8 @@
     pub(crate) step: &'a model::Step,
     pub(crate) step_state: &'a job::StepState,
     objective_ms: u64,
+    /// What the tasks must not share a worker with.
+    isolation: crashes::Isolation,
 }
 
 impl StepContext<'_> {
@@ -75,6 +80,7 @@
         let usable = workers.filter(|(_, worker)| worker.accepts_runs(clock.now));
         Pass {
             usable: usable.map(|(index, _)| index).collect(),
+            suspects: self.suspect_workers(clock),
             ..Pass::default()
         }
     }
@@ -119,15 +125,21 @@
 
     /// Places tasks that start independently; returns whether none is left waiting.
     fn place_tasks(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+        let (withheld, suspects) = self.withheld_tasks(key, clock);
+        for suspect in suspects {
+            self.place_suspect(suspect, pass, clock);
+        }
         let Some(context) = self.step_context(key) else {
             return true;
         };
         let (step, step_state, advice) = (context.step, context.step_state, context.queue.advice);
         let allowed = self.startable_workers(&context, pass, clock);
         let demand = workers::counted_demand(step);
-        let assignment = candidate::assign_tasks(allowed, step_state, &demand);
+        let assignment = candidate::assign_tasks(allowed, step_state, &demand, |index| {
+            !withheld.contains(index)
+        });
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
-        let missing = step_state.waiting_count - placed;
+        let missing = step_state.waiting_count - placed - withheld.awaiting_verdict;
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
         let keeps_reservation = step.long_running && missing > 0;
         if !assignment.is_empty() {
@@ -137,7 +149,7 @@
             self.reservations.release(key);
         }
         if missing == 0 {
-            return true;
+            return withheld.awaiting_verdict == 0;
         }
         if !has_call_in_flight && let Some(terms) = advice {
             self.request_advice_for_tasks(key, missing, terms, pass, clock);
@@ -147,8 +159,34 @@
         false
     }
 
+    /// Places a task under which workers have crashed, isolated if possible.
+    fn place_suspect(&mut self, task: model::TaskKey, pass: &mut Pass, clock: event::Clock) {
+        let key = task.step_key();
+        let isolation = self.crashes.isolation_of(task);
+        let Some(context) = self.step_context(key) else {
+            return;
+        };
+        let context = StepContext {
+            isolation,
+            ..context
+        };
+        let (step, step_state) = (context.step, context.step_state);
+        let allowed = self.startable_workers(&context, pass, clock);
+        let demand = workers::counted_demand(step);
+        let assignment =
+            candidate::assign_tasks(allowed, step_state, &demand, |index| index == task.index);
+        if !assignment.is_empty() {
+            self.plan_runs(key, assignment, clock);
+            self.on_suspect_planned(task, &mut pass.suspects, clock);
+        }
+    }
+
     /// Places all tasks of a gang, or none; returns whether they are placed.
     fn place_gang(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+        let (withheld, suspects) = self.withheld_tasks(key, clock);
+        if withheld.awaiting_verdict > 0 {
+            return false;
+        }
         let Some(context) = self.step_context(key) else {
             return true;
         };
@@ -161,6 +199,9 @@
         if !assignment.is_empty() {
             self.reservations.release(key);
             self.plan_runs(key, assignment, clock);
+            for suspect in suspects {
+                self.on_suspect_planned(suspect, &mut pass.suspects, clock);
+            }
             return true;
         }
         let total = demand.times(step.task_count);
@@ -357,6 +398,10 @@
             step,
             step_state,
             objective_ms: state.objective_ms,
+            isolation: match step.gang {
+                true => self.crashes.isolation_of_gang(key),
+                false => crashes::Isolation::None,
+            },
         })
     }
 
@@ -444,6 +489,12 @@
         };
         let usable = workers.filter(|(incarnation, worker)| {
             !is_reserved(incarnation)
+                && self.permits_beside(
+                    incarnation,
+                    context.key.job_id,
+                    context.isolation,
+                    &pass.suspects,
+                )
                 && !step_state.tickets.is_refused(&incarnation.worker_id)
                 && worker
                     .report
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,8 @@
 //! Job records as they are written to the store.
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
-//! changed. A later segment takes precedence over an earlier one. Outcomes of ended jobs are moved
+//! changed, followed by the lost runs of these jobs. A later segment takes precedence over an
+//! earlier one. Outcomes of ended jobs are moved
 //! to values of their own, the archives, which take precedence over every segment.
 
 use std::sync;
@@ -106,6 +107,35 @@
     pub(crate) checkpoint: Option<sync::Arc<str>>,
 }
 
+/// Lost runs of the tasks of a job, by task; those of a gang are recorded at its first task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct JobLosses {
+    /// The job.
+    pub(crate) job_id: model::JobId,
+    /// Lost runs by task.
+    pub(crate) tasks: Vec<(model::TaskKey, Vec<LossRecord>)>,
+    /// Addresses of the workers that have runs of these tasks; a later leader may no longer find
+    /// them in the directory.
+    pub(crate) addresses: Vec<(model::WorkerIncarnation, sync::Arc<str>)>,
+}
+
+/// A lost run whose worker may have crashed under it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LossRecord {
+    /// The run.
+    pub(crate) run: model::RunNumber,
+    /// The incarnation of the worker that had it.
+    pub(crate) incarnation: model::WorkerIncarnation,
+    /// Address of the worker, if known.
+    pub(crate) address: Option<sync::Arc<str>>,
+    /// Whether the worker had no runs of other jobs, and the run had begun not long before.
+    pub(crate) is_isolated: bool,
+    /// Whether the run had hardly begun when the worker was last heard of.
+    pub(crate) is_early: bool,
+    /// Whether the worker has crashed; otherwise its fate is not known.
+    pub(crate) is_crash: bool,
+}
+
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PhaseRecord {
@@ -140,6 +170,29 @@
     bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default()
 }
 
+/// Encodes a segment.
+///
+/// The lost runs follow the records, and are left out if there are none: builds that do not know
+/// them ignore what follows the records.
+pub(crate) fn encode_segment(records: &[JobRecord], losses: &[JobLosses]) -> Vec<u8> {
+    let mut bytes = encode(&records);
+    if !losses.is_empty() {
+        bytes.extend(encode(&losses));
+    }
+    bytes
+}
+
+/// Decodes a segment; the error is the decoder's message.
+pub(crate) fn decode_segment(bytes: &[u8]) -> Result<(Vec<JobRecord>, Vec<JobLosses>), String> {
+    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    let (records, length): (_, usize) = decoded.map_err(|error| error.to_string())?;
+    let losses = match bytes.get(length..) {
+        None | Some([]) => Vec::new(),
+        Some(rest) => decode(rest)?,
+    };
+    Ok((records, losses))
+}
+
 /// Decodes a value of the store; the error is the decoder's message.
 pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use crate::advisors;
+use crate::crashes;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -25,6 +26,8 @@
 pub struct Recovery {
     /// Records of each segment, in the order of the ids.
     segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
+    /// Lost runs in each segment, by job.
+    losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
     /// Size of each segment in bytes.
     sizes: collections::BTreeMap<record::SegmentId, usize>,
     archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
@@ -38,7 +41,9 @@
     /// Returns the decoder's message if the value cannot be decoded.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
         if let Some(id) = record::SegmentId::from_key(key, record::SEGMENT_PREFIX) {
-            self.segments.insert(id, record::decode(value)?);
+            let (records, losses) = record::decode_segment(value)?;
+            self.segments.insert(id, records);
+            self.losses.insert(id, losses);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
             self.archives.push((key.to_owned(), record::decode(value)?));
@@ -52,7 +57,7 @@
     /// which it may continue to send orders before it notices that it has lost the leadership.
     #[must_use]
     pub fn build(
-        self,
+        mut self,
         settings: settings::Settings,
         term: model::Term,
         leadership_timeout: time::Duration,
@@ -70,6 +75,7 @@
             reservations: reservations::Reservations::default(),
             waiting: collections::BTreeSet::new(),
             scheduled: collections::BTreeSet::new(),
+            crashes: crashes::Crashes::default(),
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
             actions: Vec::new(),
@@ -83,6 +89,7 @@
         };
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
+        let mut losses = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
             scheduler.journal.segments.add(id, bytes);
@@ -95,7 +102,10 @@
                     definitions.insert(record.job_id, definition);
                 }
                 progress.insert(record.job_id, record.progress);
+                losses.swap_remove(&record.job_id);
             }
+            let stored = self.losses.remove(&id).unwrap_or_default();
+            losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
         }
         scheduler.restore_outcomes(self.archives, &mut progress);
         for (job_id, progress) in progress {
@@ -113,6 +123,9 @@
                     };
                     let state = job::JobState::restore(definition, progress);
                     scheduler.jobs.insert(job_id, state);
+                    if let Some(losses) = losses.swap_remove(&job_id) {
+                        scheduler.crashes.restore(losses, clock.now);
+                    }
                 }
             }
         }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -42,6 +42,7 @@
             }
             worker_api::StopOutcome::Fenced => self.actions.push(event::Action::StepDown),
             worker_api::StopOutcome::OtherIncarnation => {
+                self.record_losses(incarnation, clock);
                 self.lose_run(incarnation, key, "other_life", clock)
             }
         }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use crate::advisors;
+use crate::crashes;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -47,6 +48,7 @@
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Occurrences that are not due yet, by their due time in milliseconds since 1970.
     pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
+    pub(crate) crashes: crashes::Crashes,
     pub(crate) journal: journal::Journal,
     pub(crate) ended_job_effects: Vec<job::Effect>,
     pub(crate) actions: Vec<event::Action>,
@@ -103,6 +105,10 @@
     pub usable_workers: usize,
     /// Attempts to place a waiting step since the term began.
     pub placement_visits: u64,
+    /// Worker incarnations that crashed with runs on them, since the term began.
+    pub crashed_workers: u64,
+    /// Jobs given up because workers crashed under them, since the term began.
+    pub given_up_jobs: u64,
 }
 
 impl Scheduler {
@@ -205,6 +211,8 @@
                 .filter(|worker| worker.is_listed && worker.silent_since.is_none())
                 .count(),
             placement_visits: self.placement_visits,
+            crashed_workers: self.crashes.crashed_workers,
+            given_up_jobs: self.crashes.given_up_jobs,
         }
     }
 
@@ -240,6 +248,7 @@
 
     fn on_tick(&mut self, clock: event::Clock) {
         self.lose_runs_on_expired(clock);
+        self.expire_losses(clock);
         self.expire_outcomes(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -47,6 +47,7 @@
         for report in reports {
             self.apply_report(report, read_at, clock);
         }
+        self.resolve_losses(clock);
         self.placement_needed = true;
     }
 
@@ -91,10 +92,22 @@
             one.worker_id == incarnation.worker_id && one.born_ms < incarnation.born_ms
         });
         for old in earlier.cloned().collect::<Vec<_>>() {
-            self.end_incarnation(&old, "worker restarted", clock);
+            self.end_crashed_incarnation(&old, "worker restarted", clock);
         }
     }
 
+    /// Removes an incarnation that another one has replaced, which is a crash unless it was
+    /// draining.
+    fn end_crashed_incarnation(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        evidence: &str,
+        clock: event::Clock,
+    ) {
+        self.end_incarnation(incarnation, evidence, clock);
+        self.attribute_crash(incarnation, evidence, clock);
+    }
+
     /// Removes an incarnation that has certainly ended.
     fn end_incarnation(
         &mut self,
@@ -139,6 +152,7 @@
         why: &str,
         clock: event::Clock,
     ) {
+        self.record_losses(incarnation, clock);
         let Some(worker) = self.workers.get(incarnation) else {
             return;
         };
@@ -232,7 +246,7 @@
                     .born_ms
                     .is_some_and(|born_ms| born_ms != incarnation.born_ms)
                 {
-                    self.end_incarnation(incarnation, "worker restarted", clock);
+                    self.end_crashed_incarnation(incarnation, "worker restarted", clock);
                     return;
                 }
                 self.apply_listing(incarnation, listing, sent_at, clock);
@@ -251,7 +265,7 @@
             worker_api::RenewalOutcome::Lost => {
                 worker.renewal.not_before = Some(clock.now + LOST_RENEWAL_PAUSE);
             }
-            worker_api::RenewalOutcome::OtherIncarnation => self.end_incarnation(
+            worker_api::RenewalOutcome::OtherIncarnation => self.end_crashed_incarnation(
                 incarnation,
                 "another incarnation answered at the address",
                 clock,
@@ -273,14 +287,19 @@
         // An age beyond the clock's range counts as none; it would only shorten the lease.
         let read_at = clock.now.checked_sub(listing.age).unwrap_or(clock.now);
         worker.record_clock(listing.clock_ms, read_at);
-        if let Some(since) = worker.silent_since.take() {
+        let was_silent = worker.silent_since.take();
+        if let Some(since) = was_silent {
             let silent_ms = clock.now.saturating_duration_since(since).as_millis() as u64;
             log::info!(worker:% = incarnation.worker_id, silent_ms; "worker answers again");
         }
-        if !worker.is_fenced {
+        let is_first_answer = !worker.is_fenced;
+        if is_first_answer {
             worker.is_fenced = true;
             self.placement_needed = true;
         }
+        if is_first_answer || was_silent.is_some() {
+            self.clear_losses_on(incarnation);
+        }
         let running: maps::HashSet<_> = listing.running.iter().map(|row| row.run).collect();
         for row in &listing.running {
             self.apply_running(incarnation, row, clock);
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler in a simulation with virtual time, without network.
 
 mod capacity_changes;
+mod crashes;
 mod gangs;
 mod invariants;
 mod long_running;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
+mod crashes;
 pub(crate) mod worker;
 
 use std::collections;
@@ -12,6 +13,7 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 
+pub(crate) use crashes::CrashTimes;
 pub(crate) use worker::SimulatedWorker;
 
 /// One-way latency of a call to a worker or to the store, in milliseconds.
@@ -56,6 +58,10 @@
     /// Is delivered to the leader of this term, if it still leads.
     Deliver(model::Term, jobs::Event),
     Tick(model::Term),
+    /// This incarnation of a worker crashes.
+    Crash(model::WorkerIncarnation),
+    /// A worker that has crashed is back.
+    Restart(usize),
 }
 
 pub(crate) struct Simulation {
@@ -83,6 +89,11 @@
     pub(crate) done: collections::HashSet<model::TaskKey>,
     /// Jobs whose tasks fail on every run.
     pub(crate) failing_jobs: collections::HashSet<model::JobId>,
+    /// Jobs whose tasks crash their worker on every run.
+    pub(crate) deadly_jobs: collections::HashSet<model::JobId>,
+    pub(crate) crash_times: CrashTimes,
+    /// Starts of deadly tasks; those of a gang are recorded at its first task.
+    deadly_starts: collections::HashMap<model::TaskKey, crashes::DeadlyStarts>,
     /// When the first run of a job started, in milliseconds.
     pub(crate) started_at_ms: collections::HashMap<model::JobId, u64>,
     /// Number of runs that have started.
@@ -155,6 +166,9 @@
             forgotten_failures: collections::HashMap::new(),
             done: collections::HashSet::new(),
             failing_jobs: collections::HashSet::new(),
+            deadly_jobs: collections::HashSet::new(),
+            crash_times: CrashTimes::default(),
+            deadly_starts: collections::HashMap::new(),
             started_at_ms: collections::HashMap::new(),
             start_count: 0,
             answered_at_ms: collections::HashMap::new(),
@@ -431,6 +445,8 @@
                     self.push(50, Event::Tick(term));
                 }
             }
+            Event::Crash(incarnation) => self.crash(&incarnation),
+            Event::Restart(index) => self.bring_back(index),
             Event::Start(order, answered) => self.start(order, answered),
             Event::Stop(order, answered) => self.stop(order, answered),
             Event::Throttle(order) => self.throttle(order),
@@ -541,7 +557,11 @@
         let now_ms = self.now_ms;
         let Some(index) = self.worker_index(&order.incarnation) else {
             if answered {
-                self.answer_start(&order, jobs::StartOutcome::NoAnswer);
+                let outcome = match self.is_replaced(&order.incarnation, &order.address) {
+                    true => jobs::StartOutcome::Rejected(jobs::StartRejection::OtherLife),
+                    false => jobs::StartOutcome::NoAnswer,
+                };
+                self.answer_start(&order, outcome);
             }
             return;
         };
@@ -574,6 +594,9 @@
             let run_ms = self.run_times_ms.get(&(job_id, step_index)).copied();
             let run_ms = run_ms.unwrap_or(u64::from(step.estimated_ms));
             self.workers[index].start_run(&order, step, run_ms, fails, now_ms);
+            if self.deadly_jobs.contains(&job_id) {
+                self.start_deadly(order.run, &order.incarnation);
+            }
         }
         if answered {
             self.answer_start(&order, outcome);
@@ -671,6 +694,9 @@
             Some(index) if !self.workers[index].drops_stops => {
                 self.workers[index].stop(&order, now_ms)
             }
+            None if self.is_replaced(&order.incarnation, &order.address) => {
+                jobs::StopOutcome::OtherIncarnation
+            }
             _ => jobs::StopOutcome::NoAnswer,
         };
         if answered {
@@ -713,6 +739,14 @@
             self.push(0, Event::RenewalPoll(order, until_ms));
             return;
         }
+        if self.is_replaced(&order.incarnation, &order.address) {
+            let event = jobs::Event::Renewal {
+                incarnation: order.incarnation,
+                outcome: jobs::RenewalOutcome::OtherIncarnation,
+            };
+            self.push(ONE_WAY_MS, Event::Deliver(order.term, event));
+            return;
+        }
         self.renewal_unanswered(order);
     }
 
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -56,6 +56,7 @@
 
 pub(crate) struct SimulatedWorker {
     pub(crate) incarnation: model::WorkerIncarnation,
+    pub(crate) address: String,
     pub(crate) is_up: bool,
     /// Whether it is unreachable while its runs continue.
     pub(crate) is_partitioned: bool,
@@ -93,6 +94,7 @@
 
     fn in_incarnation(worker_id: model::WorkerId, born_ms: u64) -> Self {
         Self {
+            address: format!("address-{worker_id}"),
             incarnation: model::WorkerIncarnation { worker_id, born_ms },
             is_up: true,
             is_partitioned: false,
@@ -116,12 +118,12 @@
 
     /// Restarts under the same id, with all state lost.
     pub(crate) fn restart(&mut self) {
-        let capacity = self.capacity;
+        let (capacity, address) = (self.capacity, self.address.clone());
         *self = Self::in_incarnation(
             self.incarnation.worker_id.clone(),
             self.incarnation.born_ms + 1,
         );
-        self.capacity = capacity;
+        (self.capacity, self.address) = (capacity, address);
         self.reported_capacity = capacity;
     }
 
@@ -149,11 +151,21 @@
         binding.fold(self.capacity, |most, (_, capacity)| most.max(capacity))
     }
 
+    /// Takes an id that no other worker has had; the address stays.
+    pub(crate) fn change_id(&mut self) {
+        let id = self.incarnation.worker_id.to_string();
+        let number: usize = id
+            .trim_start_matches('w')
+            .parse()
+            .expect("ids are numbered");
+        self.incarnation.worker_id = format!("w{}", number + 100).into();
+    }
+
     pub(crate) fn report(&self) -> jobs::WorkerReport {
         jobs::WorkerReport {
             incarnation: self.incarnation.clone(),
             pool: "pool".into(),
-            address: "address".into(),
+            address: self.address.as_str().into(),
             data_centre: "dc".into(),
             rack: "r".into(),
             labels: vec!["kind".into(), "r".into()],
