jobs: judge early crashes by the last listing, and give up after four crashed runs

The silence of a worker is noticed up to two seconds after its crash, as a renewal waits for ends: a run that had just begun counted as older than it was. Its age is now taken at the worker's last listing. The lower limit of three runs for early crashes goes: with it `no_task_runs_twice_and_no_worker_is_overcommitted_with_advice` failed ("job 8 failed without a cause"). An early crash still makes a suspect at once.

Tests: segments of builds with and without lost runs are read both ways; tasks with advice; lost answers beside deadly jobs; a stand-in worker that dies on a start. With no loss recorded, the latter's job was started 18 times in 15 s and never failed.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -113,6 +113,7 @@
     let mut ticked_at = time::Instant::now();
     let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
+    let mut crashes = CrashCounters::default();
     loop {
         let pause = if scheduler.needs_finish() {
             BACKLOG_TICK_INTERVAL
@@ -153,6 +154,7 @@
         if clock.now.saturating_duration_since(ticked_at) >= TICK_INTERVAL {
             ticked_at = clock.now;
             scheduler.handle(jobs::Event::Tick, clock);
+            crashes.update(&scheduler.summary(), metrics);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
         overload.refused += refused;
@@ -165,6 +167,24 @@
     }
 }
 
+/// What was counted so far of the crashes in this term.
+#[derive(Default)]
+struct CrashCounters {
+    crashed_workers: u64,
+    given_up_jobs: u64,
+}
+
+impl CrashCounters {
+    fn update(&mut self, summary: &jobs::Summary, metrics: &telemetry::Metrics) {
+        let crashed = summary.crashed_workers - self.crashed_workers;
+        let given_up = summary.given_up_jobs - self.given_up_jobs;
+        metrics.count_by("worker.crashed", crashed);
+        metrics.count_by("job.given_up", given_up);
+        (self.crashed_workers, self.given_up_jobs) =
+            (summary.crashed_workers, summary.given_up_jobs);
+    }
+}
+
 /// The overload of the control thread, if there is one.
 #[derive(Default)]
 struct OverloadPeriod {
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -22,13 +22,10 @@
 /// Runs of a task in which workers crashed, the last of them isolated, after which its job is given
 /// up.
 const MAX_CRASHED_RUNS: usize = 4;
-/// The same limit if every crash was early: workers that crash for other reasons rarely do so just
-/// after one task has begun, three times in a row.
-const MAX_EARLY_CRASHED_RUNS: usize = 3;
 /// Workers that must have crashed for certain before other lost workers count as crashed, too.
 const MIN_PROVEN_WORKERS: usize = 2;
-/// Longest time from the start of a run to the last sign of life of its worker for an early crash.
-const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Longest time from the start of a run to the last listing of its worker for an early crash.
+const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(1_000);
 /// Crashed workers after which only `MAX_LATER_RUNS` more runs of a task may start.
 const LIMITED_AFTER_WORKERS: usize = 3;
 /// Runs of a task that may start after `LIMITED_AFTER_WORKERS` workers have crashed under it.
@@ -209,14 +206,8 @@
         }
         let crashes = self.losses.iter().map(|loss| &loss.record);
         let crashes = crashes.filter(|loss| loss.is_crash);
-        let last = crashes
-            .clone()
-            .max_by_key(|loss| (loss.run, loss.is_isolated))?;
-        let limit = match crashes.clone().all(|loss| loss.is_early) {
-            true => MAX_EARLY_CRASHED_RUNS,
-            false => MAX_CRASHED_RUNS,
-        };
-        (self.crashed_run_count() >= limit && last.is_isolated)
+        let last = crashes.max_by_key(|loss| (loss.run, loss.is_isolated))?;
+        (self.crashed_run_count() >= MAX_CRASHED_RUNS && last.is_isolated)
             .then_some("its last crash was isolated")
     }
 
@@ -403,7 +394,7 @@
             return;
         }
         let address = self.address_of(incarnation);
-        let heard_at = worker.silent_since.unwrap_or(clock.now);
+        let heard_at = worker.heard_at();
         let executed = worker.runs.iter();
         let executed = executed.filter(|(_, run)| run.phase != worker::RunPhase::Planned);
         let executed: Vec<_> = executed.map(|(key, run)| (*key, run.since)).collect();
@@ -414,13 +405,14 @@
             let is_alone = executed
                 .iter()
                 .all(|(other, _)| other.task.job_id == key.task.job_id);
-            let age = heard_at.saturating_duration_since(*since);
+            // Unknown if an earlier leader started it and the worker never answered this one.
+            let age = heard_at.map(|at| at.saturating_duration_since(*since));
             let record = record::LossRecord {
                 run: key.run,
                 incarnation: incarnation.clone(),
                 address: address.clone(),
-                is_isolated: is_alone && age < ISOLATION_TIME,
-                is_early: age < EARLY_CRASH_TIME,
+                is_isolated: is_alone && age.is_none_or(|age| age < ISOLATION_TIME),
+                is_early: age.is_some_and(|age| age < EARLY_CRASH_TIME),
                 is_crash: false,
             };
             let tasks = self.crashes.jobs.entry(task.job_id).or_default();
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -286,6 +286,11 @@
         self.clock = Some((clock_ms, now));
     }
 
+    /// Returns when it last sent a listing.
+    pub(crate) fn heard_at(&self) -> Option<time::Instant> {
+        self.clock.map(|(_, read_at)| read_at)
+    }
+
     /// Returns the time on the worker's clock, in milliseconds, at which a lease granted now ends;
     /// `None` if the clock is not known.
     pub(crate) fn lease_end_ms(
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -8,3 +8,4 @@
 mod peak_load;
 mod relay_loss;
 mod simulation;
+mod stored_losses;
