jobs: never place suspects of two jobs on one worker

Cause: a suspect that had waited for 2.5 s (1 s after its first crash) was placed anywhere. The wait also ran while no worker had room, so that under load most suspects were placed beside others.

Change: workers without other suspects are the last resort.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -42,14 +42,10 @@
 const ISOLATED_WORKERS_DIVISOR: usize = 4;
 /// How long a suspect after its first crash waits for a worker without runs of other jobs.
 const FIRST_EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// How long a suspect after its first crash waits for a worker without other suspects.
-const FIRST_SUSPECT_FREE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// How long any other suspect waits for a worker without runs of other jobs.
 const EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// How long a suspect waits for a worker without long-running tasks and other suspects.
 const SPARING_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-/// How long a suspect waits for a worker without other suspects.
-const SUSPECT_FREE_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 /// How long a run must have worked to clear its task of earlier crashes.
 const CLEARED_AFTER: time::Duration = time::Duration::from_secs(60);
 
@@ -91,9 +87,9 @@
     EmptyWorker,
     /// Long-running tasks and suspects of other jobs.
     Sparing,
-    /// Suspects of other jobs.
+    /// Suspects of other jobs; each keeps them off for `ISOLATION_TIME` at most.
     SuspectFree,
-    /// Nothing, but workers that are kept for suspects of other jobs are not available.
+    /// Nothing: the task is no suspect.
     #[default]
     None,
 }
@@ -235,22 +231,16 @@
         let since = *self.waiting_since.get_or_insert(now);
         let waited = now.saturating_duration_since(since);
         let is_first = self.crashed_run_count() == 1;
-        let (empty_timeout, sparing_timeout, suspect_free_timeout) = match is_first {
-            true => (
-                FIRST_EMPTY_WORKER_TIMEOUT,
-                FIRST_EMPTY_WORKER_TIMEOUT,
-                FIRST_SUSPECT_FREE_TIMEOUT,
-            ),
-            false => (EMPTY_WORKER_TIMEOUT, SPARING_TIMEOUT, SUSPECT_FREE_TIMEOUT),
+        let (empty_timeout, sparing_timeout) = match is_first {
+            true => (FIRST_EMPTY_WORKER_TIMEOUT, FIRST_EMPTY_WORKER_TIMEOUT),
+            false => (EMPTY_WORKER_TIMEOUT, SPARING_TIMEOUT),
         };
         self.isolation = if waited < empty_timeout {
             Isolation::EmptyWorker
         } else if waited < sparing_timeout {
             Isolation::Sparing
-        } else if waited < suspect_free_timeout {
-            Isolation::SuspectFree
         } else {
-            Isolation::None
+            Isolation::SuspectFree
         };
     }
 
--- a/crates/jobs/tests/scheduler/crashes.rs
+++ b/crates/jobs/tests/scheduler/crashes.rs
@@ -356,3 +356,37 @@
     let most_per_worker = 2;
     assert!(restarted <= most_per_worker, "{restarted} runs restarted");
 }
+
+/// A tenth of the jobs on busy workers crash their workers, which are back under other ids.
+#[test]
+fn many_deadly_jobs_on_busy_workers_harm_no_other_job() {
+    for seed in 1..=3 {
+        let mut simulation = Simulation::new(seed, 24, None);
+        simulation.crash_times = CrashTimes {
+            crash_after_ms: 10,
+            back_after_ms: 3_200,
+            changes_id: true,
+        };
+        simulation.run_ms(200);
+        let is_deadly = |id: u64| id % 10 == 5;
+        for id in 1..=200 {
+            if is_deadly(id) {
+                simulation.deadly_jobs.insert(id);
+            }
+            let run_ms = 500 + simulation.random(2_500) as u32;
+            let tasks = 1 + simulation.random(4) as u32;
+            let step = simulation::step(tasks, 3_000, run_ms);
+            simulation.submit(simulation::job(id, "short", step));
+            simulation.run_ms(100);
+        }
+        simulation.run_ms(120_000);
+        for id in 1..=200 {
+            let expected = match is_deadly(id) {
+                true => model::JobStatus::Failed,
+                false => model::JobStatus::Completed,
+            };
+            let status = status_of(&mut simulation, id);
+            assert_eq!(status, expected, "job {id}, seed {seed}");
+        }
+    }
+}
