jobs: suspect the runs that began last on a crashed worker

A worker dies at a start: the guilty run is among those that its worker had not confirmed, or had confirmed last. Only these are suspects now, or tasks with three crashed runs; a crash that no run of another job can have caused (all runs that began last are the job's) counts towards giving up, three runs with such crashes do. A run that has worked for a second keeps no others off its worker any more (5 s before).

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -3,9 +3,10 @@
 //!
 //! A worker that crashes is silent at first: its runs are lost when its lease has expired, and only
 //! its return proves the crash. Each lost run is therefore kept until the fate of its worker is
-//! known. A worker that crashes takes innocent runs with it, so a task is given up only after a
-//! crash in isolation, or once the number of starts after `LIMITED_AFTER_WORKERS` crashes is used
-//! up.
+//! known. A worker that crashes takes innocent runs with it, so a task is given up only after crashes
+//! that no other job can have caused, or once the number of starts after `LIMITED_AFTER_WORKERS`
+//! crashes is used up. The runs that began last are the most suspicious: their next runs are kept
+//! apart from those of other jobs.
 
 use std::sync;
 use std::time;
@@ -19,13 +20,17 @@
 use crate::scheduler;
 use crate::worker;
 
-/// Runs of a task in which workers crashed, the last of them isolated, after which its job is given
-/// up.
-const MAX_CRASHED_RUNS: usize = 4;
+/// Runs of a task with a crash that no other job can have caused, after which its job is given up.
+const MAX_ATTRIBUTABLE_RUNS: usize = 3;
+/// Crashed runs from which a task is a suspect although others had begun later on its workers.
+const SUSPECT_AFTER_RUNS: usize = 3;
 /// Workers that must have crashed for certain before other lost workers count as crashed, too.
 const MIN_PROVEN_WORKERS: usize = 2;
 /// Longest time from the start of a run to the last listing of its worker for an early crash.
-const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(1_000);
+const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(300);
+/// Runs that were confirmed within this time of the last one count as having begun together: answers
+/// to start orders may overtake each other.
+const CONFIRMATION_JITTER: time::Duration = time::Duration::from_millis(100);
 /// Crashed workers after which only `MAX_LATER_RUNS` more runs of a task may start.
 const LIMITED_AFTER_WORKERS: usize = 3;
 /// Runs of a task that may start after `LIMITED_AFTER_WORKERS` workers have crashed under it.
@@ -37,7 +42,7 @@
 /// Most lost runs kept for a task.
 const MAX_LOSSES_PER_TASK: usize = 64;
 /// How long the run of a suspect keeps the runs of other jobs off its worker.
-const ISOLATION_TIME: time::Duration = time::Duration::from_secs(5);
+const ISOLATION_TIME: time::Duration = time::Duration::from_secs(1);
 /// At most one in this many workers of a pool is kept for suspects.
 const ISOLATED_WORKERS_DIVISOR: usize = 4;
 /// How long a suspect after its first crash waits for a worker without runs of other jobs.
@@ -200,18 +205,22 @@
         if is_proven && self.is_at_limit(true) && !self.awaits_verdict(now) {
             return Some("no further start is permitted after its crashes and losses");
         }
+        (self.attributable_run_count() >= MAX_ATTRIBUTABLE_RUNS)
+            .then_some("no other job can have caused its crashes")
+    }
+
+    fn attributable_run_count(&self) -> usize {
         let crashes = self.losses.iter().map(|loss| &loss.record);
-        let crashes = crashes.filter(|loss| loss.is_crash);
-        let last = crashes.max_by_key(|loss| (loss.run, loss.is_isolated))?;
-        (self.crashed_run_count() >= MAX_CRASHED_RUNS && last.is_isolated)
-            .then_some("its last crash was isolated")
+        let crashes = crashes.filter(|loss| loss.is_crash && loss.is_attributable);
+        let runs: maps::HashSet<_> = crashes.map(|loss| loss.run).collect();
+        runs.len()
     }
 
-    /// Returns whether the next run is to be isolated: after a crash that was early, or if two runs
-    /// may have crashed their workers.
+    /// Returns whether the next run is to be isolated: after an early crash, or after several.
     fn is_suspect(&self) -> bool {
-        let mut crashes = self.losses.iter().filter(|loss| loss.record.is_crash);
-        crashes.any(|loss| loss.record.is_early || self.crashes_by_run(true).len() > 1)
+        let crashes = self.losses.iter().map(|loss| &loss.record);
+        let mut crashes = crashes.filter(|loss| loss.is_crash);
+        crashes.any(|loss| loss.is_early) || self.crashed_run_count() >= SUSPECT_AFTER_RUNS
     }
 
     /// Returns whether a start must wait until the fate of a worker is known.
@@ -384,25 +393,22 @@
             return;
         }
         let address = self.address_of(incarnation);
-        let heard_at = worker.heard_at();
         let executed = worker.runs.iter();
         let executed = executed.filter(|(_, run)| run.phase != worker::RunPhase::Planned);
-        let executed: Vec<_> = executed.map(|(key, run)| (*key, run.since)).collect();
-        for (key, since) in &executed {
+        let executed: Vec<_> = executed.map(|(key, _)| *key).collect();
+        let early = early_runs(worker);
+        for key in &executed {
             let Some(task) = self.crash_key(key.task) else {
                 continue;
             };
-            let is_alone = executed
-                .iter()
-                .all(|(other, _)| other.task.job_id == key.task.job_id);
-            // Unknown if an earlier leader started it and the worker never answered this one.
-            let age = heard_at.map(|at| at.saturating_duration_since(*since));
+            let is_early = early.contains(key);
+            let belongs_to_job = |other: &model::RunKey| other.task.job_id == key.task.job_id;
             let record = record::LossRecord {
                 run: key.run,
                 incarnation: incarnation.clone(),
                 address: address.clone(),
-                is_isolated: is_alone && age.is_none_or(|age| age < ISOLATION_TIME),
-                is_early: age.is_some_and(|age| age < EARLY_CRASH_TIME),
+                is_early,
+                is_attributable: is_early && early.iter().all(belongs_to_job),
                 is_crash: false,
             };
             let tasks = self.crashes.jobs.entry(task.job_id).or_default();
@@ -445,7 +451,8 @@
                         task,
                         run: loss.run,
                     },
-                    loss.is_isolated,
+                    loss.is_early,
+                    loss.is_attributable,
                 ));
             }
         }
@@ -453,7 +460,7 @@
             return;
         }
         self.crashes.crashed_workers += 1;
-        for (key, is_isolated) in crashed {
+        for (key, is_early, is_attributable) in crashed {
             let Some(losses) = self.crashes.task(key.task) else {
                 continue;
             };
@@ -464,7 +471,8 @@
                 evidence,
                 crashed_runs = losses.crashed_run_count(),
                 crashed_workers = losses.crashed_worker_count(),
-                is_isolated;
+                is_early,
+                is_attributable;
                 "worker crashed under a run"
             );
             let reason = losses.reason_to_give_up(clock.now);
@@ -785,6 +793,30 @@
     }
 }
 
+/// Returns the runs of a worker that had begun last when it was last heard of: those whose start it
+/// has not confirmed, and the youngest of the others.
+///
+/// Runs that an earlier leader started are left out, as their age is not known.
+fn early_runs(worker: &worker::Worker) -> maps::HashSet<model::RunKey> {
+    let started = worker.runs.iter().filter(|(_, run)| run.attempts > 0);
+    let last_confirmed_at = started
+        .clone()
+        .filter_map(|(_, run)| run.confirmed_at)
+        .max();
+    let is_early = |run: &worker::WorkerRun| match (run.confirmed_at, last_confirmed_at) {
+        (Some(at), Some(last)) => {
+            let age = worker
+                .heard_at()
+                .map(|heard_at| heard_at.saturating_duration_since(at));
+            age.is_some_and(|age| age < EARLY_CRASH_TIME)
+                && last.saturating_duration_since(at) <= CONFIRMATION_JITTER
+        }
+        _ => true,
+    };
+    let early = started.filter(|(_, run)| is_early(run));
+    early.map(|(key, _)| *key).collect()
+}
+
 /// Returns the task at which the losses of a gang are recorded.
 fn first_task(step: model::StepKey) -> model::TaskKey {
     model::TaskKey {
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -128,10 +128,10 @@
     pub(crate) incarnation: model::WorkerIncarnation,
     /// Address of the worker, if known.
     pub(crate) address: Option<sync::Arc<str>>,
-    /// Whether the worker had no runs of other jobs, and the run had begun not long before.
-    pub(crate) is_isolated: bool,
-    /// Whether the run had hardly begun when the worker was last heard of.
+    /// Whether the run was among those that had begun last on the worker.
     pub(crate) is_early: bool,
+    /// Whether no run of another job can have caused a crash at its start.
+    pub(crate) is_attributable: bool,
     /// Whether the worker has crashed; otherwise its fate is not known.
     pub(crate) is_crash: bool,
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -75,6 +75,8 @@
     pub(crate) phase: RunPhase,
     /// When the run entered this phase.
     pub(crate) since: time::Instant,
+    /// When the worker confirmed the run to this leader; `None` before that.
+    pub(crate) confirmed_at: Option<time::Instant>,
     /// Whether a start order may have been received without an answer.
     pub(crate) unanswered: bool,
     /// Start orders sent.
@@ -361,6 +363,7 @@
             checkpoint: None,
             phase,
             since: now,
+            confirmed_at: None,
             unanswered: false,
             attempts: 0,
             progress: None,
@@ -387,6 +390,9 @@
     }
 
     pub(crate) fn set_phase(&mut self, phase: RunPhase, now: time::Instant) {
+        if phase == RunPhase::Running {
+            self.confirmed_at.get_or_insert(now);
+        }
         self.phase = phase;
         self.since = now;
     }
