jobs, controller: report why a step is not started

The lines 'step waits' and 'runs planned' can not tell apart whether a step waits for members of an earlier run, stands behind other gangs, has no room beside reservations, or gets no advice.

Now the leader writes 'step still not started' with the reason and its inputs for a step of which no run has started for 3 s: at most once in 2 s for a step and 20 times for all steps. Members of a gang that have not ended are named with their phase and worker; such a gang is not in the queue and showed in no line. blocked.REASON counts the lines. Decisions are unchanged: the workers that suit a step are chosen by a method that the report shares.

Tests: scheduler/blocked.rs.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -157,6 +157,9 @@
             crashes.update(&scheduler.summary(), metrics);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
+        for (reason, reports) in scheduler.take_block_reports() {
+            metrics.count_by(&format!("blocked.{}", reason.as_str()), reports);
+        }
         overload.refused += refused;
         for (obstacle, count) in scheduler.take_withheld_starts() {
             metrics.count_by(&format!("start.withheld.{}", obstacle.as_str()), count);
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use crate::blocked;
 use crate::manifest;
 use crate::maps;
 use crate::record;
@@ -68,6 +69,8 @@
     pub(crate) failures_by_worker: maps::IndexMap<model::WorkerId, u32>,
     /// Since when waiting tasks could not be placed for lack of capacity or advice.
     pub(crate) blocked_since: Option<time::Instant>,
+    /// Set while tasks wait and no run of the step has started since.
+    pub(crate) wait: Option<blocked::Wait>,
 }
 
 /// One task.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod advice_planner;
 mod advisors;
+mod blocked;
 mod candidate;
 mod crashes;
 mod event;
@@ -32,6 +33,7 @@
 mod worker_api;
 mod workers;
 
+pub use blocked::BlockReason;
 pub use event::Action;
 pub use event::AdviceCall;
 pub use event::Batch;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -246,6 +246,7 @@
                     run.set_phase(worker::RunPhase::Running, clock.now);
                 }
                 self.mark_job_started(key);
+                self.end_wait(key.task.step_key());
             }
             worker_api::StartOutcome::NoAnswer => {
                 run.unanswered = true;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -71,6 +71,18 @@
         let waited = clock.now.saturating_duration_since(since);
         waited.as_millis() as f64 / self.objective_ms.max(1) as f64
     }
+
+    /// Returns whether the step may start on a worker, as far as the leader knows, whatever its free
+    /// capacity.
+    fn suits(&self, incarnation: &model::WorkerIncarnation, worker: &worker::Worker) -> bool {
+        let required_label = self.step.required_label.as_ref();
+        !self.step_state.tickets.is_refused(&incarnation.worker_id)
+            && worker
+                .report
+                .as_ref()
+                .is_some_and(|report| report.pool == self.queue.pool)
+            && required_label.is_none_or(|label| worker.has_label(label))
+    }
 }
 
 impl scheduler::Scheduler {
@@ -118,7 +130,11 @@
         }
         if step.gang {
             // If some members still run, the end of the last one enqueues the step again.
-            return step_state.waiting_count < step.task_count || self.place_gang(key, pass, clock);
+            if step_state.waiting_count < step.task_count {
+                self.begin_wait(key, clock);
+                return true;
+            }
+            return self.place_gang(key, pass, clock);
         }
         self.place_tasks(key, pass, clock)
     }
@@ -211,14 +227,14 @@
                 self.request_advice_for_gang(key, terms, pass, clock);
             }
         }
-        pass.gang_demand_ahead = pass.gang_demand_ahead.plus(&total);
         self.mark_blocked(key, pass, clock);
+        pass.gang_demand_ahead = pass.gang_demand_ahead.plus(&total);
         false
     }
 
     /// Returns whether more capacity is free than earlier gangs wait for; otherwise a gang would
     /// request tickets in vain.
-    fn has_capacity_beyond_earlier_gangs(&self, pass: &mut Pass) -> bool {
+    pub(crate) fn has_capacity_beyond_earlier_gangs(&self, pass: &mut Pass) -> bool {
         let free = *pass.total_free.get_or_insert_with(|| {
             let usable = pass.usable.iter().map(|index| &self.workers[*index]);
             usable.fold(model::Demand::default(), |sum, worker| {
@@ -342,7 +358,7 @@
         if !context.step_state.tickets.may_call(clock.now) {
             return None;
         }
-        let usable = self.candidates(&context, self.usable_workers(pass), pass);
+        let usable = self.usable_candidates(&context, pass);
         let demand = workers::counted_demand(context.step);
         Some(decide(&advice_planner::AdvicePlanner {
             usable: &usable,
@@ -414,7 +430,7 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.usable_workers(pass), pass);
+            return self.usable_candidates(context, pass);
         }
         let ticketed = context.step_state.tickets.valid_workers(clock.now);
         let ticketed = self.usable_by_id(ticketed, clock);
@@ -437,6 +453,27 @@
         indexes.filter_map(|index| self.workers.get_index(*index))
     }
 
+    /// Returns the workers that accept runs and on which a step may start, as far as the leader knows,
+    /// whatever their free capacity.
+    pub(crate) fn suitable_workers<'a>(
+        &'a self,
+        context: &StepContext<'a>,
+        pass: &Pass,
+    ) -> impl Iterator<Item = &'a worker::Worker> {
+        let usable = self.usable_workers(pass);
+        let suitable = usable.filter(|(incarnation, worker)| context.suits(incarnation, worker));
+        suitable.map(|(_, worker)| worker)
+    }
+
+    /// Returns the candidates for a step among all workers that accept runs.
+    pub(crate) fn usable_candidates<'a>(
+        &'a self,
+        context: &StepContext<'a>,
+        pass: &Pass,
+    ) -> Vec<Candidate<'a>> {
+        self.candidates(context, self.usable_workers(pass), pass)
+    }
+
     /// Returns those of the named workers that accept runs.
     fn usable_by_id<'a>(
         &'a self,
@@ -458,7 +495,7 @@
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
-            return self.candidates(context, self.usable_workers(pass), pass);
+            return self.usable_candidates(context, pass);
         }
         let allowed = context.step_state.tickets.allowed_workers();
         self.candidates(context, self.usable_by_id(allowed, clock), pass)
@@ -489,21 +526,13 @@
         };
         let usable = workers.filter(|(incarnation, worker)| {
             !is_reserved(incarnation)
+                && context.suits(incarnation, worker)
                 && self.permits_beside(
                     incarnation,
                     context.key.job_id,
                     context.isolation,
                     &pass.suspects,
                 )
-                && !step_state.tickets.is_refused(&incarnation.worker_id)
-                && worker
-                    .report
-                    .as_ref()
-                    .is_some_and(|report| report.pool == context.queue.pool)
-                && step
-                    .required_label
-                    .as_ref()
-                    .is_none_or(|label| worker.has_label(label))
         });
         let is_earlier = |step: &model::StepKey| pass.visited.contains(step);
         let candidates = usable.map(|(incarnation, worker)| {
@@ -551,6 +580,9 @@
             last.unwrap_or_default() + 1
         });
         let blocked_since = step_state.blocked_since.take();
+        if let Some(wait) = &mut step_state.wait {
+            wait.plans += 1;
+        }
         log::info!(
             job:% = journal::job_id_hex(key.job_id),
             step = key.step,
@@ -613,9 +645,12 @@
         }
         let since = *step_state.blocked_since.get_or_insert(clock.now);
         let waited = clock.now.saturating_duration_since(since);
-        if step.gang && waited >= reserve_after {
+        let is_reservation_due = step.gang && waited >= reserve_after;
+        self.begin_wait(key, clock);
+        if is_reservation_due {
             self.reserve_workers(key, pass, clock);
         }
+        self.report_blocked(key, pass, clock);
     }
 
     /// Reserves workers for a gang that has been blocked for long, so that it is not starved, and
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use crate::advisors;
+use crate::blocked;
 use crate::crashes;
 use crate::event;
 use crate::job;
@@ -85,6 +86,7 @@
             last_placement_at: None,
             last_full_pass_at: None,
             placement_visits: 0,
+            block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
         };
         let mut definitions = maps::IndexMap::default();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use crate::advisors;
+use crate::blocked;
 use crate::crashes;
 use crate::event;
 use crate::job;
@@ -63,6 +64,7 @@
     pub(crate) last_full_pass_at: Option<time::Instant>,
     /// How many times it was tried to place a waiting step.
     pub(crate) placement_visits: u64,
+    pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
 }
@@ -250,6 +252,7 @@
         self.lose_runs_on_expired(clock);
         self.expire_losses(clock);
         self.expire_outcomes(clock);
+        self.report_incomplete_gangs(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
         }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -352,7 +352,11 @@
         );
         if is_confirmed {
             run.set_phase(worker::RunPhase::Running, clock.now);
+            self.end_wait(key.task.step_key());
         }
+        let Some(run) = self.run_mut(incarnation, key) else {
+            return;
+        };
         if run
             .progress
             .is_none_or(|(percent, _)| percent < row.percent)
--- /dev/null
+++ b/crates/jobs/tests/scheduler/blocked.rs
@@ -0,0 +1,60 @@
+//! Reports of steps that are not started for long: each names the reason.
+
+use crate::simulation;
+use crate::simulation::Simulation;
+
+fn gang(members: u32, processors_milli: u32) -> model::Step {
+    model::Step {
+        gang: true,
+        ..simulation::step(members, processors_milli, 60_000)
+    }
+}
+
+fn reasons(simulation: &mut Simulation) -> Vec<jobs::BlockReason> {
+    let reports = simulation.take_block_reports();
+    reports.into_iter().map(|(reason, _)| reason).collect()
+}
+
+/// The workers are full, and a step waits for longer than reports are held back.
+#[test]
+fn step_without_capacity_is_reported() {
+    let mut simulation = Simulation::new(1, 2, None);
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(1, "long", gang(2, 7_000)));
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(2, "long", gang(2, 7_000)));
+    simulation.run_ms(2_500);
+    assert!(reasons(&mut simulation).is_empty(), "reported too early");
+    simulation.run_ms(5_000);
+    let reports = simulation.take_block_reports();
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    let (reason, count) = reports[0];
+    assert_eq!(reason, jobs::BlockReason::NoCapacity);
+    assert!(count <= 3, "{count} reports of one step in five seconds");
+}
+
+/// One member of a gang is on a worker that is cut off: the others are stopped, and the gang waits
+/// until the lease of that worker has expired.
+#[test]
+fn gang_whose_earlier_run_has_not_ended_is_reported() {
+    let mut simulation = Simulation::new(1, 4, None);
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(1, "long", gang(4, 7_000)));
+    simulation.run_ms(200);
+    simulation.workers[0].is_partitioned = true;
+    simulation.workers[1].restart();
+    simulation.run_ms(5_000);
+    let reasons = reasons(&mut simulation);
+    assert_eq!(reasons, [jobs::BlockReason::EarlierRunNotEnded]);
+}
+
+/// The recommendation service allows too few workers for the gang to fit.
+#[test]
+fn gang_that_does_not_fit_on_allowed_workers_is_reported() {
+    let mut simulation = Simulation::new(1, 10, Some(0.5));
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(1, "long", gang(6, 7_000)));
+    simulation.run_ms(6_000);
+    let reasons = reasons(&mut simulation);
+    assert_eq!(reasons, [jobs::BlockReason::NoCapacity]);
+}
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler in a simulation with virtual time, without network.
 
+mod blocked;
 mod capacity_changes;
 mod crashes;
 mod gangs;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -896,6 +896,13 @@
         scheduler.map_or_else(Vec::new, |one| one.take_withheld_starts().collect())
     }
 
+    /// Returns how often the leader has reported each reason for which steps are not started, since the
+    /// last call.
+    pub(crate) fn take_block_reports(&mut self) -> Vec<(jobs::BlockReason, u64)> {
+        let scheduler = self.scheduler.as_mut();
+        scheduler.map_or_else(Vec::new, |one| one.take_block_reports().collect())
+    }
+
     pub(crate) fn random(&mut self, below: u64) -> u64 {
         self.rng.random_range(0..below)
     }
