jobs: bound the steps that one placement pass visits

Cause: the leader's work grew with its backlog. Once it had no time left it used answers of the recommendation service after their tickets had expired; the workers rejected the starts, whole gangs were stopped and queued again, and the backlog grew on. So mended what the record shows: it visits the whole queue only each 100 ms.

The same cause was left there: a pass over the whole queue each 100 ms takes as long as the queue is.

A step about which the service has answered is visited in the next pass wherever it stands: its tickets expire.

Ruled out: a longer interval between full passes. It bounds the share of time, but one pass then still takes as long as the queue, and tickets expire in it.

Tests, both failing before: gang_starts_again_while_the_leader_has_a_backlog ('not done; the longest round of decisions took 2000 ms') and placement_work_does_not_grow_with_the_backlog ('a round of decisions took 2001 ms'). gang_at_the_end_of_a_backlog_starts_with_its_tickets failed (never started) on this change without the visit after an answer. In the simulation the leader's visits now may take time, during which events wait, and the leader goes on by itself while it has more to decide, as the control thread does.

--- a/crates/jobs/src/blocked.rs
+++ b/crates/jobs/src/blocked.rs
@@ -7,6 +7,7 @@
 use crate::job;
 use crate::journal;
 use crate::maps;
+use crate::pass;
 use crate::placement;
 use crate::runs::run_name;
 use crate::scheduler;
@@ -171,7 +172,7 @@
     pub(crate) fn report_blocked(
         &mut self,
         key: model::StepKey,
-        pass: &mut placement::Pass,
+        pass: &mut pass::Pass,
         clock: event::Clock,
     ) {
         if !self.is_report_due(key, clock) {
@@ -233,7 +234,7 @@
     fn fit_of(
         &self,
         context: &placement::StepContext<'_>,
-        pass: &placement::Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
     ) -> Fit {
         let demand = workers::counted_demand(context.step);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod manifest;
 mod maps;
 mod orders;
+mod pass;
 mod placement;
 mod preemption;
 mod record;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -1,5 +1,6 @@
 //! Placement: assigns waiting tasks to workers.
 
+use std::mem;
 use std::time;
 
 use crate::advice_planner;
@@ -12,6 +13,7 @@
 use crate::journal;
 use crate::manifest;
 use crate::maps;
+use crate::pass;
 use crate::reservations;
 use crate::scheduler;
 use crate::worker;
@@ -26,33 +28,17 @@
 /// long runs.
 const RESERVED_CAPACITY_FACTOR: f64 = 1.5;
 
-/// Number of steps that cannot be placed after which a partial pass ends.
-pub(crate) const PARTIAL_PASS_BLOCKED_STEPS: usize = 40;
+/// Number of steps that cannot be placed after which the head of the scheduling order ends.
+const HEAD_BLOCKED_STEPS: usize = 40;
+/// Number of steps behind the head that cannot be placed after which a pass ends.
+const SWEEP_BLOCKED_STEPS: usize = 30;
+/// Most steps that a pass visits without placing them.
+pub(crate) const MAX_BLOCKED_STEPS_PER_PASS: usize = HEAD_BLOCKED_STEPS + SWEEP_BLOCKED_STEPS;
 
 /// Most workers considered for a step at one visit; the next visit begins with others. A choice among
 /// hundreds is about as good as one among thousands, and the cost of a decision stays bounded.
 const MAX_CONSIDERED_WORKERS: usize = 768;
 
-/// State of one pass over the waiting steps.
-#[derive(Debug, Default)]
-pub(crate) struct Pass {
-    /// Indexes of the workers that accept runs.
-    usable: Vec<usize>,
-    /// Steps already considered; later ones must not use the capacity reserved for them.
-    visited: maps::HashSet<model::StepKey>,
-    /// Workers reserved for gangs earlier in the scheduling order, with the priority of the gang;
-    /// work of a higher priority may still use them.
-    reserved_workers: maps::HashMap<model::WorkerIncarnation, u32>,
-    /// Whether the reservation for a gang would have exceeded the limit of reserved workers.
-    is_reservation_limit_reached: bool,
-    /// Total demand of waiting gangs earlier in the scheduling order.
-    gang_demand_ahead: model::Demand,
-    /// Free capacity of all workers together; computed on first use.
-    total_free: Option<model::Demand>,
-    /// Workers that have runs of tasks under which workers have crashed.
-    suspects: crashes::SuspectWorkers,
-}
-
 /// A step with waiting tasks, and the state that placement needs.
 pub(crate) struct StepContext<'a> {
     key: model::StepKey,
@@ -87,38 +73,105 @@
 
 impl scheduler::Scheduler {
     /// Starts a pass over the waiting steps.
-    pub(crate) fn new_pass(&self, clock: event::Clock) -> Pass {
+    pub(crate) fn new_pass(&self, clock: event::Clock) -> pass::Pass {
         let workers = self.workers.values().enumerate();
         let usable = workers.filter(|(_, worker)| worker.accepts_runs(clock.now));
-        Pass {
-            usable: usable.map(|(index, _)| index).collect(),
-            suspects: self.suspect_workers(clock),
-            ..Pass::default()
-        }
+        pass::Pass::new(
+            usable.map(|(index, _)| index).collect(),
+            self.suspect_workers(clock),
+        )
     }
 
-    /// Places waiting tasks where they fit, in the scheduling order; unless `is_full`, only until
-    /// `PARTIAL_PASS_BLOCKED_STEPS` steps could not be placed.
-    pub(crate) fn place_waiting(&mut self, is_full: bool, clock: event::Clock) {
-        let mut pass = self.new_pass(clock);
+    /// Places waiting tasks where they fit, in the scheduling order: in each pass the head of it, the
+    /// steps that have got an answer about their tickets, which expire, and of the others as many as
+    /// come next in the sweep.
+    pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         self.reservations.expire(clock.now);
+        let answered = self.advisors.take_answered();
+        let order = self.scheduling_order(clock);
+        let mut pass = self.new_pass(clock);
+        let head = self.place_head(&order, &answered, &mut pass, clock);
+        let rest = &order[head..];
+        let sweep = mem::take(&mut self.sweep);
+        let first = rest.partition_point(|step| Some(*step) <= sweep.last);
+        pass.continue_sweep(sweep.earlier);
+        let end = first + self.place_swept(&rest[first..], &mut pass, clock);
+        if end < rest.len() {
+            self.sweep = pass::Sweep {
+                last: rest[..end].last().copied(),
+                earlier: pass.into_swept(),
+            };
+            self.placement_needed = true;
+        }
+    }
+
+    /// Visits the head of the scheduling order, and the `answered` steps behind it; returns the length
+    /// of the head.
+    fn place_head(
+        &mut self,
+        order: &[scheduler::OrderedStep],
+        answered: &maps::HashSet<model::StepKey>,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> usize {
         let mut blocked = 0;
-        for step in self.scheduling_order(clock) {
-            if self.place_step(step.key, &mut pass, clock) {
-                self.waiting.remove(&step);
-            } else {
-                blocked += 1;
-            }
-            pass.visited.insert(step.key);
-            self.placement_visits += 1;
-            if !is_full && blocked >= PARTIAL_PASS_BLOCKED_STEPS {
+        let mut length = 0;
+        for (_, step) in order {
+            let is_head = blocked < HEAD_BLOCKED_STEPS;
+            if !is_head && answered.is_empty() {
                 break;
             }
+            if is_head || answered.contains(&step.key) {
+                blocked += usize::from(!self.visit(step, pass, clock));
+            }
+            length += usize::from(is_head);
         }
+        length
+    }
+
+    /// Visits `steps` until so many could not be placed that the pass ends; returns how many were
+    /// visited or had been before in this pass.
+    fn place_swept(
+        &mut self,
+        steps: &[scheduler::OrderedStep],
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> usize {
+        let mut blocked = 0;
+        for (index, (_, step)) in steps.iter().enumerate() {
+            if blocked >= SWEEP_BLOCKED_STEPS {
+                return index;
+            }
+            if !pass.is_earlier(&step.key) {
+                blocked += usize::from(!self.visit(step, pass, clock));
+            }
+        }
+        steps.len()
+    }
+
+    /// Places tasks of a step; returns whether none is left waiting.
+    fn visit(
+        &mut self,
+        step: &scheduler::WaitingStep,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> bool {
+        let is_placed = self.place_step(step.key, pass, clock);
+        if is_placed {
+            self.waiting.remove(step);
+        }
+        pass.mark_visited(step.key);
+        self.placement_visits += 1;
+        is_placed
     }
 
     /// Places tasks of one step; returns whether none is left waiting.
-    fn place_step(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+    fn place_step(
+        &mut self,
+        key: model::StepKey,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> bool {
         let Some(state) = self.jobs.get(&key.job_id) else {
             return true;
         };
@@ -140,7 +193,12 @@
     }
 
     /// Places tasks that start independently; returns whether none is left waiting.
-    fn place_tasks(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+    fn place_tasks(
+        &mut self,
+        key: model::StepKey,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> bool {
         let (withheld, suspects) = self.withheld_tasks(key, clock);
         for suspect in suspects {
             self.place_suspect(suspect, pass, clock);
@@ -176,7 +234,7 @@
     }
 
     /// Places a task under which workers have crashed, isolated if possible.
-    fn place_suspect(&mut self, task: model::TaskKey, pass: &mut Pass, clock: event::Clock) {
+    fn place_suspect(&mut self, task: model::TaskKey, pass: &mut pass::Pass, clock: event::Clock) {
         let key = task.step_key();
         let isolation = self.crashes.isolation_of(task);
         let Some(context) = self.step_context(key) else {
@@ -198,7 +256,12 @@
     }
 
     /// Places all tasks of a gang, or none; returns whether they are placed.
-    fn place_gang(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) -> bool {
+    fn place_gang(
+        &mut self,
+        key: model::StepKey,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) -> bool {
         let (withheld, suspects) = self.withheld_tasks(key, clock);
         if withheld.awaiting_verdict > 0 {
             return false;
@@ -228,21 +291,21 @@
             }
         }
         self.mark_blocked(key, pass, clock);
-        pass.gang_demand_ahead = pass.gang_demand_ahead.plus(&total);
+        pass.add_gang_demand(&total);
         false
     }
 
     /// Returns whether more capacity is free than earlier gangs wait for; otherwise a gang would
     /// request tickets in vain.
-    pub(crate) fn has_capacity_beyond_earlier_gangs(&self, pass: &mut Pass) -> bool {
+    pub(crate) fn has_capacity_beyond_earlier_gangs(&self, pass: &mut pass::Pass) -> bool {
         let free = *pass.total_free.get_or_insert_with(|| {
             let usable = pass.usable.iter().map(|index| &self.workers[*index]);
             usable.fold(model::Demand::default(), |sum, worker| {
                 sum.plus(&worker.free())
             })
         });
-        pass.gang_demand_ahead.processors_milli <= free.processors_milli
-            && pass.gang_demand_ahead.memory_mb <= free.memory_mb
+        let ahead = pass.gang_demand_ahead();
+        ahead.processors_milli <= free.processors_milli && ahead.memory_mb <= free.memory_mb
     }
 
     /// Calls the recommendation service for tasks that start independently, if that may help.
@@ -251,7 +314,7 @@
         key: model::StepKey,
         missing: u32,
         terms: manifest::AdviceTerms,
-        pass: &Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
     ) {
         if !self.advisors.can_take_call(clock.now) {
@@ -288,7 +351,7 @@
         &mut self,
         key: model::StepKey,
         terms: manifest::AdviceTerms,
-        pass: &Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
     ) {
         if !self.advisors.can_take_gang_call(&terms, clock.now) {
@@ -350,7 +413,7 @@
         &self,
         key: model::StepKey,
         terms: manifest::AdviceTerms,
-        pass: &Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
         decide: impl FnOnce(&advice_planner::AdvicePlanner<'_>) -> T,
     ) -> Option<T> {
@@ -379,7 +442,7 @@
         &self,
         context: &StepContext<'_>,
         demand: &model::Demand,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> f64 {
         let pool = &context.queue.pool;
         let task_limit = context.step.max_per_worker.unwrap_or(u32::MAX);
@@ -426,7 +489,7 @@
     fn startable_workers<'a>(
         &'a self,
         context: &StepContext<'a>,
-        pass: &Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
@@ -441,7 +504,7 @@
     /// considered for a step.
     fn usable_workers(
         &self,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> impl Iterator<Item = (&model::WorkerIncarnation, &worker::Worker)> {
         let count = pass.usable.len();
         let first = match count > MAX_CONSIDERED_WORKERS {
@@ -458,7 +521,7 @@
     pub(crate) fn suitable_workers<'a>(
         &'a self,
         context: &StepContext<'a>,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> impl Iterator<Item = &'a worker::Worker> {
         let usable = self.usable_workers(pass);
         let suitable = usable.filter(|(incarnation, worker)| context.suits(incarnation, worker));
@@ -469,7 +532,7 @@
     pub(crate) fn usable_candidates<'a>(
         &'a self,
         context: &StepContext<'a>,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> Vec<Candidate<'a>> {
         self.candidates(context, self.usable_workers(pass), pass)
     }
@@ -491,7 +554,7 @@
     pub(crate) fn allowed_workers<'a>(
         &'a self,
         context: &StepContext<'a>,
-        pass: &Pass,
+        pass: &pass::Pass,
         clock: event::Clock,
     ) -> Vec<Candidate<'a>> {
         if context.queue.advice.is_none() {
@@ -507,7 +570,7 @@
         &self,
         context: &StepContext<'_>,
         workers: impl Iterator<Item = (&'a model::WorkerIncarnation, &'a worker::Worker)>,
-        pass: &Pass,
+        pass: &pass::Pass,
     ) -> Vec<Candidate<'a>> {
         let (step, step_state) = (context.step, context.step_state);
         let mut placed: maps::HashMap<&model::WorkerIncarnation, u32> = maps::HashMap::default();
@@ -519,13 +582,8 @@
             }
         }
         let priority = context.queue.priority;
-        let is_reserved = |incarnation: &model::WorkerIncarnation| {
-            pass.reserved_workers
-                .get(incarnation)
-                .is_some_and(|of| *of <= priority)
-        };
         let usable = workers.filter(|(incarnation, worker)| {
-            !is_reserved(incarnation)
+            !pass.is_reserved(incarnation, priority)
                 && context.suits(incarnation, worker)
                 && self.permits_beside(
                     incarnation,
@@ -534,7 +592,7 @@
                     &pass.suspects,
                 )
         });
-        let is_earlier = |step: &model::StepKey| pass.visited.contains(step);
+        let is_earlier = |step: &model::StepKey| pass.is_earlier(step);
         let candidates = usable.map(|(incarnation, worker)| {
             let already = placed.get(incarnation).copied().unwrap_or_default();
             let task_limit = step
@@ -625,7 +683,7 @@
     }
 
     /// Marks a step as blocked, and reserves workers for a gang that has been blocked for long.
-    fn mark_blocked(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) {
+    fn mark_blocked(&mut self, key: model::StepKey, pass: &mut pass::Pass, clock: event::Clock) {
         let Some(state) = self.jobs.get_mut(&key.job_id) else {
             return;
         };
@@ -655,10 +713,10 @@
 
     /// Reserves workers for a gang that has been blocked for long, so that it is not starved, and
     /// renews their tickets, so that it starts as soon as there is capacity.
-    fn reserve_workers(&mut self, key: model::StepKey, pass: &mut Pass, clock: event::Clock) {
+    fn reserve_workers(&mut self, key: model::StepKey, pass: &mut pass::Pass, clock: event::Clock) {
         let Some(context) = self
             .step_context(key)
-            .filter(|_| !pass.is_reservation_limit_reached)
+            .filter(|_| !pass.is_reservation_limit_reached())
         else {
             return;
         };
@@ -679,13 +737,13 @@
         });
         let priority = context.queue.priority;
         let incarnations: Vec<_> = incarnations.map(|one| one.incarnation.clone()).collect();
-        let is_within_limit = pass.reserved_workers.is_empty()
-            || pass.reserved_workers.len() + incarnations.len() <= limit;
+        let reserved = pass.reserved_count();
+        let is_within_limit = reserved == 0 || reserved + incarnations.len() <= limit;
         if capacity < f64::from(context.step.task_count) {
             return;
         }
         if !is_within_limit {
-            pass.is_reservation_limit_reached = true;
+            pass.set_reservation_limit_reached();
             return;
         }
         let advice = context.queue.advice;
@@ -704,11 +762,7 @@
                 self.request_advice(key, terms, worker_ids, clock);
             }
         }
-        pass.reserved_workers.extend(
-            incarnations
-                .into_iter()
-                .map(|incarnation| (incarnation, priority)),
-        );
+        pass.reserve(incarnations, priority);
     }
 }
 
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -15,6 +15,7 @@
 use crate::journal;
 use crate::manifest;
 use crate::maps;
+use crate::pass;
 use crate::record;
 use crate::reservations;
 use crate::scheduler;
@@ -84,7 +85,7 @@
             store_lost_at: None,
             placement_needed: true,
             last_placement_at: None,
-            last_full_pass_at: None,
+            sweep: pass::Sweep::default(),
             placement_visits: 0,
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::orders;
+use crate::pass;
 use crate::placement;
 use crate::record;
 use crate::reservations;
@@ -23,9 +24,6 @@
 /// Time added to the interval between placement passes for each step that a pass visits, so that
 /// passes take a bounded share of the time.
 const PLACEMENT_INTERVAL_PER_STEP: time::Duration = time::Duration::from_micros(150);
-/// Time between two placement passes that visit every waiting step; the ones in between visit the
-/// first steps in the scheduling order only.
-const FULL_PASS_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Decides which task of which job runs on which worker.
 ///
@@ -60,8 +58,8 @@
     pub(crate) placement_needed: bool,
     /// When the last placement pass was made.
     pub(crate) last_placement_at: Option<time::Instant>,
-    /// When the last placement pass that visited every waiting step was made.
-    pub(crate) last_full_pass_at: Option<time::Instant>,
+    /// How far the steps behind the head of the scheduling order have been visited.
+    pub(crate) sweep: pass::Sweep,
     /// How many times it was tried to place a waiting step.
     pub(crate) placement_visits: u64,
     pub(crate) block_reports: blocked::BlockReports,
@@ -72,7 +70,7 @@
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
 /// first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Lateness {
+pub(crate) enum Lateness {
     /// The step is long-running.
     LongRunning,
     InTime,
@@ -94,6 +92,9 @@
     pub(crate) key: model::StepKey,
 }
 
+/// A waiting step at its place in the scheduling order.
+pub(crate) type OrderedStep = (Lateness, WaitingStep);
+
 /// Values for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
@@ -170,13 +171,7 @@
         if self.placement_needed && is_due {
             self.placement_needed = false;
             self.last_placement_at = Some(clock.now);
-            let is_full_pass_due = self
-                .last_full_pass_at
-                .is_none_or(|at| clock.now.saturating_duration_since(at) >= FULL_PASS_INTERVAL);
-            if is_full_pass_due {
-                self.last_full_pass_at = Some(clock.now);
-            }
-            self.place_waiting(is_full_pass_due, clock);
+            self.place_waiting(clock);
         }
         self.send_due_calls(clock);
         self.flush(clock);
@@ -188,7 +183,7 @@
         let visited = self
             .waiting
             .len()
-            .min(placement::PARTIAL_PASS_BLOCKED_STEPS);
+            .min(placement::MAX_BLOCKED_STEPS_PER_PASS);
         let visited = u32::try_from(visited).unwrap_or(u32::MAX);
         MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_STEP * visited
     }
@@ -341,14 +336,13 @@
     ///
     /// Jobs that can still end in time precede jobs that cannot, whatever their priorities: after
     /// an outage the former would become late while they wait for the latter.
-    pub(crate) fn scheduling_order(&self, clock: event::Clock) -> Vec<WaitingStep> {
-        let mut steps: Vec<_> = self
-            .waiting
-            .iter()
+    pub(crate) fn scheduling_order(&self, clock: event::Clock) -> Vec<OrderedStep> {
+        let steps = self.waiting.iter();
+        let mut order: Vec<_> = steps
             .map(|step| (self.lateness(step, clock), *step))
             .collect();
-        steps.sort_by_key(|(lateness, _)| *lateness);
-        steps.into_iter().map(|(_, step)| step).collect()
+        order.sort();
+        order
     }
 
     fn lateness(&self, step: &WaitingStep, clock: event::Clock) -> Lateness {
--- a/crates/jobs/tests/scheduler/gangs.rs
+++ b/crates/jobs/tests/scheduler/gangs.rs
@@ -42,3 +42,57 @@
     assert!(waited_ms > 0, "the gang has not started");
     assert!(waited_ms < GANG_WAIT_MS, "members waited {waited_ms} ms");
 }
+
+/// A gang fails once while a backlog keeps the leader busy: answers of the recommendation service
+/// wait for its rounds of decisions. It must start again as soon as there is room, and must not be
+/// planned with tickets that expire before the leader has handled them.
+#[test]
+fn gang_starts_again_while_the_leader_has_a_backlog() {
+    let mut simulation = Simulation::new(3, 30, Some(0.5));
+    simulation.use_slow_advice(200, 20);
+    simulation.run_ms(200);
+    simulation.failing_jobs.insert(1);
+    let member = model::Step {
+        gang: true,
+        ..simulation::step(6, 7_000, 4_000)
+    };
+    simulation.submit(simulation::job(1, "short", member));
+    simulation.run_ms(2_000);
+    assert!(simulation.started_at_ms.contains_key(&1), "not started");
+    simulation.failing_jobs.remove(&1);
+    // No worker has so much room.
+    let impossible = simulation::step(1, 9_000, 1_000);
+    for id in 100..4_100 {
+        simulation.submit(simulation::job(id, "long", impossible.clone()));
+    }
+    simulation.visit_cost_us = 500;
+    simulation.run_ms(15_000);
+    assert!(
+        simulation.ended_at_ms.contains_key(&1),
+        "not done; the longest round of decisions took {} ms",
+        simulation.max_round_ms
+    );
+}
+
+/// A gang stands so far behind other steps that none of them start that the leader comes back to it
+/// only after its tickets have expired, unless it does so once they arrive.
+#[test]
+fn gang_at_the_end_of_a_backlog_starts_with_its_tickets() {
+    let mut simulation = Simulation::new(4, 30, Some(0.5));
+    simulation.use_slow_advice(200, 20);
+    simulation.run_ms(200);
+    let impossible = model::Step {
+        required_label: Some("no worker has it".into()),
+        ..simulation::step(1, 1_000, 60_000)
+    };
+    for id in 100..8_100 {
+        simulation.submit(simulation::job(id, "short", impossible.clone()));
+    }
+    simulation.run_ms(200);
+    let submitted_at_ms = simulation.now_ms;
+    simulation.submit(simulation::job(1, "long", gang(6)));
+    simulation.run_ms(10_000);
+    let started_at_ms = simulation.started_at_ms.get(&1).copied();
+    let waited_ms = started_at_ms.map(|at_ms| at_ms - submitted_at_ms);
+    assert!(waited_ms.is_some_and(|ms| ms < 7_000), "{waited_ms:?}");
+}
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -80,6 +80,32 @@
     assert!(started.count() > 90, "short tasks wait behind the backlog");
 }
 
+/// The work of the leader must not grow with the backlog, nor may a single round of decisions: while
+/// it decides, it reads no answers, and tickets and leases expire.
+#[test]
+fn placement_work_does_not_grow_with_the_backlog() {
+    let mut simulation = Simulation::new(9, 6, None);
+    simulation.run_ms(200);
+    let long = simulation::step(6, 7_000, 60_000);
+    simulation.submit(simulation::job(1, "short", long));
+    simulation.run_ms(100);
+    let wide = simulation::step(1, 4_000, 1_000);
+    submit_at_interval(&mut simulation, 100, 4_000, 0, "long", &wide);
+    simulation.visit_cost_us = 500;
+    let before = simulation.placement_visits();
+    let small = simulation::step(1, 250, 80);
+    submit_at_interval(&mut simulation, 10_000, 100, 10, "short", &small);
+    let visits = simulation.placement_visits() - before;
+    assert!(visits <= 8_000, "{visits} visits in a second");
+    let longest_ms = simulation.max_round_ms;
+    assert!(
+        longest_ms <= 100,
+        "a round of decisions took {longest_ms} ms"
+    );
+    let started = (10_000..10_100).filter(|id| simulation.started_at_ms.contains_key(id));
+    assert!(started.count() > 90, "short tasks wait behind the backlog");
+}
+
 /// A steady stream of small jobs of the same priority keeps every worker partly occupied, which
 /// would starve a wide gang unless workers were reserved for it.
 #[test]
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -22,6 +22,8 @@
 const MAX_TAIL_VIOLATION_MS: u64 = 4_000;
 /// Interval at which a waiting renewal is checked for ended runs, in milliseconds.
 const RENEWAL_POLL_MS: u64 = 20;
+/// Pause before the next round of decisions while there is more to decide, in milliseconds.
+const ROUND_PAUSE_MS: u64 = 4;
 /// Timeout of an order, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 400;
 /// Time until a lost relay is noticed, in milliseconds.
@@ -62,6 +64,8 @@
     Crash(model::WorkerIncarnation),
     /// A worker that has crashed is back.
     Restart(usize),
+    /// The leader of this term has finished a round of decisions, or has more to decide.
+    NextRound(model::Term),
 }
 
 pub(crate) struct Simulation {
@@ -140,6 +144,17 @@
     pub(crate) max_failures: u32,
     /// Real time that the scheduler has taken so far.
     pub(crate) decision_time: time::Duration,
+    /// Time that the leader takes for each visit of a waiting step, in microseconds; what arrives
+    /// meanwhile is handled together after that.
+    pub(crate) visit_cost_us: u64,
+    /// When the leader has finished its current round of decisions, in milliseconds.
+    busy_until_ms: u64,
+    /// Whether the next round of decisions is scheduled.
+    has_next_round: bool,
+    /// Events that have arrived during the round.
+    inbox: Vec<jobs::Event>,
+    /// Longest round of decisions so far, in milliseconds.
+    pub(crate) max_round_ms: u64,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
     pub(crate) allowed_share: Option<f64>,
 }
@@ -192,6 +207,11 @@
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
             decision_time: time::Duration::ZERO,
+            visit_cost_us: 0,
+            busy_until_ms: 0,
+            has_next_round: false,
+            inbox: Vec::new(),
+            max_round_ms: 0,
             allowed_share,
         };
         simulation.elect_leader();
@@ -265,6 +285,9 @@
         let leadership_timeout = time::Duration::from_secs(1);
         let scheduler = recovery.build(settings, self.term, leadership_timeout, self.clock());
         self.scheduler = Some(scheduler);
+        self.inbox.clear();
+        self.has_next_round = false;
+        self.busy_until_ms = self.now_ms;
         let term = self.term;
         let manifest = self.manifest.clone();
         self.deliver(term, jobs::Event::Manifest(manifest));
@@ -288,14 +311,37 @@
         if term != self.term {
             return;
         }
+        if self.scheduler.is_none() {
+            return;
+        }
+        self.inbox.push(event);
+        if self.now_ms >= self.busy_until_ms {
+            self.decide(term);
+        }
+    }
+
+    /// Makes the leader handle all events that have arrived.
+    fn decide(&mut self, term: model::Term) {
         let clock = self.clock();
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
+        let visits_before = scheduler.summary().placement_visits;
         let began_at = time::Instant::now();
-        scheduler.handle(event, clock);
+        for event in self.inbox.drain(..) {
+            scheduler.handle(event, clock);
+        }
         let actions = scheduler.finish(clock);
         self.decision_time += began_at.elapsed();
+        let visits = scheduler.summary().placement_visits - visits_before;
+        let round_ms = visits * self.visit_cost_us / 1_000;
+        self.max_round_ms = self.max_round_ms.max(round_ms);
+        let needs_round = scheduler.needs_finish() || round_ms > 0;
+        self.busy_until_ms = self.now_ms + round_ms;
+        if needs_round && !self.has_next_round {
+            self.has_next_round = true;
+            self.push(round_ms.max(ROUND_PAUSE_MS), Event::NextRound(term));
+        }
         for action in actions {
             self.execute(term, action);
         }
@@ -436,6 +482,15 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Deliver(term, event) => self.deliver(term, event),
+            Event::NextRound(term) => {
+                let left_ms = self.busy_until_ms.saturating_sub(self.now_ms);
+                if term == self.term && left_ms > 0 {
+                    self.push(left_ms, Event::NextRound(term));
+                } else if term == self.term {
+                    self.has_next_round = false;
+                    self.decide(term);
+                }
+            }
             Event::Tick(term) => {
                 self.check_tail_latency();
                 self.measure_gang_waits();
