jobs, relay: count the validity of tickets from the answer, not from its handling

A leader without processor time handles an answer of the recommendation service seconds after it was given; it counted the validity of the tickets from then on, planned whole gangs with tickets that had expired, and stopped them again.

Change: the instance that makes a call reports how long it took. The leader counts the validity from the time it sent the call plus that time, at most from now on. The way of the order to the instance is left out, so tickets never count as valid for longer than they are; start orders take the same way.

Ruled out: the expected duration of the call in place of the measured one: while the service is slower than expected no ticket would ever count as valid.

Test: tickets_expire_while_their_answer_waits_for_the_leader; before: 4 starts with expired tickets, 0 allowed.

--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -43,7 +43,12 @@
             relay::Response::Renewal(workers.renew_lease(&order, RENEWAL_SLACK).await)
         }
         relay::Request::Advise(request) => {
-            relay::Response::Advice(shared.platform.advisor().advise(&request).await)
+            let began_at = time::Instant::now();
+            let outcome = shared.platform.advisor().advise(&request).await;
+            relay::Response::Advice {
+                outcome,
+                elapsed: began_at.elapsed(),
+            }
         }
     }
 }
--- a/crates/jobs/src/advisors.rs
+++ b/crates/jobs/src/advisors.rs
@@ -80,6 +80,7 @@
     asked: Vec<model::WorkerId>,
     instance_id: model::InstanceId,
     terms: manifest::AdviceTerms,
+    sent_at: time::Instant,
 }
 
 impl Advisors {
@@ -217,6 +218,7 @@
                 asked,
                 instance_id: call.instance_id.clone(),
                 terms,
+                sent_at: clock.now,
             },
         );
         self.actions.push(event::Action::Advise(call));
@@ -226,6 +228,7 @@
         &mut self,
         call: event::CallId,
         outcome: Result<model::AdviceReply, model::AdviceFailure>,
+        elapsed: time::Duration,
         clock: event::Clock,
     ) {
         let Some(call) = self.advisors.calls.swap_remove(&call) else {
@@ -251,7 +254,9 @@
                 let validity = reply
                     .validity_ms
                     .map_or(call.terms.validity, time::Duration::from_millis);
-                let valid_until = clock.now + validity;
+                // The answer may have waited for the leader since.
+                let answered_at = clock.now.min(call.sent_at + elapsed);
+                let valid_until = answered_at + validity;
                 let learned =
                     step_state
                         .tickets
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -87,6 +87,9 @@
         call: CallId,
         /// The result.
         outcome: Result<model::AdviceReply, model::AdviceFailure>,
+        /// Time that the call took at the instance that made it; the validity of tickets begins at its
+        /// end.
+        elapsed: time::Duration,
     },
     /// The store has committed a batch.
     BatchCommitted(BatchId),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -153,7 +153,11 @@
                 incarnation,
                 outcome,
             } => self.on_renewal(&incarnation, outcome, clock),
-            event::Event::Advice { call, outcome } => self.on_advice(call, outcome, clock),
+            event::Event::Advice {
+                call,
+                outcome,
+                elapsed,
+            } => self.on_advice(call, outcome, elapsed, clock),
             event::Event::BatchCommitted(batch) => self.on_committed(batch, clock),
             event::Event::BatchUnconfirmed => self.on_unconfirmed(),
             event::Event::BatchRejected(batch) => self.on_rejected(batch),
--- a/crates/jobs/tests/scheduler/gangs.rs
+++ b/crates/jobs/tests/scheduler/gangs.rs
@@ -96,3 +96,21 @@
     let waited_ms = started_at_ms.map(|at_ms| at_ms - submitted_at_ms);
     assert!(waited_ms.is_some_and(|ms| ms < 7_000), "{waited_ms:?}");
 }
+
+/// The leader stands still while the recommendation service answers, until the tickets have expired.
+/// It must ask again at once instead of planning runs that the workers reject.
+#[test]
+fn tickets_expire_while_their_answer_waits_for_the_leader() {
+    let mut simulation = Simulation::new(5, 12, Some(0.5));
+    simulation.use_slow_advice(200, 20);
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(1, "long", gang(4)));
+    simulation.run_ms(100);
+    simulation.stall_leader(2_400);
+    simulation.run_ms(5_000);
+    assert_eq!(
+        simulation.ticket_rejections, 0,
+        "starts with expired tickets"
+    );
+    assert!(simulation.started_at_ms.contains_key(&1), "not started");
+}
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -153,6 +153,8 @@
     has_next_round: bool,
     /// Events that have arrived during the round.
     inbox: Vec<jobs::Event>,
+    /// Starts rejected because their ticket had expired.
+    pub(crate) ticket_rejections: u32,
     /// Longest round of decisions so far, in milliseconds.
     pub(crate) max_round_ms: u64,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
@@ -211,6 +213,7 @@
             busy_until_ms: 0,
             has_next_round: false,
             inbox: Vec::new(),
+            ticket_rejections: 0,
             max_round_ms: 0,
             allowed_share,
         };
@@ -259,6 +262,12 @@
         self.elect_leader();
     }
 
+    /// Stops the leader for some time; it handles what has arrived after that.
+    pub(crate) fn stall_leader(&mut self, duration_ms: u64) {
+        self.busy_until_ms = self.now_ms + duration_ms;
+        self.push(duration_ms, Event::NextRound(self.term));
+    }
+
     /// Kills the leader; there is none until the next election.
     pub(crate) fn kill_leader(&mut self) {
         self.scheduler = None;
@@ -427,6 +436,7 @@
         let event = jobs::Event::Advice {
             call: call.call,
             outcome: Ok(reply),
+            elapsed: time::Duration::from_millis(done_ms - self.now_ms),
         };
         self.advice_in_flight += 1;
         self.max_advice_in_flight = self.max_advice_in_flight.max(self.advice_in_flight);
@@ -632,7 +642,9 @@
             return;
         }
         self.workers[index].expire(now_ms);
-        let outcome = if is_expired(&order, now_ms) {
+        let is_expired = is_expired(&order, now_ms);
+        self.ticket_rejections += u32::from(is_expired);
+        let outcome = if is_expired {
             jobs::StartOutcome::Rejected(jobs::StartRejection::Ticket)
         } else {
             self.workers[index].accept_start(&order, now_ms)
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -127,8 +127,12 @@
                     outcome,
                 }
             }
-            (Subject::Advice(call), message::Response::Advice(outcome)) => {
-                jobs::Event::Advice { call, outcome }
+            (Subject::Advice(call), message::Response::Advice { outcome, elapsed }) => {
+                jobs::Event::Advice {
+                    call,
+                    outcome,
+                    elapsed,
+                }
             }
             (subject, _) => {
                 log::error!(
@@ -206,6 +210,7 @@
             Self::Advice(call) => jobs::Event::Advice {
                 call,
                 outcome: Err(model::AdviceFailure::NoAnswer),
+                elapsed: time::Duration::ZERO,
             },
         }
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -131,7 +131,12 @@
     /// Of [`Request::Renew`].
     Renewal(jobs::RenewalOutcome),
     /// Of [`Request::Advise`].
-    Advice(Result<model::AdviceReply, model::AdviceFailure>),
+    Advice {
+        /// What the service has answered.
+        outcome: Result<model::AdviceReply, model::AdviceFailure>,
+        /// Time that the call took.
+        elapsed: time::Duration,
+    },
 }
 
 impl Response {
@@ -139,7 +144,7 @@
     #[must_use]
     pub fn is_urgent(&self) -> bool {
         match self {
-            Self::Advice(_) => true,
+            Self::Advice { .. } => true,
             Self::Renewal(jobs::RenewalOutcome::Listing(listing)) => !listing.ended.is_empty(),
             Self::Start(outcome) => *outcome != jobs::StartOutcome::Started,
             _ => false,
