jobs: renew all tickets of a wide gang at the same time

What callers would see: a gang that needs more workers than one call to the recommendation service may name never starts, however much room is free, if there was none when its tickets were first given.

Cause: a renewal named the first 100 of its workers only. Naming 100 takes nearly as long as tickets are valid, so that the tickets of the first 100 had to be renewed again before the others got one, and so on without end. Searches for allowed workers already used several calls at once.

Change: a renewal, also that for reserved workers, is divided over several calls that are sent together, as a search is.

Test: gang_renews_more_tickets_than_one_call_names (120 workers; 0.7 s and 10 ms a worker for a call; tickets valid for 2 s).

--- a/crates/jobs/src/advice_planner.rs
+++ b/crates/jobs/src/advice_planner.rs
@@ -142,13 +142,13 @@
             .filter(|one| one.fit_count(&self.demand) > 0)
             .take(assigned.len().div_ceil(SPARE_TICKETS_DIVISOR));
         let wanted: Vec<_> = assigned.iter().copied().chain(spares).collect();
-        let needed_until =
-            self.clock.now + advisors::duration_with_backlog(&self.terms, wanted.len());
+        let named = advisors::even_call_size(wanted.len());
+        let needed_until = self.clock.now + advisors::duration_with_backlog(&self.terms, named);
         let expired = wanted.into_iter().filter(|one| {
             let worker_id = &one.incarnation.worker_id;
             self.tickets.valid_token(worker_id, needed_until).is_none()
         });
-        worker_ids_of(expired.take(advisors::MAX_WORKERS_PER_CALL))
+        worker_ids_of(expired)
     }
 
     /// Returns workers not asked about yet, those with the most free capacity first; none if enough
--- a/crates/jobs/src/advisors.rs
+++ b/crates/jobs/src/advisors.rs
@@ -22,7 +22,7 @@
 /// How long an instance gets no calls after one of its calls failed.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 /// Most workers that one call may name.
-pub(crate) const MAX_WORKERS_PER_CALL: usize = 100;
+const MAX_WORKERS_PER_CALL: usize = 100;
 /// Base time from which a call is long: long calls leave some instances free for short ones.
 const LONG_CALL_BASE_TIME: time::Duration = time::Duration::from_millis(200);
 /// One in this many instances is left free for short calls, so that short jobs do not wait for long
@@ -174,6 +174,20 @@
 }
 
 impl scheduler::Scheduler {
+    /// Calls the service about the workers `asked` for a gang, in several calls if one may not name all
+    /// of them. They are sent together so that their tickets are valid at the same time.
+    pub(crate) fn request_gang_advice(
+        &mut self,
+        step: model::StepKey,
+        terms: manifest::AdviceTerms,
+        asked: &[model::WorkerId],
+        clock: event::Clock,
+    ) {
+        for part in asked.chunks(even_call_size(asked.len())) {
+            self.request_advice(step, terms, part.to_vec(), clock);
+        }
+    }
+
     /// Calls the service about the workers `asked`, unless no instance can take the call.
     pub(crate) fn request_advice(
         &mut self,
@@ -284,6 +298,12 @@
     }
 }
 
+/// Returns how many workers each call names if `count` are divided evenly among as few as possible.
+pub(crate) fn even_call_size(count: usize) -> usize {
+    let calls = count.div_ceil(MAX_WORKERS_PER_CALL).max(1);
+    count.div_ceil(calls).max(1)
+}
+
 /// Returns the expected duration of a call that names `count` workers.
 pub(crate) fn call_duration(terms: &manifest::AdviceTerms, count: usize) -> time::Duration {
     let named = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -373,17 +373,13 @@
                     &reserve_on,
                     reservations::Exclusivity::AllSteps,
                     terms,
-                    worker_ids.len(),
+                    advisors::even_call_size(worker_ids.len()),
                     clock,
                 );
-                self.request_advice(key, terms, worker_ids, clock);
+                self.request_gang_advice(key, terms, &worker_ids, clock);
             }
             Some(Some(advice_planner::GangCall::Discover { worker_ids })) => {
-                // The calls are sent together so that their tickets are valid at the same time.
-                let calls = worker_ids.len().div_ceil(advisors::MAX_WORKERS_PER_CALL);
-                for part in worker_ids.chunks(worker_ids.len().div_ceil(calls)) {
-                    self.request_advice(key, terms, part.to_vec(), clock);
-                }
+                self.request_gang_advice(key, terms, &worker_ids, clock);
             }
             Some(None) => self.defer_call(key, clock),
             None => {}
@@ -748,18 +744,19 @@
         }
         let advice = context.queue.advice;
         if let Some(terms) = advice {
-            let needed_until = clock.now + advisors::call_duration(&terms, incarnations.len());
+            let named = advisors::even_call_size(incarnations.len());
+            let needed_until = clock.now + advisors::call_duration(&terms, named);
             let worker_ids = incarnations
                 .iter()
                 .map(|incarnation| incarnation.worker_id.clone());
             let worker_ids = worker_ids
                 .filter(|worker_id| tickets.valid_token(worker_id, needed_until).is_none());
-            let worker_ids: Vec<_> = worker_ids.take(advisors::MAX_WORKERS_PER_CALL).collect();
+            let worker_ids: Vec<_> = worker_ids.collect();
             let may_call = !tickets.has_call_in_flight()
                 && !worker_ids.is_empty()
                 && self.advisors.can_take_gang_call(&terms, clock.now);
             if may_call {
-                self.request_advice(key, terms, worker_ids, clock);
+                self.request_gang_advice(key, terms, &worker_ids, clock);
             }
         }
         pass.reserve(incarnations, priority);
--- a/crates/jobs/tests/scheduler/gangs.rs
+++ b/crates/jobs/tests/scheduler/gangs.rs
@@ -1,5 +1,7 @@
 //! Gangs whose members cannot all start: the members that have started must not wait for long.
 
+use std::time;
+
 use crate::simulation;
 use crate::simulation::Simulation;
 
@@ -114,3 +116,23 @@
     );
     assert!(simulation.started_at_ms.contains_key(&1), "not started");
 }
+
+/// A gang needs more workers than one call to the recommendation service may name, and has to renew
+/// its tickets because there was no room when they were given. All of them must be valid at once.
+#[test]
+fn gang_renews_more_tickets_than_one_call_names() {
+    let mut simulation = Simulation::new(6, 300, Some(0.5));
+    simulation.use_slow_advice(700, 20);
+    simulation.use_advice_time_per_worker(time::Duration::from_millis(10));
+    simulation.allowed_shares.insert("short".into(), 1.0);
+    simulation.run_ms(200);
+    // One task on each worker until 10 s have passed.
+    for id in 11..=13 {
+        let busy = simulation::step(100, 7_000, 8_000);
+        simulation.submit(simulation::job(id, "short", busy));
+    }
+    simulation.run_ms(2_000);
+    simulation.submit(simulation::job(1, "long", gang(120)));
+    simulation.run_ms(20_000);
+    assert!(simulation.started_at_ms.contains_key(&1), "not started");
+}
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -240,6 +240,19 @@
         self.use_manifest(manifest, advisors);
     }
 
+    /// Changes the time that each named worker adds to a call to the recommendation service, and elects a
+    /// new leader.
+    pub(crate) fn use_advice_time_per_worker(&mut self, per_worker: time::Duration) {
+        let mut manifest = self.manifest.clone();
+        for queue in manifest.queues.values_mut() {
+            if let Some(terms) = &mut sync::Arc::make_mut(queue).advice {
+                terms.time_per_worker = per_worker;
+            }
+        }
+        let advisors = self.advisors;
+        self.use_manifest(manifest, advisors);
+    }
+
     /// Changes how long the tickets of the recommendation service are valid, and elects a new
     /// leader.
     pub(crate) fn use_ticket_validity_ms(&mut self, validity_ms: u64) {
