jobs: ask for advice about workers that a suspect may use

If only suspects of a step wait, the call now names workers that their isolation permits, and there is none if there are no such workers.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -303,6 +303,32 @@
         self.isolation_of(first_task(step))
     }
 
+    /// Returns the strictest isolation of the waiting tasks of a step if all of them are suspects;
+    /// else some can start on any worker.
+    pub(crate) fn isolation_of_waiting(
+        &self,
+        step: model::StepKey,
+        step_state: &job::StepState,
+    ) -> Isolation {
+        let Some(losses) = self.jobs.get(&step.job_id) else {
+            return Isolation::None;
+        };
+        let tasks = (0_u32..).zip(&step_state.tasks);
+        let waiting = tasks.filter(|(_, task)| task.phase == job::Phase::Waiting);
+        let isolations = waiting.map(|(index, _)| {
+            let losses = losses.get(&task_of(step, index));
+            losses.map_or(Isolation::None, |losses| losses.isolation)
+        });
+        let (strictest, loosest) = isolations.fold(
+            (Isolation::None, Isolation::EmptyWorker),
+            |(strictest, loosest), one| (strictest.min(one), loosest.max(one)),
+        );
+        match loosest {
+            Isolation::None => Isolation::None,
+            _ => strictest,
+        }
+    }
+
     fn task(&self, task: model::TaskKey) -> Option<&TaskLosses> {
         self.jobs.get(&task.job_id)?.get(&task)
     }
@@ -819,10 +845,14 @@
 
 /// Returns the task at which the losses of a gang are recorded.
 fn first_task(step: model::StepKey) -> model::TaskKey {
+    task_of(step, 0)
+}
+
+fn task_of(step: model::StepKey, index: u32) -> model::TaskKey {
     model::TaskKey {
         job_id: step.job_id,
         occurrence: step.occurrence,
         step: step.step,
-        index: 0,
+        index,
     }
 }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -417,6 +417,11 @@
         if !context.step_state.tickets.may_call(clock.now) {
             return None;
         }
+        let isolation = self.crashes.isolation_of_waiting(key, context.step_state);
+        let context = StepContext {
+            isolation: context.isolation.min(isolation),
+            ..context
+        };
         let usable = self.usable_candidates(&context, pass);
         let demand = workers::counted_demand(context.step);
         Some(decide(&advice_planner::AdvicePlanner {
