jobs: forget the crashes of a task that is done

Found by the review of the crash limit: a job of two steps failed although its first step had ended done. The proof of a crash under an earlier run came later than the end, and made the third crash that no other job can have caused.

The lost runs of a task are dropped when it is done. late_proof_does_not_give_up_a_task_that_is_done failed before ('left: Failed, right: Completed').

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -292,6 +292,17 @@
         self.jobs.swap_remove(&job_id);
     }
 
+    /// Forgets the lost runs of a task that is done.
+    pub(crate) fn remove_task(&mut self, task: model::TaskKey) {
+        let Some(tasks) = self.jobs.get_mut(&task.job_id) else {
+            return;
+        };
+        tasks.swap_remove(&task);
+        if tasks.is_empty() {
+            self.remove_job(task.job_id);
+        }
+    }
+
     /// Returns the isolation of the next run of a task.
     pub(crate) fn isolation_of(&self, task: model::TaskKey) -> Isolation {
         let losses = self.task(task);
@@ -601,12 +612,9 @@
             if let Some(reason) = losses.and_then(|losses| losses.reason_to_give_up(clock.now)) {
                 let run = losses.and_then(TaskLosses::last_run).unwrap_or_default();
                 self.give_up(model::RunKey { task, run }, reason, clock);
-            } else if is_cleared && let Some(tasks) = self.crashes.jobs.get_mut(&task.job_id) {
+            } else if is_cleared {
                 log::info!(task:? = task; "task cleared of earlier crashes");
-                tasks.swap_remove(&task);
-                if tasks.is_empty() {
-                    self.crashes.remove_job(task.job_id);
-                }
+                self.crashes.remove_task(task);
                 self.journal.mark_dirty(task.job_id);
             }
         }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -134,6 +134,9 @@
                 } else {
                     step_state.set_phase(key.task.index, job::Phase::Done);
                 }
+                let index = if is_gang { 0 } else { key.task.index };
+                self.crashes
+                    .remove_task(model::TaskKey { index, ..key.task });
                 if !is_latest {
                     self.stop_superfluous_runs(key, clock);
                 }
--- a/crates/jobs/tests/scheduler/crashes.rs
+++ b/crates/jobs/tests/scheduler/crashes.rs
@@ -390,3 +390,44 @@
         }
     }
 }
+
+/// Guards against a job that is given up for a task that has ended done: the last of its crashes is
+/// proven only when a later run of it has succeeded.
+#[test]
+fn late_proof_does_not_give_up_a_task_that_is_done() {
+    let mut simulation = Simulation::new(6, 8, None);
+    simulation.crash_times = CrashTimes {
+        crash_after_ms: 10,
+        back_after_ms: 4_000,
+        changes_id: true,
+    };
+    simulation.run_ms(200);
+    let mut job = simulation::job(1, "short", simulation::step(1, 7_000, 1_500));
+    job.steps.push(model::Step {
+        after: vec![0],
+        ..simulation::step(1, 7_000, 40_000)
+    });
+    simulation.submit(job);
+    for crash in 0..3 {
+        let deadline_ms = simulation.now_ms + 30_000;
+        let index = loop {
+            simulation.run_ms(10);
+            assert!(
+                simulation.now_ms < deadline_ms,
+                "run {} has not started",
+                crash + 1
+            );
+            if let Some(index) = worker_of(&simulation, 1) {
+                break index;
+            }
+        };
+        if crash == 2 {
+            simulation.crash_times.back_after_ms = 16_000;
+        }
+        simulation.run_ms(30);
+        let incarnation = simulation.workers[index].incarnation.clone();
+        simulation.crash(&incarnation);
+    }
+    simulation.run_ms(70_000);
+    assert_eq!(status_of(&mut simulation, 1), model::JobStatus::Completed);
+}
