jobs: index lost runs by the incarnation that had them

Lost runs are found by incarnation, tasks with a proven crash are kept in a set, and expiry is checked once a second.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -39,6 +39,8 @@
 const VERDICT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// How long a lost run is kept whose worker has neither returned nor restarted.
 const LOSS_RETENTION: time::Duration = time::Duration::from_secs(120);
+/// Time between two checks whether losses have expired.
+const EXPIRY_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Most lost runs kept for a task.
 const MAX_LOSSES_PER_TASK: usize = 64;
 /// How long the run of a suspect keeps the runs of other jobs off its worker.
@@ -59,6 +61,13 @@
 pub(crate) struct Crashes {
     /// By job, and by task; those of a gang are recorded at its first task.
     jobs: maps::IndexMap<model::JobId, maps::IndexMap<model::TaskKey, TaskLosses>>,
+    /// Tasks in `jobs` with lost runs on an incarnation whose fate is not known, and some tasks that
+    /// are no longer in `jobs`.
+    lost_on: maps::IndexMap<model::WorkerIncarnation, maps::IndexSet<model::TaskKey>>,
+    /// Tasks in `jobs` with a proven crash.
+    crashed_tasks: maps::IndexSet<model::TaskKey>,
+    /// When losses were last checked for their expiry.
+    expiry_checked_at: Option<time::Instant>,
     /// Stored addresses of incarnations that the directory may no longer list.
     addresses: maps::HashMap<model::WorkerIncarnation, sync::Arc<str>>,
     /// Worker incarnations that crashed with runs on them, since the term began.
@@ -173,6 +182,11 @@
         by_run
     }
 
+    fn unresolved_on(&self, incarnation: &model::WorkerIncarnation) -> Option<&Loss> {
+        let mut losses = self.losses.iter();
+        losses.find(|loss| !loss.record.is_crash && loss.record.incarnation == *incarnation)
+    }
+
     fn crashed_run_count(&self) -> usize {
         self.crashes_by_run(false).len()
     }
@@ -188,6 +202,9 @@
 
     /// Returns whether a further start could exceed the permitted number.
     fn is_at_limit(&self, with_unresolved: bool) -> bool {
+        if self.losses.len() <= MAX_LATER_RUNS {
+            return false;
+        }
         let by_run = self.crashes_by_run(with_unresolved);
         let before_limit = by_run
             .iter()
@@ -220,7 +237,9 @@
     fn is_suspect(&self) -> bool {
         let crashes = self.losses.iter().map(|loss| &loss.record);
         let mut crashes = crashes.filter(|loss| loss.is_crash);
-        crashes.any(|loss| loss.is_early) || self.crashed_run_count() >= SUSPECT_AFTER_RUNS
+        crashes.any(|loss| loss.is_early)
+            || self.losses.len() >= SUSPECT_AFTER_RUNS
+                && self.crashed_run_count() >= SUSPECT_AFTER_RUNS
     }
 
     /// Returns whether a start must wait until the fate of a worker is known.
@@ -273,23 +292,34 @@
     /// Restores the lost runs of a job; the time for which they are kept begins anew.
     pub(crate) fn restore(&mut self, stored: record::JobLosses, now: time::Instant) {
         self.addresses.extend(stored.addresses);
-        let tasks = stored.tasks.into_iter().map(|(task, records)| {
-            let losses = records.into_iter().map(|record| Loss {
-                record,
-                lost_at: now,
-            });
-            let losses = TaskLosses {
-                losses: losses.collect(),
-                ..TaskLosses::default()
-            };
-            (task, losses)
-        });
-        self.jobs.insert(stored.job_id, tasks.collect());
+        for (task, records) in stored.tasks {
+            for record in records {
+                let loss = Loss {
+                    record,
+                    lost_at: now,
+                };
+                self.add(task, loss);
+            }
+        }
+    }
+
+    fn add(&mut self, task: model::TaskKey, loss: Loss) {
+        if loss.record.is_crash {
+            self.crashed_tasks.insert(task);
+        } else {
+            let incarnation = loss.record.incarnation.clone();
+            self.lost_on.entry(incarnation).or_default().insert(task);
+        }
+        let tasks = self.jobs.entry(task.job_id).or_default();
+        tasks.entry(task).or_default().add(loss);
     }
 
     /// Forgets a job that has ended.
     pub(crate) fn remove_job(&mut self, job_id: model::JobId) {
-        self.jobs.swap_remove(&job_id);
+        let tasks = self.jobs.swap_remove(&job_id).unwrap_or_default();
+        for task in tasks.into_keys() {
+            self.crashed_tasks.swap_remove(&task);
+        }
     }
 
     /// Forgets the lost runs of a task that is done.
@@ -299,8 +329,9 @@
         };
         tasks.swap_remove(&task);
         if tasks.is_empty() {
-            self.remove_job(task.job_id);
+            self.jobs.swap_remove(&task.job_id);
         }
+        self.crashed_tasks.swap_remove(&task);
     }
 
     /// Returns the isolation of the next run of a task.
@@ -348,40 +379,51 @@
         self.jobs.get_mut(&task.job_id)?.get_mut(&task)
     }
 
-    fn tasks_mut(&mut self) -> impl Iterator<Item = (model::TaskKey, &mut TaskLosses)> {
-        let tasks = self.jobs.values_mut().flatten();
-        tasks.map(|(task, losses)| (*task, losses))
-    }
-
     /// Returns the incarnations whose fate is not known, with their last addresses.
-    fn unresolved(&self) -> maps::IndexMap<model::WorkerIncarnation, Option<sync::Arc<str>>> {
-        let losses = self.jobs.values().flat_map(|tasks| tasks.values());
-        let losses = losses.flat_map(|task| &task.losses);
-        let unresolved = losses.filter(|loss| !loss.record.is_crash);
-        unresolved
-            .map(|loss| {
-                let address = loss.record.address.clone();
-                (loss.record.incarnation.clone(), address)
-            })
-            .collect()
+    fn unresolved(&self) -> Vec<(model::WorkerIncarnation, Option<sync::Arc<str>>)> {
+        let unresolved = self.lost_on.iter().filter_map(|(incarnation, tasks)| {
+            let mut losses = tasks.iter().filter_map(|task| self.task(*task));
+            let loss = losses.find_map(|losses| losses.unresolved_on(incarnation))?;
+            Some((incarnation.clone(), loss.record.address.clone()))
+        });
+        unresolved.collect()
     }
 
-    /// Removes losses by a condition; returns the jobs that had such.
-    fn remove_losses(&mut self, is_removed: impl Fn(&Loss) -> bool) -> Vec<model::JobId> {
+    /// Removes unresolved losses of tasks by a condition; returns the tasks that had such.
+    fn remove_unresolved(
+        &mut self,
+        tasks: impl IntoIterator<Item = model::TaskKey>,
+        is_removed: impl Fn(&Loss) -> bool,
+    ) -> Vec<model::TaskKey> {
         let mut changed = Vec::new();
-        self.jobs.retain(|job_id, tasks| {
-            tasks.retain(|_, task| {
-                let before = task.losses.len();
-                task.losses.retain(|loss| !is_removed(loss));
-                if task.losses.len() < before {
-                    changed.push(*job_id);
-                }
-                !task.losses.is_empty()
+        for task in tasks {
+            let Some(losses) = self.task_mut(task) else {
+                continue;
+            };
+            let before = losses.losses.len();
+            let is_kept = |loss: &Loss| loss.record.is_crash || !is_removed(loss);
+            losses.losses.retain(is_kept);
+            let is_empty = losses.losses.is_empty();
+            if losses.losses.len() < before {
+                changed.push(task);
+            }
+            if is_empty {
+                self.remove_task(task);
+            }
+        }
+        changed
+    }
+
+    /// Forgets tasks without losses in the index of incarnations.
+    fn prune_lost_on(&mut self) {
+        let jobs = &self.jobs;
+        self.lost_on.retain(|_, tasks| {
+            tasks.retain(|task| {
+                let losses = jobs.get(&task.job_id);
+                losses.is_some_and(|losses| losses.contains_key(task))
             });
             !tasks.is_empty()
         });
-        changed.dedup();
-        changed
     }
 }
 
@@ -448,11 +490,11 @@
                 is_attributable: is_early && early.iter().all(belongs_to_job),
                 is_crash: false,
             };
-            let tasks = self.crashes.jobs.entry(task.job_id).or_default();
-            tasks.entry(task).or_default().add(Loss {
+            let loss = Loss {
                 record,
                 lost_at: clock.now,
-            });
+            };
+            self.crashes.add(task, loss);
             self.journal.mark_dirty(task.job_id);
         }
     }
@@ -477,8 +519,12 @@
         evidence: &str,
         clock: event::Clock,
     ) {
+        let tasks = self.crashes.lost_on.swap_remove(incarnation);
         let mut crashed = Vec::new();
-        for (task, losses) in self.crashes.tasks_mut() {
+        for task in tasks.into_iter().flatten() {
+            let Some(losses) = self.crashes.task_mut(task) else {
+                continue;
+            };
             let own = losses.losses.iter_mut().map(|loss| &mut loss.record);
             let own = own.filter(|loss| loss.incarnation == *incarnation && !loss.is_crash);
             for loss in own {
@@ -513,6 +559,7 @@
                 "worker crashed under a run"
             );
             let reason = losses.reason_to_give_up(clock.now);
+            self.crashes.crashed_tasks.insert(key.task);
             self.journal.mark_dirty(key.task.job_id);
             if let Some(reason) = reason {
                 self.give_up(key, reason, clock);
@@ -542,9 +589,6 @@
 
     /// Resolves lost runs by what the directory lists.
     pub(crate) fn resolve_losses(&mut self, clock: event::Clock) {
-        if self.crashes.jobs.is_empty() {
-            return;
-        }
         let unresolved = self.crashes.unresolved();
         if unresolved.is_empty() {
             return;
@@ -580,29 +624,39 @@
 
     /// Forgets the unresolved losses on an incarnation that has not crashed.
     pub(crate) fn clear_losses_on(&mut self, incarnation: &model::WorkerIncarnation) {
-        if self.crashes.jobs.is_empty() {
+        let Some(tasks) = self.crashes.lost_on.swap_remove(incarnation) else {
             return;
-        }
+        };
         let cleared = self
             .crashes
-            .remove_losses(|loss| !loss.record.is_crash && loss.record.incarnation == *incarnation);
+            .remove_unresolved(tasks, |loss| loss.record.incarnation == *incarnation);
         self.mark_all_dirty(cleared);
     }
 
     /// Forgets unresolved losses after their retention time, and the crashes of tasks that have
     /// worked for long since.
     pub(crate) fn expire_losses(&mut self, clock: event::Clock) {
-        if self.crashes.jobs.is_empty() {
+        let checked_at = self.crashes.expiry_checked_at;
+        let is_due = checked_at
+            .is_none_or(|at| clock.now.saturating_duration_since(at) >= EXPIRY_CHECK_INTERVAL);
+        if self.crashes.jobs.is_empty() || !is_due {
             return;
         }
-        let expired = self.crashes.remove_losses(|loss| {
-            let age = clock.now.saturating_duration_since(loss.lost_at);
-            !loss.record.is_crash && age >= LOSS_RETENTION
-        });
-        self.mark_all_dirty(expired);
+        self.crashes.expiry_checked_at = Some(clock.now);
         let tasks = self.crashes.jobs.values().flat_map(|tasks| tasks.keys());
         let tasks: Vec<_> = tasks.copied().collect();
-        for task in tasks {
+        let expired = self.crashes.remove_unresolved(tasks, |loss| {
+            clock.now.saturating_duration_since(loss.lost_at) >= LOSS_RETENTION
+        });
+        self.mark_all_dirty(expired);
+        self.crashes.prune_lost_on();
+        for task in self
+            .crashes
+            .crashed_tasks
+            .iter()
+            .copied()
+            .collect::<Vec<_>>()
+        {
             let runs = self.confirmed_runs(task);
             let is_cleared = !runs.is_empty()
                 && runs
@@ -620,9 +674,9 @@
         }
     }
 
-    fn mark_all_dirty(&mut self, job_ids: Vec<model::JobId>) {
-        for job_id in job_ids {
-            self.journal.mark_dirty(job_id);
+    fn mark_all_dirty(&mut self, tasks: Vec<model::TaskKey>) {
+        for task in tasks {
+            self.journal.mark_dirty(task.job_id);
         }
     }
 
@@ -670,8 +724,12 @@
     /// Returns the workers that have runs of suspects.
     pub(crate) fn suspect_workers(&self, clock: event::Clock) -> SuspectWorkers {
         let mut suspects = SuspectWorkers::default();
-        let tasks = self.crashes.jobs.values().flatten();
-        for (task, _) in tasks.filter(|(_, losses)| losses.is_suspect()) {
+        let tasks = self.crashes.crashed_tasks.iter();
+        let is_suspect = |task: &&model::TaskKey| {
+            let losses = self.crashes.task(**task);
+            losses.is_some_and(TaskLosses::is_suspect)
+        };
+        for task in tasks.filter(is_suspect) {
             for (incarnation, run) in self.placed_runs_of(*task) {
                 let has_settled = run.phase == worker::RunPhase::Running
                     && clock.now.saturating_duration_since(run.since) >= ISOLATION_TIME;
