jobs: visit a step that has become ready in the next placement pass

Also by reading: a step that was visited ahead of its turn, as its advice had arrived, did not see what gangs before it had reserved; no harm was shown.

steps_for_idle_workers_do_not_wait_for_the_sweep_of_a_backlog failed before (673 ms, bound 300 ms).

--- a/crates/jobs/src/advisors.rs
+++ b/crates/jobs/src/advisors.rs
@@ -46,8 +46,6 @@
     calls: maps::IndexMap<event::CallId, Call>,
     next_call: event::CallId,
     queue_stats: maps::IndexMap<model::QueueName, QueueStats>,
-    /// Steps with a call that has ended since the last placement pass.
-    answered: maps::HashSet<model::StepKey>,
     logged_at: Option<time::Instant>,
 }
 
@@ -114,11 +112,6 @@
         idle.count() > self.instances.len() / SHORT_CALL_INSTANCES_DIVISOR
     }
 
-    /// Returns the steps with a call that has ended since this was last called.
-    pub(crate) fn take_answered(&mut self) -> maps::HashSet<model::StepKey> {
-        std::mem::take(&mut self.answered)
-    }
-
     /// Returns the estimated share of workers that the service allows for steps of a queue.
     pub(crate) fn allowed_share(&self, queue: &model::QueueName) -> f64 {
         let (asked, allowed) = match self.queue_stats.get(queue) {
@@ -249,7 +242,7 @@
             return;
         };
         self.placement_needed = true;
-        self.advisors.answered.insert(call.step);
+        self.changed_steps.insert(call.step);
         let state = self.jobs.get_mut(&call.step.job_id);
         let Some((_, step_state)) = state.and_then(|one| one.step_mut(call.step)) else {
             return;
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -20,9 +20,23 @@
     pub(crate) suspects: crashes::SuspectWorkers,
     /// What the head of the scheduling order waits for.
     head: EarlierSteps,
-    /// What the steps behind the head wait for that the sweep has visited; `None` while the head is
-    /// visited.
-    swept: Option<EarlierSteps>,
+    /// What the steps behind the head wait for that the sweep has visited.
+    swept: EarlierSteps,
+    /// What steps behind the head waited for in the last complete sweep.
+    last_swept: EarlierSteps,
+    stage: Stage,
+}
+
+/// Which steps a pass visits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// The head of the scheduling order.
+    #[default]
+    Head,
+    /// The steps that come next in the sweep.
+    Sweep,
+    /// Other steps, ahead of their turn: the sweep may not have visited all that precede them.
+    OutOfTurn,
 }
 
 /// What visited steps wait for; steps later in the scheduling order must not take it.
@@ -43,7 +57,9 @@
 pub(crate) struct Sweep {
     /// The step visited last; `None` at the start of a sweep.
     pub(crate) last: Option<scheduler::OrderedStep>,
-    pub(crate) earlier: EarlierSteps,
+    earlier: EarlierSteps,
+    /// What steps waited for in the last complete sweep.
+    last_complete: EarlierSteps,
 }
 
 impl Pass {
@@ -57,21 +73,43 @@
     }
 
     /// Goes on with the steps behind the head, where a sweep has already visited some.
-    pub(crate) fn continue_sweep(&mut self, earlier: EarlierSteps) {
-        self.swept = Some(earlier);
+    pub(crate) fn continue_sweep(&mut self, sweep: Sweep) {
+        self.stage = Stage::Sweep;
+        self.swept = sweep.earlier;
+        self.last_swept = sweep.last_complete;
+    }
+
+    /// Goes on with steps ahead of their turn; they leave what any other step waits for.
+    pub(crate) fn visit_out_of_turn(&mut self) {
+        self.stage = Stage::OutOfTurn;
     }
 
-    /// Returns what the swept steps wait for, for the pass that continues the sweep.
-    pub(crate) fn into_swept(self) -> EarlierSteps {
-        self.swept.unwrap_or_default()
+    /// Returns the sweep for the next pass, which goes on behind `last`; `None` if it is complete.
+    pub(crate) fn into_sweep(self, last: Option<scheduler::OrderedStep>) -> Sweep {
+        match last {
+            Some(_) => Sweep {
+                last,
+                earlier: self.swept,
+                last_complete: self.last_swept,
+            },
+            None => Sweep {
+                last_complete: self.swept,
+                ..Sweep::default()
+            },
+        }
     }
 
     fn earlier(&self) -> impl Iterator<Item = &EarlierSteps> {
-        iter::once(&self.head).chain(&self.swept)
+        let swept = (self.stage != Stage::Head).then_some(&self.swept);
+        let last_swept = (self.stage == Stage::OutOfTurn).then_some(&self.last_swept);
+        iter::once(&self.head).chain(swept).chain(last_swept)
     }
 
     fn current(&mut self) -> &mut EarlierSteps {
-        self.swept.as_mut().unwrap_or(&mut self.head)
+        match self.stage {
+            Stage::Sweep => &mut self.swept,
+            Stage::Head | Stage::OutOfTurn => &mut self.head,
+        }
     }
 
     pub(crate) fn mark_visited(&mut self, step: model::StepKey) {
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -31,9 +31,12 @@
 /// Number of steps that cannot be placed after which the head of the scheduling order ends.
 const HEAD_BLOCKED_STEPS: usize = 40;
 /// Number of steps behind the head that cannot be placed after which a pass ends.
-const SWEEP_BLOCKED_STEPS: usize = 30;
+const SWEEP_BLOCKED_STEPS: usize = 25;
+/// Number of changed steps that cannot be placed after which a pass ends.
+const CHANGED_BLOCKED_STEPS: usize = 15;
 /// Most steps that a pass visits without placing them.
-pub(crate) const MAX_BLOCKED_STEPS_PER_PASS: usize = HEAD_BLOCKED_STEPS + SWEEP_BLOCKED_STEPS;
+pub(crate) const MAX_BLOCKED_STEPS_PER_PASS: usize =
+    HEAD_BLOCKED_STEPS + SWEEP_BLOCKED_STEPS + CHANGED_BLOCKED_STEPS;
 
 /// Most workers considered for a step at one visit; the next visit begins with others. A choice among
 /// hundreds is about as good as one among thousands, and the cost of a decision stays bounded.
@@ -82,58 +85,54 @@
         )
     }
 
-    /// Places waiting tasks where they fit, in the scheduling order: in each pass the head of it, the
-    /// steps that have got an answer about their tickets, which expire, and of the others as many as
-    /// come next in the sweep.
+    /// Places waiting tasks where they fit, in the scheduling order: in each pass the head of it, of
+    /// the other steps as many as come next in the sweep, and the changed ones, which may start at once
+    /// and whose tickets expire.
     pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         self.reservations.expire(clock.now);
-        let answered = self.advisors.take_answered();
+        let mut changed = mem::take(&mut self.changed_steps);
         let order = self.scheduling_order(clock);
         let mut pass = self.new_pass(clock);
-        let head = self.place_head(&order, &answered, &mut pass, clock);
+        let head = self.place_head(&order, &mut changed, &mut pass, clock);
         let rest = &order[head..];
         let sweep = mem::take(&mut self.sweep);
         let first = rest.partition_point(|step| Some(*step) <= sweep.last);
-        pass.continue_sweep(sweep.earlier);
-        let end = first + self.place_swept(&rest[first..], &mut pass, clock);
-        if end < rest.len() {
-            self.sweep = pass::Sweep {
-                last: rest[..end].last().copied(),
-                earlier: pass.into_swept(),
-            };
-            self.placement_needed = true;
-        }
+        pass.continue_sweep(sweep);
+        let end = first + self.place_swept(&rest[first..], &mut changed, &mut pass, clock);
+        let is_complete = end == rest.len();
+        pass.visit_out_of_turn();
+        self.place_changed(rest, &mut changed, &mut pass, clock);
+        let last = rest[..end].last().filter(|_| !is_complete);
+        self.sweep = pass.into_sweep(last.copied());
+        self.placement_needed |= !is_complete;
     }
 
-    /// Visits the head of the scheduling order, and the `answered` steps behind it; returns the length
-    /// of the head.
+    /// Visits the head of the scheduling order, and removes its steps from `changed`; returns its
+    /// length.
     fn place_head(
         &mut self,
         order: &[scheduler::OrderedStep],
-        answered: &maps::HashSet<model::StepKey>,
+        changed: &mut maps::HashSet<model::StepKey>,
         pass: &mut pass::Pass,
         clock: event::Clock,
     ) -> usize {
         let mut blocked = 0;
-        let mut length = 0;
-        for (_, step) in order {
-            let is_head = blocked < HEAD_BLOCKED_STEPS;
-            if !is_head && answered.is_empty() {
-                break;
-            }
-            if is_head || answered.contains(&step.key) {
-                blocked += usize::from(!self.visit(step, pass, clock));
+        for (index, (_, step)) in order.iter().enumerate() {
+            if blocked >= HEAD_BLOCKED_STEPS {
+                return index;
             }
-            length += usize::from(is_head);
+            changed.remove(&step.key);
+            blocked += usize::from(!self.visit(step, pass, clock));
         }
-        length
+        order.len()
     }
 
-    /// Visits `steps` until so many could not be placed that the pass ends; returns how many were
-    /// visited or had been before in this pass.
+    /// Visits `steps` until so many could not be placed that the pass ends, and removes them from
+    /// `changed`; returns how many were visited or had been before in this pass.
     fn place_swept(
         &mut self,
         steps: &[scheduler::OrderedStep],
+        changed: &mut maps::HashSet<model::StepKey>,
         pass: &mut pass::Pass,
         clock: event::Clock,
     ) -> usize {
@@ -143,12 +142,38 @@
                 return index;
             }
             if !pass.is_earlier(&step.key) {
+                changed.remove(&step.key);
                 blocked += usize::from(!self.visit(step, pass, clock));
             }
         }
         steps.len()
     }
 
+    /// Visits changed steps among `steps` ahead of their turn; keeps the others for the next pass once
+    /// so many could not be placed that the pass ends.
+    fn place_changed(
+        &mut self,
+        steps: &[scheduler::OrderedStep],
+        changed: &mut maps::HashSet<model::StepKey>,
+        pass: &mut pass::Pass,
+        clock: event::Clock,
+    ) {
+        let mut blocked = 0;
+        for (_, step) in steps {
+            if changed.is_empty() {
+                return;
+            }
+            if blocked >= CHANGED_BLOCKED_STEPS {
+                self.changed_steps.extend(changed.drain());
+                self.placement_needed = true;
+                return;
+            }
+            if changed.remove(&step.key) {
+                blocked += usize::from(!self.visit(step, pass, clock));
+            }
+        }
+    }
+
     /// Places tasks of a step; returns whether none is left waiting.
     fn visit(
         &mut self,
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -76,6 +76,7 @@
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
             waiting: collections::BTreeSet::new(),
+            changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
             crashes: crashes::Crashes::default(),
             journal: journal::Journal::default(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -45,6 +45,9 @@
     pub(crate) reservations: reservations::Reservations,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
+    /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
+    /// pass; some may have left the queue.
+    pub(crate) changed_steps: maps::HashSet<model::StepKey>,
     /// Occurrences that are not due yet, by their due time in milliseconds since 1970.
     pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
     pub(crate) crashes: crashes::Crashes,
@@ -331,6 +334,7 @@
                     since_ms: occurrence.due_at_ms.unwrap_or(state.accepted_at_ms),
                     key,
                 });
+                self.changed_steps.insert(key);
                 self.placement_needed = true;
             }
         }
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -129,6 +129,29 @@
     assert!(waited_ms.is_some_and(|ms| ms < 3_000), "{waited_ms:?}");
 }
 
+/// Guards against steps for idle workers that wait until a sweep over thousands of steps that cannot
+/// be placed has reached them.
+#[test]
+fn steps_for_idle_workers_do_not_wait_for_the_sweep_of_a_backlog() {
+    let mut simulation = Simulation::new(9, 6, None);
+    simulation.run_ms(200);
+    let nowhere = model::Step {
+        required_label: Some("no worker has it".into()),
+        ..simulation::step(1, 1_000, 60_000)
+    };
+    submit_at_interval(&mut simulation, 10_000, 2_000, 1, "long", &nowhere);
+    simulation.run_ms(2_500);
+    let small = simulation::step(1, 250, 80);
+    for id in 1..=5 {
+        let submitted_at_ms = simulation.now_ms;
+        simulation.submit(simulation::job(id, "long", small.clone()));
+        simulation.run_ms(1_000);
+        let started_at_ms = simulation.started_at_ms.get(&id);
+        let waited_ms = started_at_ms.map(|at| at - submitted_at_ms);
+        assert!(waited_ms.is_some_and(|ms| ms < 300), "{waited_ms:?}");
+    }
+}
+
 /// The store takes a quarter of a second for each write while jobs arrive at the usual rate. With
 /// only one batch in flight, an acceptance would also wait for the batch before it.
 #[test]
