--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -47,8 +47,8 @@
         .min(per(available.accelerators, demand.accelerators))
 }
 
-/// Assigns the included waiting tasks one by one: to workers in the rack of the step's data first, then to those
-/// with the fewest failures, then by best fit, which leaves the fewest processors free.
+/// Assigns the included waiting tasks one by one: to workers in the rack of the step's data first,
+/// then to those with the fewest failures, then by best fit, which leaves the fewest processors free.
 pub(crate) fn assign_tasks(
     mut candidates: Vec<Candidate<'_>>,
     step_state: &job::StepState,
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -1,5 +1,4 @@
-//! Tasks under which workers crash: attribution of crashes, isolation of suspects, and the limit
-//! at which a job is given up.
+//! Tasks under which workers crash: attribution of crashes, and the jobs that are given up for them.
 //!
 //! A worker that crashes is silent at first: its runs are lost when its lease has expired, and only
 //! its return proves the crash. Each lost run is therefore kept until the fate of its worker is
@@ -12,47 +11,25 @@
 use std::time;
 
 use crate::event;
+use crate::isolation;
 use crate::job;
 use crate::journal;
+use crate::losses;
 use crate::maps;
 use crate::record;
 use crate::runs::run_name;
 use crate::scheduler;
 use crate::worker;
 
-/// Runs of a task with a crash that no other job can have caused, after which its job is given up.
-const MAX_ATTRIBUTABLE_RUNS: usize = 3;
-/// Crashed runs from which a task is a suspect although others had begun later on its workers.
-const SUSPECT_AFTER_RUNS: usize = 3;
-/// Workers that must have crashed for certain before other lost workers count as crashed, too.
-const MIN_PROVEN_WORKERS: usize = 2;
 /// Longest time from the start of a run to the last listing of its worker for an early crash.
 const EARLY_CRASH_TIME: time::Duration = time::Duration::from_millis(300);
 /// Runs that were confirmed within this time of the last one count as having begun together: answers
 /// to start orders may overtake each other.
 const CONFIRMATION_JITTER: time::Duration = time::Duration::from_millis(100);
-/// Crashed workers after which only `MAX_LATER_RUNS` more runs of a task may start.
-const LIMITED_AFTER_WORKERS: usize = 3;
-/// Runs of a task that may start after `LIMITED_AFTER_WORKERS` workers have crashed under it.
-const MAX_LATER_RUNS: usize = 2;
-/// How long a task at its limit waits for the fate of the workers that held its lost runs.
-const VERDICT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// How long a lost run is kept whose worker has neither returned nor restarted.
 const LOSS_RETENTION: time::Duration = time::Duration::from_secs(120);
 /// Time between two checks whether losses have expired.
 const EXPIRY_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Most lost runs kept for a task.
-const MAX_LOSSES_PER_TASK: usize = 64;
-/// How long the run of a suspect keeps the runs of other jobs off its worker.
-const ISOLATION_TIME: time::Duration = time::Duration::from_secs(1);
-/// At most one in this many workers of a pool is kept for suspects.
-const ISOLATED_WORKERS_DIVISOR: usize = 4;
-/// How long a suspect after its first crash waits for a worker without runs of other jobs.
-const FIRST_EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// How long any other suspect waits for a worker without runs of other jobs.
-const EMPTY_WORKER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
-/// How long a suspect waits for a worker without long-running tasks and other suspects.
-const SPARING_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 /// How long a run must have worked to clear its task of earlier crashes.
 const CLEARED_AFTER: time::Duration = time::Duration::from_secs(60);
 
@@ -60,12 +37,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     /// By job, and by task; those of a gang are recorded at its first task.
-    jobs: maps::IndexMap<model::JobId, maps::IndexMap<model::TaskKey, TaskLosses>>,
+    pub(crate) jobs:
+        maps::IndexMap<model::JobId, maps::IndexMap<model::TaskKey, losses::TaskLosses>>,
     /// Tasks in `jobs` with lost runs on an incarnation whose fate is not known, and some tasks that
     /// are no longer in `jobs`.
     lost_on: maps::IndexMap<model::WorkerIncarnation, maps::IndexSet<model::TaskKey>>,
     /// Tasks in `jobs` with a proven crash.
-    crashed_tasks: maps::IndexSet<model::TaskKey>,
+    pub(crate) crashed_tasks: maps::IndexSet<model::TaskKey>,
     /// When losses were last checked for their expiry.
     expiry_checked_at: Option<time::Instant>,
     /// Stored addresses of incarnations that the directory may no longer list.
@@ -76,225 +54,13 @@
     pub(crate) given_up_jobs: u64,
 }
 
-/// Lost runs of a task or a gang.
-#[derive(Debug, Default)]
-struct TaskLosses {
-    /// In the order of their losses; no run and incarnation occurs twice.
-    losses: Vec<Loss>,
-    /// Since when a suspect waits to be placed.
-    waiting_since: Option<time::Instant>,
-    /// What a suspect must not share a worker with at its next start.
-    isolation: Isolation,
-}
-
-#[derive(Debug)]
-struct Loss {
-    record: record::LossRecord,
-    lost_at: time::Instant,
-}
-
-/// What the next run of a task must not share a worker with; each variant permits more workers than
-/// the one before.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Isolation {
-    /// Any run of another job.
-    EmptyWorker,
-    /// Long-running tasks and suspects of other jobs.
-    Sparing,
-    /// Suspects of other jobs; each keeps them off for `ISOLATION_TIME` at most.
-    SuspectFree,
-    /// Nothing: the task is no suspect.
-    #[default]
-    None,
-}
-
-/// Waiting tasks of a step that ordinary placement must not start.
-#[derive(Debug, Default)]
-pub(crate) struct WithheldTasks {
-    indexes: maps::HashSet<u32>,
-    /// How many of them wait for the fate of a worker.
-    pub(crate) awaiting_verdict: u32,
-}
-
-/// Workers that have runs of suspects.
-#[derive(Debug, Default)]
-pub(crate) struct SuspectWorkers {
-    workers: maps::HashMap<model::WorkerIncarnation, Suspects>,
-    kept: maps::HashMap<model::PoolName, KeptWorkers>,
-}
-
-/// Workers of a pool that take only runs of a suspect's job.
-#[derive(Debug)]
-struct KeptWorkers {
-    count: usize,
-    limit: usize,
-}
-
-/// The suspects on a worker.
-#[derive(Debug, Default)]
-struct Suspects {
-    job_ids: maps::HashSet<model::JobId>,
-    /// Whether the worker takes no runs of other jobs.
-    is_kept: bool,
-}
-
-impl WithheldTasks {
-    pub(crate) fn contains(&self, index: u32) -> bool {
-        self.indexes.contains(&index)
-    }
-
-    fn insert(&mut self, index: u32) {
-        self.indexes.insert(index);
-    }
-}
-
-impl SuspectWorkers {
-    fn has_others(&self, incarnation: &model::WorkerIncarnation, job_id: model::JobId) -> bool {
-        let suspects = self.workers.get(incarnation);
-        suspects.is_some_and(|one| one.job_ids.iter().any(|other| *other != job_id))
-    }
-
-    fn is_kept_for_others(
-        &self,
-        incarnation: &model::WorkerIncarnation,
-        job_id: model::JobId,
-    ) -> bool {
-        let suspects = self.workers.get(incarnation);
-        suspects.is_some_and(|one| one.is_kept) && self.has_others(incarnation, job_id)
-    }
-}
-
-impl TaskLosses {
-    /// Returns the distinct runs in which a worker crashed, in ascending order, with the number of
-    /// workers that crashed up to the end of each; `with_unresolved` counts every loss as a crash.
-    fn crashes_by_run(&self, with_unresolved: bool) -> Vec<(model::RunNumber, usize)> {
-        let counted = self.losses.iter().map(|loss| &loss.record);
-        let counted = counted.filter(|loss| with_unresolved || loss.is_crash);
-        let mut runs: Vec<_> = counted.map(|loss| loss.run).collect();
-        runs.sort_unstable();
-        let mut by_run: Vec<(model::RunNumber, usize)> = Vec::new();
-        for (index, run) in runs.into_iter().enumerate() {
-            match by_run.last_mut().filter(|(last, _)| *last == run) {
-                Some((_, workers)) => *workers = index + 1,
-                None => by_run.push((run, index + 1)),
-            }
-        }
-        by_run
-    }
-
-    fn unresolved_on(&self, incarnation: &model::WorkerIncarnation) -> Option<&Loss> {
-        let mut losses = self.losses.iter();
-        losses.find(|loss| !loss.record.is_crash && loss.record.incarnation == *incarnation)
-    }
-
-    fn crashed_run_count(&self) -> usize {
-        self.crashes_by_run(false).len()
-    }
-
-    fn last_run(&self) -> Option<model::RunNumber> {
-        self.losses.iter().map(|loss| loss.record.run).max()
-    }
-
-    fn crashed_worker_count(&self) -> usize {
-        let crashes = self.losses.iter().filter(|loss| loss.record.is_crash);
-        crashes.count()
-    }
-
-    /// Returns whether a further start could exceed the permitted number.
-    fn is_at_limit(&self, with_unresolved: bool) -> bool {
-        if self.losses.len() <= MAX_LATER_RUNS {
-            return false;
-        }
-        let by_run = self.crashes_by_run(with_unresolved);
-        let before_limit = by_run
-            .iter()
-            .take_while(|(_, workers)| *workers < LIMITED_AFTER_WORKERS);
-        by_run.len() > before_limit.count() + MAX_LATER_RUNS
-    }
-
-    /// Returns why the job must be given up, if it must.
-    fn reason_to_give_up(&self, now: time::Instant) -> Option<&'static str> {
-        if self.is_at_limit(false) {
-            return Some("no further start is permitted after its crashes");
-        }
-        // Some workers that have crashed are never heard of again.
-        let is_proven = self.crashed_worker_count() >= MIN_PROVEN_WORKERS;
-        if is_proven && self.is_at_limit(true) && !self.awaits_verdict(now) {
-            return Some("no further start is permitted after its crashes and losses");
-        }
-        (self.attributable_run_count() >= MAX_ATTRIBUTABLE_RUNS)
-            .then_some("no other job can have caused its crashes")
-    }
-
-    fn attributable_run_count(&self) -> usize {
-        let crashes = self.losses.iter().map(|loss| &loss.record);
-        let crashes = crashes.filter(|loss| loss.is_crash && loss.is_attributable);
-        let runs: maps::HashSet<_> = crashes.map(|loss| loss.run).collect();
-        runs.len()
-    }
-
-    /// Returns whether the next run is to be isolated: after an early crash, or after several.
-    fn is_suspect(&self) -> bool {
-        let crashes = self.losses.iter().map(|loss| &loss.record);
-        let mut crashes = crashes.filter(|loss| loss.is_crash);
-        crashes.any(|loss| loss.is_early)
-            || self.losses.len() >= SUSPECT_AFTER_RUNS
-                && self.crashed_run_count() >= SUSPECT_AFTER_RUNS
-    }
-
-    /// Returns whether a start must wait until the fate of a worker is known.
-    fn awaits_verdict(&self, now: time::Instant) -> bool {
-        let is_pending = |loss: &Loss| {
-            !loss.record.is_crash && now.saturating_duration_since(loss.lost_at) < VERDICT_TIMEOUT
-        };
-        self.is_at_limit(true) && self.losses.iter().any(is_pending)
-    }
-
-    /// Sets what the next run of a suspect must not share a worker with.
-    fn update_isolation(&mut self, now: time::Instant) {
-        if !self.is_suspect() {
-            self.isolation = Isolation::None;
-            return;
-        }
-        let since = *self.waiting_since.get_or_insert(now);
-        let waited = now.saturating_duration_since(since);
-        let is_first = self.crashed_run_count() == 1;
-        let (empty_timeout, sparing_timeout) = match is_first {
-            true => (FIRST_EMPTY_WORKER_TIMEOUT, FIRST_EMPTY_WORKER_TIMEOUT),
-            false => (EMPTY_WORKER_TIMEOUT, SPARING_TIMEOUT),
-        };
-        self.isolation = if waited < empty_timeout {
-            Isolation::EmptyWorker
-        } else if waited < sparing_timeout {
-            Isolation::Sparing
-        } else {
-            Isolation::SuspectFree
-        };
-    }
-
-    fn add(&mut self, loss: Loss) {
-        let is_known = self.losses.iter().any(|known| {
-            known.record.run == loss.record.run
-                && known.record.incarnation == loss.record.incarnation
-        });
-        if is_known {
-            return;
-        }
-        if self.losses.len() >= MAX_LOSSES_PER_TASK {
-            let oldest_unresolved = self.losses.iter().position(|known| !known.record.is_crash);
-            self.losses.remove(oldest_unresolved.unwrap_or_default());
-        }
-        self.losses.push(loss);
-    }
-}
-
 impl Crashes {
     /// Restores the lost runs of a job; the time for which they are kept begins anew.
     pub(crate) fn restore(&mut self, stored: record::JobLosses, now: time::Instant) {
         self.addresses.extend(stored.addresses);
         for (task, records) in stored.tasks {
             for record in records {
-                let loss = Loss {
+                let loss = losses::Loss {
                     record,
                     lost_at: now,
                 };
@@ -303,7 +69,7 @@
         }
     }
 
-    fn add(&mut self, task: model::TaskKey, loss: Loss) {
+    fn add(&mut self, task: model::TaskKey, loss: losses::Loss) {
         if loss.record.is_crash {
             self.crashed_tasks.insert(task);
         } else {
@@ -335,13 +101,13 @@
     }
 
     /// Returns the isolation of the next run of a task.
-    pub(crate) fn isolation_of(&self, task: model::TaskKey) -> Isolation {
+    pub(crate) fn isolation_of(&self, task: model::TaskKey) -> isolation::Isolation {
         let losses = self.task(task);
-        losses.map_or(Isolation::None, |losses| losses.isolation)
+        losses.map_or(isolation::Isolation::None, |losses| losses.isolation)
     }
 
     /// Returns the isolation of the next run of a gang.
-    pub(crate) fn isolation_of_gang(&self, step: model::StepKey) -> Isolation {
+    pub(crate) fn isolation_of_gang(&self, step: model::StepKey) -> isolation::Isolation {
         self.isolation_of(first_task(step))
     }
 
@@ -351,31 +117,34 @@
         &self,
         step: model::StepKey,
         step_state: &job::StepState,
-    ) -> Isolation {
+    ) -> isolation::Isolation {
         let Some(losses) = self.jobs.get(&step.job_id) else {
-            return Isolation::None;
+            return isolation::Isolation::None;
         };
         let tasks = (0_u32..).zip(&step_state.tasks);
         let waiting = tasks.filter(|(_, task)| task.phase == job::Phase::Waiting);
         let isolations = waiting.map(|(index, _)| {
             let losses = losses.get(&task_of(step, index));
-            losses.map_or(Isolation::None, |losses| losses.isolation)
+            losses.map_or(isolation::Isolation::None, |losses| losses.isolation)
         });
         let (strictest, loosest) = isolations.fold(
-            (Isolation::None, Isolation::EmptyWorker),
+            (
+                isolation::Isolation::None,
+                isolation::Isolation::EmptyWorker,
+            ),
             |(strictest, loosest), one| (strictest.min(one), loosest.max(one)),
         );
         match loosest {
-            Isolation::None => Isolation::None,
+            isolation::Isolation::None => isolation::Isolation::None,
             _ => strictest,
         }
     }
 
-    fn task(&self, task: model::TaskKey) -> Option<&TaskLosses> {
+    pub(crate) fn task(&self, task: model::TaskKey) -> Option<&losses::TaskLosses> {
         self.jobs.get(&task.job_id)?.get(&task)
     }
 
-    fn task_mut(&mut self, task: model::TaskKey) -> Option<&mut TaskLosses> {
+    pub(crate) fn task_mut(&mut self, task: model::TaskKey) -> Option<&mut losses::TaskLosses> {
         self.jobs.get_mut(&task.job_id)?.get_mut(&task)
     }
 
@@ -393,7 +162,7 @@
     fn remove_unresolved(
         &mut self,
         tasks: impl IntoIterator<Item = model::TaskKey>,
-        is_removed: impl Fn(&Loss) -> bool,
+        is_removed: impl Fn(&losses::Loss) -> bool,
     ) -> Vec<model::TaskKey> {
         let mut changed = Vec::new();
         for task in tasks {
@@ -401,7 +170,7 @@
                 continue;
             };
             let before = losses.losses.len();
-            let is_kept = |loss: &Loss| loss.record.is_crash || !is_removed(loss);
+            let is_kept = |loss: &losses::Loss| loss.record.is_crash || !is_removed(loss);
             losses.losses.retain(is_kept);
             let is_empty = losses.losses.is_empty();
             if losses.losses.len() < before {
@@ -490,7 +259,7 @@
                 is_attributable: is_early && early.iter().all(belongs_to_job),
                 is_crash: false,
             };
-            let loss = Loss {
+            let loss = losses::Loss {
                 record,
                 lost_at: clock.now,
             };
@@ -578,8 +347,8 @@
         log::warn!(
             job:% = journal::job_id_hex(job_id),
             run:% = run_name(key),
-            crashed_runs = losses.map_or(0, TaskLosses::crashed_run_count),
-            crashed_workers = losses.map_or(0, TaskLosses::crashed_worker_count),
+            crashed_runs = losses.map_or(0, losses::TaskLosses::crashed_run_count),
+            crashed_workers = losses.map_or(0, losses::TaskLosses::crashed_worker_count),
             reason;
             "job given up because workers crash under it"
         );
@@ -664,7 +433,9 @@
                     .all(|(_, since)| clock.now.saturating_duration_since(*since) >= CLEARED_AFTER);
             let losses = self.crashes.task(task);
             if let Some(reason) = losses.and_then(|losses| losses.reason_to_give_up(clock.now)) {
-                let run = losses.and_then(TaskLosses::last_run).unwrap_or_default();
+                let run = losses
+                    .and_then(losses::TaskLosses::last_run)
+                    .unwrap_or_default();
                 self.give_up(model::RunKey { task, run }, reason, clock);
             } else if is_cleared {
                 log::info!(task:? = task; "task cleared of earlier crashes");
@@ -693,7 +464,7 @@
     }
 
     /// Returns the runs of a task, or of all members of its gang, with their workers.
-    fn placed_runs_of(
+    pub(crate) fn placed_runs_of(
         &self,
         task: model::TaskKey,
     ) -> Vec<(&model::WorkerIncarnation, &worker::WorkerRun)> {
@@ -720,169 +491,6 @@
         });
         placed.collect()
     }
-
-    /// Returns the workers that have runs of suspects.
-    pub(crate) fn suspect_workers(&self, clock: event::Clock) -> SuspectWorkers {
-        let mut suspects = SuspectWorkers::default();
-        let tasks = self.crashes.crashed_tasks.iter();
-        let is_suspect = |task: &&model::TaskKey| {
-            let losses = self.crashes.task(**task);
-            losses.is_some_and(TaskLosses::is_suspect)
-        };
-        for task in tasks.filter(is_suspect) {
-            for (incarnation, run) in self.placed_runs_of(*task) {
-                let has_settled = run.phase == worker::RunPhase::Running
-                    && clock.now.saturating_duration_since(run.since) >= ISOLATION_TIME;
-                if !has_settled {
-                    self.add_suspect(incarnation, task.job_id, &mut suspects);
-                }
-            }
-        }
-        suspects
-    }
-
-    /// Adds a suspect to a worker, which is kept for it unless too many of the pool are.
-    fn add_suspect(
-        &self,
-        incarnation: &model::WorkerIncarnation,
-        job_id: model::JobId,
-        suspects: &mut SuspectWorkers,
-    ) {
-        let on_worker = suspects.workers.entry(incarnation.clone()).or_default();
-        on_worker.job_ids.insert(job_id);
-        if on_worker.is_kept {
-            return;
-        }
-        let worker = self.workers.get(incarnation);
-        let is_isolated = |worker: &&worker::Worker| {
-            let mut runs = worker.runs.keys();
-            runs.all(|run| run.task.job_id == job_id)
-        };
-        let report = worker.filter(is_isolated);
-        let Some(report) = report.and_then(|worker| worker.report.as_ref()) else {
-            return;
-        };
-        let kept = suspects.kept.entry(report.pool.clone());
-        let kept = kept.or_insert_with(|| KeptWorkers {
-            count: 0,
-            limit: self.kept_worker_limit(&report.pool),
-        });
-        if kept.count < kept.limit {
-            kept.count += 1;
-            on_worker.is_kept = true;
-        }
-    }
-
-    /// Returns how many workers of a pool may be kept for suspects.
-    fn kept_worker_limit(&self, pool: &model::PoolName) -> usize {
-        let in_pool = self.workers.values().filter(|worker| {
-            let report = worker.report.as_ref();
-            report.is_some_and(|report| report.pool == *pool)
-        });
-        match in_pool.count() {
-            0 | 1 => 0,
-            count => (count / ISOLATED_WORKERS_DIVISOR).max(1),
-        }
-    }
-
-    /// Returns whether the runs on a worker permit a run of a job there.
-    pub(crate) fn permits_beside(
-        &self,
-        incarnation: &model::WorkerIncarnation,
-        job_id: model::JobId,
-        isolation: Isolation,
-        suspects: &SuspectWorkers,
-    ) -> bool {
-        if suspects.is_kept_for_others(incarnation, job_id) {
-            return false;
-        }
-        if isolation == Isolation::None {
-            return true;
-        }
-        if suspects.has_others(incarnation, job_id) {
-            return false;
-        }
-        let runs = self.workers.get(incarnation).map(|worker| &worker.runs);
-        let others = runs.into_iter().flat_map(|runs| runs.keys());
-        let mut others = others.filter(|other| other.task.job_id != job_id);
-        match isolation {
-            Isolation::EmptyWorker => others.next().is_none(),
-            Isolation::Sparing => !others.any(|other| self.is_long_running(other.task)),
-            Isolation::SuspectFree | Isolation::None => true,
-        }
-    }
-
-    fn is_long_running(&self, task: model::TaskKey) -> bool {
-        let state = self.jobs.get(&task.job_id);
-        let step = state.and_then(|state| state.step(task.step_key()));
-        step.is_some_and(|(step, _)| step.long_running)
-    }
-
-    /// Returns the waiting tasks of a step that ordinary placement must not start, and the suspects
-    /// among them that may start now.
-    pub(crate) fn withheld_tasks(
-        &mut self,
-        key: model::StepKey,
-        clock: event::Clock,
-    ) -> (WithheldTasks, Vec<model::TaskKey>) {
-        let (mut withheld, mut suspects) = (WithheldTasks::default(), Vec::new());
-        let Some(tasks) = self.crashes.jobs.get_mut(&key.job_id) else {
-            return (withheld, suspects);
-        };
-        let Some((_, step_state)) = self.jobs.get(&key.job_id).and_then(|one| one.step(key)) else {
-            return (withheld, suspects);
-        };
-        for (task, losses) in tasks.iter_mut().filter(|(task, _)| task.step_key() == key) {
-            let state = step_state.tasks.get(task.index as usize);
-            if state.is_none_or(|state| state.phase != job::Phase::Waiting) {
-                continue;
-            }
-            losses.update_isolation(clock.now);
-            if losses.awaits_verdict(clock.now) {
-                withheld.insert(task.index);
-                withheld.awaiting_verdict += 1;
-            } else if losses.is_suspect() {
-                withheld.insert(task.index);
-                suspects.push(*task);
-            }
-        }
-        (withheld, suspects)
-    }
-
-    /// Notes that runs of a suspect, or of all members of its gang, are planned.
-    pub(crate) fn on_suspect_planned(
-        &mut self,
-        task: model::TaskKey,
-        suspects: &mut SuspectWorkers,
-        clock: event::Clock,
-    ) {
-        let Some(losses) = self
-            .crashes
-            .task_mut(task)
-            .filter(|losses| losses.is_suspect())
-        else {
-            return;
-        };
-        let waited = losses.waiting_since.take();
-        log::info!(
-            job:% = journal::job_id_hex(task.job_id),
-            step = task.step,
-            task = task.index,
-            isolation:? = losses.isolation,
-            crashed_runs = losses.crashed_run_count(),
-            waited_ms = waited.map_or(0, |at| {
-                clock.now.saturating_duration_since(at).as_millis() as u64
-            });
-            "run of a suspect planned"
-        );
-        let incarnations = self.placed_runs_of(task).into_iter();
-        for incarnation in incarnations
-            .map(|(incarnation, _)| incarnation.clone())
-            .collect::<Vec<_>>()
-        {
-            self.add_suspect(&incarnation, task.job_id, suspects);
-        }
-    }
 }
 
 /// Returns the runs of a worker that had begun last when it was last heard of: those whose start it
--- /dev/null
+++ b/crates/jobs/src/losses.rs
@@ -0,0 +1,153 @@
+//! Lost runs of one task, and what they tell: whether the task is a suspect, has to wait, or is given up.
+
+use std::time;
+
+use crate::isolation;
+use crate::maps;
+use crate::record;
+
+/// Runs of a task with a crash that no other job can have caused, after which its job is given up.
+const MAX_ATTRIBUTABLE_RUNS: usize = 3;
+/// Crashed runs from which a task is a suspect although others had begun later on its workers.
+const SUSPECT_AFTER_RUNS: usize = 3;
+/// Workers that must have crashed for certain before other lost workers count as crashed, too.
+const MIN_PROVEN_WORKERS: usize = 2;
+/// Crashed workers after which only `MAX_LATER_RUNS` more runs of a task may start.
+const LIMITED_AFTER_WORKERS: usize = 3;
+/// Runs of a task that may start after `LIMITED_AFTER_WORKERS` workers have crashed under it.
+const MAX_LATER_RUNS: usize = 2;
+/// How long a task at its limit waits for the fate of the workers that held its lost runs.
+const VERDICT_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Most lost runs kept for a task.
+const MAX_LOSSES_PER_TASK: usize = 64;
+
+/// Lost runs of a task or a gang.
+#[derive(Debug, Default)]
+pub(crate) struct TaskLosses {
+    /// In the order of their losses; no run and incarnation occurs twice.
+    pub(crate) losses: Vec<Loss>,
+    /// Since when a suspect waits to be placed.
+    pub(crate) waiting_since: Option<time::Instant>,
+    /// What a suspect must not share a worker with at its next start.
+    pub(crate) isolation: isolation::Isolation,
+}
+
+#[derive(Debug)]
+pub(crate) struct Loss {
+    pub(crate) record: record::LossRecord,
+    pub(crate) lost_at: time::Instant,
+}
+
+impl TaskLosses {
+    /// Returns the distinct runs in which a worker crashed, in ascending order, with the number of
+    /// workers that crashed up to the end of each; `with_unresolved` counts every loss as a crash.
+    pub(crate) fn crashes_by_run(&self, with_unresolved: bool) -> Vec<(model::RunNumber, usize)> {
+        let counted = self.losses.iter().map(|loss| &loss.record);
+        let counted = counted.filter(|loss| with_unresolved || loss.is_crash);
+        let mut runs: Vec<_> = counted.map(|loss| loss.run).collect();
+        runs.sort_unstable();
+        let mut by_run: Vec<(model::RunNumber, usize)> = Vec::new();
+        for (index, run) in runs.into_iter().enumerate() {
+            match by_run.last_mut().filter(|(last, _)| *last == run) {
+                Some((_, workers)) => *workers = index + 1,
+                None => by_run.push((run, index + 1)),
+            }
+        }
+        by_run
+    }
+
+    pub(crate) fn unresolved_on(&self, incarnation: &model::WorkerIncarnation) -> Option<&Loss> {
+        let mut losses = self.losses.iter();
+        losses.find(|loss| !loss.record.is_crash && loss.record.incarnation == *incarnation)
+    }
+
+    pub(crate) fn crashed_run_count(&self) -> usize {
+        self.crashes_by_run(false).len()
+    }
+
+    pub(crate) fn last_run(&self) -> Option<model::RunNumber> {
+        self.losses.iter().map(|loss| loss.record.run).max()
+    }
+
+    pub(crate) fn crashed_worker_count(&self) -> usize {
+        let crashes = self.losses.iter().filter(|loss| loss.record.is_crash);
+        crashes.count()
+    }
+
+    /// Returns whether a further start could exceed the permitted number.
+    pub(crate) fn is_at_limit(&self, with_unresolved: bool) -> bool {
+        if self.losses.len() <= MAX_LATER_RUNS {
+            return false;
+        }
+        let by_run = self.crashes_by_run(with_unresolved);
+        let before_limit = by_run
+            .iter()
+            .take_while(|(_, workers)| *workers < LIMITED_AFTER_WORKERS);
+        by_run.len() > before_limit.count() + MAX_LATER_RUNS
+    }
+
+    /// Returns why the job must be given up, if it must.
+    pub(crate) fn reason_to_give_up(&self, now: time::Instant) -> Option<&'static str> {
+        if self.is_at_limit(false) {
+            return Some("no further start is permitted after its crashes");
+        }
+        // Some workers that have crashed are never heard of again.
+        let is_proven = self.crashed_worker_count() >= MIN_PROVEN_WORKERS;
+        if is_proven && self.is_at_limit(true) && !self.awaits_verdict(now) {
+            return Some("no further start is permitted after its crashes and losses");
+        }
+        (self.attributable_run_count() >= MAX_ATTRIBUTABLE_RUNS)
+            .then_some("no other job can have caused its crashes")
+    }
+
+    pub(crate) fn attributable_run_count(&self) -> usize {
+        let crashes = self.losses.iter().map(|loss| &loss.record);
+        let crashes = crashes.filter(|loss| loss.is_crash && loss.is_attributable);
+        let runs: maps::HashSet<_> = crashes.map(|loss| loss.run).collect();
+        runs.len()
+    }
+
+    /// Returns whether the next run is to be isolated: after an early crash, or after several.
+    pub(crate) fn is_suspect(&self) -> bool {
+        let crashes = self.losses.iter().map(|loss| &loss.record);
+        let mut crashes = crashes.filter(|loss| loss.is_crash);
+        crashes.any(|loss| loss.is_early)
+            || self.losses.len() >= SUSPECT_AFTER_RUNS
+                && self.crashed_run_count() >= SUSPECT_AFTER_RUNS
+    }
+
+    /// Returns whether a start must wait until the fate of a worker is known.
+    pub(crate) fn awaits_verdict(&self, now: time::Instant) -> bool {
+        let is_pending = |loss: &Loss| {
+            !loss.record.is_crash && now.saturating_duration_since(loss.lost_at) < VERDICT_TIMEOUT
+        };
+        self.is_at_limit(true) && self.losses.iter().any(is_pending)
+    }
+
+    /// Sets what the next run of a suspect must not share a worker with.
+    pub(crate) fn update_isolation(&mut self, now: time::Instant) {
+        if !self.is_suspect() {
+            self.isolation = isolation::Isolation::None;
+            return;
+        }
+        let since = *self.waiting_since.get_or_insert(now);
+        let waited = now.saturating_duration_since(since);
+        let is_first = self.crashed_run_count() == 1;
+        self.isolation = isolation::Isolation::after(waited, is_first);
+    }
+
+    pub(crate) fn add(&mut self, loss: Loss) {
+        let is_known = self.losses.iter().any(|known| {
+            known.record.run == loss.record.run
+                && known.record.incarnation == loss.record.incarnation
+        });
+        if is_known {
+            return;
+        }
+        if self.losses.len() >= MAX_LOSSES_PER_TASK {
+            let oldest_unresolved = self.losses.iter().position(|known| !known.record.is_crash);
+            self.losses.remove(oldest_unresolved.unwrap_or_default());
+        }
+        self.losses.push(loss);
+    }
+}
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -5,7 +5,7 @@
 
 use std::iter;
 
-use crate::crashes;
+use crate::isolation;
 use crate::maps;
 use crate::scheduler;
 
@@ -17,7 +17,7 @@
     /// Free capacity of all workers together; computed on first use.
     pub(crate) total_free: Option<model::Demand>,
     /// Workers that have runs of tasks under which workers have crashed.
-    pub(crate) suspects: crashes::SuspectWorkers,
+    pub(crate) suspects: isolation::SuspectWorkers,
     /// What the head of the scheduling order waits for.
     head: EarlierSteps,
     /// What the steps behind the head wait for that the sweep has visited.
@@ -64,7 +64,7 @@
 
 impl Pass {
     /// Creates a pass over the workers with these indexes.
-    pub(crate) fn new(usable: Vec<usize>, suspects: crashes::SuspectWorkers) -> Self {
+    pub(crate) fn new(usable: Vec<usize>, suspects: isolation::SuspectWorkers) -> Self {
         Self {
             usable,
             suspects,
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -7,8 +7,8 @@
 use crate::advisors;
 use crate::candidate;
 use crate::candidate::Candidate;
-use crate::crashes;
 use crate::event;
+use crate::isolation;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -50,7 +50,7 @@
     pub(crate) step_state: &'a job::StepState,
     objective_ms: u64,
     /// What the tasks must not share a worker with.
-    isolation: crashes::Isolation,
+    isolation: isolation::Isolation,
 }
 
 impl StepContext<'_> {
@@ -505,7 +505,7 @@
             objective_ms: state.objective_ms,
             isolation: match step.gang {
                 true => self.crashes.isolation_of_gang(key),
-                false => crashes::Isolation::None,
+                false => isolation::Isolation::None,
             },
         })
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -2,8 +2,8 @@
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
 //! changed, followed by the lost runs of these jobs. A later segment takes precedence over an
-//! earlier one. Outcomes of ended jobs are moved
-//! to values of their own, the archives, which take precedence over every segment.
+//! earlier one. Outcomes of ended jobs are moved to values of their own, the archives, which take
+//! precedence over every segment.
 
 use std::sync;
 
