review: case 2, an order that waited in a frozen instance makes work run twice (TWICE)

Promise: a task that has ended done is not started again. A renewal that waits in a frozen instance reaches the next life of a worker, and its last_seen makes that life forget ends that nobody has seen.

Done: a script that freezes an instance for 4 s while two workers of its zone crash and start again under their ids.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -769,8 +770,81 @@
     noted_ms: Option<u64>,
 }
 
+/// A ticket: the life of the worker that it is for, and until when it is valid.
+type Ticket = (String, u64, Instant);
+
+/// The recommendation service, for a queue whose steps half of the workers may run.
+#[derive(Default)]
+struct Advice {
+    /// Whether the queue has a recommendation.
+    is_used: AtomicBool,
+    /// By step and worker.
+    tickets: Mutex<HashMap<(String, String), Ticket>>,
+}
+
+const DECIDE_MS: u64 = 700;
+const INTERVAL_MS: u64 = 10;
+const VALIDITY_MS: u64 = 2_000;
+
+impl Advice {
+    /// Returns whether a step may run on a worker, which never changes.
+    fn is_good(step: &str, worker: &str) -> bool {
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        for one in step.bytes().chain(worker.bytes()) {
+            hash = (hash ^ u64::from(one)).wrapping_mul(0x0100_0000_01b3);
+        }
+        hash >> 40 & 1 == 0
+    }
+
+    fn handle(&self, workers: &Workers, request: &Request) -> Answer {
+        let body = json::parse(&request.body).unwrap_or(json::Value::Null);
+        let step = body.get("step").text().to_owned();
+        let named: Vec<_> = body.get("workers").list().iter().collect();
+        workers
+            .record
+            .line(&format!("advise {step}: {} workers named", named.len()));
+        sleep_ms(DECIDE_MS + INTERVAL_MS * named.len() as u64);
+        let mut rows = Vec::new();
+        let mut tickets = self.tickets.lock().unwrap();
+        let until = Instant::now() + Duration::from_millis(VALIDITY_MS);
+        for id in named.iter().map(|id| id.text()) {
+            let worker = workers.all.iter().find(|worker| worker.id == id);
+            let Some(worker) = worker.filter(|_| Self::is_good(&step, id)) else {
+                continue;
+            };
+            let born = worker.life.lock().unwrap().born;
+            let ticket = format!("t-{:x}", unix_ms());
+            rows.push(format!("[\"{id}\",\"{ticket}\"]"));
+            tickets.insert((step.clone(), id.to_owned()), (ticket, born, until));
+        }
+        workers
+            .record
+            .line(&format!("advise {step}: {} of {} good", rows.len(), named.len()));
+        Answer::Reply(
+            200,
+            format!(
+                "{{\"good_count\":[{}],\"validity_ms\":{VALIDITY_MS}}}",
+                rows.join(",")
+            ),
+        )
+    }
+
+    fn permits(&self, task: &str, worker: &str, born: u64, ticket: &str) -> bool {
+        if !self.is_used.load(Ordering::Relaxed) {
+            return true;
+        }
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step).to_owned();
+        let tickets = self.tickets.lock().unwrap();
+        let known = tickets.get(&(step, worker.to_owned()));
+        known.is_some_and(|(known, of, until)| {
+            known == ticket && *of == born && Instant::now() < *until
+        })
+    }
+}
+
 /// All workers and what they have seen.
 struct Workers {
+    advice: Advice,
     all: Vec<Arc<Worker>>,
     store: Arc<Store>,
     record: Arc<Record>,
@@ -806,6 +880,7 @@
             })
         });
         let workers = Arc::new(Self {
+            advice: Advice::default(),
             all: all.collect(),
             store: Arc::clone(store),
             record: Arc::clone(record),
@@ -1012,6 +1087,10 @@
                 if life.closed.get(&task).is_some_and(|closed| run <= *closed) {
                     return refuse(&life, "old");
                 }
+                let ticket = body.get("ticket").text();
+                if !self.advice.permits(&task, &worker.id, born, ticket) {
+                    return refuse(&life, "ticket");
+                }
                 let now = Instant::now();
                 // The stand-in's callers put the working time of a task into `spec`.
                 let work: u64 = body.get("spec").text().parse().unwrap_or(0);
@@ -1230,13 +1309,13 @@
 }
 
 /// Ids of the processes that were started and not ended yet; 0 for none.
-static PROCESSES: [std::sync::atomic::AtomicI32; 16] =
-    [const { std::sync::atomic::AtomicI32::new(0) }; 16];
+static PROCESSES: [AtomicI32; 16] =
+    [const { AtomicI32::new(0) }; 16];
 
 /// Ends all processes that were started.
 fn end_processes() {
     for process in &PROCESSES {
-        let pid = process.swap(0, std::sync::atomic::Ordering::SeqCst);
+        let pid = process.swap(0, Ordering::SeqCst);
         if pid != 0 {
             // SAFETY: the process was started here and has not been waited for.
             unsafe { kill(pid, SIGKILL) };
@@ -1285,7 +1364,7 @@
             .stderr(log)
             .spawn()?;
         for process in &PROCESSES {
-            let order = std::sync::atomic::Ordering::SeqCst;
+            let order = Ordering::SeqCst;
             if process
                 .compare_exchange(0, child.id() as i32, order, order)
                 .is_ok()
@@ -1307,7 +1386,7 @@
     fn kill(&self) {
         if let Some(mut child) = self.process.lock().unwrap().take() {
             for process in &PROCESSES {
-                let order = std::sync::atomic::Ordering::SeqCst;
+                let order = Ordering::SeqCst;
                 let _ = process.compare_exchange(child.id() as i32, 0, order, order);
             }
             let _ = child.kill();
@@ -1358,8 +1437,9 @@
     /// Thousandths of a core of each worker.
     cpu: u32,
     rack_size: usize,
-    /// The fields of the only route that differ.
     attempts: u32,
+    /// Whether the queue has a recommendation.
+    advice: bool,
 }
 
 impl Rig {
@@ -1373,15 +1453,20 @@
         let handling = Arc::clone(&store);
         let handler = move |request: &Request| handling.handle(request);
         serve(listener, Arc::new(|| true), Arc::new(handler));
+        let recommendation = format!(
+            ",\"recommendation\":{{\"decide_ms\":{DECIDE_MS},\"interval_ms\":{INTERVAL_MS},\
+             \"validity_ms\":{VALIDITY_MS}}}"
+        );
         let manifest = format!(
             "{{\"version\":3,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
              \"prefix\":\"{PREFIX}\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\
              \"target_latency_ms\":400,\"priority\":0,\"service\":\"press\",\"attempts\":{},\
-             \"stretch\":1.5}}],\"services\":[{{\"name\":\"press\",\"health_path\":\"/healthz\",\
+             \"stretch\":1.5{}}}],\"services\":[{{\"name\":\"press\",\"health_path\":\"/healthz\",\
              \"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\"enforces_capacity\":false,\
              \"standby\":false}}],\"limits\":{{\"max_header_bytes\":16384,\
              \"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
-            size.attempts
+            size.attempts,
+            if size.advice { &recommendation } else { "" }
         );
         store.put_text("op/config", &manifest);
         let workers = Workers::start(
@@ -1394,6 +1479,13 @@
             record,
         )
         .map_err(|error| error.to_string())?;
+        let advice_address = format!("{net}.3:8169");
+        workers.advice.is_used.store(size.advice, Ordering::Relaxed);
+        let listener = TcpListener::bind(&advice_address).map_err(|error| error.to_string())?;
+        let handling = Arc::clone(&workers);
+        let handler = move |request: &Request| handling.advice.handle(&handling, request);
+        serve(listener, Arc::new(|| true), Arc::new(handler));
+        let advice_address = if size.advice { &advice_address } else { "" };
         let folder = std::env::temp_dir().join(format!("review-{pid}"));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let template = std::fs::read_to_string(format!("{repository}/deploy/instance.ini"))
@@ -1401,7 +1493,15 @@
         let instances = (0..size.instances).map(|index| {
             let (ip, zone) = (format!("{net}.{}", 10 + index), &zones[index % zones.len()]);
             let name = format!("edge-{zone}-{}", 1 + index / zones.len());
-            let settings = render(&template, &name, &ip, zone, &zones, &store_address);
+            let settings = render(
+                &template,
+                &name,
+                &ip,
+                zone,
+                &zones,
+                &store_address,
+                advice_address,
+            );
             let file = folder.join(format!("{name}.ini"));
             std::fs::write(&file, settings).map_err(|error| error.to_string())?;
             Ok(Arc::new(Instance {
@@ -1489,6 +1589,7 @@
     zone: &str,
     zones: &[String],
     store: &str,
+    advice: &str,
 ) -> String {
     let regions: Vec<_> = zones.iter().map(|zone| format!("{zone}:r-{zone}")).collect();
     let mut text = String::new();
@@ -1512,7 +1613,7 @@
         ("limits.cores", "1"),
         ("platform.address", store),
         ("platform.min_ttl_ms", "1000"),
-        ("recommendation", ""),
+        ("recommendation", advice),
         ("bounds.max_hold_ms", "10000"),
         ("heartbeat_ms", "1500"),
         ("bounds.contact_ms", "4000"),
@@ -1562,6 +1663,7 @@
         cpu: 8_000,
         rack_size: 2,
         attempts: 4,
+        advice: false,
     };
     let rig = Arc::new(Rig::start(repository, record, &size)?);
     sleep_ms(4_000);
@@ -1597,54 +1699,62 @@
     }
     record.line("end of the traffic");
     sleep_ms(14_000);
-    // `finish_s` after the end of the traffic: which accepted jobs have nothing running for 3 s?
     let accepted = accepted.lock().unwrap().clone();
-    let mut idle: HashMap<String, u32> = HashMap::new();
-    let mut most_running = 0;
+    Ok(idle_jobs(&rig, &accepted, 6))
+}
+
+/// Returns the accepted jobs that have not ended and have nothing running for 3 s, while less than half
+/// of the room, which is for `room` of their tasks, is in use.
+fn idle_jobs(rig: &Rig, accepted: &[String], room: usize) -> Vec<String> {
     const CHECKS: u32 = 30;
+    let mut idle: HashMap<&String, u32> = HashMap::new();
+    let mut most_running = 0;
     for _ in 0..CHECKS {
         most_running = most_running.max(rig.workers.running_count());
-        for job in &accepted {
+        for job in accepted {
             if !rig.workers.job_runs(job) {
-                *idle.entry(job.clone()).or_default() += 1;
+                *idle.entry(job).or_default() += 1;
             }
         }
         sleep_ms(100);
     }
-    record.line(&format!(
-        "{} jobs accepted; at most {most_running} tasks at work in the last 3 s, room for 6",
+    rig.record.line(&format!(
+        "{} jobs accepted; at most {most_running} tasks at work in the last 3 s, room for {room}",
         accepted.len()
     ));
     let mut broken = Vec::new();
     for job in accepted {
-        let state = rig.state(&job);
-        let is_idle = idle.get(&job) == Some(&CHECKS);
-        if state != "completed" && is_idle && most_running < 3 {
+        let state = rig.state(job);
+        if state != "completed" && idle.get(job) == Some(&CHECKS) && most_running * 2 < room {
             broken.push(format!(
-                "job {job}: accepted, state {state}, nothing of it at work for 3 s, and the workers \
-                 are idle"
+                "job {job}: accepted, state {state}, {} of its tasks done, nothing of it at work for 3 s, \
+                 and the workers have room",
+                rig.workers.done_count(job)
             ));
         }
     }
-    Ok(broken)
+    broken
 }
 
 /// Calls jobs of `count` tasks one after the other until the time is up.
-fn keep_busy(rig: &Arc<Rig>, caller: usize, count: u32, body: &str, until: Instant) {
+fn keep_busy(rig: &Arc<Rig>, caller: usize, count: u32, cpu: u32, is_over: &AtomicBool) {
     let mut number = 0;
-    while Instant::now() < until {
+    while !is_over.load(Ordering::Relaxed) {
         let job = job_id((caller * 10_000 + number) as u64);
+        // Jobs differ in their work, so that tasks end all the time.
+        let work_ms = 100 + (number * 37 + caller * 61) as u64 % 100;
+        let body = &job_body(count, cpu, work_ms, "");
         number += 1;
         let mut accepted = false;
         for attempt in 0..5 {
             accepted = rig.submit(caller + attempt, &job, body) == Some(200);
-            if accepted || Instant::now() >= until {
+            if accepted || is_over.load(Ordering::Relaxed) {
                 break;
             }
             sleep_ms(300);
         }
         while accepted
-            && Instant::now() < until
+            && !is_over.load(Ordering::Relaxed)
             && rig.workers.done_count(&job) < count as usize
         {
             sleep_ms(10);
@@ -1656,22 +1766,21 @@
 fn frozen_instance(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
     let size = Size {
         instances: 3,
-        workers: 24,
+        workers: 15,
         cpu: 12_000,
-        rack_size: 4,
+        rack_size: 5,
         attempts: 4,
+        advice: false,
     };
     let rig = Arc::new(Rig::start(repository, record, &size)?);
     sleep_ms(3_000);
     // More tasks than fit at once, so that all workers are at work all the time.
-    const ROUNDS: u64 = 3;
-    let until = Instant::now() + Duration::from_millis(4_000 + 12_000 * ROUNDS);
-    let callers: Vec<_> = (0..14)
+    const ROUNDS: u64 = 9;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..24)
         .map(|caller| {
-            let rig = Arc::clone(&rig);
-            std::thread::spawn(move || {
-                keep_busy(&rig, caller, 24, &job_body(24, 1_000, 300, ""), until);
-            })
+            let (rig, is_over) = (Arc::clone(&rig), Arc::clone(&is_over));
+            std::thread::spawn(move || keep_busy(&rig, caller, 24, 600, &is_over))
         })
         .collect();
     sleep_ms(4_000);
@@ -1680,9 +1789,9 @@
         let leader = rig.leader().ok_or("no leader")?;
         let mut others = rig.instances.iter().filter(|one| one.name != leader.name);
         let frozen = others.nth(round as usize % 2).ok_or("no follower")?;
-        // 3 of 24 workers: a share of 0.125.
+        // 2 of 15 workers: a share of 0.133.
         let near = rig.workers.all.iter().filter(|one| one.zone == frozen.zone);
-        let near: Vec<_> = near.take(3).cloned().collect();
+        let near: Vec<_> = near.take(2).cloned().collect();
         if rig.trouble {
             record.line(&format!(
                 "freeze {} for 4.0 s ({} leads)",
@@ -1701,19 +1810,148 @@
             frozen.signal(SIGCONT);
             record.line(&format!("{} goes on", frozen.name));
         }
-        std::thread::sleep(Duration::from_millis(12_000).saturating_sub(began.elapsed()));
+        std::thread::sleep(Duration::from_millis(9_000).saturating_sub(began.elapsed()));
         if !rig.workers.twice().is_empty() {
             break;
         }
     }
     let twice = rig.workers.twice();
-    drop(rig);
+    is_over.store(true, Ordering::Relaxed);
     for caller in callers {
         let _ = caller.join();
     }
     Ok(twice)
 }
 
+/// Case: a short outage of the store while the recommendation service is asked for new jobs.
+fn late_advice(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
+    let size = Size {
+        instances: 6,
+        workers: 60,
+        cpu: 8_000,
+        rack_size: 10,
+        attempts: 4,
+        advice: true,
+    };
+    let rig = Arc::new(Rig::start(repository, record, &size)?);
+    sleep_ms(4_000);
+    let began = Instant::now();
+    let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
+    if rig.trouble {
+        record.line("store: answers 503 from now on");
+        rig.store.set_mode(StoreMode::Busy);
+        let (store, record) = (Arc::clone(&rig.store), Arc::clone(record));
+        std::thread::spawn(move || {
+            sleep_ms(1_000);
+            store.set_mode(StoreMode::Up);
+            record.line("store: up again");
+        });
+    }
+    // Each job has more tasks than have room at once.
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let (rig, accepted) = (Arc::clone(&rig), Arc::clone(&accepted));
+            std::thread::spawn(move || {
+                sleep_ms(if number == 0 { 20 } else { 220 + 35 * number as u64 });
+                let body = job_body(60, 4_000, 1_500, "");
+                if submit_with_retries(&rig, number, &body, 4) {
+                    accepted.lock().unwrap().push(job_id(number as u64));
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        let _ = caller.join();
+    }
+    record.line("end of the traffic");
+    std::thread::sleep(Duration::from_secs(40).saturating_sub(began.elapsed()));
+    let accepted = accepted.lock().unwrap().clone();
+    Ok(idle_jobs(&rig, &accepted, 120))
+}
+
+/// Case: the leader is killed and a worker with a task that lasts is lost for good.
+fn gone_worker(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
+    let size = Size {
+        instances: 3,
+        workers: 8,
+        cpu: 8_000,
+        rack_size: 2,
+        attempts: 4,
+        advice: false,
+    };
+    let rig = Rig::start(repository, record, &size)?;
+    sleep_ms(3_000);
+    // One task fits on a worker: four workers stay free.
+    const TASKS: u32 = 4;
+    let job = job_id(7);
+    let body = job_body(TASKS, 6_000, 0, ",\"long_running\":true");
+    if rig.submit(0, &job, &body) != Some(200) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let limit = Instant::now() + Duration::from_secs(10);
+    while rig.workers.running_count() < TASKS as usize {
+        if Instant::now() > limit {
+            return Err("the tasks do not run".to_owned());
+        }
+        sleep_ms(20);
+    }
+    sleep_ms(6_000);
+    let leader = rig.leader().ok_or("no leader")?;
+    let at_work = |worker: &&Arc<Worker>| !worker.life.lock().unwrap().runs.is_empty();
+    let lost = rig.workers.all.iter().find(at_work).ok_or("no task runs")?;
+    let lost_task = lost.life.lock().unwrap().runs.keys().next().cloned();
+    let (lost_task, _) = lost_task.ok_or("no task runs")?;
+    let began = Instant::now();
+    if rig.trouble {
+        record.line(&format!(
+            "kill {}, which leads; {} is lost for good, with {lost_task}",
+            leader.name, lost.id
+        ));
+        rig.workers.crash(lost);
+        // For comparison: only the worker is lost.
+        if std::env::var("SPARE_LEADER").is_err() {
+            leader.kill();
+            sleep_ms(500);
+            leader
+                .start(&rig.repository)
+                .map_err(|error| error.to_string())?;
+            record.line("the killed process is started again");
+        }
+    }
+    // When the task was at work last, and for how long it was not.
+    let is_at_work = || {
+        rig.workers.all.iter().any(|worker| {
+            let life = worker.life.lock().unwrap();
+            life.up && life.runs.keys().any(|(task, _)| *task == lost_task)
+        })
+    };
+    let mut at_work_at = began;
+    let mut longest = Duration::ZERO;
+    while began.elapsed() < Duration::from_secs(25) {
+        if is_at_work() {
+            at_work_at = Instant::now();
+        }
+        longest = longest.max(at_work_at.elapsed());
+        sleep_ms(20);
+    }
+    record.line(&format!(
+        "{lost_task} was not at work for {} ms; state {}",
+        longest.as_millis(),
+        rig.state(&job)
+    ));
+    // From 6 s after its last run on, 3 s without one; the 4 s before these are calm, as the last
+    // disturbance is half a second after the loss.
+    let mut broken = Vec::new();
+    if longest > Duration::from_millis(9_000) {
+        broken.push(format!(
+            "{lost_task}, which lasts, was not at work for {} ms after its worker was lost, with three \
+             workers free",
+            longest.as_millis()
+        ));
+    }
+    Ok(broken)
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, scenario, repository, record] = &arguments[..] else {
@@ -1742,6 +1980,8 @@
     });
     let result = match scenario.as_str() {
         "store-outage" => store_outage(repository, &record),
+        "late-advice" => late_advice(repository, &record),
+        "gone-worker" => gone_worker(repository, &record),
         "frozen-instance" => frozen_instance(repository, &record),
         other => Err(format!("unknown scenario {other}")),
     };
