--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -1823,6 +1823,42 @@
     Ok(twice)
 }
 
+/// Case: one job comes that can never be done, among others that can.
+fn hopeless_gang(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
+    let size = Size {
+        instances: 6,
+        workers: 60,
+        cpu: 8_000,
+        rack_size: 10,
+        attempts: 4,
+        advice: true,
+    };
+    let rig = Arc::new(Rig::start(repository, record, &size)?);
+    sleep_ms(4_000);
+    let gang = ",\"gang\":true";
+    if rig.trouble {
+        // It needs 900 workers of 60.
+        let body = job_body(900, 8_000, 60_000, gang);
+        record.line("a job that can never be done is handed in");
+        if rig.submit(0, &job_id(900), &body) != Some(200) {
+            return Err("the job was not accepted".to_owned());
+        }
+        sleep_ms(500);
+    }
+    // Twenty jobs that need 10 of 60 workers for a second each.
+    let mut accepted = Vec::new();
+    for number in 0..20 {
+        let body = job_body(20, 4_000, 1_000, gang);
+        if submit_with_retries(&rig, number, &body, 4) {
+            accepted.push(job_id(number as u64));
+        }
+        sleep_ms(800);
+    }
+    record.line("end of the traffic");
+    sleep_ms(14_000);
+    Ok(idle_jobs(&rig, &accepted, 120))
+}
+
 /// Case: a short outage of the store while the recommendation service is asked for new jobs.
 fn late_advice(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
     let size = Size {
@@ -1981,6 +2017,7 @@
     let result = match scenario.as_str() {
         "store-outage" => store_outage(repository, &record),
         "late-advice" => late_advice(repository, &record),
+        "hopeless-gang" => hopeless_gang(repository, &record),
         "gone-worker" => gone_worker(repository, &record),
         "frozen-instance" => frozen_instance(repository, &record),
         other => Err(format!("unknown scenario {other}")),
