review: case 4, a start that waited in a frozen instance runs finished tasks again (TWICE)

Promise: a task that has ended done is not started again.

Done: a script that freezes an instance for 4 s; two workers of its zone crash meanwhile and are back under their ids 0.1 s before it goes on.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -1763,7 +1763,14 @@
 }
 
 /// Case: an instance freezes while a few workers crash and start again.
-fn frozen_instance(repository: &str, record: &Arc<Record>) -> Result<Vec<String>, String> {
+///
+/// They crash `crash_ms` after the instance freezes, and are back after `down_ms`; it freezes for 4 s.
+fn frozen_instance(
+    repository: &str,
+    record: &Arc<Record>,
+    crash_ms: u64,
+    down_ms: u64,
+) -> Result<Vec<String>, String> {
     let size = Size {
         instances: 3,
         workers: 15,
@@ -1798,11 +1805,11 @@
                 frozen.name, leader.name
             ));
             frozen.signal(SIGSTOP);
-            sleep_ms(100);
+            sleep_ms(crash_ms);
             for worker in &near {
                 rig.workers.crash(worker);
             }
-            sleep_ms(1_000);
+            sleep_ms(down_ms);
             for worker in &near {
                 rig.workers.restart(worker);
             }
@@ -2019,7 +2026,12 @@
         "late-advice" => late_advice(repository, &record),
         "hopeless-gang" => hopeless_gang(repository, &record),
         "gone-worker" => gone_worker(repository, &record),
-        "frozen-instance" => frozen_instance(repository, &record),
+        "frozen-instance" => frozen_instance(repository, &record, 100, 1_000),
+        "late-start" => {
+            // For comparison: other times from the crash to the return.
+            let down_ms = std::env::var("DOWN_MS").ok().and_then(|text| text.parse().ok());
+            frozen_instance(repository, &record, 2_000, down_ms.unwrap_or(1_900))
+        }
         other => Err(format!("unknown scenario {other}")),
     };
     let code = match result {
