--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Case 1: an outage of the store, with callers that go on.
-# See claim.txt; the stand-ins are in review/rig. Needs the build of the deploy file and review/build.sh.
+# See claim.txt; the stand-ins are in review/rig.rs. Needs the build of the deploy file and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 for program in review/rig release/ferry-platform; do
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -C opt-level=2 -o "${RIG:-target/review/rig}" review/rig/rig.rs
+rustc --edition 2024 -C opt-level=2 -o "${RIG:-target/review/rig}" review/rig.rs
