--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -382,9 +382,7 @@
         };
         // Effects added meanwhile need no further commit of this job.
         self.ended_job_effects.append(&mut state.effects);
-        self.jobs.swap_remove(&stored.job_id);
-        self.journal.clear_dirty(stored.job_id);
-        self.crashes.remove_job(stored.job_id);
+        self.remove_job(stored.job_id);
         self.ended.insert(stored.job_id, ending);
     }
 
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -192,14 +192,14 @@
             if !is_new || self.journal.is_in_flight(job_id) {
                 continue;
             }
-            self.journal.clear_dirty(job_id);
             self.dequeue(job_id);
-            let Some(state) = self.jobs.swap_remove(&job_id) else {
+            let Some(state) = self.remove_job(job_id) else {
                 continue;
             };
             log::info!(
                 job:% = journal::job_id_hex(job_id),
                 store_reachable = self.store_reachable,
+                planned_runs = state.placed_runs().len(),
                 reply:? = reply;
                 "job dropped before it was stored"
             );
--- a/crates/jobs/src/reservations.rs
+++ b/crates/jobs/src/reservations.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Releases the reservations of all steps of a job.
+    pub(crate) fn release_job(&mut self, job_id: model::JobId) {
+        let steps = self.steps.keys().filter(|step| step.job_id == job_id);
+        for step in steps.copied().collect::<Vec<_>>() {
+            self.release(step);
+        }
+    }
+
     /// Releases expired reservations.
     pub(crate) fn expire(&mut self, now: time::Instant) {
         let expired = self
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -379,10 +379,29 @@
         }
     }
 
-    /// Removes every step of a job from the queue.
+    /// Removes every step of a job from the queue, and releases the capacity reserved for them.
     pub(crate) fn dequeue(&mut self, job_id: model::JobId) {
         self.waiting.retain(|step| step.key.job_id != job_id);
         self.scheduled.retain(|(_, of, _)| *of != job_id);
+        self.reservations.release_job(job_id);
+    }
+
+    /// Removes a job that has left the queue, and frees the capacity that its planned runs occupy.
+    pub(crate) fn remove_job(&mut self, job_id: model::JobId) -> Option<job::JobState> {
+        let state = self.jobs.swap_remove(&job_id)?;
+        self.journal.clear_dirty(job_id);
+        self.crashes.remove_job(job_id);
+        for (incarnation, key) in state.placed_runs() {
+            let Some(worker) = self.workers.get_mut(&incarnation) else {
+                continue;
+            };
+            let run = worker.runs.get(&key);
+            if run.is_some_and(|run| run.phase == worker::RunPhase::Planned) {
+                worker.remove_run(&key);
+                self.placement_needed = true;
+            }
+        }
+        Some(state)
     }
 
     /// Enqueues occurrences that have become due.
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -393,6 +393,36 @@
     assert!((100..220).all(|id| !simulation.started_at_ms.contains_key(&id)));
 }
 
+/// Capacity leak: jobs are placed and then refused, as the store does not take their batch. What they
+/// were to occupy must be free again, or jobs accepted later wait on idle workers.
+#[test]
+fn refused_jobs_free_the_capacity_of_their_planned_runs() {
+    for seed in 1..=10 {
+        let mut simulation = Simulation::new(seed, 6, None);
+        simulation.run_ms(200);
+        let whole_worker = simulation::step(1, 7_000, 300);
+        simulation.store_refuses = true;
+        let during = submit_at_interval(&mut simulation, 1, 12, 5, "short", &whole_worker);
+        simulation.run_ms(1_000);
+        simulation.store_refuses = false;
+        simulation.run_ms(500);
+        for token in &during {
+            assert!(is_refused(simulation.replies.get(token)), "seed {seed}");
+        }
+        let submitted_at_ms = simulation.now_ms;
+        submit_at_interval(&mut simulation, 100, 6, 0, "short", &whole_worker);
+        simulation.run_ms(3_000);
+        for id in 100..106 {
+            let started_at_ms = simulation.started_at_ms.get(&id);
+            let waited_ms = started_at_ms.map(|at_ms| at_ms - submitted_at_ms);
+            assert!(
+                waited_ms.is_some_and(|waited_ms| waited_ms < 200),
+                "seed {seed}: job {id} waited {waited_ms:?} ms"
+            );
+        }
+    }
+}
+
 /// A leader ends its term during a burst while the store does not answer: callers whose jobs were
 /// not sent to the store must be redirected to the next leader.
 #[test]
