--- a/crates/jobs/src/advisors.rs
+++ b/crates/jobs/src/advisors.rs
@@ -212,7 +212,7 @@
         else {
             return;
         };
-        step_state.tickets.calls_in_flight += 1;
+        step_state.tickets.begin_call(call_id);
         if let Some(state) = self.jobs.get(&step.job_id) {
             self.advisors
                 .record_call(&state.job.queue, asked.len(), duration);
@@ -233,21 +233,33 @@
 
     pub(crate) fn on_advice(
         &mut self,
-        call: event::CallId,
+        call_id: event::CallId,
         outcome: Result<model::AdviceReply, model::AdviceFailure>,
         elapsed: time::Duration,
         clock: event::Clock,
     ) {
-        let Some(call) = self.advisors.calls.swap_remove(&call) else {
+        let Some(call) = self.advisors.calls.swap_remove(&call_id) else {
             return;
         };
         self.placement_needed = true;
-        self.changed_steps.insert(call.step);
         let state = self.jobs.get_mut(&call.step.job_id);
-        let Some((_, step_state)) = state.and_then(|one| one.step_mut(call.step)) else {
+        let step = state.and_then(|one| one.step_mut(call.step));
+        let step = step.and_then(|(_, step_state)| {
+            let is_for_this_job = step_state.tickets.end_call(call_id);
+            is_for_this_job.then_some(step_state)
+        });
+        let Some(step_state) = step else {
+            log::info!(
+                job:% = journal::job_id_hex(call.step.job_id),
+                step = call.step.step,
+                call = call_id,
+                succeeded = outcome.is_ok(),
+                by:% = call.instance_id;
+                "answer of the recommendation service dropped, as its job has ended"
+            );
             return;
         };
-        step_state.tickets.calls_in_flight -= 1;
+        self.changed_steps.insert(call.step);
         match outcome {
             Ok(reply) => {
                 log::info!(
--- a/crates/jobs/src/blocked.rs
+++ b/crates/jobs/src/blocked.rs
@@ -256,7 +256,7 @@
             fit_allowed = fit.on_allowed,
             asked = tickets.asked_count(),
             allowed = tickets.allowed_count(),
-            calls_in_flight = tickets.calls_in_flight;
+            calls_in_flight = tickets.calls_in_flight();
             "step still not started"
         );
         self.record_report(key, reason, clock);
--- a/crates/jobs/src/tickets.rs
+++ b/crates/jobs/src/tickets.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::event;
 use crate::maps;
 
 /// Remaining validity below which a ticket is no longer used: a start order takes as long to reach
@@ -22,8 +23,10 @@
     pub(crate) answers: u32,
     /// When the last ticket expires.
     last_expiry: Option<time::Instant>,
-    /// Number of calls for this step in flight.
-    pub(crate) calls_in_flight: u32,
+    /// Calls for this step in flight.
+    ///
+    /// An answer for any other call is about an earlier job with the same id.
+    calls_in_flight: maps::IndexSet<event::CallId>,
     /// Earliest time of the next call; an earlier one would hardly help.
     next_call_not_before: Option<time::Instant>,
 }
@@ -74,9 +77,25 @@
         }
     }
 
+    /// Records that a call for this step has been sent.
+    pub(crate) fn begin_call(&mut self, call: event::CallId) {
+        self.calls_in_flight.insert(call);
+    }
+
+    /// Records that a call has ended; returns whether it was made for this step.
+    #[must_use]
+    pub(crate) fn end_call(&mut self, call: event::CallId) -> bool {
+        self.calls_in_flight.swap_remove(&call)
+    }
+
     /// Returns whether a call for this step is in flight.
     pub(crate) fn has_call_in_flight(&self) -> bool {
-        self.calls_in_flight > 0
+        !self.calls_in_flight.is_empty()
+    }
+
+    /// Returns the number of calls for this step in flight.
+    pub(crate) fn calls_in_flight(&self) -> usize {
+        self.calls_in_flight.len()
     }
 
     /// Returns whether the service may be called now.
--- a/crates/jobs/tests/scheduler/peak_load.rs
+++ b/crates/jobs/tests/scheduler/peak_load.rs
@@ -423,6 +423,39 @@
     }
 }
 
+/// Answer credited to the wrong job: a job is refused while the recommendation service is being asked
+/// about it, and handed in again before the answer. The answer must not count as that to a call for the
+/// new job, which would then wait for a call that nobody makes.
+#[test]
+fn late_answer_for_refused_job_does_not_block_the_same_job_handed_in_again() {
+    for seed in 1..=10 {
+        let mut simulation = Simulation::new(seed, 10, Some(0.5));
+        simulation.use_slow_advice(1_300, 6);
+        simulation.run_ms(200);
+        let wide = simulation::step(40, 4_000, 1_000);
+        let job = simulation::job(1, "short", wide);
+        simulation.store_refuses = true;
+        let refused = simulation.submit(job.clone());
+        simulation.run_ms(700);
+        assert!(
+            is_refused(simulation.replies.get(&refused)),
+            "seed {seed}: the first attempt was accepted"
+        );
+        assert_eq!(simulation.advice_calls, 1, "seed {seed}");
+        simulation.store_refuses = false;
+        simulation.run_ms(500);
+        let accepted = simulation.submit(job);
+        simulation.run_ms(20_000);
+        assert_eq!(
+            simulation.replies.get(&accepted),
+            Some(&model::JobReply::Accepted),
+            "seed {seed}"
+        );
+        let completed = model::JobReply::Status(model::JobStatus::Completed);
+        assert_eq!(simulation.status(1), Some(completed), "seed {seed}");
+    }
+}
+
 /// A leader ends its term during a burst while the store does not answer: callers whose jobs were
 /// not sent to the store must be redirected to the next leader.
 #[test]
