--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// What the scheduler has decided in one round.
+#[derive(Debug)]
+pub(crate) struct Decisions {
+    pub(crate) decided_at: time::Instant,
+    pub(crate) actions: Vec<jobs::Action>,
+}
+
 impl ControlThread {
     /// Starts the thread, which sends the scheduler's actions to `actions`.
     ///
@@ -76,7 +83,7 @@
     pub(crate) fn start(
         scheduler: jobs::Scheduler,
         metrics: telemetry::Metrics,
-        actions: tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
+        actions: tokio_mpsc::UnboundedSender<Decisions>,
     ) -> Result<Self, error::Error> {
         let mailbox = sync::Arc::new(mailbox::Mailbox::new());
         let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
@@ -107,7 +114,7 @@
     mut scheduler: jobs::Scheduler,
     metrics: &telemetry::Metrics,
     mailbox: &mailbox::Mailbox,
-    actions: &tokio_mpsc::UnboundedSender<Vec<jobs::Action>>,
+    actions: &tokio_mpsc::UnboundedSender<Decisions>,
 ) {
     let mut pending = PendingReplies::default();
     let mut ticked_at = time::Instant::now();
@@ -164,7 +171,11 @@
         for (obstacle, count) in scheduler.take_withheld_starts() {
             metrics.count_by(&format!("start.withheld.{}", obstacle.as_str()), count);
         }
-        if !other_actions.is_empty() && actions.send(other_actions).is_err() {
+        let decisions = Decisions {
+            decided_at: clock.now,
+            actions: other_actions,
+        };
+        if !decisions.actions.is_empty() && actions.send(decisions).is_err() {
             return;
         }
     }
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -51,8 +51,9 @@
     term: model::Term,
 ) -> Result<(), error::Error> {
     let scheduler = recover(shared, term).await?;
-    let (actions, actions_receiver) = mpsc::unbounded_channel();
-    let control = control_thread::ControlThread::start(scheduler, shared.metrics.clone(), actions)?;
+    let (decisions, decisions_receiver) = mpsc::unbounded_channel();
+    let control =
+        control_thread::ControlThread::start(scheduler, shared.metrics.clone(), decisions)?;
     let term_ended = CancellationToken::new();
     let relays = relays::Relays::new(shared, term, control.handle(), term_ended.clone());
     let leadership = Leadership {
@@ -63,7 +64,7 @@
         term_ended,
         tasks: tokio_util::task::TaskTracker::new(),
     };
-    let result = leadership.run(actions_receiver).await;
+    let result = leadership.run(decisions_receiver).await;
     shared.leading.send_replace(None);
     leadership.term_ended.cancel();
     if let Err(cause) = task::spawn_blocking(|| control.stop()).await {
@@ -122,7 +123,7 @@
 impl<P: platform::Platform> Leadership<P> {
     async fn run(
         &self,
-        mut actions_receiver: mpsc::UnboundedReceiver<Vec<jobs::Action>>,
+        mut decisions_receiver: mpsc::UnboundedReceiver<control_thread::Decisions>,
     ) -> Result<(), error::Error> {
         let (batches, batch_receiver) = mpsc::unbounded_channel();
         let (commit_result, mut commits_ended) = oneshot::channel();
@@ -161,11 +162,11 @@
         let mut draining_since = None;
         let result = loop {
             tokio::select! {
-                actions = actions_receiver.recv() => {
-                    let Some(actions) = actions else {
+                decisions = decisions_receiver.recv() => {
+                    let Some(decisions) = decisions else {
                         break Err(leadership_lost("control thread ended"));
                     };
-                    if let Err(cause) = self.execute_all(actions, &batches) {
+                    if let Err(cause) = self.execute_all(decisions, &batches) {
                         break Err(cause);
                     }
                 }
@@ -289,11 +290,12 @@
 
     fn execute_all(
         &self,
-        actions: Vec<jobs::Action>,
+        decisions: control_thread::Decisions,
         batches: &mpsc::UnboundedSender<jobs::Batch>,
     ) -> Result<(), error::Error> {
         self.check_lease_confirmed()?;
-        for action in actions {
+        let decided_at = decisions.decided_at;
+        for action in decisions.actions {
             match action {
                 jobs::Action::Commit(batch) => {
                     // The receiver is dropped only when the term ends.
@@ -302,28 +304,29 @@
                 jobs::Action::StepDown => {
                     return Err(leadership_lost("a worker has seen a later term"));
                 }
-                action => self.execute(action),
+                action => self.execute(action, decided_at),
             }
         }
         Ok(())
     }
 
     /// Sends an order through its relay, or executes it here if there is none.
-    fn execute(&self, action: jobs::Action) {
+    fn execute(&self, action: jobs::Action, decided_at: time::Instant) {
         let timeout = self.shared.settings.order_timeout;
-        let Some(action) = self.relays.send(action, timeout) else {
+        let Some(action) = self.relays.send(action, timeout, decided_at) else {
             return;
         };
-        let Some(order) = self.relays.begin_own(action, timeout) else {
+        let Some(order) = self.relays.begin_own(action, timeout, decided_at) else {
             return;
         };
         let shared = sync::Arc::clone(&self.shared);
         let relays = sync::Arc::clone(&self.relays);
         let term_ended = self.term_ended.clone();
         self.tasks.spawn(async move {
-            let executing = orders::execute(&shared, order.request, order.timeout);
+            let id = order.id;
+            let executing = orders::execute(&shared, order, relays.own_clock);
             tokio::select! {
-                response = executing => relays.complete_own(order.id, response),
+                response = executing => relays.complete_own(id, response),
                 () = term_ended.cancelled() => {}
             }
         });
--- a/crates/controller/src/relay_worker.rs
+++ b/crates/controller/src/relay_worker.rs
@@ -20,6 +20,10 @@
 /// How long any other result may wait for others.
 const REPORT_DELAY: time::Duration = time::Duration::from_millis(20);
 
+/// Longest time between two messages to the leader, whose orders must be begun within some time after
+/// the latest one.
+const MAX_REPORT_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
 /// Result of an order, and when it was received.
 struct TimedReport {
     report: relay::Report,
@@ -88,6 +92,7 @@
     leader: &elect::Leader,
     calls: &task::TaskTracker,
 ) -> Result<(), peer::Error> {
+    let clock = relay::OrderClock::new(time::Instant::now());
     let link = shared.links.to(&leader.member.address);
     let peer::Channel {
         mut sender,
@@ -105,14 +110,15 @@
         while let Some(batch) = receiver.receive::<relay::OrderBatch>().await? {
             heartbeat::record_leader_state(shared, leader.term, batch.leader);
             for order in batch.into_orders() {
-                calls.spawn(execute(sync::Arc::clone(shared), order, reports.clone()));
+                let shared = sync::Arc::clone(shared);
+                calls.spawn(execute(shared, order, clock, reports.clone()));
             }
         }
         Ok(())
     };
     let send = async {
         loop {
-            let batch = next_batch(&mut reports_receiver).await;
+            let batch = next_batch(&mut reports_receiver, clock).await;
             sender.send(&batch).await?;
         }
     };
@@ -125,47 +131,41 @@
 async fn execute<P: platform::Platform>(
     shared: sync::Arc<instance::Shared<P>>,
     order: relay::Order,
+    clock: relay::OrderClock,
     reports: mpsc::UnboundedSender<TimedReport>,
 ) {
-    let executing = orders::execute(&shared, order.request, order.timeout);
+    let id = order.id;
+    let executing = orders::execute(&shared, order, clock);
     let response = tokio::select! {
         response = executing => response,
         () = shared.stop.cancelled() => return,
     };
     let report = TimedReport {
-        report: relay::Report {
-            id: order.id,
-            response,
-        },
+        report: relay::Report { id, response },
         received_at: time::Instant::now(),
     };
     // The receiver is gone once the channel has ended.
     let _ = reports.send(report);
 }
 
-/// Collects the results that are reported together.
-async fn next_batch(reports: &mut mpsc::UnboundedReceiver<TimedReport>) -> relay::ReportBatch {
+/// Collects the results that are reported together; returns without any once the next message is due.
+async fn next_batch(
+    reports: &mut mpsc::UnboundedReceiver<TimedReport>,
+    clock: relay::OrderClock,
+) -> relay::ReportBatch {
     let mut collected = Vec::new();
-    let mut send_at: Option<time::Instant> = None;
+    let mut send_at = time::Instant::now() + MAX_REPORT_INTERVAL;
     loop {
-        let deadline = send_at.map(tokio::time::Instant::from_std);
-        let received = match deadline {
-            None => reports.recv().await,
-            Some(deadline) => match tokio::time::timeout_at(deadline, reports.recv()).await {
-                Ok(received) => received,
-                Err(_) => break,
-            },
-        };
-        let Some(report) = received else {
-            // The channel's receiving side holds a sender, so this does not happen while it lives.
+        let received = tokio::time::timeout_at(send_at.into(), reports.recv()).await;
+        // The channel's receiving side holds a sender, so there are results while it lives.
+        let Ok(Some(report)) = received else {
             break;
         };
         let delay = match report.report.response.is_urgent() {
             true => URGENT_REPORT_DELAY,
             false => REPORT_DELAY,
         };
-        let due_at = report.received_at + delay;
-        send_at = Some(send_at.map_or(due_at, |at| at.min(due_at)));
+        send_at = send_at.min(report.received_at + delay);
         collected.push(report);
     }
     let now = time::Instant::now();
@@ -177,6 +177,7 @@
         }
     });
     relay::ReportBatch {
+        sent_at: clock.reading(now),
         reports: reports.collect(),
     }
 }
--- a/crates/controller/src/relays.rs
+++ b/crates/controller/src/relays.rs
@@ -36,6 +36,8 @@
     term_ended: CancellationToken,
     is_draining: sync::Arc<atomic::AtomicBool>,
     store_rejects_batches: sync::Arc<atomic::AtomicBool>,
+    /// Clock by which this instance begins the orders that it executes itself.
+    pub(crate) own_clock: relay::OrderClock,
     state: sync::Mutex<State>,
 }
 
@@ -56,6 +58,8 @@
     number: u64,
     info: relay::RelayInfo,
     outbox: mpsc::UnboundedSender<relay::Order>,
+    /// Latest reading of its clock.
+    relay_time: relay::RelayTime,
     /// When its last message was received, on this channel or as a heartbeat.
     heard_at: time::Instant,
     /// Whether the instance is stopping: it gets no more orders and still reports results.
@@ -81,6 +85,7 @@
             term_ended,
             is_draining: sync::Arc::clone(&shared.is_draining),
             store_rejects_batches: sync::Arc::clone(&shared.store_rejects_batches),
+            own_clock: relay::OrderClock::new(time::Instant::now()),
             state: sync::Mutex::new(State {
                 assignments: relay::Assignments::new(own, shared.settings.regions.clone()),
                 in_flight: relay::InFlight::default(),
@@ -118,12 +123,13 @@
         }
     }
 
-    /// Sends an order through the relay that it is for; returns the action if this instance is to
-    /// execute it.
+    /// Sends an order that was decided at `decided_at` through the relay that it is for; returns the
+    /// action if this instance is to execute it.
     pub(crate) fn send(
         &self,
         action: jobs::Action,
         timeout: time::Duration,
+        decided_at: time::Instant,
     ) -> Option<jobs::Action> {
         let mut state = instance::lock(&self.state);
         let relay_id = match &action {
@@ -134,11 +140,17 @@
                 relay::Route::Through(relay_id) => relay_id,
             },
         };
+        let now = time::Instant::now();
+        let age = now.saturating_duration_since(decided_at);
         let limit = orders::time_limit(&action, timeout) + TRANSFER_LIMIT;
-        let expires_at = time::Instant::now() + limit;
-        let order = state
-            .in_flight
-            .begin(&relay_id, action, timeout, expires_at)?;
+        let channel = state.channels.get(&relay_id);
+        let relay_time = channel.map_or_else(Default::default, |channel| channel.relay_time);
+        let limits = relay::OrderLimits {
+            timeout,
+            begin_by: relay_time.begin_by(limit.min(SILENCE_LIMIT), age),
+            expires_at: now + limit,
+        };
+        let order = state.in_flight.begin(&relay_id, action, limits)?;
         let channel = state.channels.get(&relay_id);
         let is_sent = channel.is_some_and(|channel| channel.outbox.send(order).is_ok());
         let lost = if is_sent {
@@ -151,18 +163,21 @@
         None
     }
 
-    /// Returns the order to execute at this instance.
+    /// Returns the order, decided at `decided_at`, to execute at this instance.
     pub(crate) fn begin_own(
         &self,
         action: jobs::Action,
         timeout: time::Duration,
+        decided_at: time::Instant,
     ) -> Option<relay::Order> {
         let limit = orders::time_limit(&action, timeout) + TRANSFER_LIMIT;
-        let expires_at = time::Instant::now() + limit;
+        let limits = relay::OrderLimits {
+            timeout,
+            begin_by: self.own_clock.reading(decided_at) + limit.min(SILENCE_LIMIT),
+            expires_at: time::Instant::now() + limit,
+        };
         let mut state = instance::lock(&self.state);
-        state
-            .in_flight
-            .begin(&self.own_id, action, timeout, expires_at)
+        state.in_flight.begin(&self.own_id, action, limits)
     }
 
     /// Ends an order that was executed at this instance.
@@ -230,7 +245,7 @@
         let receive = async {
             loop {
                 match receiver.receive::<relay::ReportBatch>().await {
-                    Ok(Some(batch)) => self.complete(&from, batch),
+                    Ok(Some(batch)) => self.complete(&from, number, batch),
                     Ok(None) => return "closed by the relay".to_owned(),
                     Err(cause) => return cause.to_string(),
                 }
@@ -274,6 +289,7 @@
                 strength_milli: hello.strength_milli,
             },
             outbox,
+            relay_time: relay::RelayTime::default(),
             heard_at: time::Instant::now(),
             is_draining: false,
         };
@@ -302,10 +318,15 @@
         self.send_events(lost);
     }
 
-    fn complete(&self, from: &model::InstanceId, batch: relay::ReportBatch) {
+    /// Handles the results in a message that a relay has sent on the channel with this number.
+    fn complete(&self, from: &model::InstanceId, number: u64, batch: relay::ReportBatch) {
         let mut state = instance::lock(&self.state);
-        if let Some(channel) = state.channels.get_mut(from) {
+        if let Some(channel) = state.channels.get_mut(from)
+            && channel.number == number
+        {
             channel.heard_at = time::Instant::now();
+            // Readings on an earlier channel are of another clock.
+            channel.relay_time.record(batch.sent_at);
         }
         let reports = batch.reports.into_iter();
         let events: Vec<_> = reports
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -54,6 +54,7 @@
 pub use record::OUTCOME_PREFIX;
 pub use record::SEGMENT_PREFIX;
 pub use recovery::Recovery;
+pub use runs::run_name;
 pub use scheduler::Scheduler;
 pub use scheduler::Summary;
 pub use settings::Settings;
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -248,7 +248,8 @@
 }
 
 /// Formats a run for logs.
-pub(crate) fn run_name(key: model::RunKey) -> String {
+#[must_use]
+pub fn run_name(key: model::RunKey) -> String {
     let task = key.task;
     format!(
         "{:016x}.{}.{}.{}#{}",
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -19,6 +19,17 @@
     last_id: OrderId,
 }
 
+/// Time limits of an order.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderLimits {
+    /// How long the call may take, without the wait that a renewal asks for.
+    pub timeout: time::Duration,
+    /// Until when the call may be begun, by the clock of the instance that makes it.
+    pub begin_by: crate::OrderTime,
+    /// When the order counts as lost.
+    pub expires_at: time::Instant,
+}
+
 #[derive(Debug)]
 struct InFlightOrder {
     relay: model::InstanceId,
@@ -37,15 +48,14 @@
 }
 
 impl InFlight {
-    /// Adds an order that is sent to `relay`; it counts as lost at `expires_at`.
+    /// Adds an order that is sent to `relay`.
     ///
     /// Returns the message to send, or `None` if the action is no order.
     pub fn begin(
         &mut self,
         relay: &model::InstanceId,
         action: jobs::Action,
-        timeout: time::Duration,
-        expires_at: time::Instant,
+        limits: OrderLimits,
     ) -> Option<message::Order> {
         let (subject, request) = match action {
             jobs::Action::Start(order) => (
@@ -76,12 +86,13 @@
         let order = InFlightOrder {
             relay: relay.clone(),
             subject,
-            expires_at,
+            expires_at: limits.expires_at,
         };
         self.orders.insert(self.last_id, order);
         Some(message::Order {
             id: self.last_id,
-            timeout,
+            timeout: limits.timeout,
+            begin_by: limits.begin_by,
             request,
         })
     }
@@ -98,6 +109,7 @@
             return None;
         }
         let event = match (order.subject.clone(), report.response) {
+            (subject, message::Response::Expired) => subject.lost(),
             (Subject::Start(incarnation, run), message::Response::Start(outcome)) => {
                 jobs::Event::Start {
                     incarnation,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -24,6 +24,8 @@
     pub id: crate::OrderId,
     /// How long the call may take, without the wait that a renewal asks for.
     pub timeout: time::Duration,
+    /// Until when the call may be begun, by the clock of the instance that makes it.
+    pub begin_by: crate::OrderTime,
     /// The call to make.
     pub request: Request,
 }
@@ -122,6 +124,8 @@
 /// The result of a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Response {
+    /// Of any request: the call was not made, as the time to begin it had passed.
+    Expired,
     /// Of [`Request::Start`].
     Start(jobs::StartOutcome),
     /// Of [`Request::Stop`].
@@ -161,9 +165,11 @@
     }
 }
 
-/// Results that are reported together.
+/// Results that are reported together; none if there was nothing to report for a while.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReportBatch {
+    /// When it was sent, by the relay's clock.
+    pub sent_at: crate::OrderTime,
     /// The results.
     pub reports: Vec<Report>,
 }
--- a/crates/relay/tests/relays/in_flight.rs
+++ b/crates/relay/tests/relays/in_flight.rs
@@ -6,6 +6,14 @@
 
 const TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+fn limits(now: time::Instant) -> relay::OrderLimits {
+    relay::OrderLimits {
+        timeout: TIMEOUT,
+        begin_by: TIMEOUT,
+        expires_at: now + TIMEOUT,
+    }
+}
+
 fn incarnation(number: u64) -> model::WorkerIncarnation {
     model::WorkerIncarnation {
         worker_id: format!("w{number}").into(),
@@ -68,7 +76,7 @@
 fn repeated_or_foreign_report_has_no_effect() {
     let now = time::Instant::now();
     let mut in_flight = relay::InFlight::default();
-    let order = in_flight.begin(&"a".into(), start(1), TIMEOUT, now + TIMEOUT);
+    let order = in_flight.begin(&"a".into(), start(1), limits(now));
     let order = order.expect("an order");
     assert!(in_flight.complete(&"b".into(), started(order.id)).is_none());
     let event = in_flight.complete(&"a".into(), started(order.id));
@@ -84,9 +92,9 @@
 fn lost_relay_leaves_starts_unanswered_and_condemns_no_worker() {
     let now = time::Instant::now();
     let mut in_flight = relay::InFlight::default();
-    in_flight.begin(&"a".into(), start(1), TIMEOUT, now + TIMEOUT);
-    in_flight.begin(&"a".into(), renewal(2), TIMEOUT, now + TIMEOUT);
-    in_flight.begin(&"b".into(), start(3), TIMEOUT, now + TIMEOUT);
+    in_flight.begin(&"a".into(), start(1), limits(now));
+    in_flight.begin(&"a".into(), renewal(2), limits(now));
+    in_flight.begin(&"b".into(), start(3), limits(now));
     let events = in_flight.lose_relay(&"a".into());
     assert_eq!(in_flight.len(), 1);
     let outcome = start_outcome(&events[0]);
@@ -105,7 +113,7 @@
 fn result_of_another_kind_is_ignored_and_the_order_expires() {
     let now = time::Instant::now();
     let mut in_flight = relay::InFlight::default();
-    let order = in_flight.begin(&"a".into(), start(1), TIMEOUT, now + TIMEOUT);
+    let order = in_flight.begin(&"a".into(), start(1), limits(now));
     let report = relay::Report {
         id: order.expect("an order").id,
         response: relay::Response::Stop(jobs::StopOutcome::Accepted),
@@ -155,8 +163,7 @@
             let events = match operation {
                 Operation::Send(relay) => {
                     sent += 1;
-                    let expires_at = now + TIMEOUT;
-                    let order = in_flight.begin(&relays[relay], start(sent), TIMEOUT, expires_at);
+                    let order = in_flight.begin(&relays[relay], start(sent), limits(now));
                     prop_assert_eq!(order.map(|order| order.id), Some(sent));
                     Vec::new()
                 }
--- a/crates/relay/tests/relays/main.rs
+++ b/crates/relay/tests/relays/main.rs
@@ -3,3 +3,4 @@
 mod assignments;
 mod in_flight;
 mod message;
+mod order_clock;
--- a/crates/relay/tests/relays/message.rs
+++ b/crates/relay/tests/relays/message.rs
@@ -7,6 +7,7 @@
     relay::Order {
         id,
         timeout: time::Duration::from_millis(400),
+        begin_by: time::Duration::from_millis(900),
         request: relay::Request::Start(jobs::StartOrder {
             incarnation: model::WorkerIncarnation {
                 worker_id: "w".into(),
