relay: refuse channels of builds with another layout of messages

Cause: the limit of orders changed the layout of what leader and relay send each other. While instances of both builds run, one could take the other's messages for something else: nothing in them named the layout, and only lengths that happen not to fit kept a message from being misread.

Change: the first message of a relay carries the number of the layout. A build without the number and one with it cannot decode each other's first message, which must be read to its last byte; from now on the leader compares the numbers. A refused relay leaves its workers to the leader, as before.

hello_of_the_layout_without_a_number_cannot_be_decoded checks both directions; without the new field both builds decode the other's. Mixed builds were not run.

--- a/crates/controller/src/relay_worker.rs
+++ b/crates/controller/src/relay_worker.rs
@@ -102,6 +102,7 @@
         term: leader.term,
         data_centre: sync::Arc::clone(&shared.settings.data_centre),
         strength_milli: shared.settings.strength_milli,
+        layout: relay::LAYOUT,
     };
     sender.send(&hello).await?;
     log::info!(leader:% = leader.member.instance_id, term = leader.term; "relaying for the leader");
--- a/crates/controller/src/relays.rs
+++ b/crates/controller/src/relays.rs
@@ -231,6 +231,10 @@
             log::info!(relay:% = from, term = self.term, relay_term = hello.term; "relay of another term refused");
             return;
         }
+        if hello.layout != relay::LAYOUT {
+            log::warn!(relay:% = from, layout = relay::LAYOUT, relay_layout = hello.layout; "relay of another build refused");
+            return;
+        }
         let (number, mut outbox) = self.open(&from, hello);
         let send = async {
             let mut orders = Vec::new();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub use in_flight::OrderId;
 pub use in_flight::OrderLimits;
 pub use message::Hello;
+pub use message::LAYOUT;
 pub use message::LeaderState;
 pub use message::Order;
 pub use message::OrderBatch;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -6,7 +6,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Layout of the messages on a channel; to be raised with each change of them.
+///
+/// Builds with different layouts must not relay for each other, as they could misread the messages.
+pub const LAYOUT: u32 = 2;
+
 /// First message of a relay on a channel.
+///
+/// The first layout had no number here, so that neither side can decode the other's.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Term of the leader that the relay wants to serve.
@@ -15,6 +22,8 @@
     pub data_centre: model::DataCentre,
     /// Processor time of the relay's machine, in thousandths of a core.
     pub strength_milli: u32,
+    /// [`LAYOUT`] of the relay's build.
+    pub layout: u32,
 }
 
 /// An order of the leader.
@@ -124,8 +133,6 @@
 /// The result of a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Response {
-    /// Of any request: the call was not made, as the time to begin it had passed.
-    Expired,
     /// Of [`Request::Start`].
     Start(jobs::StartOutcome),
     /// Of [`Request::Stop`].
@@ -141,6 +148,8 @@
         /// Time that the call took.
         elapsed: time::Duration,
     },
+    /// Of any request: the call was not made, as the time to begin it had passed.
+    Expired,
 }
 
 impl Response {
--- a/crates/relay/tests/relays/message.rs
+++ b/crates/relay/tests/relays/message.rs
@@ -41,6 +41,27 @@
     decoded.expect("decodable").0
 }
 
+/// Misread messages: while builds of two layouts run, the first message of a relay must not decode at
+/// the other build, in either direction.
+#[test]
+fn hello_of_the_layout_without_a_number_cannot_be_decoded() {
+    let hello = relay::Hello {
+        term: 7,
+        data_centre: "z".into(),
+        strength_milli: 250,
+        layout: relay::LAYOUT,
+    };
+    let encoded = encode(&hello);
+    let old_layout = encode(&(hello.term, &hello.data_centre, hello.strength_milli));
+    assert_ne!(encoded.len(), old_layout.len(), "lengths tell them apart");
+    let config = bincode::config::standard();
+    assert!(bincode::serde::decode_from_slice::<relay::Hello, _>(&old_layout, config).is_err());
+    let read: Result<((u64, String, u32), usize), _> =
+        bincode::serde::decode_from_slice(&encoded, config);
+    let is_whole = read.is_ok_and(|(_, used_bytes)| used_bytes == encoded.len());
+    assert!(!is_whole, "the other layout takes all of the message");
+}
+
 /// A wide step starts at once: its specification travels once for all tasks.
 #[test]
 fn batch_carries_the_specification_of_a_job_once() {
