--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -70,6 +70,7 @@
 /// What the scheduler has decided in one round.
 #[derive(Debug)]
 pub(crate) struct Decisions {
+    /// When the round began; what the scheduler knew is not newer.
     pub(crate) decided_at: time::Instant,
     pub(crate) actions: Vec<jobs::Action>,
 }
--- a/crates/relay/tests/relays/order_clock.rs
+++ b/crates/relay/tests/relays/order_clock.rs
@@ -10,15 +10,20 @@
     time::Duration::from_millis(ms)
 }
 
+/// Returns what the leader knows after a message that the relay sent at `sent_ms` by its clock.
+fn relay_time_at(sent_ms: u64) -> relay::RelayTime {
+    let mut relay_time = relay::RelayTime::default();
+    relay_time.record(ms(sent_ms));
+    relay_time
+}
+
 /// Start after a stand-still: orders wait in the socket of a relay that stands still, the leader gives
 /// them up, and a worker restarts. The relay must not begin them when it goes on.
 #[test]
 fn order_that_waited_while_the_relay_stood_still_is_not_begun() {
     let opened_at = time::Instant::now();
     let clock = relay::OrderClock::new(opened_at);
-    let mut relay_time = relay::RelayTime::default();
-    relay_time.record(clock.reading(opened_at + ms(10_000)));
-    let begin_by = relay_time.begin_by(PATIENCE, ms(0));
+    let begin_by = relay_time_at(10_000).begin_by(PATIENCE, ms(0));
     assert!(!clock.is_past(begin_by, opened_at + ms(10_300)));
     assert!(clock.is_past(begin_by, opened_at + ms(14_000)));
 }
@@ -29,9 +34,7 @@
 fn order_that_waited_at_the_leader_is_not_begun() {
     let opened_at = time::Instant::now();
     let clock = relay::OrderClock::new(opened_at);
-    let mut relay_time = relay::RelayTime::default();
-    relay_time.record(clock.reading(opened_at + ms(10_000)));
-    let begin_by = relay_time.begin_by(PATIENCE, ms(4_000));
+    let begin_by = relay_time_at(10_000).begin_by(PATIENCE, ms(4_000));
     assert!(clock.is_past(begin_by, opened_at + ms(10_000)));
 }
 
