--- a/crates/relay/src/order_clock.rs
+++ b/crates/relay/src/order_clock.rs
@@ -1,7 +1,7 @@
 //! Time limits of orders, by the steady clock of the instance that executes them.
 //!
-//! A relay that stands still for a while reads its orders late: the leader has given them up by then,
-//! and a worker may have restarted. The leader cannot read the clock of a relay, but each message of
+//! A relay that stalls reads its orders late: they have timed out at the leader by then, and a worker
+//! may have restarted. The leader cannot read the clock of a relay, but each message of
 //! the relay carries a reading. Whatever the leader sends after it has received a reading is younger
 //! than that, so a limit that counts from the latest reading needs no clocks that agree.
 
@@ -48,10 +48,10 @@
         self.latest = self.latest.max(sent_at);
     }
 
-    /// Returns until when the relay may begin an order that was decided `age` ago and that the leader
-    /// gives up `patience` after the decision.
+    /// Returns until when the relay may begin an order that was decided `age` ago and that times
+    /// out at the leader `timeout` after the decision.
     #[must_use]
-    pub fn begin_by(&self, patience: time::Duration, age: time::Duration) -> OrderTime {
-        self.latest.saturating_add(patience.saturating_sub(age))
+    pub fn begin_by(&self, timeout: time::Duration, age: time::Duration) -> OrderTime {
+        self.latest.saturating_add(timeout.saturating_sub(age))
     }
 }
