--- a/crates/relay/tests/relays/order_clock.rs
+++ b/crates/relay/tests/relays/order_clock.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-const PATIENCE: time::Duration = time::Duration::from_millis(700);
+const TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
 fn ms(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
@@ -17,24 +17,24 @@
     relay_time
 }
 
-/// Start after a stand-still: orders wait in the socket of a relay that stands still, the leader gives
-/// them up, and a worker restarts. The relay must not begin them when it goes on.
+/// Late start: orders wait in the socket of a stalled relay, time out at the leader, and a worker
+/// restarts. The relay must not begin them when it resumes.
 #[test]
 fn order_that_waited_while_the_relay_stood_still_is_not_begun() {
     let opened_at = time::Instant::now();
     let clock = relay::OrderClock::new(opened_at);
-    let begin_by = relay_time_at(10_000).begin_by(PATIENCE, ms(0));
+    let begin_by = relay_time_at(10_000).begin_by(TIMEOUT, ms(0));
     assert!(!clock.is_past(begin_by, opened_at + ms(10_300)));
     assert!(clock.is_past(begin_by, opened_at + ms(14_000)));
 }
 
-/// An order that the leader has kept back for longer than its patience is not begun, however fresh the
+/// An order that the leader has held for longer than its timeout is not begun, however fresh the
 /// reading of the relay's clock is.
 #[test]
 fn order_that_waited_at_the_leader_is_not_begun() {
     let opened_at = time::Instant::now();
     let clock = relay::OrderClock::new(opened_at);
-    let begin_by = relay_time_at(10_000).begin_by(PATIENCE, ms(4_000));
+    let begin_by = relay_time_at(10_000).begin_by(TIMEOUT, ms(4_000));
     assert!(clock.is_past(begin_by, opened_at + ms(10_000)));
 }
 
@@ -43,7 +43,7 @@
 fn reading_beyond_the_range_of_the_clock_is_harmless() {
     let mut relay_time = relay::RelayTime::default();
     relay_time.record(time::Duration::MAX);
-    let begin_by = relay_time.begin_by(PATIENCE, ms(0));
+    let begin_by = relay_time.begin_by(TIMEOUT, ms(0));
     assert!(!relay::OrderClock::new(time::Instant::now()).is_past(begin_by, time::Instant::now()));
 }
 
@@ -56,26 +56,26 @@
     })]
 
     /// Whatever delays messages in both directions, reordered or not, no order begins later than the
-    /// leader's patience after its decision.
+    /// leader's timeout after its decision.
     #[test]
     fn no_order_begins_after_the_leader_has_given_it_up(
         messages in prop::collection::vec((0_u64..5_000, 0_u64..5_000), 0..20),
         decided_ms in 0_u64..10_000,
-        kept_back_ms in 0_u64..2_000,
+        held_ms in 0_u64..2_000,
         transfer_ms in 0_u64..6_000,
     ) {
         let opened_at = time::Instant::now();
         let clock = relay::OrderClock::new(opened_at);
         let mut relay_time = relay::RelayTime::default();
-        let sent_ms = decided_ms + kept_back_ms;
+        let sent_ms = decided_ms + held_ms;
         for (message_ms, delay_ms) in messages {
             if message_ms + delay_ms <= sent_ms {
                 relay_time.record(clock.reading(opened_at + ms(message_ms)));
             }
         }
-        let begin_by = relay_time.begin_by(PATIENCE, ms(kept_back_ms));
+        let begin_by = relay_time.begin_by(TIMEOUT, ms(held_ms));
         let begins_ms = sent_ms + transfer_ms;
-        let is_given_up = begins_ms >= decided_ms + PATIENCE.as_millis() as u64;
+        let is_given_up = begins_ms >= decided_ms + TIMEOUT.as_millis() as u64;
         prop_assert!(!is_given_up || clock.is_past(begin_by, opened_at + ms(begins_ms)));
     }
 }
