--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -147,6 +147,7 @@
                 token: pending.insert(reply),
                 manifest_version,
                 request,
+                tenant: None,
                 overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
--- a/crates/jobs/benches/mix.rs
+++ b/crates/jobs/benches/mix.rs
@@ -133,6 +133,7 @@
             .map(|kind| (kind.name.into(), sync::Arc::new(queue(kind))))
             .collect(),
         pools: indexmap::IndexMap::new(),
+        ..jobs::Manifest::default()
     }
 }
 
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -31,6 +31,8 @@
         manifest_version: model::ManifestVersion,
         /// The request.
         request: model::JobRequest,
+        /// Tenant whose API key the request has; `None` without a key.
+        tenant: Option<model::TenantName>,
         /// Delay before callers should retry, in milliseconds, if the leader takes in no new jobs.
         overload_retry_ms: Option<u64>,
     },
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -19,6 +19,8 @@
     /// Its queue when the job was accepted.
     pub(crate) accepted_queue: sync::Arc<manifest::Queue>,
     pub(crate) accepted_at_ms: u64,
+    /// Tenant that submitted it; `None` if it was accepted without an API key.
+    pub(crate) tenant: Option<model::TenantName>,
     /// Time from acceptance, or from the due time of an occurrence, within which it should end, in
     /// milliseconds.
     pub(crate) objective_ms: u64,
@@ -110,6 +112,7 @@
             job,
             accepted_queue: queue,
             accepted_at_ms,
+            tenant: None,
             objective_ms,
             occurrences,
             outcome: None,
@@ -121,6 +124,12 @@
         }
     }
 
+    /// Sets the tenant that submitted the job.
+    pub(crate) fn with_tenant(mut self, tenant: Option<model::TenantName>) -> Self {
+        self.tenant = tenant;
+        self
+    }
+
     /// Restores a job from the store; `progress` must be [`record::Progress::Open`].
     pub(crate) fn restore(definition: record::Definition, progress: record::Progress) -> Self {
         let mut state = Self::new(
--- a/crates/jobs/src/manifest.rs
+++ b/crates/jobs/src/manifest.rs
@@ -4,11 +4,12 @@
 use std::time;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// One version of the manifest.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Manifest {
     /// Version; a higher one replaces every lower one.
     pub version: model::ManifestVersion,
@@ -16,6 +17,12 @@
     pub queues: IndexMap<model::QueueName, sync::Arc<Queue>>,
     /// Pools by name.
     pub pools: IndexMap<model::PoolName, Pool>,
+    /// The tenants; `None` if callers need no API key and all work is treated alike.
+    pub tenants: Option<sync::Arc<tenants::Tenants>>,
+    /// Queues that callers may use without an API key.
+    ///
+    /// Not a field of [`Queue`], whose layout is that of stored records.
+    pub public_queues: IndexSet<model::QueueName>,
 }
 
 impl Manifest {
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -15,23 +15,33 @@
 /// Delay before callers should retry while too many steps wait, in milliseconds.
 const OVERLOAD_RETRY_MS: u64 = 2_000;
 
+/// What is known of a request besides its content.
+pub(crate) struct Arrived {
+    pub(crate) token: job::RequestToken,
+    /// Newest manifest version that the requesting instance has.
+    pub(crate) manifest_version: model::ManifestVersion,
+    /// Tenant whose API key the request has.
+    pub(crate) tenant: Option<model::TenantName>,
+    /// Delay before callers should retry, in milliseconds, if the leader takes in no new jobs.
+    pub(crate) overload_retry_ms: Option<u64>,
+}
+
 impl scheduler::Scheduler {
     pub(crate) fn on_request(
         &mut self,
-        token: job::RequestToken,
-        manifest_version: model::ManifestVersion,
+        arrived: Arrived,
         request: model::JobRequest,
-        overload_retry_ms: Option<u64>,
         clock: event::Clock,
     ) {
+        let token = arrived.token;
         let reply = match request {
             model::JobRequest::Submit(job) => {
-                match (self.resubmit(token, job), overload_retry_ms) {
+                match (self.resubmit(token, job), arrived.overload_retry_ms) {
                     (Ok(reply), _) => reply,
                     (Err(_), Some(retry_ms)) => {
                         Some(refused(model::RefusalReason::Overloaded, retry_ms))
                     }
-                    (Err(job), None) => self.submit(token, manifest_version, *job, clock),
+                    (Err(job), None) => self.submit(arrived, *job, clock),
                 }
             }
             model::JobRequest::Status { job_id } => Some(self.status(job_id)),
@@ -76,14 +86,13 @@
     /// Takes in a job that is not known yet.
     fn submit(
         &mut self,
-        token: job::RequestToken,
-        manifest_version: model::ManifestVersion,
+        arrived: Arrived,
         job: model::Job,
         clock: event::Clock,
     ) -> Option<model::JobReply> {
         let job_id = job.id;
         let Some(queue) = self.manifest.queues.get(&job.queue) else {
-            if manifest_version > self.manifest.version {
+            if arrived.manifest_version > self.manifest.version {
                 return Some(model::JobReply::NotLeading);
             }
             return Some(refused(model::RefusalReason::UnknownQueue, 0));
@@ -99,8 +108,9 @@
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
         let queue = sync::Arc::clone(queue);
-        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms);
-        let reply = job::Effect::Reply(token, model::JobReply::Accepted);
+        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
+            .with_tenant(arrived.tenant);
+        let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         log::info!(
             job:% = journal::job_id_hex(job_id),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::pass;
 use crate::placement;
 use crate::record;
+use crate::requests;
 use crate::reservations;
 use crate::settings;
 use crate::worker;
@@ -130,8 +131,17 @@
                 token,
                 manifest_version,
                 request,
+                tenant,
                 overload_retry_ms,
-            } => self.on_request(token, manifest_version, request, overload_retry_ms, clock),
+            } => {
+                let arrived = requests::Arrived {
+                    token,
+                    manifest_version,
+                    tenant,
+                    overload_retry_ms,
+                };
+                self.on_request(arrived, request, clock);
+            }
             event::Event::Manifest(manifest) => self.apply_manifest(manifest),
             event::Event::Directory { reports, read_at } => {
                 self.apply_directory(reports, read_at, clock)
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -1014,6 +1014,7 @@
             token,
             manifest_version: 1,
             request,
+            tenant: None,
             overload_retry_ms: self.overload_retry_ms,
         };
         self.deliver(self.term, event);
@@ -1106,6 +1107,7 @@
             .map(|queue| (queue.name.clone(), sync::Arc::new(queue)))
             .collect(),
         pools: indexmap::IndexMap::new(),
+        ..jobs::Manifest::default()
     }
 }
 
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -14,6 +14,8 @@
 pub type QueueName = sync::Arc<str>;
 /// Names a pool of workers.
 pub type PoolName = sync::Arc<str>;
+/// Names a tenant.
+pub type TenantName = sync::Arc<str>;
 /// Numbers the starts of a task, from 1.
 pub type RunNumber = u32;
 /// Version of the manifest; never decreases.
@@ -192,6 +194,14 @@
     Overloaded,
     /// The instance is stopping.
     Draining,
+    /// The request has no API key, or an unknown one.
+    Unauthorized,
+    /// The manifest has not been confirmed for too long to rely on its API keys.
+    ManifestUnconfirmed,
+    /// The job needs more than its tenant may ever have running.
+    ExceedsTenantCap,
+    /// The tenant submits more jobs than it is owed, and the workers are busy.
+    TenantRate,
 }
 
 impl RefusalReason {
@@ -205,6 +215,10 @@
         Self::StoreUnavailable,
         Self::Overloaded,
         Self::Draining,
+        Self::Unauthorized,
+        Self::ManifestUnconfirmed,
+        Self::ExceedsTenantCap,
+        Self::TenantRate,
     ];
 
     /// Returns the name used in answers, logs and counters.
@@ -219,6 +233,10 @@
             Self::StoreUnavailable => "store_unavailable",
             Self::Overloaded => "overloaded",
             Self::Draining => "draining",
+            Self::Unauthorized => "unauthorized",
+            Self::ManifestUnconfirmed => "manifest_unconfirmed",
+            Self::ExceedsTenantCap => "exceeds_tenant_cap",
+            Self::TenantRate => "tenant_rate",
         }
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -62,6 +62,7 @@
 pub use job::Step;
 pub use job::StepKey;
 pub use job::TaskKey;
+pub use job::TenantName;
 pub use job::Term;
 pub use job::Ticket;
 pub use job::WorkerIncarnation;
--- /dev/null
+++ b/crates/tenants/src/lib.rs
@@ -0,0 +1,11 @@
+//! Tenants of the cluster: their API keys, weights and caps.
+//!
+//! Tenants compete for the workers. A tenant's weight is its share when all workers are busy; its cap
+//! limits what it may have running on all workers together.
+
+mod tenant;
+mod tenant_set;
+
+pub use tenant::Cap;
+pub use tenant::Tenant;
+pub use tenant_set::Tenants;
