--- a/crates/tenants/src/tenant_set.rs
+++ b/crates/tenants/src/tenant_set.rs
@@ -1,5 +1,7 @@
 //! The tenants of one version of the manifest.
 
+use std::fmt;
+
 use indexmap::IndexMap;
 use sha2::Digest as _;
 
@@ -10,9 +12,9 @@
 
 /// The tenants of one version of the manifest, by name and by API key.
 ///
-/// Keys are kept and looked up as digests, so that neither the time of a lookup nor the `Debug` output
-/// tells anything about them.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// Keys are kept and looked up as digests, so that the time of a lookup tells nothing about them; the
+/// `Debug` output has only their number.
+#[derive(Clone, Default, PartialEq)]
 pub struct Tenants {
     tenants: IndexMap<model::TenantName, tenant::Tenant>,
     /// Index into `tenants` by the digest of a key.
@@ -58,6 +60,15 @@
     }
 }
 
+impl fmt::Debug for Tenants {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tenants")
+            .field("tenants", &self.tenants)
+            .field("key_count", &self.keys.len())
+            .finish()
+    }
+}
+
 fn digest(key: &[u8]) -> KeyDigest {
     sha2::Sha256::digest(key).into()
 }
