platform, controller, jobs: API keys, and jobs that belong to tenants

Cause: nothing set or checked a tenant. The tenant goes to the leader in `ControllerRequest::TenantJob`, a new last variant that is sent only when there is a tenant; a build without it refuses it as malformed, which counts as not handled, so no caller is left in doubt. Status and cancel of another tenant's job are answered as unknown, its id as in use. A leader with a newer manifest refuses submissions of a tenant that it no longer has; one with an older manifest has them sent again. Storage: the tenants of jobs, with their queues, follow the records and the lost runs of a segment, and the outcomes of an archive; they are left out if there are none, so that records without tenants have the former bytes.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc as tokio_mpsc;
 use tokio::sync::oneshot;
 
+use crate::caller_request;
 use crate::error;
 use crate::mailbox;
 
@@ -48,9 +49,9 @@
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
     ) -> Option<model::JobReply> {
-        let rank = match &request {
+        let rank = match &request.request {
             model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. } => admit::Rank::Change,
             model::JobRequest::Status { .. } | model::JobRequest::Pending { .. } => {
                 admit::Rank::Read
@@ -146,8 +147,8 @@
             let event = jobs::Event::Request {
                 token: pending.insert(reply),
                 manifest_version,
-                request,
-                tenant: None,
+                request: request.request,
+                tenant: request.tenant,
                 overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::watch;
 
+use crate::caller_request;
 use crate::heartbeat;
 use crate::instance;
 use crate::platform;
@@ -64,10 +65,10 @@
     /// Sends a caller's request to the leader; the caller waits for the reply for `timeout`.
     pub async fn request(
         &self,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
-        let model::JobRequest::Pending { queue } = &request else {
+        let model::JobRequest::Pending { queue } = &request.request else {
             return self.ask_leader(request, timeout).await;
         };
         let queue = sync::Arc::clone(queue);
@@ -77,12 +78,12 @@
 
     async fn ask_leader(
         &self,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
         let started = time::Instant::now();
         let is_mutation = matches!(
-            request,
+            request.request,
             model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. }
         );
         let timeout = if is_mutation {
@@ -93,7 +94,7 @@
         let mut pending = PendingRequest {
             shared: &self.shared,
             started,
-            attempts: admit::Attempts::new(&request),
+            attempts: admit::Attempts::new(&request.request),
             forwarded_term: None,
             failed_attempts: 0,
         };
@@ -129,7 +130,7 @@
     /// Sends the request to the leader once; `None` if it should be retried.
     async fn attempt(
         &mut self,
-        request: &model::JobRequest,
+        request: &caller_request::CallerRequest,
         remaining: time::Duration,
     ) -> Option<model::JobReply> {
         let leading = self.shared.leading.borrow().clone();
@@ -146,7 +147,7 @@
     /// Sends the request to the instance that leads, until another one does.
     async fn forward(
         &mut self,
-        request: &model::JobRequest,
+        request: &caller_request::CallerRequest,
         remaining: time::Duration,
     ) -> Option<model::JobReply> {
         let started = time::Instant::now();
@@ -164,11 +165,7 @@
         if !self.may_send(leader.term) {
             return None;
         }
-        let message = model::ControllerRequest::Job {
-            manifest_version: self.shared.manifest_version(),
-            remaining_ms: remaining.as_millis() as u64,
-            request: request.clone(),
-        };
+        let message = request.to_message(self.shared.manifest_version(), remaining);
         let link = self.shared.links.to(&leader.member.address);
         let is_replaced = |view: &elect::ClusterView| {
             view.leader()
@@ -313,7 +310,7 @@
         &self,
         manifest_version: model::ManifestVersion,
         remaining: time::Duration,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
     ) -> model::JobReply {
         let leading = self.shared.leading.borrow().clone();
         let Some(leading) = leading else {
@@ -331,7 +328,7 @@
     shared: &instance::Shared<P>,
     leading: &instance::Leading,
     manifest_version: model::ManifestVersion,
-    request: model::JobRequest,
+    request: caller_request::CallerRequest,
     timeout: time::Duration,
 ) -> model::JobReply {
     let reply = leading.control.request(manifest_version, request);
@@ -365,6 +362,25 @@
                 request,
             } => {
                 let remaining = time::Duration::from_millis(remaining_ms);
+                let request = caller_request::CallerRequest {
+                    request,
+                    tenant: None,
+                };
+                model::ControllerReply::Job(
+                    self.handle_job(manifest_version, remaining, request).await,
+                )
+            }
+            model::ControllerRequest::TenantJob {
+                tenant,
+                manifest_version,
+                remaining_ms,
+                request,
+            } => {
+                let remaining = time::Duration::from_millis(remaining_ms);
+                let request = caller_request::CallerRequest {
+                    request,
+                    tenant: Some(tenant),
+                };
                 model::ControllerReply::Job(
                     self.handle_job(manifest_version, remaining, request).await,
                 )
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 //! access to the store, the workers and the recommendation service.
 
 mod call_lanes;
+mod caller_request;
 mod cluster_entries;
 mod committer;
 mod control_thread;
@@ -27,6 +28,7 @@
 mod settings;
 mod watches;
 
+pub use caller_request::CallerRequest;
 pub use error::Error;
 pub use error::ErrorKind;
 pub use gateway::Gateway;
--- a/crates/controller/src/mailbox.rs
+++ b/crates/controller/src/mailbox.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::oneshot;
 
+use crate::caller_request;
 use crate::instance;
 
 /// Most requests that wait for the thread. Instances limit theirs, so that this many are only there
@@ -15,7 +16,7 @@
 /// A caller's request.
 pub(crate) struct Request {
     pub(crate) manifest_version: model::ManifestVersion,
-    pub(crate) request: model::JobRequest,
+    pub(crate) request: caller_request::CallerRequest,
     pub(crate) reply: oneshot::Sender<model::JobReply>,
 }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -186,6 +186,15 @@
         }
     }
 
+    /// Returns the tenant and the queue; `None` without a tenant.
+    pub(crate) fn owner(&self) -> Option<record::Owner> {
+        let tenant = self.tenant.as_ref()?;
+        Some(record::Owner {
+            tenant: model::TenantName::clone(tenant),
+            queue: sync::Arc::clone(&self.job.queue),
+        })
+    }
+
     /// Returns the status that callers see.
     pub(crate) fn status(&self) -> model::JobStatus {
         match self.stored_outcome {
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::ended;
 use crate::event;
 use crate::job;
 use crate::maps;
@@ -174,7 +175,8 @@
             deletes: Vec::new(),
             archive: None,
         };
-        let (mut records, mut losses) = (Vec::new(), Vec::new());
+        let mut segment = record::Segment::default();
+        let mut owners = Vec::new();
         let mut bytes = 0;
         while bytes < MAX_BATCH_BYTES
             && let Some(job_id) = self.journal.dirty.shift_remove_index(0)
@@ -184,15 +186,20 @@
                 let is_open = matches!(record.progress, record::Progress::Open { .. });
                 if let Some(lost) = self.losses_of(job_id).filter(|_| is_open) {
                     bytes += losses_size(&lost);
-                    losses.push(lost);
+                    segment.losses.push(lost);
                 }
-                records.push(record);
+                if record.definition.is_some() || !is_open {
+                    let owner = self.jobs.get(&job_id).and_then(job::JobState::owner);
+                    owners.extend(owner.map(|owner| (job_id, owner)));
+                }
+                segment.records.push(record);
             }
         }
+        segment.owners = record::group_by_owner(owners);
         let mut batch = event::Batch {
             id: id.batch,
             segment_key: id.key(record::SEGMENT_PREFIX),
-            segment: record::encode_segment(&records, &losses),
+            segment: record::encode_segment(&segment),
             outcomes: None,
             deletes: Vec::new(),
         };
@@ -275,13 +282,18 @@
         let archived = std::mem::take(&mut self.journal.segments.unarchived);
         let outcomes: Vec<_> = archived
             .iter()
-            .filter_map(|job_id| Some((*job_id, *self.ended.get(job_id)?)))
+            .filter_map(|job_id| Some((*job_id, self.ended.get(job_id)?.ending)))
             .collect();
+        let owners = archived.iter().filter_map(|job_id| {
+            let owner = self.ended.get(job_id)?.owner.clone()?;
+            Some((*job_id, owner))
+        });
+        let owners = record::group_by_owner(owners);
         let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
         let key = id.key(record::OUTCOME_PREFIX);
         in_flight.archive = Some((key.clone(), newest.unwrap_or_default()));
         in_flight.archived = archived;
-        batch.outcomes = Some((key, record::encode(&outcomes)));
+        batch.outcomes = Some((key, record::encode_outcomes(&outcomes, &owners)));
     }
 
     /// Handles the commit of a batch, and applies the effects that waited for it.
@@ -382,8 +394,10 @@
         };
         // Effects added meanwhile need no further commit of this job.
         self.ended_job_effects.append(&mut state.effects);
+        let owner = state.owner();
         self.remove_job(stored.job_id);
-        self.ended.insert(stored.job_id, ending);
+        let ended = ended::EndedJob { ending, owner };
+        self.ended.insert(stored.job_id, ended);
     }
 
     fn apply_effect(&mut self, effect: job::Effect, clock: event::Clock) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod blocked;
 mod candidate;
 mod crashes;
+mod ended;
 mod event;
 mod gangs;
 mod isolation;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,9 @@
 //! Job records as they are written to the store.
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
-//! changed, followed by the lost runs of these jobs. A later segment takes precedence over an
-//! earlier one. Outcomes of ended jobs are moved to values of their own, the archives, which take
-//! precedence over every segment.
+//! changed, followed by the lost runs and the tenants of these jobs. A later segment takes
+//! precedence over an earlier one. Outcomes of ended jobs are moved to values of their own, the
+//! archives, which take precedence over every segment.
 
 use std::sync;
 
@@ -94,6 +94,38 @@
     pub(crate) ended_at_ms: u64,
 }
 
+/// Outcomes of ended jobs.
+pub(crate) type Outcomes = Vec<(model::JobId, Ending)>;
+
+/// The tenant of a job, and the queue that decides who else may see it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct Owner {
+    /// The tenant.
+    pub(crate) tenant: model::TenantName,
+    /// The queue.
+    pub(crate) queue: model::QueueName,
+}
+
+/// Jobs of one tenant and queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OwnedJobs {
+    /// The tenant and the queue.
+    pub(crate) owner: Owner,
+    /// The jobs.
+    pub(crate) job_ids: Vec<model::JobId>,
+}
+
+/// Records that are written as one value.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Segment {
+    /// Records of the jobs.
+    pub(crate) records: Vec<JobRecord>,
+    /// Lost runs of some of them.
+    pub(crate) losses: Vec<JobLosses>,
+    /// Tenants of those with a definition or an end.
+    pub(crate) owners: Vec<OwnedJobs>,
+}
+
 /// Progress of a task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TaskRecord {
@@ -173,31 +205,85 @@
 
 /// Encodes a segment.
 ///
-/// The lost runs follow the records, and are left out if there are none: builds that do not know
-/// them ignore what follows the records.
-pub(crate) fn encode_segment(records: &[JobRecord], losses: &[JobLosses]) -> Vec<u8> {
-    let mut bytes = encode(&records);
-    if !losses.is_empty() {
-        bytes.extend(encode(&losses));
+/// The lost runs and the tenants follow the records, and are left out at the end if there are none:
+/// builds that do not know them ignore what follows what they know.
+pub(crate) fn encode_segment(segment: &Segment) -> Vec<u8> {
+    let mut bytes = encode(&segment.records);
+    if !segment.losses.is_empty() || !segment.owners.is_empty() {
+        bytes.extend(encode(&segment.losses));
+    }
+    if !segment.owners.is_empty() {
+        bytes.extend(encode(&segment.owners));
     }
     bytes
 }
 
 /// Decodes a segment; the error is the decoder's message.
-pub(crate) fn decode_segment(bytes: &[u8]) -> Result<(Vec<JobRecord>, Vec<JobLosses>), String> {
-    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    let (records, length): (_, usize) = decoded.map_err(|error| error.to_string())?;
-    let losses = match bytes.get(length..) {
-        None | Some([]) => Vec::new(),
-        Some(rest) => decode(rest)?,
-    };
-    Ok((records, losses))
+pub(crate) fn decode_segment(bytes: &[u8]) -> Result<Segment, String> {
+    let (records, rest) = decode_part(bytes)?;
+    let (losses, rest) = decode_optional_part(rest)?;
+    let (owners, _) = decode_optional_part(rest)?;
+    Ok(Segment {
+        records,
+        losses,
+        owners,
+    })
+}
+
+/// Encodes archived outcomes. The tenants follow them, and are left out if there are none.
+pub(crate) fn encode_outcomes(outcomes: &Outcomes, owners: &[OwnedJobs]) -> Vec<u8> {
+    let mut bytes = encode(&outcomes);
+    if !owners.is_empty() {
+        bytes.extend(encode(&owners));
+    }
+    bytes
+}
+
+/// Decodes archived outcomes; the error is the decoder's message.
+pub(crate) fn decode_outcomes(bytes: &[u8]) -> Result<(Outcomes, Vec<OwnedJobs>), String> {
+    let (outcomes, rest) = decode_part(bytes)?;
+    let (owners, _) = decode_optional_part(rest)?;
+    Ok((outcomes, owners))
 }
 
-/// Decodes a value of the store; the error is the decoder's message.
-pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+/// Decodes the first part of a value; returns it with what follows.
+fn decode_part<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), String> {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    decoded
-        .map(|(value, _)| value)
-        .map_err(|error| error.to_string())
+    let (part, length): (T, usize) = decoded.map_err(|error| error.to_string())?;
+    Ok((part, bytes.get(length..).unwrap_or_default()))
+}
+
+/// Decodes a part that may have been left out.
+fn decode_optional_part<T: serde::de::DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(Vec<T>, &[u8]), String> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), bytes));
+    }
+    decode_part(bytes)
+}
+
+/// Groups jobs by their tenants and queues.
+pub(crate) fn group_by_owner(
+    owners: impl IntoIterator<Item = (model::JobId, Owner)>,
+) -> Vec<OwnedJobs> {
+    let mut groups = maps::IndexMap::<Owner, Vec<model::JobId>>::default();
+    for (job_id, owner) in owners {
+        groups.entry(owner).or_default().push(job_id);
+    }
+    let groups = groups.into_iter();
+    groups
+        .map(|(owner, job_ids)| OwnedJobs { owner, job_ids })
+        .collect()
+}
+
+/// Returns the tenant and queue of each job.
+pub(crate) fn owners_by_job(groups: Vec<OwnedJobs>) -> impl Iterator<Item = (model::JobId, Owner)> {
+    groups.into_iter().flat_map(|group| {
+        let owner = group.owner;
+        group
+            .job_ids
+            .into_iter()
+            .map(move |job_id| (job_id, owner.clone()))
+    })
 }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -10,6 +10,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::ended;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -30,9 +31,19 @@
     segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
     /// Lost runs in each segment, by job.
     losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
+    /// Tenants of the jobs in each segment.
+    owners: collections::BTreeMap<record::SegmentId, Vec<record::OwnedJobs>>,
     /// Size of each segment in bytes.
     sizes: collections::BTreeMap<record::SegmentId, usize>,
-    archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
+    archives: Vec<Archive>,
+}
+
+/// Archived outcomes with their key.
+#[derive(Debug)]
+struct Archive {
+    key: String,
+    outcomes: record::Outcomes,
+    owners: Vec<record::OwnedJobs>,
 }
 
 impl Recovery {
@@ -43,12 +54,18 @@
     /// Returns the decoder's message if the value cannot be decoded.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
         if let Some(id) = record::SegmentId::from_key(key, record::SEGMENT_PREFIX) {
-            let (records, losses) = record::decode_segment(value)?;
-            self.segments.insert(id, records);
-            self.losses.insert(id, losses);
+            let segment = record::decode_segment(value)?;
+            self.segments.insert(id, segment.records);
+            self.losses.insert(id, segment.losses);
+            self.owners.insert(id, segment.owners);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
-            self.archives.push((key.to_owned(), record::decode(value)?));
+            let (outcomes, owners) = record::decode_outcomes(value)?;
+            self.archives.push(Archive {
+                key: key.to_owned(),
+                outcomes,
+                owners,
+            });
         }
         Ok(())
     }
@@ -95,6 +112,7 @@
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
         let mut losses = maps::IndexMap::default();
+        let mut owners = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
             scheduler.journal.segments.add(id, bytes);
@@ -104,6 +122,8 @@
                 let segments = &mut scheduler.journal.segments;
                 segments.add_record(id, record.job_id, has_definition, is_ended);
                 if let Some(definition) = record.definition {
+                    // An earlier job with this id may have had a tenant.
+                    owners.swap_remove(&record.job_id);
                     definitions.insert(record.job_id, definition);
                 }
                 progress.insert(record.job_id, record.progress);
@@ -111,12 +131,17 @@
             }
             let stored = self.losses.remove(&id).unwrap_or_default();
             losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.owners.remove(&id).unwrap_or_default();
+            owners.extend(record::owners_by_job(stored));
         }
-        scheduler.restore_outcomes(self.archives, &mut progress);
+        scheduler.restore_outcomes(self.archives, &mut progress, &mut owners);
         for (job_id, progress) in progress {
             match progress {
                 record::Progress::Ended(ending) => {
-                    scheduler.ended.insert(job_id, ending);
+                    let owner = owners.swap_remove(&job_id);
+                    scheduler
+                        .ended
+                        .insert(job_id, ended::EndedJob { ending, owner });
                 }
                 record::Progress::Open { .. } => {
                     let Some(definition) = definitions.swap_remove(&job_id) else {
@@ -126,7 +151,9 @@
                         );
                         continue;
                     };
-                    let state = job::JobState::restore(definition, progress);
+                    let owner: Option<record::Owner> = owners.swap_remove(&job_id);
+                    let state = job::JobState::restore(definition, progress)
+                        .with_tenant(owner.map(|owner| owner.tenant));
                     scheduler.jobs.insert(job_id, state);
                     if let Some(losses) = losses.swap_remove(&job_id) {
                         scheduler.crashes.restore(losses, clock.now);
@@ -136,7 +163,7 @@
         }
         scheduler
             .ended
-            .sort_by_key(|job_id, ending| (ending.ended_at_ms, *job_id));
+            .sort_by_key(|job_id, ended| (ended.ending.ended_at_ms, *job_id));
         scheduler.journal.segments.collect_garbage();
         scheduler.inherit_runs(leadership_timeout, clock);
         scheduler
@@ -147,18 +174,26 @@
     /// Restores archived outcomes, which take precedence over segments with the same jobs.
     fn restore_outcomes(
         &mut self,
-        archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
+        archives: Vec<Archive>,
         progress: &mut maps::IndexMap<model::JobId, record::Progress>,
+        owners: &mut maps::IndexMap<model::JobId, record::Owner>,
     ) {
-        for (key, outcomes) in archives {
-            let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
+        for archive in archives {
+            owners.extend(record::owners_by_job(archive.owners));
+            let newest = archive
+                .outcomes
+                .iter()
+                .map(|(_, ending)| ending.ended_at_ms)
+                .max();
             self.journal
                 .segments
-                .add_archive(key, newest.unwrap_or_default());
-            for (job_id, ending) in outcomes {
+                .add_archive(archive.key, newest.unwrap_or_default());
+            for (job_id, ending) in archive.outcomes {
                 progress.swap_remove(&job_id);
                 self.journal.segments.remove_job(job_id);
-                self.ended.insert(job_id, ending);
+                let owner = owners.swap_remove(&job_id);
+                let ended = ended::EndedJob { ending, owner };
+                self.ended.insert(job_id, ended);
             }
         }
     }
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -36,7 +36,7 @@
         let token = arrived.token;
         let reply = match request {
             model::JobRequest::Submit(job) => {
-                match (self.resubmit(token, job), arrived.overload_retry_ms) {
+                match (self.resubmit(&arrived, job), arrived.overload_retry_ms) {
                     (Ok(reply), _) => reply,
                     (Err(_), Some(retry_ms)) => {
                         Some(refused(model::RefusalReason::Overloaded, retry_ms))
@@ -44,8 +44,8 @@
                     (Err(job), None) => self.submit(arrived, *job, clock),
                 }
             }
-            model::JobRequest::Status { job_id } => Some(self.status(job_id)),
-            model::JobRequest::Cancel { job_id } => self.cancel(token, job_id, clock),
+            model::JobRequest::Status { job_id } => Some(self.status(&arrived, job_id)),
+            model::JobRequest::Cancel { job_id } => self.cancel(&arrived, job_id, clock),
             model::JobRequest::Pending { queue } => Some(self.pending(&queue)),
         };
         if let Some(reply) = reply {
@@ -58,16 +58,24 @@
     /// The reply is `None` while the job is not stored.
     fn resubmit(
         &mut self,
-        token: job::RequestToken,
+        arrived: &Arrived,
         job: Box<model::Job>,
     ) -> Result<Option<model::JobReply>, Box<model::Job>> {
-        if self.ended.contains_key(&job.id) {
+        let is_visible = self.is_visible(arrived, job.id);
+        if self.ended.contains_key(&job.id) && is_visible {
             return Ok(Some(model::JobReply::Accepted));
         }
+        if self.ended.contains_key(&job.id) {
+            log::warn!(
+                job:% = journal::job_id_hex(job.id);
+                "submission refused: its id belongs to an ended job of another tenant"
+            );
+            return Ok(Some(refused(model::RefusalReason::IdInUse, 0)));
+        }
         let Some(state) = self.jobs.get_mut(&job.id) else {
             return Err(job);
         };
-        if *state.job != *job {
+        if *state.job != *job || !is_visible {
             log::warn!(
                 job:% = journal::job_id_hex(job.id);
                 "submission refused: its id belongs to another job"
@@ -77,7 +85,7 @@
         if state.is_stored {
             return Ok(Some(model::JobReply::Accepted));
         }
-        let reply = job::Effect::Reply(token, model::JobReply::Accepted);
+        let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         self.journal.mark_dirty(job.id);
         Ok(None)
@@ -97,6 +105,9 @@
             }
             return Some(refused(model::RefusalReason::UnknownQueue, 0));
         };
+        if let Some(reply) = self.refuse_unknown_tenant(&arrived) {
+            return Some(reply);
+        }
         if !self.store_reachable {
             let retry_after_ms = self.store_retry_ms(clock);
             return Some(refused(
@@ -126,9 +137,56 @@
         None
     }
 
-    fn status(&self, job_id: model::JobId) -> model::JobReply {
-        if let Some(ending) = self.ended.get(&job_id) {
-            return model::JobReply::Status(ending.outcome);
+    /// Handles a submission of a tenant that the manifest in force does not have.
+    ///
+    /// The key was checked against the manifest of another instance. If that one is newer, the request
+    /// waits until this instance has it; if it is older, the tenant has been removed.
+    fn refuse_unknown_tenant(&self, arrived: &Arrived) -> Option<model::JobReply> {
+        let (tenants, tenant) = (self.manifest.tenants.as_ref()?, arrived.tenant.as_ref()?);
+        if tenants.get(tenant).is_some() {
+            return None;
+        }
+        if arrived.manifest_version > self.manifest.version {
+            return Some(model::JobReply::NotLeading);
+        }
+        log::info!(
+            tenant:% = tenant,
+            manifest = self.manifest.version,
+            requesting_manifest = arrived.manifest_version;
+            "submission refused: its tenant has been removed"
+        );
+        Some(refused(model::RefusalReason::Unauthorized, 0))
+    }
+
+    /// Returns whether a request may see a job, if there is one with this id: a job without a tenant,
+    /// one of its own tenant, or without a tenant of its own one of a public queue.
+    fn is_visible(&self, arrived: &Arrived, job_id: model::JobId) -> bool {
+        if self.manifest.tenants.is_none() {
+            return true;
+        }
+        let (owner, queue) = match (self.ended.get(&job_id), self.jobs.get(&job_id)) {
+            (Some(ended), _) => match &ended.owner {
+                Some(owner) => (&owner.tenant, &owner.queue),
+                None => return true,
+            },
+            (None, Some(state)) => match &state.tenant {
+                Some(tenant) => (tenant, &state.job.queue),
+                None => return true,
+            },
+            (None, None) => return true,
+        };
+        match &arrived.tenant {
+            Some(tenant) => tenant == owner,
+            None => self.manifest.public_queues.contains(queue),
+        }
+    }
+
+    fn status(&self, arrived: &Arrived, job_id: model::JobId) -> model::JobReply {
+        if !self.is_visible(arrived, job_id) {
+            return model::JobReply::Unknown;
+        }
+        if let Some(ended) = self.ended.get(&job_id) {
+            return model::JobReply::Status(ended.ending.outcome);
         }
         let state = self.jobs.get(&job_id).filter(|state| state.is_stored);
         state.map_or(model::JobReply::Unknown, |state| {
@@ -138,12 +196,15 @@
 
     fn cancel(
         &mut self,
-        token: job::RequestToken,
+        arrived: &Arrived,
         job_id: model::JobId,
         clock: event::Clock,
     ) -> Option<model::JobReply> {
-        if let Some(ending) = self.ended.get(&job_id) {
-            return Some(model::JobReply::Status(ending.outcome));
+        if !self.is_visible(arrived, job_id) {
+            return Some(model::JobReply::Unknown);
+        }
+        if let Some(ended) = self.ended.get(&job_id) {
+            return Some(model::JobReply::Status(ended.ending.outcome));
         }
         if !self.jobs.contains_key(&job_id) {
             return Some(model::JobReply::Unknown);
@@ -155,7 +216,7 @@
         }
         let outcome = state.outcome.unwrap_or(model::JobStatus::Cancelled);
         let reply = model::JobReply::Status(outcome);
-        state.effects.push(job::Effect::Reply(token, reply));
+        state.effects.push(job::Effect::Reply(arrived.token, reply));
         self.journal.mark_dirty(job_id);
         None
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::ended;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -14,7 +15,6 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
-use crate::record;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
@@ -37,7 +37,7 @@
     pub(crate) manifest: manifest::Manifest,
     pub(crate) jobs: maps::IndexMap<model::JobId, job::JobState>,
     /// Outcomes of ended jobs, in the order of their ends.
-    pub(crate) ended: maps::IndexMap<model::JobId, record::Ending>,
+    pub(crate) ended: maps::IndexMap<model::JobId, ended::EndedJob>,
     pub(crate) workers: maps::IndexMap<model::WorkerIncarnation, worker::Worker>,
     /// The newest incarnation of each worker that the directory lists.
     pub(crate) newest_incarnations: maps::HashMap<model::WorkerId, model::WorkerIncarnation>,
@@ -310,7 +310,7 @@
         let expired = self
             .ended
             .values()
-            .take_while(|ending| ending.ended_at_ms < limit_ms)
+            .take_while(|ended| ended.ending.ended_at_ms < limit_ms)
             .count();
         for (job_id, _) in self.ended.drain(..expired) {
             self.journal.segments.remove_job(job_id);
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
+mod callers;
 mod crashes;
 pub(crate) mod worker;
 
--- a/crates/jobs/tests/scheduler/stored_losses.rs
+++ b/crates/jobs/tests/scheduler/stored_losses.rs
@@ -10,7 +10,7 @@
 
 /// A record as builds without lost runs define it.
 #[derive(Serialize, Deserialize)]
-struct JobRecord {
+pub(crate) struct JobRecord {
     job_id: model::JobId,
     definition: Option<Definition>,
     progress: Progress,
@@ -35,7 +35,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Ending {
+pub(crate) struct Ending {
     outcome: model::JobStatus,
     ended_at_ms: u64,
 }
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -305,6 +305,19 @@
     },
     /// Asks for the newest manifest; answered by [`ControllerReply::Manifest`].
     Manifest,
+    /// Passes a request of a tenant to the leader; answered by [`ControllerReply::Job`].
+    ///
+    /// A leader of a build without tenants refuses it as malformed and does not handle it.
+    TenantJob {
+        /// The tenant.
+        tenant: TenantName,
+        /// Version of the newest manifest that the sender has.
+        manifest_version: ManifestVersion,
+        /// Time until the caller gives up, in milliseconds.
+        remaining_ms: u64,
+        /// The request.
+        request: JobRequest,
+    },
 }
 
 /// Answer to a [`ControllerRequest`].
