controller, platform: keys of the manifest in force within 4 s at each instance

Cause: an instance learned of a new manifest from its own watch, which noticed a silent connection after 4 s, or, as a follower, from the leader's heartbeat. A leader without the store learned of it from nobody, and nothing told how old a manifest might be. Change: `confirmation` keeps the time as of which the manifest was the newest for certain. With tenants, the store is asked to answer the watch each second, so that a silent connection is noticed after 1.5 s, and each answer confirms; a read is repeated in parallel after 300 ms. An instance that the store does not confirm asks the leader and two peers, which tell their version and the age of their own confirmation.

--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::caller_request;
+use crate::confirmation;
 use crate::heartbeat;
 use crate::instance;
 use crate::platform;
@@ -47,6 +48,13 @@
             .map(|active| sync::Arc::clone(&active.manifest))
     }
 
+    /// Returns whether the manifest in force is confirmed recently enough to trust its API keys.
+    #[must_use]
+    pub fn trusts_api_keys(&self) -> bool {
+        let timeout = self.shared.settings.revocation_timeout;
+        timeout.is_none_or(|timeout| self.shared.confirmation.is_within(timeout))
+    }
+
     /// Returns whether a load balancer should send callers to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -346,7 +354,7 @@
 
     async fn handle(
         &self,
-        _from: model::InstanceId,
+        from: model::InstanceId,
         request: model::ControllerRequest,
     ) -> model::ControllerReply {
         match request {
@@ -354,6 +362,8 @@
                 if let Some(leading) = &*self.shared.leading.borrow() {
                     leading.relays.record_heartbeat(&heartbeat);
                 }
+                let version = heartbeat.manifest_version;
+                confirmation::record_sender_version(&self.shared, &from, version);
                 model::ControllerReply::Heartbeat(heartbeat::build_heartbeat(&self.shared))
             }
             model::ControllerRequest::Job {
@@ -366,6 +376,7 @@
                     request,
                     tenant: None,
                 };
+                confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
                     self.handle_job(manifest_version, remaining, request).await,
                 )
@@ -381,10 +392,12 @@
                     request,
                     tenant: Some(tenant),
                 };
+                confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
                     self.handle_job(manifest_version, remaining, request).await,
                 )
             }
+            model::ControllerRequest::ManifestState => confirmation::state(&self.shared),
             model::ControllerRequest::Manifest => {
                 let manifest = self.shared.manifest.borrow();
                 let encoded = manifest.as_ref().map(|active| active.encoded.to_vec());
--- a/crates/controller/src/heartbeat.rs
+++ b/crates/controller/src/heartbeat.rs
@@ -7,9 +7,9 @@
 
 use rand::seq::IteratorRandom as _;
 
+use crate::confirmation;
 use crate::instance;
 use crate::platform;
-use crate::watches;
 
 /// Time after which a heartbeat, or another request of this module, counts as unanswered.
 const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -122,9 +122,7 @@
     let request = model::ControllerRequest::Heartbeat(build_heartbeat(shared));
     let reply = link.request(&request, HEARTBEAT_TIMEOUT).await;
     let newest_version = record_reply(shared, leader, reply);
-    if newest_version > shared.manifest_version() {
-        fetch_manifest(shared, &link).await;
-    }
+    confirmation::record_peer_version(shared, &leader.member.address, newest_version);
 }
 
 /// Updates the leader's health from the reply to a heartbeat; returns the manifest version in the
@@ -166,19 +164,6 @@
     0
 }
 
-async fn fetch_manifest<P: platform::Platform>(shared: &instance::Shared<P>, link: &peer::Link) {
-    match link
-        .request(&model::ControllerRequest::Manifest, HEARTBEAT_TIMEOUT)
-        .await
-    {
-        Ok(model::ControllerReply::Manifest(Some(encoded))) => {
-            watches::apply_manifest(shared, &encoded)
-        }
-        Ok(_) => {}
-        Err(cause) => log::warn!(cause:% = cause; "manifest not fetched from a peer"),
-    }
-}
-
 /// Builds the heartbeat of this instance.
 pub(crate) fn build_heartbeat<P: platform::Platform>(
     shared: &instance::Shared<P>,
@@ -237,6 +222,7 @@
         let reply = link.request(&request, HEARTBEAT_TIMEOUT).await;
         if let Ok(model::ControllerReply::Heartbeat(heartbeat)) = reply {
             accept_reported_leader(shared, &heartbeat);
+            confirmation::record_peer_version(shared, &member.address, heartbeat.manifest_version);
         }
     }
 }
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -10,6 +10,7 @@
 
 use crate::call_lanes;
 use crate::cluster_entries;
+use crate::confirmation;
 use crate::control_thread;
 use crate::election;
 use crate::error;
@@ -49,6 +50,8 @@
     pub(crate) cluster: watch::Sender<elect::ClusterView>,
     /// The newest manifest.
     pub(crate) manifest: watch::Sender<Option<watches::ActiveManifest>>,
+    /// How current the manifest is.
+    pub(crate) confirmation: confirmation::Confirmation,
     /// Current term while this instance leads.
     pub(crate) leading: watch::Sender<Option<Leading>>,
     /// Send time of the last call by which the store confirmed this instance's lease.
@@ -106,6 +109,14 @@
         lease_confirmed_at.is_some_and(|at| at.elapsed() < self.settings.store_lease_ttl)
     }
 
+    /// Returns whether the manifest in force has tenants.
+    pub(crate) fn has_tenants(&self) -> bool {
+        let manifest = self.manifest.borrow();
+        manifest
+            .as_ref()
+            .is_some_and(|active| active.manifest.tenants.is_some())
+    }
+
     pub(crate) fn manifest_version(&self) -> model::ManifestVersion {
         let manifest = self.manifest.borrow();
         manifest
@@ -168,6 +179,7 @@
             pending_counts: pending_counts::PendingCounts::default(),
             cluster: watch::Sender::default(),
             manifest: watch::Sender::default(),
+            confirmation: confirmation::Confirmation::default(),
             leading: watch::Sender::default(),
             lease_confirmed_at: sync::Mutex::default(),
             leader_health: sync::Mutex::default(),
@@ -192,6 +204,7 @@
         tasks.spawn(registration::run(sync::Arc::clone(&shared)));
         tasks.spawn(watches::watch_cluster(sync::Arc::clone(&shared)));
         tasks.spawn(watches::watch_manifest(sync::Arc::clone(&shared)));
+        tasks.spawn(confirmation::run(sync::Arc::clone(&shared)));
         tasks.spawn(heartbeat::run(sync::Arc::clone(&shared)));
         tasks.spawn(election::run(sync::Arc::clone(&shared)));
         tasks.spawn(relay_worker::run(sync::Arc::clone(&shared)));
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_request;
 mod cluster_entries;
 mod committer;
+mod confirmation;
 mod control_thread;
 mod directory;
 mod election;
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -37,6 +37,9 @@
     pub order_timeout: time::Duration,
     /// How long a request waits for a leader before it is refused.
     pub leader_wait: time::Duration,
+    /// Time without a confirmation of the manifest after which its API keys are not trusted; `None` to
+    /// trust them always.
+    pub revocation_timeout: Option<time::Duration>,
     /// Settings of the job scheduler.
     pub jobs: jobs::Settings,
 }
@@ -61,6 +64,7 @@
             directory_interval: ms(700),
             order_timeout: ms(400),
             leader_wait: ms(1_500),
+            revocation_timeout: None,
             jobs: jobs::Settings::default(),
         }
     }
@@ -89,6 +93,13 @@
         self
     }
 
+    /// Sets the time without a confirmation of the manifest after which its API keys are not trusted.
+    #[must_use]
+    pub fn revocation_timeout(mut self, timeout: impl Into<Option<time::Duration>>) -> Self {
+        self.revocation_timeout = timeout.into();
+        self
+    }
+
     /// Sets the settings of the job scheduler.
     #[must_use]
     pub fn jobs(mut self, jobs: impl Into<jobs::Settings>) -> Self {
--- a/crates/controller/src/watches.rs
+++ b/crates/controller/src/watches.rs
@@ -12,6 +12,15 @@
 
 /// Pause before a failed watch is restarted.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Longest time that the store waits for a change of the manifest in one call.
+const POLL_WAIT: time::Duration = time::Duration::from_millis(3_000);
+/// Longest time that the store waits for a change of a manifest with API keys in one call. Each reply
+/// confirms the keys; with the time until a silent connection is noticed and the manifest is read on
+/// another one, a change is in force well within the required 4 s.
+const KEYS_POLL_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Time after which an unanswered read of the manifest is repeated in parallel: the connection may be
+/// dead.
+const HEDGE_DELAY: time::Duration = time::Duration::from_millis(300);
 /// Maximum number of cluster entries read at once.
 const CLUSTER_PAGE_ENTRIES: u32 = 500;
 
@@ -66,6 +75,7 @@
             () = shared.store_regained.notified() => continue,
             () = shared.stop.cancelled() => return,
         };
+        shared.confirmation.report_store_failure();
         if cause.kind() != store::ErrorKind::Compacted {
             log::warn!(cause:% = cause; "watch of the manifest failed; restarting it");
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -78,21 +88,43 @@
 ) -> Result<std::convert::Infallible, store::Error> {
     let store = shared.platform.store();
     let key = &shared.platform.keys().manifest;
-    let page = store.range(key, 1, None).await?;
+    let asked_at = time::Instant::now();
+    let page = read_manifest(store, key).await?;
     for entry in page.entries {
         if entry.key == *key {
             apply_manifest(shared, &entry.value);
         }
     }
+    shared.confirmation.confirm(asked_at);
     let mut watch = store.watch(key, page.revision + 1).await?;
     loop {
-        for change in watch.next().await? {
+        let asked_at = time::Instant::now();
+        let wait = if shared.has_tenants() {
+            KEYS_POLL_WAIT
+        } else {
+            POLL_WAIT
+        };
+        for change in watch.next_within(wait).await? {
             if let store::Change::Put(entry) = change
                 && entry.key == *key
             {
                 apply_manifest(shared, &entry.value);
             }
         }
+        shared.confirmation.confirm(asked_at);
+    }
+}
+
+/// Reads the manifest, and repeats an unanswered call on another connection.
+async fn read_manifest<S: store::Store>(store: &S, key: &str) -> Result<store::Page, store::Error> {
+    let mut attempts = store::Hedged::default();
+    loop {
+        let (store, key) = (store.clone(), key.to_owned());
+        attempts.start(async move { store.range(&key, 1, None).await });
+        tokio::select! {
+            reply = attempts.next_reply() => return reply,
+            () = tokio::time::sleep(HEDGE_DELAY) => {}
+        }
     }
 }
 
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -318,6 +318,11 @@
         /// The request.
         request: JobRequest,
     },
+    /// Asks how current the manifest is; answered by [`ControllerReply::ManifestState`].
+    ///
+    /// Sent only if the manifest has tenants. An instance of a build without tenants refuses it as
+    /// malformed.
+    ManifestState,
 }
 
 /// Answer to a [`ControllerRequest`].
@@ -330,6 +335,13 @@
     Job(JobReply),
     /// The newest manifest, as stored; `None` before the first.
     Manifest(Option<Vec<u8>>),
+    /// How current the manifest is.
+    ManifestState {
+        /// Version of the manifest in force; 0 before the first.
+        version: ManifestVersion,
+        /// Time since it was the newest for certain, in milliseconds; `None` if it never was.
+        confirmed_age_ms: Option<u64>,
+    },
 }
 
 /// State that instances exchange at a fixed interval.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -34,7 +34,10 @@
     type Response = model::ControllerReply;
 
     fn is_control(&self) -> bool {
-        matches!(self, Self::Heartbeat(_) | Self::Manifest)
+        matches!(
+            self,
+            Self::Heartbeat(_) | Self::Manifest | Self::ManifestState
+        )
     }
 
     fn is_heartbeat(&self) -> bool {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -93,4 +93,19 @@
     fn next(
         &mut self,
     ) -> impl future::Future<Output = Result<Vec<entry::Change>, error::Error>> + Send;
+
+    /// Waits for the next changes, for about `wait` at most; returns none if the service has replied
+    /// that there are none up to now.
+    ///
+    /// A watch that gets no such reply waits as [`Watch::next`] does.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Watch::next`] does.
+    fn next_within(
+        &mut self,
+        _wait: time::Duration,
+    ) -> impl future::Future<Output = Result<Vec<entry::Change>, error::Error>> + Send {
+        self.next()
+    }
 }
