--- a/crates/lists/src/token.rs
+++ b/crates/lists/src/token.rs
@@ -1,16 +1,14 @@
 //! Digests of API tokens.
 
-use sha2::Digest as _;
-
 /// SHA-256 of an API token.
-pub type TokenDigest = [u8; DIGEST_BYTES];
+pub type TokenDigest = tenants::KeyDigest;
 
 const DIGEST_BYTES: usize = 32;
 
 /// Returns the SHA-256 of `token`.
 #[must_use]
 pub fn digest_token(token: &str) -> TokenDigest {
-    sha2::Sha256::digest(token.as_bytes()).into()
+    tenants::digest_key(token.as_bytes())
 }
 
 /// Parses a digest in hexadecimal.
--- a/crates/peer/tests/links/main.rs
+++ b/crates/peer/tests/links/main.rs
@@ -2,4 +2,5 @@
 
 mod channel;
 mod common;
+mod former_build;
 mod link;
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -4,6 +4,7 @@
 //! limits what it may have running on all workers together.
 
 mod builder;
+mod key;
 mod tenant;
 mod tenant_set;
 
@@ -12,6 +13,8 @@
 pub use builder::Findings;
 pub use builder::TenantEntry;
 pub use builder::TenantsBuilder;
+pub use key::KeyDigest;
+pub use key::digest_key;
 pub use tenant::Cap;
 pub use tenant::Tenant;
 pub use tenant_set::Tenants;
--- a/crates/tenants/src/tenant_set.rs
+++ b/crates/tenants/src/tenant_set.rs
@@ -3,13 +3,10 @@
 use std::fmt;
 
 use indexmap::IndexMap;
-use sha2::Digest as _;
 
+use crate::key;
 use crate::tenant;
 
-/// SHA-256 of an API key.
-type KeyDigest = [u8; 32];
-
 /// The tenants of one version of the manifest, by name and by API key.
 ///
 /// Keys are kept and looked up as digests, so that the time of a lookup tells nothing about them; the
@@ -18,7 +15,7 @@
 pub struct Tenants {
     tenants: IndexMap<model::TenantName, tenant::Tenant>,
     /// Index into `tenants` by the digest of a key.
-    keys: IndexMap<KeyDigest, usize>,
+    keys: IndexMap<key::KeyDigest, usize>,
 }
 
 impl Tenants {
@@ -31,7 +28,9 @@
         let (index, _) = self
             .tenants
             .insert_full(model::TenantName::clone(&tenant.name), tenant);
-        let digests = api_keys.into_iter().map(|key| digest(key.as_bytes()));
+        let digests = api_keys
+            .into_iter()
+            .map(|key| key::digest_key(key.as_bytes()));
         self.keys.extend(digests.map(|digest| (digest, index)));
     }
 
@@ -44,7 +43,7 @@
     /// Returns the tenant that an API key belongs to.
     #[must_use]
     pub fn by_key(&self, key: &[u8]) -> Option<&tenant::Tenant> {
-        let index = self.keys.get(&digest(key))?;
+        let index = self.keys.get(&key::digest_key(key))?;
         self.tenants.get_index(*index).map(|(_, tenant)| tenant)
     }
 
@@ -68,7 +67,3 @@
             .finish()
     }
 }
-
-fn digest(key: &[u8]) -> KeyDigest {
-    sha2::Sha256::digest(key).into()
-}
