--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -5,6 +5,8 @@
 
 use tokio::sync::watch;
 
+use crate::caller_request;
+use crate::confirmation;
 use crate::heartbeat;
 use crate::instance;
 use crate::platform;
@@ -46,6 +48,13 @@
             .map(|active| sync::Arc::clone(&active.manifest))
     }
 
+    /// Returns whether the manifest in force is confirmed recently enough to trust its API keys.
+    #[must_use]
+    pub fn trusts_api_keys(&self) -> bool {
+        let timeout = self.shared.settings.revocation_timeout;
+        timeout.is_none_or(|timeout| self.shared.confirmation.is_within(timeout))
+    }
+
     /// Returns whether a load balancer should send callers to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -64,10 +73,10 @@
     /// Sends a caller's request to the leader; the caller waits for the reply for `timeout`.
     pub async fn request(
         &self,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
-        let model::JobRequest::Pending { queue } = &request else {
+        let model::JobRequest::Pending { queue } = &request.request else {
             return self.ask_leader(request, timeout).await;
         };
         let queue = sync::Arc::clone(queue);
@@ -77,12 +86,12 @@
 
     async fn ask_leader(
         &self,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
         let started = time::Instant::now();
         let is_mutation = matches!(
-            request,
+            request.request,
             model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. }
         );
         let timeout = if is_mutation {
@@ -93,7 +102,7 @@
         let mut pending = PendingRequest {
             shared: &self.shared,
             started,
-            attempts: admit::Attempts::new(&request),
+            attempts: admit::Attempts::new(&request.request),
             forwarded_term: None,
             failed_attempts: 0,
         };
@@ -129,7 +138,7 @@
     /// Sends the request to the leader once; `None` if it should be retried.
     async fn attempt(
         &mut self,
-        request: &model::JobRequest,
+        request: &caller_request::CallerRequest,
         remaining: time::Duration,
     ) -> Option<model::JobReply> {
         let leading = self.shared.leading.borrow().clone();
@@ -146,7 +155,7 @@
     /// Sends the request to the instance that leads, until another one does.
     async fn forward(
         &mut self,
-        request: &model::JobRequest,
+        request: &caller_request::CallerRequest,
         remaining: time::Duration,
     ) -> Option<model::JobReply> {
         let started = time::Instant::now();
@@ -164,11 +173,7 @@
         if !self.may_send(leader.term) {
             return None;
         }
-        let message = model::ControllerRequest::Job {
-            manifest_version: self.shared.manifest_version(),
-            remaining_ms: remaining.as_millis() as u64,
-            request: request.clone(),
-        };
+        let message = request.to_message(self.shared.manifest_version(), remaining);
         let link = self.shared.links.to(&leader.member.address);
         let is_replaced = |view: &elect::ClusterView| {
             view.leader()
@@ -313,7 +318,7 @@
         &self,
         manifest_version: model::ManifestVersion,
         remaining: time::Duration,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
     ) -> model::JobReply {
         let leading = self.shared.leading.borrow().clone();
         let Some(leading) = leading else {
@@ -331,7 +336,7 @@
     shared: &instance::Shared<P>,
     leading: &instance::Leading,
     manifest_version: model::ManifestVersion,
-    request: model::JobRequest,
+    request: caller_request::CallerRequest,
     timeout: time::Duration,
 ) -> model::JobReply {
     let reply = leading.control.request(manifest_version, request);
@@ -349,7 +354,7 @@
 
     async fn handle(
         &self,
-        _from: model::InstanceId,
+        from: model::InstanceId,
         request: model::ControllerRequest,
     ) -> model::ControllerReply {
         match request {
@@ -357,6 +362,8 @@
                 if let Some(leading) = &*self.shared.leading.borrow() {
                     leading.relays.record_heartbeat(&heartbeat);
                 }
+                let version = heartbeat.manifest_version;
+                confirmation::record_sender_version(&self.shared, &from, version);
                 model::ControllerReply::Heartbeat(heartbeat::build_heartbeat(&self.shared))
             }
             model::ControllerRequest::Job {
@@ -365,10 +372,32 @@
                 request,
             } => {
                 let remaining = time::Duration::from_millis(remaining_ms);
+                let request = caller_request::CallerRequest {
+                    request,
+                    tenant: None,
+                };
+                confirmation::record_sender_version(&self.shared, &from, manifest_version);
+                model::ControllerReply::Job(
+                    self.handle_job(manifest_version, remaining, request).await,
+                )
+            }
+            model::ControllerRequest::TenantJob {
+                tenant,
+                manifest_version,
+                remaining_ms,
+                request,
+            } => {
+                let remaining = time::Duration::from_millis(remaining_ms);
+                let request = caller_request::CallerRequest {
+                    request,
+                    tenant: Some(tenant),
+                };
+                confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
                     self.handle_job(manifest_version, remaining, request).await,
                 )
             }
+            model::ControllerRequest::ManifestState => confirmation::state(&self.shared),
             model::ControllerRequest::Manifest => {
                 let manifest = self.shared.manifest.borrow();
                 let encoded = manifest.as_ref().map(|active| active.encoded.to_vec());
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -305,6 +305,24 @@
     },
     /// Asks for the newest manifest; answered by [`ControllerReply::Manifest`].
     Manifest,
+    /// Passes a request of a tenant to the leader; answered by [`ControllerReply::Job`].
+    ///
+    /// A leader of a build without tenants refuses it as malformed and does not handle it.
+    TenantJob {
+        /// The tenant.
+        tenant: TenantName,
+        /// Version of the newest manifest that the sender has.
+        manifest_version: ManifestVersion,
+        /// Time until the caller gives up, in milliseconds.
+        remaining_ms: u64,
+        /// The request.
+        request: JobRequest,
+    },
+    /// Asks how current the manifest is; answered by [`ControllerReply::ManifestState`].
+    ///
+    /// Sent only if the manifest has tenants. An instance of a build without tenants refuses it as
+    /// malformed.
+    ManifestState,
 }
 
 /// Answer to a [`ControllerRequest`].
@@ -317,6 +335,13 @@
     Job(JobReply),
     /// The newest manifest, as stored; `None` before the first.
     Manifest(Option<Vec<u8>>),
+    /// How current the manifest is.
+    ManifestState {
+        /// Version of the manifest in force; 0 before the first.
+        version: ManifestVersion,
+        /// Time since it was the newest for certain, in milliseconds; `None` if it never was.
+        confirmed_age_ms: Option<u64>,
+    },
 }
 
 /// State that instances exchange at a fixed interval.
