tenants, jobs: keep what each tenant has running by increments

Caps and shares need the use of each tenant at every placement; summing all runs costs more with each of them. Every run has the number of its tenant, and Worker::add_run and remove_run, which take the sums, add and remove it, so that no way on or off a worker can leave them out. Runs of unknown jobs count for no tenant: neither their owner nor their demand is known.

The token bucket of quota moves to tenants, with the burst as a parameter; the arithmetic is the same.

--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -337,7 +337,7 @@
         clock: event::Clock,
     ) {
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
         }
         self.requeue(incarnation, key, clock);
         self.stop_gang_members(key, clock);
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -671,6 +671,7 @@
         let Some(state) = self.jobs.get_mut(&key.job_id) else {
             return;
         };
+        let tenant = self.tenancy.number_of(state);
         let Some((step, step_state)) = state.step_mut(key) else {
             return;
         };
@@ -715,9 +716,10 @@
                 let checkpoint = step_state.checkpoint_of(index, step.gang);
                 let planned = worker::RunPhase::Planned;
                 let planned = worker::WorkerRun::new(demand, planned, clock.now)
+                    .with_tenant(tenant)
                     .with_sharing_of(step)
                     .with_checkpoint(checkpoint.filter(|_| step.checkpointing));
-                worker.add_run(run, planned);
+                worker.add_run(run, planned, &mut self.tenancy.usage);
             }
             effects.push(job::Effect::SendStart(incarnation, run));
         }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -20,6 +20,7 @@
 use crate::reservations;
 use crate::scheduler;
 use crate::settings;
+use crate::tenancy;
 use crate::worker;
 use crate::workers;
 
@@ -89,6 +90,7 @@
             last_placement_at: None,
             sweep: pass::Sweep::default(),
             placement_visits: 0,
+            tenancy: tenancy::Tenancy::default(),
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
         };
@@ -168,6 +170,7 @@
         let expires_at = clock.now + leadership_timeout + self.settings.lease_horizon();
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
+            let tenant = self.tenancy.enter(state.tenant.as_ref());
             for (incarnation, run) in state.placed_runs() {
                 let step = state.step(run.task.step_key());
                 let demand = step.map(|(step, _)| workers::counted_demand(step));
@@ -178,7 +181,8 @@
                     worker::RunPhase::Inherited
                 };
                 let mut inherited_run =
-                    worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now);
+                    worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now)
+                        .with_tenant(tenant);
                 if let Some((step, _)) = step {
                     inherited_run = inherited_run.with_sharing_of(step);
                 }
@@ -203,7 +207,7 @@
             if run.fills_idle {
                 worker.throttling.reset_to_inherited();
             }
-            worker.add_run(key, run);
+            worker.add_run(key, run, &mut self.tenancy.usage);
         }
         for job_id in self.jobs.keys().copied().collect::<Vec<_>>() {
             self.enqueue(job_id, clock);
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -110,6 +110,7 @@
         let queue = sync::Arc::clone(queue);
         let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
             .with_tenant(arrived.tenant);
+        self.tenancy.enter(state.tenant.as_ref());
         let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         log::info!(
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -89,11 +89,11 @@
         clock: event::Clock,
     ) {
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
         }
         let is_stopped = matches!(run.phase, worker::RunPhase::Stopping(_));
         if let Some(worker) = self.workers.get_mut(successor) {
-            worker.add_run(key, run);
+            worker.add_run(key, run, &mut self.tenancy.usage);
         }
         let job_id = key.task.job_id;
         let state = self.jobs.get_mut(&job_id);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -57,7 +57,7 @@
     ) {
         let key = ended.key;
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
             worker.record_run_end(ended.end, incarnation, clock.now);
         }
         self.placement_needed = true;
@@ -204,7 +204,7 @@
     ) {
         log::info!(run:% = run_name(key), worker:% = incarnation.worker_id, why; "run lost");
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
         }
         self.placement_needed = true;
         self.requeue(incarnation, key, clock);
@@ -238,7 +238,7 @@
         };
         match run.phase {
             worker::RunPhase::Planned => {
-                worker.remove_run(&key);
+                worker.remove_run(&key, &mut self.tenancy.usage);
                 self.requeue(incarnation, key, clock);
             }
             worker::RunPhase::Stopping(_) | worker::RunPhase::Stopped => {}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::requests;
 use crate::reservations;
 use crate::settings;
+use crate::tenancy;
 use crate::worker;
 
 /// Shortest time between two placement passes.
@@ -68,6 +69,8 @@
     pub(crate) sweep: pass::Sweep,
     /// How many times it was tried to place a waiting step.
     pub(crate) placement_visits: u64,
+    /// The tenants, and what each has running.
+    pub(crate) tenancy: tenancy::Tenancy,
     pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
@@ -142,7 +145,7 @@
                 };
                 self.on_request(arrived, request, clock);
             }
-            event::Event::Manifest(manifest) => self.apply_manifest(manifest),
+            event::Event::Manifest(manifest) => self.apply_manifest(manifest, clock),
             event::Event::Directory { reports, read_at } => {
                 self.apply_directory(reports, read_at, clock)
             }
@@ -242,7 +245,7 @@
         self.term
     }
 
-    fn apply_manifest(&mut self, manifest: manifest::Manifest) {
+    fn apply_manifest(&mut self, manifest: manifest::Manifest, clock: event::Clock) {
         if manifest.version <= self.manifest.version && self.manifest.version > 0 {
             return;
         }
@@ -252,6 +255,7 @@
             "manifest applied by the leader"
         );
         self.manifest = manifest;
+        self.apply_tenants(clock);
         self.placement_needed = true;
     }
 
@@ -407,7 +411,7 @@
             };
             let run = worker.runs.get(&key);
             if run.is_some_and(|run| run.phase == worker::RunPhase::Planned) {
-                worker.remove_run(&key);
+                worker.remove_run(&key, &mut self.tenancy.usage);
                 self.placement_needed = true;
             }
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::maps;
 use crate::settings;
+use crate::tenancy;
 use crate::throttling;
 use crate::worker_api;
 
@@ -78,6 +79,8 @@
 pub(crate) struct WorkerRun {
     /// Capacity that it occupies; see `workers::counted_demand`.
     pub(crate) demand: model::Demand,
+    /// Tenant whose use includes it.
+    pub(crate) tenant: tenants::TenantNumber,
     /// Whether its job is not known, and so neither its demand: nothing may start beside it.
     pub(crate) has_unknown_demand: bool,
     /// Whether it is best-effort: it uses only processors that other runs leave idle.
@@ -305,21 +308,31 @@
         report.is_some_and(|report| report.labels.iter().any(|one| &**one == label))
     }
 
-    /// Adds a run and allocates its demand.
-    pub(crate) fn add_run(&mut self, key: model::RunKey, run: WorkerRun) {
+    /// Adds a run and allocates its demand, also to its tenant.
+    pub(crate) fn add_run(
+        &mut self,
+        key: model::RunKey,
+        run: WorkerRun,
+        usage: &mut tenants::Usage,
+    ) {
         let (demand, has_unknown_demand) = (run.demand, run.has_unknown_demand);
+        usage.add(run.tenant, &demand);
         if let Some(before) = self.runs.insert(key, run) {
-            self.release(&before);
+            self.release(&before, usage);
         }
         self.used = self.used.plus(&demand);
         self.unknown_demands += usize::from(has_unknown_demand);
         self.request_call_check();
     }
 
-    /// Removes a run and frees its demand.
-    pub(crate) fn remove_run(&mut self, key: &model::RunKey) -> Option<WorkerRun> {
+    /// Removes a run and frees its demand, also of its tenant.
+    pub(crate) fn remove_run(
+        &mut self,
+        key: &model::RunKey,
+        usage: &mut tenants::Usage,
+    ) -> Option<WorkerRun> {
         let run = self.runs.swap_remove(key)?;
-        self.release(&run);
+        self.release(&run, usage);
         if run.unanswered {
             self.removed_unanswered.insert(*key, run.clone());
             if self.removed_unanswered.len() > MAX_REMOVED_UNANSWERED {
@@ -339,7 +352,17 @@
         runs.filter(move |(_, run)| run.ordered_at >= sent_after)
     }
 
-    fn release(&mut self, run: &WorkerRun) {
+    /// Removes all runs, of which nothing is kept.
+    pub(crate) fn clear_runs(&mut self, usage: &mut tenants::Usage) {
+        for (_, run) in std::mem::take(&mut self.runs) {
+            self.release(&run, usage);
+        }
+    }
+
+    fn release(&mut self, run: &WorkerRun, usage: &mut tenants::Usage) {
+        if let Err(error) = usage.remove(run.tenant, &run.demand) {
+            log::error!(tenant = run.tenant, error:%; "use of a tenant is wrong");
+        }
         self.used = self.used.minus(&run.demand);
         self.unknown_demands -= usize::from(run.has_unknown_demand);
     }
@@ -456,6 +479,7 @@
     pub(crate) fn new(demand: model::Demand, phase: RunPhase, now: time::Instant) -> Self {
         Self {
             demand,
+            tenant: tenancy::NO_TENANT,
             has_unknown_demand: false,
             fills_idle: false,
             target_tail_ms: None,
@@ -472,6 +496,12 @@
         }
     }
 
+    /// Sets the tenant whose use includes the run.
+    pub(crate) fn with_tenant(mut self, tenant: tenants::TenantNumber) -> Self {
+        self.tenant = tenant;
+        self
+    }
+
     /// Marks the run's demand as unknown.
     pub(crate) fn with_unknown_demand(mut self) -> Self {
         self.has_unknown_demand = true;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -9,6 +9,7 @@
 use crate::restarts;
 use crate::runs;
 use crate::scheduler;
+use crate::tenancy;
 use crate::throttling;
 use crate::worker;
 use crate::worker_api;
@@ -128,7 +129,9 @@
             "worker incarnation ended"
         );
         self.lose_all_runs(incarnation, why, clock);
-        self.workers.swap_remove(incarnation);
+        if let Some(mut worker) = self.workers.swap_remove(incarnation) {
+            worker.clear_runs(&mut self.tenancy.usage);
+        }
     }
 
     /// Marks runs as lost on workers that do not answer and whose lease has certainly expired.
@@ -409,11 +412,11 @@
         key: model::RunKey,
         clock: event::Clock,
     ) {
-        let demand = self
-            .jobs
-            .get(&key.task.job_id)
+        let state = self.jobs.get(&key.task.job_id);
+        let demand = state
             .and_then(|state| state.step(key.task.step_key()))
             .map(|(step, _)| counted_demand(step));
+        let tenant = state.map_or(tenancy::NO_TENANT, |state| self.tenancy.number_of(state));
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
@@ -423,12 +426,13 @@
             "worker lists an unknown run; stopping it"
         );
         let phase = worker::RunPhase::Stopping(clock.now);
-        let run = worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now);
+        let run = worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now)
+            .with_tenant(tenant);
         let run = match demand {
             Some(_) => run,
             None => run.with_unknown_demand(),
         };
-        worker.add_run(key, run);
+        worker.add_run(key, run, &mut self.tenancy.usage);
     }
 
     /// Marks as lost the runs that the worker would have listed if they existed.
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -4,6 +4,7 @@
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
 mod crashes;
+pub(crate) mod tenants;
 pub(crate) mod worker;
 
 use std::collections;
@@ -178,6 +179,10 @@
     pub(crate) ticket_rejections: u32,
     /// Longest round of decisions so far, in milliseconds.
     pub(crate) max_round_ms: u64,
+    /// Tenant of each job that was submitted with an API key.
+    pub(crate) tenants_of_jobs: collections::HashMap<model::JobId, model::TenantName>,
+    /// Tenants of replaced manifests, with the time until which their caps count, in milliseconds.
+    earlier_tenants: Vec<(u64, sync::Arc<::tenants::Tenants>)>,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
     pub(crate) allowed_share: Option<f64>,
 }
@@ -240,6 +245,8 @@
             inbox: Vec::new(),
             ticket_rejections: 0,
             max_round_ms: 0,
+            tenants_of_jobs: collections::HashMap::new(),
+            earlier_tenants: Vec::new(),
             allowed_share,
         };
         simulation.elect_leader();
@@ -380,9 +387,11 @@
         let actions = scheduler.finish(clock);
         self.decision_time += began_at.elapsed();
         let visits = scheduler.summary().placement_visits - visits_before;
+        let needs_finish = scheduler.needs_finish();
+        self.check_tenant_use();
         let round_ms = visits * self.visit_cost_us / 1_000;
         self.max_round_ms = self.max_round_ms.max(round_ms);
-        let needs_round = scheduler.needs_finish() || round_ms > 0;
+        let needs_round = needs_finish || round_ms > 0;
         self.busy_until_ms = self.now_ms + round_ms;
         if needs_round && !self.has_next_round {
             self.has_next_round = true;
@@ -803,6 +812,7 @@
                 assert!(self.done.contains(&before), "{task:?} before {before:?}");
             }
         }
+        self.check_cap(task);
         self.check_checkpoint(order);
         let step = &self.accepted[&task.job_id].steps[usize::from(task.step)];
         if let Some(most) = step.max_per_worker {
@@ -1010,11 +1020,19 @@
         if let model::JobRequest::Submit(job) = &request {
             self.accepted.insert(job.id, (**job).clone());
         }
+        let job_id = match &request {
+            model::JobRequest::Submit(job) => Some(job.id),
+            model::JobRequest::Status { job_id } | model::JobRequest::Cancel { job_id } => {
+                Some(*job_id)
+            }
+            model::JobRequest::Pending { .. } => None,
+        };
+        let tenant = job_id.and_then(|job_id| self.tenants_of_jobs.get(&job_id).cloned());
         let event = jobs::Event::Request {
             token,
-            manifest_version: 1,
+            manifest_version: self.manifest.version,
             request,
-            tenant: None,
+            tenant,
             overload_retry_ms: self.overload_retry_ms,
         };
         self.deliver(self.term, event);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -5,7 +5,6 @@
 //! The sum of live grants never exceeds the limit, so neither does the total use.
 
 mod amount;
-mod bucket;
 mod divide;
 mod grantor;
 mod limits;
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -11,7 +11,9 @@
 
 use crate::Limits;
 use crate::amount;
-use crate::bucket;
+
+/// Longest time for which unused starts accumulate.
+const START_BURST: time::Duration = time::Duration::from_secs(1);
 
 /// Admits tasks within the shares granted to one instance.
 #[derive(Debug)]
@@ -30,7 +32,7 @@
     held: QuotaAmount,
     used: amount::ResourceVector,
     wanted: QuotaAmount,
-    starts: bucket::Bucket,
+    starts: tenants::Bucket,
 }
 
 impl LocalQuota {
@@ -91,7 +93,7 @@
         let account = self
             .plans
             .entry(plan.clone())
-            .or_insert_with(|| Account::new(bucket::Bucket::empty()));
+            .or_insert_with(|| Account::new(tenants::Bucket::empty(START_BURST)));
         account.used = amount::plus(account.used, amount::resource_vector(&amount));
     }
 
@@ -122,7 +124,7 @@
         };
         if reply.sequence == account.sequence {
             account.held = granted;
-            account.starts.set_rate(granted.rate_milli, now);
+            account.starts.set_rate(u64::from(granted.rate_milli), now);
         }
     }
 
@@ -151,12 +153,12 @@
     fn account(&mut self, plan: &PlanId, now: time::Instant) -> &mut Account {
         self.plans
             .entry(plan.clone())
-            .or_insert_with(|| Account::new(bucket::Bucket::full(now)))
+            .or_insert_with(|| Account::new(tenants::Bucket::new(START_BURST, now)))
     }
 }
 
 impl Account {
-    fn new(starts: bucket::Bucket) -> Self {
+    fn new(starts: tenants::Bucket) -> Self {
         Self {
             limits: None,
             sequence: 0,
