tenants, jobs: caps, owed rates and shares of tenants in the scheduler

A tenant could fill all workers: the order knew only class, priority and age.

Caps: a step starts as many tasks as its tenant's cap admits, a gang all or none; what the cap holds back is taken out of the order before a pass, so that it makes no reservation, no call for advice and no visit. A gang that has waited for a third of its objective has what it needs kept free from later work of its own tenant, unless the cap has become too small for it. A planned run whose start order has not been sent waits if the cap is exceeded by then. What can never run is refused with exceeds_tenant_cap.

Rates: a bucket for each tenant holds ten seconds of owed jobs, as the store may be down for as long. Jobs beyond are ordered after owed ones, and refused with tenant_rate while the workers are full and owed work of others waits.

Shares: within class and priority, steps stand by the band of what their tenant would use with its steps before them, so that a backlog of which nothing runs yet does not count as no use.

--- a/crates/jobs/src/blocked.rs
+++ b/crates/jobs/src/blocked.rs
@@ -50,6 +50,11 @@
     NoCapacityOnAllowed,
     /// They have enough, and their tickets have to be renewed.
     TicketsExpired,
+    /// The cap of the job's tenant leaves no room for the step.
+    TenantCap,
+    /// There is too little free capacity, and the tenant uses more than its share or has submitted the
+    /// job beyond its rate.
+    TenantShare,
 }
 
 impl BlockReason {
@@ -67,6 +72,8 @@
             Self::AdvisorsBusy => "advisors_busy",
             Self::NoCapacityOnAllowed => "no_capacity_on_allowed",
             Self::TicketsExpired => "tickets_expired",
+            Self::TenantCap => "tenant_cap",
+            Self::TenantShare => "tenant_share",
         }
     }
 }
@@ -108,8 +115,13 @@
                 .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL)
     }
 
+    /// Returns how long the step has waited.
+    pub(crate) fn waited(&self, now: time::Instant) -> time::Duration {
+        now.saturating_duration_since(self.since)
+    }
+
     fn waited_ms(&self, now: time::Instant) -> u64 {
-        now.saturating_duration_since(self.since).as_millis() as u64
+        self.waited(now).as_millis() as u64
     }
 }
 
@@ -227,7 +239,11 @@
         } else if fit.usable_workers == 0 {
             BlockReason::NoUsableWorker
         } else if fit.on_usable < needed {
-            BlockReason::NoCapacity
+            let state = self.jobs.get(&key.job_id);
+            match state.is_some_and(|state| self.tenancy.waits_for_share(state)) {
+                true => BlockReason::TenantShare,
+                false => BlockReason::NoCapacity,
+            }
         } else if fit.beside_reservations < needed {
             BlockReason::ReservedByOthers
         } else if tickets.has_call_in_flight() {
@@ -360,14 +376,19 @@
         self.record_report(key, BlockReason::EarlierRunNotEnded, clock);
     }
 
-    fn is_report_due(&mut self, key: model::StepKey, clock: event::Clock) -> bool {
+    pub(crate) fn is_report_due(&mut self, key: model::StepKey, clock: event::Clock) -> bool {
         let state = self.jobs.get(&key.job_id);
         let wait = state.and_then(|state| state.step(key)?.1.wait);
         wait.is_some_and(|wait| wait.is_report_due(clock.now))
             && self.block_reports.may_report(clock.now)
     }
 
-    fn record_report(&mut self, key: model::StepKey, reason: BlockReason, clock: event::Clock) {
+    pub(crate) fn record_report(
+        &mut self,
+        key: model::StepKey,
+        reason: BlockReason,
+        clock: event::Clock,
+    ) {
         self.block_reports.record(reason);
         let state = self.jobs.get_mut(&key.job_id);
         let step = state.and_then(|state| state.step_mut(key));
--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -47,18 +47,20 @@
         .min(per(available.accelerators, demand.accelerators))
 }
 
-/// Assigns the included waiting tasks one by one: to workers in the rack of the step's data first,
+/// Assigns at most `limit` of the included waiting tasks one by one: to workers in the rack of the step's data first,
 /// then to those with the fewest failures, then by best fit, which leaves the fewest processors free.
 pub(crate) fn assign_tasks(
     mut candidates: Vec<Candidate<'_>>,
     step_state: &job::StepState,
     demand: &model::Demand,
+    limit: u32,
     is_included: impl Fn(u32) -> bool,
 ) -> Assignment {
     let mut assignment = Assignment::new();
     let tasks = (0_u32..).zip(&step_state.tasks);
     let waiting = tasks.filter(|(_, task)| task.phase == job::Phase::Waiting);
-    for (index, _) in waiting.filter(|(index, _)| is_included(*index)) {
+    let included = waiting.filter(|(index, _)| is_included(*index));
+    for (index, _) in included.take(limit as usize) {
         let best = candidates
             .iter_mut()
             .filter(|candidate| candidate.fit_count(demand) > 0)
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -21,6 +21,8 @@
     pub(crate) accepted_at_ms: u64,
     /// Tenant that submitted it; `None` if it was accepted without an API key.
     pub(crate) tenant: Option<model::TenantName>,
+    /// Whether its tenant submitted it beyond the rate that it is owed.
+    pub(crate) is_beyond_rate: bool,
     /// Time from acceptance, or from the due time of an occurrence, within which it should end, in
     /// milliseconds.
     pub(crate) objective_ms: u64,
@@ -113,6 +115,7 @@
             accepted_queue: queue,
             accepted_at_ms,
             tenant: None,
+            is_beyond_rate: false,
             objective_ms,
             occurrences,
             outcome: None,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,10 +5,12 @@
 //! a change of leader is returned as [`Batch`]es to write to the store; actions that depend on a
 //! batch are returned only after the batch is committed.
 
+mod admission;
 mod advice_planner;
 mod advisors;
 mod blocked;
 mod candidate;
+mod caps;
 mod crashes;
 mod event;
 mod gangs;
@@ -31,6 +33,7 @@
 mod scheduler;
 mod segments;
 mod settings;
+mod shares;
 mod tenancy;
 mod throttling;
 mod tickets;
@@ -59,6 +62,7 @@
 pub use scheduler::Scheduler;
 pub use scheduler::Summary;
 pub use settings::Settings;
+pub use tenancy::TenantCounters;
 pub use tenancy::TenantReport;
 pub use worker_api::EndedRow;
 pub use worker_api::Listing;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -30,6 +30,8 @@
     /// The worker's capacity has shrunk since the run was planned, or a run of unknown demand has
     /// been found there.
     NoCapacity,
+    /// The cap of the job's tenant has been lowered since the run was planned.
+    TenantCap,
 }
 
 impl StartObstacle {
@@ -42,6 +44,7 @@
             Self::ReportOutdated => "report_outdated",
             Self::TicketExpired => "ticket_expired",
             Self::NoCapacity => "no_capacity",
+            Self::TenantCap => "tenant_cap",
         }
     }
 }
@@ -157,11 +160,11 @@
         {
             return Some(StartObstacle::TicketExpired);
         }
-        let is_within_capacity = worker
-            .runs
-            .get(&key)
-            .is_none_or(|run| worker.fits_beside_others(&run.demand));
-        (!is_within_capacity).then_some(StartObstacle::NoCapacity)
+        let run = worker.runs.get(&key)?;
+        if !worker.fits_beside_others(&run.demand) {
+            return Some(StartObstacle::NoCapacity);
+        }
+        self.is_beyond_cap(run).then_some(StartObstacle::TenantCap)
     }
 
     fn count_withheld_start(&mut self, obstacle: StartObstacle) {
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -25,6 +25,8 @@
     /// What steps behind the head waited for in the last complete sweep.
     last_swept: EarlierSteps,
     stage: Stage,
+    /// Tenants whose cap has held back a step that fitted under it when the pass began.
+    capped_tenants: maps::HashSet<tenants::TenantNumber>,
 }
 
 /// Which steps a pass visits.
@@ -99,6 +101,15 @@
         }
     }
 
+    /// Notes that the cap of a tenant has been reached in this pass.
+    pub(crate) fn set_cap_reached(&mut self, tenant: tenants::TenantNumber) {
+        self.capped_tenants.insert(tenant);
+    }
+
+    pub(crate) fn is_cap_reached(&self, tenant: tenants::TenantNumber) -> bool {
+        !self.capped_tenants.is_empty() && self.capped_tenants.contains(&tenant)
+    }
+
     fn earlier(&self) -> impl Iterator<Item = &EarlierSteps> {
         let swept = (self.stage != Stage::Head).then_some(&self.swept);
         let last_swept = (self.stage == Stage::OutOfTurn).then_some(&self.last_swept);
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -92,6 +92,7 @@
         self.reservations.expire(clock.now);
         let mut changed = mem::take(&mut self.changed_steps);
         let order = self.scheduling_order(clock);
+        let order = self.order_by_share(order, &mut changed, clock);
         let mut pass = self.new_pass(clock);
         let head = self.place_head(&order, &mut changed, &mut pass, clock);
         let rest = &order[head..];
@@ -122,7 +123,9 @@
                 return index;
             }
             changed.remove(&step.key);
-            blocked += usize::from(!self.visit(step, pass, clock));
+            if !self.is_capped(step, pass) {
+                blocked += usize::from(!self.visit(step, pass, clock));
+            }
         }
         order.len()
     }
@@ -143,7 +146,9 @@
             }
             if !pass.is_earlier(&step.key) {
                 changed.remove(&step.key);
-                blocked += usize::from(!self.visit(step, pass, clock));
+                if !self.is_capped(step, pass) {
+                    blocked += usize::from(!self.visit(step, pass, clock));
+                }
             }
         }
         steps.len()
@@ -168,7 +173,7 @@
                 self.placement_needed = true;
                 return;
             }
-            if changed.remove(&step.key) {
+            if changed.remove(&step.key) && !self.is_capped(step, pass) {
                 blocked += usize::from(!self.visit(step, pass, clock));
             }
         }
@@ -231,12 +236,18 @@
         let Some(context) = self.step_context(key) else {
             return true;
         };
+        let cap_limit = self.cap_limit(key);
+        if cap_limit == 0 {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let (step, step_state, advice) = (context.step, context.step_state, context.queue.advice);
         let allowed = self.startable_workers(&context, pass, clock);
         let demand = workers::counted_demand(step);
-        let assignment = candidate::assign_tasks(allowed, step_state, &demand, |index| {
-            !withheld.contains(index)
-        });
+        let assignment =
+            candidate::assign_tasks(allowed, step_state, &demand, cap_limit, |index| {
+                !withheld.contains(index)
+            });
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
         let missing = step_state.waiting_count - placed - withheld.awaiting_verdict;
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
@@ -250,7 +261,12 @@
         if missing == 0 {
             return withheld.awaiting_verdict == 0;
         }
+        if placed == cap_limit {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let startable = missing.saturating_sub(withheld.behind_suspects);
+        let startable = startable.min(cap_limit - placed);
         if !has_call_in_flight
             && startable > 0
             && let Some(terms) = advice
@@ -270,7 +286,7 @@
             return;
         };
         let suspicion = self.crashes.suspicion_of(task);
-        if pass.suspects.is_full(&context.queue.pool, task, suspicion) {
+        if pass.suspects.is_full(&context.queue.pool, task, suspicion) || self.cap_limit(key) == 0 {
             return;
         }
         let context = StepContext {
@@ -281,7 +297,7 @@
         let allowed = self.startable_workers(&context, pass, clock);
         let demand = workers::counted_demand(step);
         let assignment =
-            candidate::assign_tasks(allowed, step_state, &demand, |index| index == task.index);
+            candidate::assign_tasks(allowed, step_state, &demand, 1, |index| index == task.index);
         if !assignment.is_empty() {
             self.plan_runs(key, assignment, clock);
             self.on_suspect_planned(task, &mut pass.suspects);
@@ -307,6 +323,10 @@
         let Some(context) = self.step_context(key) else {
             return true;
         };
+        if self.cap_limit(key) < context.step.task_count {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let (step, step_state, advice) = (context.step, context.step_state, context.queue.advice);
         let demand = workers::counted_demand(step);
         let allowed = self.startable_workers(&context, pass, clock);
--- a/crates/jobs/src/preemption.rs
+++ b/crates/jobs/src/preemption.rs
@@ -40,7 +40,8 @@
             return;
         }
         let demand = workers::counted_demand(step);
-        let wanted = step_state.waiting_count.min(MAX_TASKS_PER_PREEMPTION) as usize;
+        let wanted = step_state.waiting_count.min(MAX_TASKS_PER_PREEMPTION);
+        let wanted = wanted.min(self.cap_limit(key)) as usize;
         let mut found = self.victims(key, clock);
         found.sort_by_key(|victims| victims.cost);
         found.truncate(wanted);
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -97,6 +97,13 @@
             }
             return Some(refused(model::RefusalReason::UnknownQueue, 0));
         };
+        let queue = sync::Arc::clone(queue);
+        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
+            .with_tenant(arrived.tenant);
+        self.tenancy.enter(state.tenant.as_ref());
+        if let Some(refusal) = self.refuse_beyond_cap(&state, clock) {
+            return Some(refusal);
+        }
         if !self.store_reachable {
             let retry_after_ms = self.store_retry_ms(clock);
             return Some(refused(
@@ -107,10 +114,9 @@
         if self.waiting.len() > self.settings.max_waiting_steps {
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
-        let queue = sync::Arc::clone(queue);
-        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
-            .with_tenant(arrived.tenant);
-        self.tenancy.enter(state.tenant.as_ref());
+        if let Some(refusal) = self.apply_rate(&mut state, clock) {
+            return Some(refusal);
+        }
         let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         log::info!(
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -85,6 +85,8 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
+    /// Its tenant submitted it beyond the rate that it is owed.
+    Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
 }
@@ -99,10 +101,39 @@
     /// When the job was accepted or the occurrence was due, in milliseconds since 1970.
     pub(crate) since_ms: u64,
     pub(crate) key: model::StepKey,
+    /// Tenant of the job; does not decide the order, as no two steps have the same key.
+    pub(crate) tenant: tenants::TenantNumber,
+}
+
+impl WaitingStep {
+    pub(crate) fn new(
+        state: &job::JobState,
+        key: model::StepKey,
+        priority: u32,
+        tenant: tenants::TenantNumber,
+    ) -> Self {
+        let occurrence = state.occurrences.get(key.occurrence as usize);
+        let due_at_ms = occurrence.and_then(|one| one.due_at_ms);
+        Self {
+            priority,
+            since_ms: due_at_ms.unwrap_or(state.accepted_at_ms),
+            key,
+            tenant,
+        }
+    }
+}
+
+/// What decides the scheduling order before the age of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) lateness: Lateness,
+    pub(crate) priority: u32,
+    /// The same for all steps without tenants.
+    pub(crate) band: tenants::Band,
 }
 
 /// A waiting step at its place in the scheduling order.
-pub(crate) type OrderedStep = (Lateness, WaitingStep);
+pub(crate) type OrderedStep = (Rank, WaitingStep);
 
 /// Values for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -254,8 +285,12 @@
             queues = manifest.queues.len();
             "manifest applied by the leader"
         );
+        let is_first = self.manifest.version == 0;
         self.manifest = manifest;
         self.apply_tenants(clock);
+        if is_first {
+            self.mark_recovered_jobs(clock);
+        }
         self.placement_needed = true;
     }
 
@@ -349,11 +384,9 @@
                 continue;
             }
             if occurrence.steps[usize::from(key.step)].waiting_count > 0 && state.is_ready(key) {
-                self.waiting.insert(WaitingStep {
-                    priority,
-                    since_ms: occurrence.due_at_ms.unwrap_or(state.accepted_at_ms),
-                    key,
-                });
+                let tenant = self.tenancy.number_of(state);
+                self.waiting
+                    .insert(WaitingStep::new(state, key, priority, tenant));
                 self.changed_steps.insert(key);
                 self.placement_needed = true;
             }
@@ -366,13 +399,19 @@
     /// an outage the former would become late while they wait for the latter.
     pub(crate) fn scheduling_order(&self, clock: event::Clock) -> Vec<OrderedStep> {
         let steps = self.waiting.iter();
-        let mut order: Vec<_> = steps
-            .map(|step| (self.lateness(step, clock), *step))
-            .collect();
+        let mut order: Vec<_> = steps.map(|step| (self.rank(step, clock), *step)).collect();
         order.sort();
         order
     }
 
+    fn rank(&self, step: &WaitingStep, clock: event::Clock) -> Rank {
+        Rank {
+            lateness: self.lateness(step, clock),
+            priority: step.priority,
+            band: tenants::Band::default(),
+        }
+    }
+
     fn lateness(&self, step: &WaitingStep, clock: event::Clock) -> Lateness {
         let Some(state) = self.jobs.get(&step.key.job_id) else {
             return Lateness::InTime;
@@ -384,7 +423,10 @@
             return Lateness::LongRunning;
         }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
-        if waited_ms < state.objective_ms {
+        let is_beyond_rate = state.is_beyond_rate && self.tenancy.is_active;
+        if is_beyond_rate && waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
+            Lateness::Beyond
+        } else if waited_ms < state.objective_ms {
             Lateness::InTime
         } else if waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
             Lateness::Late
--- a/crates/jobs/src/tenancy.rs
+++ b/crates/jobs/src/tenancy.rs
@@ -1,9 +1,12 @@
-//! Tenants in the leader's term: what each has running, and what its cap admits.
+//! Tenants in the leader's term: what each has running, waiting and left of its rate.
 
 use std::sync;
+use std::time;
 
 use indexmap::IndexMap;
 
+use crate::admission;
+use crate::caps;
 use crate::event;
 use crate::job;
 use crate::maps;
@@ -22,6 +25,16 @@
     numbers: maps::HashMap<model::TenantName, tenants::TenantNumber>,
     /// What runs that may exist occupy, by tenant.
     pub(crate) usage: tenants::Usage,
+    /// How the workers were to be divided at the last placement pass.
+    pub(crate) division: tenants::Division,
+    /// How busy the workers were in the last placement passes.
+    pub(crate) load: tenants::Load,
+    /// When the used fraction in `load` was measured.
+    pub(crate) peak_at: Option<time::Instant>,
+    /// Limits the lines about caps that are reached and left.
+    pub(crate) cap_log: caps::LogLimit,
+    /// Limits the lines about refused jobs.
+    pub(crate) refusal_log: caps::LogLimit,
 }
 
 /// One tenant.
@@ -29,6 +42,42 @@
 pub(crate) struct TenantState {
     /// Its entry in the manifest; `None` without a tenant, or once it has been removed.
     pub(crate) terms: Option<tenants::Tenant>,
+    /// Jobs that it is owed; `None` until it first has an entry.
+    pub(crate) owed_jobs: Option<tenants::Bucket>,
+    /// What its gang that waits longest for the cap needs; later work must not use it.
+    pub(crate) hold: Option<caps::Hold>,
+    /// Since when its cap holds back work.
+    pub(crate) cap_reached: Option<caps::CapReached>,
+    /// When a placement pass last met owed work that the cap does not hold back and that had waited for
+    /// `tenants::FULL_WAIT`.
+    pub(crate) long_waited_at: Option<time::Instant>,
+    /// Counts and sums of the last placement pass.
+    pub(crate) pass: TenantPass,
+    pub(crate) counters: TenantCounters,
+}
+
+/// What a placement pass has counted for a tenant.
+#[derive(Debug, Default)]
+pub(crate) struct TenantPass {
+    /// Steps with waiting tasks.
+    pub(crate) waiting_steps: u32,
+    /// Those that the cap holds back.
+    pub(crate) capped_steps: u32,
+    /// What the runs of the tenant occupy, and the steps that precede in the scheduling order will.
+    pub(crate) expected_use: tenants::Amounts,
+}
+
+/// Counts of a tenant's jobs since the term began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TenantCounters {
+    /// Jobs accepted within its rate.
+    pub owed_jobs: u64,
+    /// Jobs accepted beyond its rate.
+    pub beyond_jobs: u64,
+    /// Jobs refused as they were beyond its rate while the workers were full.
+    pub refused_rate: u64,
+    /// Jobs refused as they can never run under its cap.
+    pub refused_cap: u64,
 }
 
 /// Values of one tenant for metrics.
@@ -40,6 +89,18 @@
     pub used: tenants::Amounts,
     /// Its cap in the manifest in force.
     pub cap: tenants::Cap,
+    /// Fraction of the workers that it is owed while all active tenants use theirs.
+    pub share_owed: f64,
+    /// Fraction of the workers that it uses, by the resource of which it is largest.
+    pub share_used: f64,
+    /// Steps with waiting tasks at the last placement pass.
+    pub waiting_steps: u32,
+    /// Those that the cap holds back.
+    pub capped_steps: u32,
+    /// For how long the cap has held back work; `None` if it does not.
+    pub cap_reached_for: Option<time::Duration>,
+    /// Counts since the term began.
+    pub counters: TenantCounters,
 }
 
 impl Default for Tenancy {
@@ -49,6 +110,11 @@
             states: vec![TenantState::default()],
             numbers: maps::HashMap::default(),
             usage: tenants::Usage::default(),
+            division: tenants::Division::default(),
+            load: tenants::Load::default(),
+            peak_at: None,
+            cap_log: caps::LogLimit::default(),
+            refusal_log: caps::LogLimit::default(),
         }
     }
 }
@@ -77,36 +143,77 @@
         number.copied().unwrap_or(NO_TENANT)
     }
 
+    /// Returns the state of a tenant.
+    pub(crate) fn state(&self, tenant: tenants::TenantNumber) -> Option<&TenantState> {
+        self.states.get(tenant as usize)
+    }
+
+    /// Returns the entry of a tenant in the manifest.
+    pub(crate) fn terms(&self, tenant: tenants::TenantNumber) -> Option<&tenants::Tenant> {
+        self.state(tenant)?.terms.as_ref()
+    }
+
+    /// Returns the band of a tenant that uses `used`; work without a tenant in the manifest is owed no
+    /// share, and precedes only tenants far above theirs.
+    pub(crate) fn band(
+        &self,
+        tenant: tenants::TenantNumber,
+        used: &tenants::Amounts,
+    ) -> tenants::Band {
+        let terms = self.terms(tenant);
+        terms.map_or(tenants::Band::Above, |terms| {
+            self.division.band(terms.weight, used)
+        })
+    }
+
     /// Applies the tenants of a manifest.
-    fn apply(&mut self, tenants: Option<&tenants::Tenants>) {
+    fn apply(&mut self, tenants: Option<&tenants::Tenants>, now: time::Instant) {
         self.is_active = tenants.is_some();
         for state in &mut self.states {
             state.terms = None;
         }
         for tenant in tenants.into_iter().flat_map(tenants::Tenants::iter) {
             let number = self.enter(Some(&tenant.name));
-            self.states[number as usize].terms = Some(tenant.clone());
+            let state = &mut self.states[number as usize];
+            admission::set_rate(&mut state.owed_jobs, tenant.weight, now);
+            state.terms = Some(tenant.clone());
+        }
+        if !self.is_active {
+            for state in &mut self.states {
+                (state.hold, state.cap_reached) = (None, None);
+                state.pass = TenantPass::default();
+            }
         }
     }
 }
 
 impl scheduler::Scheduler {
     /// Applies the tenants of the manifest in force.
-    pub(crate) fn apply_tenants(&mut self, _clock: event::Clock) {
+    pub(crate) fn apply_tenants(&mut self, clock: event::Clock) {
         let tenants = self.manifest.tenants.as_ref().map(sync::Arc::clone);
-        self.tenancy.apply(tenants.as_deref());
+        self.tenancy.apply(tenants.as_deref(), clock.now);
     }
 
     /// Returns values of the manifest's tenants for metrics, in its order.
     #[must_use]
-    pub fn tenant_reports(&self) -> Vec<TenantReport> {
+    pub fn tenant_reports(&self, now: time::Instant) -> Vec<TenantReport> {
+        let tenancy = &self.tenancy;
         let tenants = self.manifest.tenants.iter().flat_map(|all| all.iter());
         let reports = tenants.filter_map(|tenant| {
-            let number = self.tenancy.numbers.get(&tenant.name)?;
+            let number = *tenancy.numbers.get(&tenant.name)?;
+            let state = tenancy.state(number)?;
+            let used = tenancy.usage.of(number);
+            let cap_reached = state.cap_reached.as_ref();
             Some(TenantReport {
                 name: model::TenantName::clone(&tenant.name),
-                used: self.tenancy.usage.of(*number),
+                used,
                 cap: tenant.cap,
+                share_owed: tenancy.division.owed_fraction(tenant.weight),
+                share_used: tenancy.division.used_fraction(&used),
+                waiting_steps: state.pass.waiting_steps,
+                capped_steps: state.pass.capped_steps,
+                cap_reached_for: cap_reached.map(|one| one.age(now)),
+                counters: state.counters,
             })
         });
         reports.collect()
--- a/crates/jobs/tests/scheduler/simulation/tenants.rs
+++ b/crates/jobs/tests/scheduler/simulation/tenants.rs
@@ -56,7 +56,8 @@
 
     /// Returns the values of a tenant for metrics.
     pub(crate) fn tenant_report(&self, name: &str) -> jobs::TenantReport {
-        let reports = self.scheduler.as_ref().map(jobs::Scheduler::tenant_reports);
+        let now = self.clock().now;
+        let reports = self.scheduler.as_ref().map(|one| one.tenant_reports(now));
         let mut reports = reports.into_iter().flatten();
         let report = reports.find(|report| *report.name == *name);
         report.unwrap_or_else(|| panic!("no report of tenant {name}"))
--- a/crates/tenants/src/load.rs
+++ b/crates/tenants/src/load.rs
@@ -5,9 +5,9 @@
 /// Fraction of a resource in use from which the workers count as full: what is left is spread over
 /// many workers and holds few whole tasks.
 const FULL_FRACTION: f64 = 0.9;
-/// How long work of another tenant must have waited: a third of the three seconds within which a waiting
-/// job must start where there is room.
-pub const FULL_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// How long work of another tenant must have waited: the time that the queues of shortest jobs add to the
+/// length of a job for all that delays it.
+pub const FULL_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Fraction of the limit of waiting steps that jobs beyond the rates may fill; the rest is left to owed
 /// jobs, which are refused at the limit.
 const BACKLOG_FRACTION: f64 = 0.5;
