--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -11,4 +11,4 @@
 mod relay_loss;
 mod simulation;
 mod stored_losses;
-mod tenants;
+mod tenant_limits;
--- a/crates/jobs/tests/scheduler/simulation/tenants.rs
+++ b/crates/jobs/tests/scheduler/simulation/limits.rs
@@ -33,7 +33,7 @@
 
 impl Simulation {
     /// Replaces the tenants of the manifest by one of the next version.
-    pub(crate) fn use_tenants(&mut self, all: impl IntoIterator<Item = tenants::Tenant>) {
+    pub(crate) fn use_limits(&mut self, all: impl IntoIterator<Item = tenants::Tenant>) {
         let mut set = tenants::Tenants::default();
         for one in all {
             set.insert(one, []);
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -4,7 +4,7 @@
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
 mod crashes;
-pub(crate) mod tenants;
+pub(crate) mod limits;
 pub(crate) mod worker;
 
 use std::collections;
--- a/crates/jobs/tests/scheduler/tenants.rs
+++ b/crates/jobs/tests/scheduler/tenant_limits.rs
@@ -2,8 +2,8 @@
 
 use crate::simulation;
 use crate::simulation::Simulation;
-use crate::simulation::tenants::capped;
-use crate::simulation::tenants::tenant;
+use crate::simulation::limits::capped;
+use crate::simulation::limits::tenant;
 
 /// Two tenants keep six workers busy while one worker restarts, one is cut off for longer than its lease,
 /// and a job is cancelled. Guards against runs that leave or enter the sums by a way that is not counted;
@@ -13,7 +13,7 @@
     let mut simulation = Simulation::new(1, 6, None);
     simulation.faults.lost_answers = 0.1;
     simulation.faults.late_orders = 0.05;
-    simulation.use_tenants([tenant("one", 1.0), capped("two", 2.0, 9_000)]);
+    simulation.use_limits([tenant("one", 1.0), capped("two", 2.0, 9_000)]);
     simulation.run_ms(500);
     for id in 1..=60 {
         let owner = if id % 3 == 0 { "two" } else { "one" };
@@ -64,7 +64,7 @@
 #[test]
 fn step_wider_than_the_cap_runs_in_waves() {
     let mut simulation = Simulation::new(1, 10, None);
-    simulation.use_tenants([capped("one", 1.0, 16_000)]);
+    simulation.use_limits([capped("one", 1.0, 16_000)]);
     simulation.run_ms(200);
     simulation.submit_as(
         "one",
@@ -87,7 +87,7 @@
 #[test]
 fn what_can_never_run_is_refused() {
     let mut simulation = Simulation::new(1, 10, None);
-    simulation.use_tenants([capped("one", 1.0, 7_000)]);
+    simulation.use_limits([capped("one", 1.0, 7_000)]);
     simulation.run_ms(200);
     let refused = Some((model::RefusalReason::ExceedsTenantCap, 0));
     let wide_gang = simulation.submit_as("one", simulation::job(1, "long", gang(4, 1_000)));
@@ -113,7 +113,7 @@
 #[test]
 fn gang_that_waits_for_its_cap_holds_nothing_against_others() {
     let mut simulation = Simulation::new(1, 10, Some(1.0));
-    simulation.use_tenants([capped("one", 1.0, 16_000), tenant("two", 1.0)]);
+    simulation.use_limits([capped("one", 1.0, 16_000), tenant("two", 1.0)]);
     simulation.run_ms(200);
     let busy = simulation::step(6, 2_000, 12_000);
     simulation.submit_as("one", simulation::job(1, "long", busy));
@@ -149,7 +149,7 @@
 #[test]
 fn gang_is_not_starved_by_small_work_of_its_tenant() {
     let mut simulation = Simulation::new(1, 10, None);
-    simulation.use_tenants([capped("one", 100.0, 16_000)]);
+    simulation.use_limits([capped("one", 100.0, 16_000)]);
     simulation.run_ms(200);
     let mut id = 100;
     let mut started_after = None;
@@ -179,7 +179,7 @@
 #[test]
 fn cap_lowered_below_use_stops_nothing_and_starts_nothing() {
     let mut simulation = Simulation::new(1, 10, None);
-    simulation.use_tenants([capped("one", 100.0, 40_000)]);
+    simulation.use_limits([capped("one", 100.0, 40_000)]);
     simulation.run_ms(200);
     let running = simulation::step(12, 2_000, 6_000);
     simulation.submit_as("one", simulation::job(1, "long", running));
@@ -189,7 +189,7 @@
     let planned = simulation::step(6, 2_000, 1_000);
     simulation.submit_as("one", simulation::job(2, "long", planned));
     simulation.run_ms(100);
-    simulation.use_tenants([capped("one", 100.0, 8_000)]);
+    simulation.use_limits([capped("one", 100.0, 8_000)]);
     simulation.run_ms(4_500);
     assert_eq!(
         simulation.processors_of("one"),
@@ -213,14 +213,14 @@
 #[test]
 fn gang_wider_than_a_lowered_cap_waits_and_hinders_nobody() {
     let mut simulation = Simulation::new(1, 4, None);
-    simulation.use_tenants([capped("one", 100.0, 16_000), tenant("two", 1.0)]);
+    simulation.use_limits([capped("one", 100.0, 16_000), tenant("two", 1.0)]);
     simulation.run_ms(200);
     let all = simulation::step(4, 8_000, 3_000);
     simulation.submit_as("two", simulation::job(1, "long", all));
     simulation.run_ms(300);
     simulation.submit_as("one", simulation::job(2, "long", gang(8, 500)));
     simulation.run_ms(300);
-    simulation.use_tenants([capped("one", 100.0, 8_000), tenant("two", 1.0)]);
+    simulation.use_limits([capped("one", 100.0, 8_000), tenant("two", 1.0)]);
     simulation.run_ms(8_000);
     assert!(has_reason(&mut simulation, jobs::BlockReason::TenantCap));
     let submitted_at_ms = simulation.now_ms;
@@ -231,7 +231,7 @@
     assert!(started_at_ms.is_some(), "small work does not start");
     assert!(started_at_ms < Some(submitted_at_ms + 500), "it waited");
     assert!(!simulation.started_at_ms.contains_key(&2), "beyond the cap");
-    simulation.use_tenants([capped("one", 100.0, 16_000), tenant("two", 1.0)]);
+    simulation.use_limits([capped("one", 100.0, 16_000), tenant("two", 1.0)]);
     simulation.run_ms(1_000);
     assert!(simulation.started_at_ms.contains_key(&2), "not started");
 }
@@ -241,7 +241,7 @@
 #[test]
 fn work_under_half_of_the_cap_starts_although_gangs_wait_for_it() {
     let mut simulation = Simulation::new(1, 20, None);
-    simulation.use_tenants([capped("one", 1_000.0, 32_000), tenant("two", 1.0)]);
+    simulation.use_limits([capped("one", 1_000.0, 32_000), tenant("two", 1.0)]);
     simulation.run_ms(200);
     let busy = simulation::step(3, 4_000, 40_000);
     simulation.submit_as("one", simulation::job(1, "long", busy));
@@ -274,7 +274,7 @@
 #[test]
 fn tenant_at_seven_times_its_rate_is_refused_on_full_workers() {
     let mut simulation = Simulation::new(1, 4, None);
-    simulation.use_tenants([tenant("loud", 2.0), tenant("calm", 2.0)]);
+    simulation.use_limits([tenant("loud", 2.0), tenant("calm", 2.0)]);
     simulation.run_ms(200);
     let (mut id, mut refused, mut calm_waits_ms) = (0, Vec::new(), Vec::new());
     let mut calm = Vec::new();
@@ -318,7 +318,7 @@
 #[test]
 fn jobs_beyond_the_rate_run_where_there_is_room() {
     let mut simulation = Simulation::new(1, 10, None);
-    simulation.use_tenants([tenant("one", 0.5), tenant("two", 1.0)]);
+    simulation.use_limits([tenant("one", 0.5), tenant("two", 1.0)]);
     simulation.run_ms(200);
     for id in 1..=100 {
         let small = simulation::step(1, 2_000, 200);
@@ -340,7 +340,7 @@
     let weights = (1..=20).map(f64::from);
     let all = names.iter().zip(weights);
     let all = all.map(|(name, weight)| tenant(name, weight * 10.0));
-    simulation.use_tenants(all.chain([tenant("earlier", 0.1)]));
+    simulation.use_limits(all.chain([tenant("earlier", 0.1)]));
     simulation.run_ms(200);
     let everything = simulation::step(20, 8_000, 1_000);
     simulation.submit_as("earlier", simulation::job(9_000, "long", everything));
@@ -379,7 +379,7 @@
     let mut simulation = Simulation::new(1, 10, None);
     let small: Vec<_> = (1..=9).map(|number| format!("small{number}")).collect();
     let tenants = small.iter().map(|name| tenant(name, 2.0));
-    simulation.use_tenants(tenants.chain([tenant("big", 50.0)]));
+    simulation.use_limits(tenants.chain([tenant("big", 50.0)]));
     simulation.run_ms(200);
     for id in 1..=400 {
         let work = simulation::step(1, 2_000, 1_500);
