--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -108,6 +108,18 @@
         if let Some(reply) = self.refuse_unknown_tenant(&arrived) {
             return Some(reply);
         }
+        let queue = sync::Arc::clone(queue);
+        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
+            .with_tenant(arrived.tenant);
+        self.tenancy.enter(state.tenant.as_ref());
+        if let Some(refusal) = self.refuse_beyond_cap(&state, clock) {
+            // A newer manifest may have a higher cap.
+            let is_outdated = arrived.manifest_version > self.manifest.version;
+            return Some(match is_outdated {
+                true => model::JobReply::NotLeading,
+                false => refusal,
+            });
+        }
         if !self.store_reachable {
             let retry_after_ms = self.store_retry_ms(clock);
             return Some(refused(
@@ -118,9 +130,9 @@
         if self.waiting.len() > self.settings.max_waiting_steps {
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
-        let queue = sync::Arc::clone(queue);
-        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
-            .with_tenant(arrived.tenant);
+        if let Some(refusal) = self.apply_rate(&mut state, clock) {
+            return Some(refusal);
+        }
         let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         log::info!(
--- a/crates/jobs/tests/scheduler/invariants.rs
+++ b/crates/jobs/tests/scheduler/invariants.rs
@@ -4,6 +4,7 @@
 
 use crate::simulation;
 use crate::simulation::Simulation;
+use crate::simulation::limits;
 
 /// A request or failure in the simulation.
 #[derive(Clone, Copy, Debug)]
@@ -17,8 +18,13 @@
     PartitionWorker,
     RepairWorkers,
     DrainWorker,
+    /// Replaces the caps of the tenants.
+    ChangeCaps,
 }
 
+/// Tenants of generated jobs; the third has no cap.
+const TENANTS: [&str; 3] = ["one", "two", "three"];
+
 fn operation() -> impl Strategy<Value = Operation> {
     prop_oneof![
         8 => Just(Operation::Submit),
@@ -33,6 +39,13 @@
     ]
 }
 
+fn operation_with_caps() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        19 => operation(),
+        1 => Just(Operation::ChangeCaps),
+    ]
+}
+
 fn random_job(simulation: &mut Simulation, id: model::JobId) -> model::Job {
     // Some runs are longer than a lease, so that they may continue on a partitioned worker.
     let run_ms = match simulation.random(3) {
@@ -73,7 +86,15 @@
             if matches!(operation, Operation::SubmitFailing) {
                 simulation.failing_jobs.insert(job.id);
             }
-            simulation.submit(job);
+            if simulation.has_limits() {
+                let tenant = TENANTS[simulation.random(3) as usize];
+                simulation.submit_as(tenant, job);
+            } else {
+                simulation.submit(job);
+            }
+        }
+        Operation::ChangeCaps => {
+            use_random_caps(simulation);
         }
         Operation::Cancel => {
             if *next_id > 0 {
@@ -103,6 +124,16 @@
     }
 }
 
+/// Gives two tenants caps that hold every job of `random_job`: five tasks of 3,000.
+fn use_random_caps(simulation: &mut Simulation) {
+    let caps = [0, 0].map(|_| 15_000 + 1_000 * simulation.random(20));
+    simulation.use_limits([
+        limits::capped(TENANTS[0], 3.0, caps[0]),
+        limits::capped(TENANTS[1], 0.5, caps[1]),
+        limits::tenant(TENANTS[2], 1.0),
+    ]);
+}
+
 /// Repairs all workers, runs on without faults, and checks that every accepted job has ended.
 fn run_until_settled(simulation: &mut Simulation, last_id: model::JobId) {
     simulation.faults = simulation::Faults::default();
@@ -130,8 +161,16 @@
     }
 }
 
-fn run_case(seed: u64, allowed_share: Option<f64>, operations: &[(Operation, u64)]) {
+fn run_case(
+    seed: u64,
+    allowed_share: Option<f64>,
+    has_tenants: bool,
+    operations: &[(Operation, u64)],
+) {
     let mut simulation = Simulation::new(seed, 6, allowed_share);
+    if has_tenants {
+        use_random_caps(&mut simulation);
+    }
     simulation.faults = simulation::Faults {
         lost_answers: 0.05,
         late_orders: 0.05,
@@ -161,7 +200,7 @@
         seed in any::<u64>(),
         operations in prop::collection::vec((operation(), 0_u64..900), 5..60),
     ) {
-        run_case(seed, None, &operations);
+        run_case(seed, None, false, &operations);
     }
 
     #[test]
@@ -169,6 +208,22 @@
         seed in any::<u64>(),
         operations in prop::collection::vec((operation(), 0_u64..900), 5..60),
     ) {
-        run_case(seed, Some(0.6), &operations);
+        run_case(seed, Some(0.6), false, &operations);
+    }
+
+    #[test]
+    fn no_tenant_exceeds_its_cap(
+        seed in any::<u64>(),
+        operations in prop::collection::vec((operation_with_caps(), 0_u64..900), 5..60),
+    ) {
+        run_case(seed, None, true, &operations);
+    }
+
+    #[test]
+    fn no_tenant_exceeds_its_cap_with_advice(
+        seed in any::<u64>(),
+        operations in prop::collection::vec((operation_with_caps(), 0_u64..900), 5..60),
+    ) {
+        run_case(seed, Some(0.6), true, &operations);
     }
 }
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -11,4 +11,5 @@
 mod relay_loss;
 mod simulation;
 mod stored_losses;
+mod tenant_limits;
 mod tenants;
