jobs: stop runs with checkpoints for gangs that would end late

Cause: on full workers, small tasks of lower priority take each gap before a gang finds room for all of its members: 50 to 75 gangs waited for 40 s while the batch tasks ended with much time to spare. Change: a gang that has been blocked for a tenth of its objective and can still end in time stops runs of a lower priority that save checkpoints, on the workers where the least work is lost, with the room reserved meanwhile. Bounds: a quarter of the workers at once, a quarter of the gang's own work, twice for each step, four runs of a stopped task.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod candidate;
 mod crashes;
 mod event;
+mod gang_preemption;
 mod gangs;
 mod isolation;
 mod job;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -48,16 +48,21 @@
     pub(crate) queue: &'a manifest::Queue,
     pub(crate) step: &'a model::Step,
     pub(crate) step_state: &'a job::StepState,
-    objective_ms: u64,
+    pub(crate) objective_ms: u64,
     /// What the tasks must not share a worker with.
     isolation: isolation::Isolation,
 }
 
 impl StepContext<'_> {
+    /// Returns how long the step has been blocked.
+    pub(crate) fn blocked_for(&self, clock: event::Clock) -> time::Duration {
+        let since = self.step_state.blocked_since.unwrap_or(clock.now);
+        clock.now.saturating_duration_since(since)
+    }
+
     /// Returns how long the step has been blocked, as a multiple of the job's objective.
     fn blocked_ratio(&self, clock: event::Clock) -> f64 {
-        let since = self.step_state.blocked_since.unwrap_or(clock.now);
-        let waited = clock.now.saturating_duration_since(since);
+        let waited = self.blocked_for(clock);
         waited.as_millis() as f64 / self.objective_ms.max(1) as f64
     }
 
@@ -315,6 +320,7 @@
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
         if !assignment.is_empty() {
             self.reservations.release(key);
+            self.gang_preemptions.finish(key);
             self.plan_runs(key, assignment, clock);
             for suspect in suspects {
                 self.on_suspect_planned(suspect, &mut pass.suspects);
@@ -322,7 +328,11 @@
             return true;
         }
         let total = demand.times(step.task_count);
-        if !has_call_in_flight && let Some(terms) = advice {
+        let awaits_room = self.gang_preemptions.is_awaited(key, clock.now);
+        if !has_call_in_flight
+            && !awaits_room
+            && let Some(terms) = advice
+        {
             let call_duration = advisors::call_duration(&terms, step.task_count as usize);
             let wait = step_state.wait;
             self.reservations.release(key);
@@ -335,6 +345,7 @@
             }
         }
         self.mark_blocked(key, pass, clock);
+        self.preempt_for_gang(key, pass, clock);
         pass.add_gang_demand(&total);
         false
     }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -11,6 +11,7 @@
 use crate::blocked;
 use crate::crashes;
 use crate::event;
+use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -75,6 +76,7 @@
             newest_incarnations: maps::HashMap::default(),
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
+            gang_preemptions: gang_preemption::GangPreemptions::default(),
             waiting: collections::BTreeSet::new(),
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::blocked;
 use crate::crashes;
 use crate::event;
+use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -44,6 +45,7 @@
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
+    pub(crate) gang_preemptions: gang_preemption::GangPreemptions,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
@@ -121,6 +123,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Runs stopped to free capacity for gangs, since the term began.
+    pub stopped_for_gangs: u64,
 }
 
 impl Scheduler {
@@ -233,6 +237,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            stopped_for_gangs: self.gang_preemptions.stopped_runs,
         }
     }
 
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -1045,6 +1045,12 @@
         scheduler.map_or(0, |scheduler| scheduler.summary().placement_visits)
     }
 
+    /// Returns the leader's values for metrics; defaults without a leader.
+    pub(crate) fn summary(&self) -> jobs::Summary {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or_else(jobs::Summary::default, jobs::Scheduler::summary)
+    }
+
     /// Returns how many start orders the leader has withheld since the last call, by the reason.
     pub(crate) fn take_withheld_starts(&mut self) -> Vec<(jobs::StartObstacle, u64)> {
         let scheduler = self.scheduler.as_mut();
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -44,6 +44,14 @@
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
 impl Run {
+    /// Returns the progress at a time, in percent.
+    fn percent(&self, now_ms: u64) -> u32 {
+        let resumed_ms = self.resumed_ms.unwrap_or_default();
+        let done_ms = resumed_ms + now_ms.min(self.ends_at_ms) - self.started_at_ms;
+        let work_ms = resumed_ms + self.ends_at_ms - self.started_at_ms;
+        u32::try_from(100 * done_ms / work_ms.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the latest checkpoint at a time.
     fn checkpoint(&self, task: model::TaskKey, now_ms: u64) -> Option<sync::Arc<str>> {
         let worked_ms = now_ms.min(self.ends_at_ms) - self.started_at_ms;
@@ -454,7 +462,7 @@
         let running = self.runs.iter().map(|(key, run)| jobs::RunningRow {
             run: *key,
             checkpoint: run.checkpoint(key.task, now_ms),
-            percent: 100,
+            percent: run.percent(now_ms),
             usage: run.target_ms.map(|target_ms| self.tail_ms(target_ms)),
         });
         jobs::Listing {
