--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod ended;
 mod event;
+mod gang_preemption;
 mod gangs;
 mod isolation;
 mod job;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -12,6 +12,7 @@
 use crate::crashes;
 use crate::ended;
 use crate::event;
+use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -93,6 +94,7 @@
             newest_incarnations: maps::HashMap::default(),
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
+            gang_preemptions: gang_preemption::GangPreemptions::default(),
             waiting: collections::BTreeSet::new(),
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
