jobs: order work beyond a tenant's rate, and late work, by the tenant's share

Room reserved for gangs was closed to more urgent steps. Change: work beyond the rate stands behind owed work only while its tenant is above its share; late work of a tenant within its share keeps the priority of its queue, behind work in time. The room of preempted runs is open to more urgent steps. Gangs beyond the rate stop no runs of others.

--- a/crates/jobs/src/gang_preemption.rs
+++ b/crates/jobs/src/gang_preemption.rs
@@ -248,11 +248,12 @@
         );
         self.gang_preemptions
             .record(key, until, chosen.len(), stopped.len());
+        // More urgent steps may use the room: they would otherwise wait for as long as the gang is wide.
         self.reservations.reserve(
             key,
             &reserved,
             &demand,
-            reservations::Exclusivity::AllSteps,
+            reservations::Exclusivity::LaterSteps,
             until,
         );
         for (incarnation, run) in stopped {
@@ -341,7 +342,7 @@
             && 2 * waited_ms < state.objective_ms
     }
 
-    /// Returns whether the job of a step can still end in time.
+    /// Returns whether the job of a step is owed to its tenant and can still end in time.
     fn is_in_time(&self, key: model::StepKey, clock: event::Clock) -> bool {
         let Some(state) = self.jobs.get(&key.job_id) else {
             return false;
@@ -353,7 +354,8 @@
         let due_at_ms = due_at_ms.and_then(|one| one.due_at_ms);
         let since_ms = due_at_ms.unwrap_or(state.accepted_at_ms);
         let ends_at_ms = clock.wall_ms + u64::from(step.estimated_ms);
-        ends_at_ms.saturating_sub(since_ms) < state.objective_ms
+        let is_beyond_rate = state.is_beyond_rate && self.tenancy.is_active;
+        !is_beyond_rate && ends_at_ms.saturating_sub(since_ms) < state.objective_ms
     }
 }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -87,7 +87,7 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
-    /// Its tenant submitted it beyond the rate that it is owed.
+    /// Its tenant submitted it beyond the rate that it is owed, and uses more than its share.
     Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
@@ -132,6 +132,9 @@
     pub(crate) priority: u32,
     /// The same for all steps without tenants.
     pub(crate) band: tenants::Band,
+    /// Whether the step is late and has the class of steps in time, as its tenant is within its share;
+    /// false without tenants.
+    pub(crate) is_late: bool,
 }
 
 /// A waiting step at its place in the scheduling order.
@@ -414,6 +417,7 @@
             lateness: self.lateness(step, clock),
             priority: step.priority,
             band: tenants::Band::default(),
+            is_late: false,
         }
     }
 
@@ -428,10 +432,7 @@
             return Lateness::LongRunning;
         }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
-        let is_beyond_rate = state.is_beyond_rate && self.tenancy.is_active;
-        if is_beyond_rate && waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
-            Lateness::Beyond
-        } else if waited_ms < state.objective_ms {
+        if waited_ms < state.objective_ms {
             Lateness::InTime
         } else if waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
             Lateness::Late
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -8,32 +8,6 @@
 use crate::tenancy;
 use crate::workers;
 
-/// Number of bands of which a class and priority consists.
-const BANDS: usize = 3;
-
-/// Steps of one class and priority, by band, each in the order of their age.
-#[derive(Default)]
-struct Group {
-    bands: [Vec<scheduler::OrderedStep>; BANDS],
-}
-
-impl Group {
-    fn push(&mut self, step: scheduler::OrderedStep) {
-        let index = match step.0.band {
-            tenants::Band::Within => 0,
-            tenants::Band::Above => 1,
-            tenants::Band::FarAbove => 2,
-        };
-        self.bands[index].push(step);
-    }
-
-    fn append_to(&mut self, order: &mut Vec<scheduler::OrderedStep>) {
-        for band in &mut self.bands {
-            order.append(band);
-        }
-    }
-}
-
 impl scheduler::Scheduler {
     /// Orders the steps of each class and priority by the bands of their tenants, and takes out those that
     /// caps hold back; returns `order` unchanged without tenants in the manifest.
@@ -53,22 +27,15 @@
         }
         self.begin_tenant_pass(&order, clock);
         let mut arranged = Vec::with_capacity(order.len());
-        let mut group = Group::default();
-        let mut group_rank = None;
         let mut capped = Vec::new();
         let mut holds = vec![None; self.tenancy.states.len()];
         for (rank, step) in order {
-            if group_rank.replace((rank.lateness, rank.priority))
-                != Some((rank.lateness, rank.priority))
-            {
-                group.append_to(&mut arranged);
-            }
             match self.band_under_cap(rank.lateness, &step, &mut holds, clock) {
-                Some(band) => group.push((scheduler::Rank { band, ..rank }, step)),
+                Some(band) => arranged.push((self.rank_with_share(rank, band, &step), step)),
                 None => capped.push(step),
             }
         }
-        group.append_to(&mut arranged);
+        arranged.sort();
         for (state, hold) in self.tenancy.states.iter_mut().zip(holds) {
             state.hold = hold;
         }
@@ -82,6 +49,39 @@
         arranged
     }
 
+    /// Returns the rank of a step whose tenant is in `band`.
+    ///
+    /// What a tenant submits beyond its rate waits behind all owed work only while the tenant uses more
+    /// than its share: otherwise the room is owed to it. For the same reason, late work of a tenant within
+    /// its share keeps the priority of its queue. As it is bounded by the share, it cannot hold up others
+    /// after an outage.
+    fn rank_with_share(
+        &self,
+        rank: scheduler::Rank,
+        band: tenants::Band,
+        step: &scheduler::WaitingStep,
+    ) -> scheduler::Rank {
+        let state = self.jobs.get(&step.key.job_id);
+        let is_beyond_rate = state.is_some_and(|state| state.is_beyond_rate);
+        let is_within_share = band == tenants::Band::Within;
+        let is_timed = matches!(
+            rank.lateness,
+            scheduler::Lateness::InTime | scheduler::Lateness::Late
+        );
+        let is_late = rank.lateness == scheduler::Lateness::Late;
+        let lateness = match rank.lateness {
+            _ if is_timed && is_beyond_rate && !is_within_share => scheduler::Lateness::Beyond,
+            scheduler::Lateness::Late if is_within_share => scheduler::Lateness::InTime,
+            lateness => lateness,
+        };
+        scheduler::Rank {
+            lateness,
+            band,
+            is_late,
+            ..rank
+        }
+    }
+
     /// Sums up the workers and the active tenants.
     fn begin_tenant_pass(&mut self, order: &[scheduler::OrderedStep], clock: event::Clock) {
         let (mut capacity, mut usable) = Default::default();
@@ -140,6 +140,7 @@
         let tenancy = &mut self.tenancy;
         let number = step.tenant;
         let state = self.jobs.get(&step.key.job_id);
+        let is_beyond_rate = state.is_some_and(|state| state.is_beyond_rate);
         let Some((of, step_state)) = state.and_then(|state| state.step(step.key)) else {
             return Some(tenants::Band::default());
         };
@@ -181,7 +182,7 @@
         let pass = &mut tenancy.states[number as usize].pass;
         pass.expected_use = pass.expected_use.plus(&need);
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
-        let is_owed = lateness < scheduler::Lateness::Beyond;
+        let is_owed = lateness < scheduler::Lateness::Beyond && !is_beyond_rate;
         if is_owed && waited_ms >= tenants::FULL_WAIT.as_millis() as u64 {
             tenancy.states[number as usize].long_waited_at = Some(clock.now);
         }
