--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -63,6 +63,7 @@
         "status" => format_report(&commands::status::run(args).await?, format),
         "drain" => format_report(&commands::drain::run(args).await?, format),
         "wait" => format_report(&commands::wait::run(args).await?, format),
+        "tenants" => format_report(&commands::tenants::run(args).await?, format),
         "submit" => format_report(&commands::task::submit(args).await?, format),
         "get" => format_report(&commands::task::get(args).await?, format),
         "cancel" => format_report(&commands::task::cancel(args).await?, format),
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -7,4 +7,5 @@
 pub(crate) mod show;
 pub(crate) mod status;
 pub(crate) mod task;
+pub(crate) mod tenants;
 pub(crate) mod wait;
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -2,7 +2,8 @@
 
 /// Command names, in the order of the help text.
 pub(crate) const COMMAND_NAMES: &[&str] = &[
-    "check", "apply", "show", "diff", "status", "drain", "wait", "submit", "get", "cancel",
+    "check", "apply", "show", "diff", "status", "drain", "wait", "tenants", "submit", "get",
+    "cancel",
 ];
 
 const GENERAL: &str = "\
@@ -18,6 +19,7 @@
   status   print the status of instances
   drain    stop instances without interrupting requests
   wait     wait until a revision is in force on every live instance
+  tenants  print the metrics of the tenants of ferry-platform
 
 For callers:
   submit   submit a task
@@ -128,6 +130,16 @@
 Exit code 4 if the revision was not reached in time.
 ";
 
+const TENANTS: &str = "\
+ferryctl tenants: prints the metrics of tenants, summed over instances of ferry-platform
+
+Usage: ferryctl tenants --instances ADDR,..
+
+  --instances ADDR,..   metrics_address of each instance
+
+Exit code 1 if an instance did not answer.
+";
+
 const SUBMIT: &str = "\
 ferryctl submit: submits a task
 
@@ -177,6 +189,7 @@
         Some("status") => STATUS,
         Some("drain") => DRAIN,
         Some("wait") => WAIT,
+        Some("tenants") => TENANTS,
         Some("submit") => SUBMIT,
         Some("get") => GET,
         Some("cancel") => CANCEL,
--- a/crates/ctl/tests/instances.rs
+++ b/crates/ctl/tests/instances.rs
@@ -165,6 +165,29 @@
     expect_file!["golden/operators.txt"].assert_eq(&text);
 }
 
+/// Guards against metrics of tenants that are mixed up, or taken from other lines.
+#[tokio::test]
+async fn metrics_of_tenants_are_summed() {
+    let metrics = |text: &'static str| {
+        let app = axum::Router::new().route("/metrics", routing::get(move || async move { text }));
+        serve(app)
+    };
+    let first =
+        metrics("refused.unauthorized 9\ntenant.b.accepted 2\ntenant.a.accepted 40\n").await;
+    let second = metrics("tenant.a.accepted 2\ntenant.a.refused.tenant_rate 1\ntenant.x\n").await;
+    let lines = [
+        format!("tenants --instances {first},{second}"),
+        format!("tenants --instances {first},{CLOSED} --format json"),
+    ];
+    let names = [
+        (first.to_string(), "FIRST"),
+        (second.to_string(), "SECOND"),
+        (CLOSED.to_owned(), "CLOSED"),
+    ];
+    let text = run_sessions(&lines, &names).await;
+    expect_file!["golden/tenants.txt"].assert_eq(&text);
+}
+
 /// Answers a submission; the kind of the task selects the answer.
 async fn answer_task(body: String) -> axum::response::Response {
     let request: serde_json::Value = serde_json::from_str(&body).expect("the request is JSON");
