jobs, tenants, controller: no 401 on public queues, bounded messages and fetches

Cause: a leader with a newer manifest refused submissions of a removed tenant to public queues, which need no key; ten thousand findings made a line larger than the log's buffer; a manifest that only other builds accept would have been fetched with each heartbeat of each of them. Change: such a submission belongs to no tenant; a message has 500 findings and the number of others; a version that could not be put in force is not fetched again for 2 s.

--- a/crates/controller/src/confirmation.rs
+++ b/crates/controller/src/confirmation.rs
@@ -26,6 +26,9 @@
 /// Time after which a manifest counts as not fetched: one with 10,000 keys is half a megabyte, which
 /// takes half a second at 10 Mbit/s.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Time for which a version that could not be put in force is not fetched again: peers of another build
+/// may accept a manifest that this one finds invalid, and all of them report it.
+const REJECTED_PAUSE: time::Duration = time::Duration::from_millis(2_000);
 /// Number of peers asked at once, besides the leader.
 const ASKED_PEERS: usize = 2;
 /// Most peers remembered for a newer manifest; more report it with their next heartbeat.
@@ -38,6 +41,8 @@
     confirmed_at: sync::Mutex<Option<time::Instant>>,
     /// Addresses of peers that have a newer manifest, with its version.
     newer: sync::Mutex<collections::HashMap<sync::Arc<str>, model::ManifestVersion>>,
+    /// Version of the last manifest of a peer that was not put in force, and when it was received.
+    rejected: sync::Mutex<Option<(model::ManifestVersion, time::Instant)>>,
     /// Wakes the task that asks peers.
     wake: tokio::sync::Notify,
 }
@@ -65,6 +70,12 @@
         self.wake.notify_one();
     }
 
+    /// Returns whether a manifest of this version was received lately and not put in force.
+    fn is_rejected(&self, version: model::ManifestVersion) -> bool {
+        let rejected = *instance::lock(&self.rejected);
+        rejected.is_some_and(|(rejected, at)| version <= rejected && at.elapsed() < REJECTED_PAUSE)
+    }
+
     /// Records that the peer at `address` has a newer manifest.
     fn report_newer(&self, address: &sync::Arc<str>, version: model::ManifestVersion) {
         let mut newer = instance::lock(&self.newer);
@@ -169,18 +180,29 @@
     let mut reports: Vec<_> = reports.into_iter().collect();
     reports.sort_by_key(|(_, version)| std::cmp::Reverse(*version));
     for (address, version) in reports {
-        if version > shared.manifest_version() {
-            fetch(shared, &address).await;
-        }
+        fetch(shared, &address, version).await;
     }
 }
 
-async fn fetch<P: platform::Platform>(shared: &instance::Shared<P>, address: &sync::Arc<str>) {
+/// Fetches the manifest of `version` from a peer, if it is newer than the one in force.
+async fn fetch<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    address: &sync::Arc<str>,
+    version: model::ManifestVersion,
+) {
+    if version <= shared.manifest_version() || shared.confirmation.is_rejected(version) {
+        return;
+    }
     let link = shared.links.to(address);
     let reply = link.request(&model::ControllerRequest::Manifest, FETCH_TIMEOUT);
     match reply.await {
         Ok(model::ControllerReply::Manifest(Some(encoded))) => {
             watches::apply_manifest(shared, &encoded);
+            if shared.manifest_version() < version {
+                shared.metrics.count("manifest.fetch_rejected");
+                let rejected = Some((version, time::Instant::now()));
+                *instance::lock(&shared.confirmation.rejected) = rejected;
+            }
         }
         Ok(_) => {}
         Err(cause) => {
@@ -212,9 +234,7 @@
                     confirmed_age_ms,
                 }),
             )) => {
-                if version > shared.manifest_version() {
-                    fetch(shared, &address).await;
-                }
+                fetch(shared, &address, version).await;
                 let age = confirmed_age_ms.map(time::Duration::from_millis);
                 let confirmed_at = age.and_then(|age| asked_at.checked_sub(age));
                 if let Some(at) = confirmed_at.filter(|_| version == shared.manifest_version()) {
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -105,9 +105,10 @@
             }
             return Some(refused(model::RefusalReason::UnknownQueue, 0));
         };
-        if let Some(reply) = self.refuse_unknown_tenant(&arrived) {
-            return Some(reply);
-        }
+        let tenant = match self.known_tenant(&arrived, &job.queue) {
+            Ok(tenant) => tenant,
+            Err(reply) => return Some(reply),
+        };
         if !self.store_reachable {
             let retry_after_ms = self.store_retry_ms(clock);
             return Some(refused(
@@ -119,8 +120,8 @@
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
         let queue = sync::Arc::clone(queue);
-        let mut state = job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms)
-            .with_tenant(arrived.tenant);
+        let mut state =
+            job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms).with_tenant(tenant);
         let reply = job::Effect::Reply(arrived.token, model::JobReply::Accepted);
         state.effects.push(reply);
         log::info!(
@@ -137,17 +138,27 @@
         None
     }
 
-    /// Handles a submission of a tenant that the manifest in force does not have.
+    /// Returns the tenant of a submission; `None` for one without a tenant.
     ///
     /// The key was checked against the manifest of another instance. If that one is newer, the request
-    /// waits until this instance has it; if it is older, the tenant has been removed.
-    fn refuse_unknown_tenant(&self, arrived: &Arrived) -> Option<model::JobReply> {
-        let (tenants, tenant) = (self.manifest.tenants.as_ref()?, arrived.tenant.as_ref()?);
+    /// waits until this instance has it; if it is older, a tenant that is not known has been removed, and
+    /// its key counts as unknown.
+    fn known_tenant(
+        &self,
+        arrived: &Arrived,
+        queue: &model::QueueName,
+    ) -> Result<Option<model::TenantName>, model::JobReply> {
+        let (Some(tenants), Some(tenant)) = (&self.manifest.tenants, &arrived.tenant) else {
+            return Ok(arrived.tenant.clone());
+        };
         if tenants.get(tenant).is_some() {
-            return None;
+            return Ok(Some(model::TenantName::clone(tenant)));
         }
         if arrived.manifest_version > self.manifest.version {
-            return Some(model::JobReply::NotLeading);
+            return Err(model::JobReply::NotLeading);
+        }
+        if self.manifest.public_queues.contains(queue) {
+            return Ok(None);
         }
         log::info!(
             tenant:% = tenant,
@@ -155,7 +166,7 @@
             requesting_manifest = arrived.manifest_version;
             "submission refused: its tenant has been removed"
         );
-        Some(refused(model::RefusalReason::Unauthorized, 0))
+        Err(refused(model::RefusalReason::Unauthorized, 0))
     }
 
     /// Returns whether a request may see a job, if there is one with this id: a job without a tenant,
--- a/crates/jobs/tests/scheduler/tenants.rs
+++ b/crates/jobs/tests/scheduler/tenants.rs
@@ -213,13 +213,14 @@
 fn the_newer_manifest_decides_on_a_tenant() {
     let mut simulation = Simulation::new(5, 4, None);
     simulation.run_ms(200);
-    simulation.use_tenants(&["a"], &[]);
-    let submit = |id| {
-        let job = simulation::job(id, "short", simulation::step(1, 500, 20));
+    simulation.use_tenants(&["a"], &["long"]);
+    let submit = |id, queue| {
+        let job = simulation::job(id, queue, simulation::step(1, 500, 20));
         model::JobRequest::Submit(Box::new(job))
     };
-    let newer = simulation.request_of(Some("new"), 3, submit(1));
-    let older = simulation.request_of(Some("removed"), 1, submit(2));
+    let newer = simulation.request_of(Some("new"), 3, submit(1, "short"));
+    let older = simulation.request_of(Some("removed"), 1, submit(2, "short"));
+    let public = simulation.request_of(Some("removed"), 1, submit(3, "long"));
     simulation.run_ms(100);
     assert_eq!(simulation.replies[&newer], model::JobReply::NotLeading);
     let refused = model::JobReply::Refused {
@@ -227,4 +228,7 @@
         retry_after_ms: 0,
     };
     assert_eq!(simulation.replies[&older], refused);
+    // A public queue needs no key, so that a removed one does no harm.
+    assert_eq!(simulation.replies[&public], model::JobReply::Accepted);
+    assert_ne!(simulation.status_of(Some("a"), 3), UNKNOWN);
 }
--- a/crates/tenants/src/builder.rs
+++ b/crates/tenants/src/builder.rs
@@ -6,6 +6,9 @@
 use crate::tenant;
 use crate::tenant_set;
 
+/// Most findings in a message: a line of the log has to fit into the buffer of 512 KB with others.
+const MAX_SHOWN: usize = 500;
+
 /// Collects the tenants of a manifest and everything that is wrong with them.
 #[derive(Debug, Default)]
 pub struct TenantsBuilder {
@@ -161,12 +164,15 @@
 
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, finding) in self.0.iter().enumerate() {
+        for (index, finding) in self.0.iter().take(MAX_SHOWN).enumerate() {
             if index > 0 {
                 f.write_str("; ")?;
             }
             write!(f, "{finding}")?;
         }
-        Ok(())
+        match self.0.len().saturating_sub(MAX_SHOWN) {
+            0 => Ok(()),
+            others => write!(f, "; and {others} more"),
+        }
     }
 }
--- a/crates/tenants/tests/tenants.rs
+++ b/crates/tenants/tests/tenants.rs
@@ -59,6 +59,16 @@
     assert!(!format!("{findings} {findings:?}").contains("secret"));
 }
 
+/// Guards against findings that are lost with a log line that is too long for the log.
+#[test]
+fn message_of_many_findings_is_bounded() {
+    let entries = (0..10_000).map(|_| entry("a", &[], 0.0));
+    let findings = build(entries).unwrap_err();
+    let message = findings.to_string();
+    assert!(message.len() < 64 * 1024, "{}", message.len());
+    assert!(message.ends_with("; and 19499 more"), "{message}");
+}
+
 /// Guards against keys in the output of a value that has tenants.
 #[test]
 fn debug_output_has_no_key() {
