controller: ask more peers for the manifest, and leave a slow store time to answer

Change: up to 16 peers are asked at once, every 0.8 s; the watch has a second on top, so that a silent connection is noticed after 2 s, and the read is repeated after 0.5 s.

--- a/crates/controller/src/confirmation.rs
+++ b/crates/controller/src/confirmation.rs
@@ -29,8 +29,12 @@
 /// Time for which a version that could not be put in force is not fetched again: peers of another build
 /// may accept a manifest that this one finds invalid, and all of them report it.
 const REJECTED_PAUSE: time::Duration = time::Duration::from_millis(2_000);
-/// Number of peers asked at once, besides the leader.
-const ASKED_PEERS: usize = 2;
+/// Most peers asked at once, besides the leader: the only one that can be reached is found in a round or
+/// two, and a lost store causes a bounded number of messages.
+const ASKED_PEERS: usize = 16;
+/// Time between two rounds of questions without a confirmation: if the store is lost to all, nobody has
+/// one.
+const ROUND_PAUSE: time::Duration = time::Duration::from_millis(800);
 /// Most peers remembered for a newer manifest; more report it with their next heartbeat.
 const MAX_REPORTS: usize = 8;
 
@@ -131,6 +135,7 @@
 /// Keeps the manifest current with the help of peers until the instance stops.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut is_reported = false;
+    let mut asked_at = None;
     loop {
         tokio::select! {
             () = shared.confirmation.wake.notified() => {}
@@ -138,7 +143,7 @@
             () = shared.stop.cancelled() => return,
         }
         tokio::select! {
-            () = update(&shared) => {}
+            () = update(&shared, &mut asked_at) => {}
             () = shared.stop.cancelled() => return,
         }
         if shared.has_tenants() {
@@ -147,9 +152,16 @@
     }
 }
 
-async fn update<P: platform::Platform>(shared: &instance::Shared<P>) {
+/// Fetches newer manifests, and asks peers if the store does not confirm the one in force; `asked_at` is
+/// when they were last asked.
+async fn update<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    asked_at: &mut Option<time::Instant>,
+) {
     fetch_newer(shared).await;
-    if shared.has_tenants() && !shared.confirmation.is_within(PEER_CHECK_AGE) {
+    let may_ask = asked_at.is_none_or(|at| at.elapsed() >= ROUND_PAUSE);
+    if shared.has_tenants() && may_ask && !shared.confirmation.is_within(PEER_CHECK_AGE) {
+        *asked_at = Some(time::Instant::now());
         confirm_by_peers(shared).await;
     }
 }
--- a/crates/controller/src/watches.rs
+++ b/crates/controller/src/watches.rs
@@ -20,7 +20,7 @@
 const KEYS_POLL_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Time after which an unanswered read of the manifest is repeated in parallel: the connection may be
 /// dead.
-const HEDGE_DELAY: time::Duration = time::Duration::from_millis(300);
+const HEDGE_DELAY: time::Duration = time::Duration::from_millis(500);
 /// Maximum number of cluster entries read at once.
 const CLUSTER_PAGE_ENTRIES: u32 = 500;
 
