--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -11,6 +11,7 @@
 use crate::caller_request;
 use crate::error;
 use crate::mailbox;
+use crate::tenant_metrics;
 
 /// Shortest time between two ticks of the scheduler, which handle expired leases and outcomes; also
 /// the longest wait for an input.
@@ -123,6 +124,7 @@
     let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
     let mut crashes = CrashCounters::default();
+    let mut tenants = tenant_metrics::TenantMetrics::new(metrics);
     loop {
         let pause = if scheduler.needs_finish() {
             BACKLOG_TICK_INTERVAL
@@ -165,6 +167,7 @@
             ticked_at = clock.now;
             scheduler.handle(jobs::Event::Tick, clock);
             crashes.update(&scheduler.summary(), metrics);
+            tenants.publish(&scheduler, clock.now);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
         for (reason, reports) in scheduler.take_block_reports() {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay_worker;
 mod relays;
 mod settings;
+mod tenant_metrics;
 mod watches;
 
 pub use caller_request::CallerRequest;
--- a/crates/jobs/src/caps.rs
+++ b/crates/jobs/src/caps.rs
@@ -5,7 +5,6 @@
 
 use crate::blocked;
 use crate::event;
-use crate::job;
 use crate::journal;
 use crate::pass;
 use crate::scheduler;
@@ -146,37 +145,33 @@
     }
 }
 
-impl TenantGang<'_> {
-    /// Returns the room to keep for the gang once it has waited for long.
+impl scheduler::Scheduler {
+    /// Returns the room to keep for a gang, all members of which have to start, once it has waited for
+    /// long.
     ///
     /// None is kept for a gang that needs more than a cap that has been lowered. Room for one that needs at
     /// most half of the cap leaves the other half to other work. One that needs more has all of the
     /// tenant's later work wait for it, which is why it must be the cap that holds it back: it starts when
     /// runs of its tenant have ended, while it may never find capacity.
-    pub(crate) fn hold(&self, is_capped: bool, clock: event::Clock) -> Option<Hold> {
-        let waited = self.step_state.wait?.waited(clock.now);
-        let hold_after = time::Duration::from_millis(self.objective_ms);
-        let is_due = waited >= hold_after / HOLD_AFTER_OBJECTIVE_DIVISOR;
+    pub(crate) fn hold_for_gang(
+        &self,
+        step: &scheduler::WaitingStep,
+        cap: &tenants::Cap,
+        need: tenants::Amounts,
+        is_capped: bool,
+        clock: event::Clock,
+    ) -> Option<Hold> {
+        let state = self.jobs.get(&step.key.job_id)?;
+        let (_, step_state) = state.step(step.key)?;
+        let objective = time::Duration::from_millis(state.objective_ms);
+        let waited = step_state.wait?.waited(clock.now);
+        let is_due = waited >= objective / HOLD_AFTER_OBJECTIVE_DIVISOR;
         let nothing = tenants::Amounts::default();
-        let is_possible = self.cap.admits(&nothing, &self.need);
-        let leaves_half = self.cap.admits(&self.need, &self.need);
-        (is_due && is_possible && (is_capped || leaves_half)).then_some(Hold {
-            step: self.step,
-            need: self.need,
-        })
+        let is_possible = cap.admits(&nothing, &need);
+        let leaves_half = cap.admits(&need, &need);
+        (is_due && is_possible && (is_capped || leaves_half)).then_some(Hold { step: *step, need })
     }
-}
-
-/// A gang that waits, all members of which have to start.
-pub(crate) struct TenantGang<'a> {
-    pub(crate) step: scheduler::WaitingStep,
-    pub(crate) step_state: &'a job::StepState,
-    pub(crate) objective_ms: u64,
-    pub(crate) cap: tenants::Cap,
-    pub(crate) need: tenants::Amounts,
-}
 
-impl scheduler::Scheduler {
     /// Returns how many further tasks of a step the cap of its tenant admits.
     pub(crate) fn cap_limit(&self, key: model::StepKey) -> u32 {
         if !self.tenancy.is_active {
@@ -230,23 +225,20 @@
         self.begin_wait(key, clock);
     }
 
-    /// Releases what steps reserve that caps hold back, and reports some of them for each tenant.
+    /// Releases what steps reserve that caps hold back, and reports some of them for each tenant; each step
+    /// is given with whether it is a gang.
     pub(crate) fn hold_back_capped(
         &mut self,
-        capped: &[scheduler::WaitingStep],
+        capped: &[(scheduler::WaitingStep, bool)],
         clock: event::Clock,
     ) {
         let mut reported = vec![0; self.tenancy.states.len()];
-        for step in capped {
+        for (step, is_gang) in capped {
             self.reservations.release(step.key);
             let of_tenant: &mut u32 = &mut reported[step.tenant as usize];
             *of_tenant += 1;
-            let state = self.jobs.get(&step.key.job_id);
-            let is_gang = state
-                .and_then(|state| state.step(step.key))
-                .is_some_and(|(of, _)| of.gang);
             // The wait of a gang tells from when room is kept for it.
-            if *of_tenant <= MAX_REPORTED_STEPS || is_gang {
+            if *of_tenant <= MAX_REPORTED_STEPS || *is_gang {
                 self.begin_wait(step.key, clock);
             }
             if *of_tenant <= MAX_REPORTED_STEPS {
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -91,8 +91,10 @@
     pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         self.reservations.expire(clock.now);
         let mut changed = mem::take(&mut self.changed_steps);
-        let order = self.scheduling_order(clock);
-        let order = self.order_by_share(order, &mut changed, clock);
+        let order = match self.tenancy.is_active {
+            true => self.order_by_share(&mut changed, clock),
+            false => self.scheduling_order(clock),
+        };
         let mut pass = self.new_pass(clock);
         let head = self.place_head(&order, &mut changed, &mut pass, clock);
         let rest = &order[head..];
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -393,7 +393,7 @@
         }
     }
 
-    /// Returns the waiting steps in scheduling order.
+    /// Returns the waiting steps in scheduling order without tenants.
     ///
     /// Jobs that can still end in time precede jobs that cannot, whatever their priorities: after
     /// an outage the former would become late while they wait for the latter.
@@ -416,10 +416,21 @@
         let Some(state) = self.jobs.get(&step.key.job_id) else {
             return Lateness::InTime;
         };
-        if state
-            .step(step.key)
-            .is_some_and(|(step, _)| step.long_running)
-        {
+        match state.step(step.key) {
+            Some((of, _)) => self.lateness_of(state, of, step, clock),
+            None => Lateness::InTime,
+        }
+    }
+
+    /// Returns the class of a waiting step, the definition of which is `of`.
+    pub(crate) fn lateness_of(
+        &self,
+        state: &job::JobState,
+        of: &model::Step,
+        step: &WaitingStep,
+        clock: event::Clock,
+    ) -> Lateness {
+        if of.long_running {
             return Lateness::LongRunning;
         }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,8 @@
 //! Shares of tenants: their bands in the scheduling order.
 
+use std::iter;
+use std::mem;
+
 use crate::admission;
 use crate::caps;
 use crate::event;
@@ -8,82 +11,117 @@
 use crate::tenancy;
 use crate::workers;
 
+/// Number of classes by lateness.
+const CLASSES: usize = 5;
 /// Number of bands of which a class and priority consists.
 const BANDS: usize = 3;
 
-/// Steps of one class and priority, by band, each in the order of their age.
-#[derive(Default)]
-struct Group {
+/// What the order of a waiting step depends on besides its age.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    step: scheduler::WaitingStep,
+    demand: model::Demand,
+    waiting_count: u32,
+    is_gang: bool,
+    /// Whether its tasks may be placed: members of an earlier run of a gang that have not ended keep it
+    /// from that.
+    is_whole: bool,
+}
+
+/// Buffers for the scheduling order, which are kept from pass to pass.
+#[derive(Debug, Default)]
+pub(crate) struct OrderBuffers {
+    /// Waiting steps by class, each class by priority and age.
+    classes: [Vec<Waiting>; CLASSES],
+    /// Steps of one class and priority by band, each band by age.
     bands: [Vec<scheduler::OrderedStep>; BANDS],
 }
 
-impl Group {
-    fn push(&mut self, step: scheduler::OrderedStep) {
-        let index = match step.0.band {
-            tenants::Band::Within => 0,
-            tenants::Band::Above => 1,
-            tenants::Band::FarAbove => 2,
-        };
-        self.bands[index].push(step);
+fn class_index(lateness: scheduler::Lateness) -> usize {
+    match lateness {
+        scheduler::Lateness::LongRunning => 0,
+        scheduler::Lateness::InTime => 1,
+        scheduler::Lateness::Late => 2,
+        scheduler::Lateness::Beyond => 3,
+        scheduler::Lateness::Worthless => 4,
     }
+}
 
-    fn append_to(&mut self, order: &mut Vec<scheduler::OrderedStep>) {
-        for band in &mut self.bands {
-            order.append(band);
-        }
+/// The classes in the order of `class_index`.
+const CLASS_ORDER: [scheduler::Lateness; CLASSES] = [
+    scheduler::Lateness::LongRunning,
+    scheduler::Lateness::InTime,
+    scheduler::Lateness::Late,
+    scheduler::Lateness::Beyond,
+    scheduler::Lateness::Worthless,
+];
+
+fn band_index(band: tenants::Band) -> usize {
+    match band {
+        tenants::Band::Within => 0,
+        tenants::Band::Above => 1,
+        tenants::Band::FarAbove => 2,
     }
 }
 
 impl scheduler::Scheduler {
-    /// Orders the steps of each class and priority by the bands of their tenants, and takes out those that
-    /// caps hold back; returns `order` unchanged without tenants in the manifest.
+    /// Returns the waiting steps in scheduling order with tenants, without those that caps hold back:
+    /// by class, priority, band of the tenant's share and age.
     ///
     /// A step's band is that of what its tenant would use with the tenant's steps before it and the least
     /// that may start of it: the backlog of a tenant does not stand before the work of others because
     /// nothing of it runs yet. As steps start, that sum stays the same, and so does their order. The first
     /// step of a tenant of which nothing runs is within its share, however large it is.
+    ///
+    /// `waiting` is sorted by priority and age, so that no sorting is needed: the time is linear in the
+    /// number of steps, however many tenants there are.
     pub(crate) fn order_by_share(
         &mut self,
-        order: Vec<scheduler::OrderedStep>,
         changed: &mut maps::HashSet<model::StepKey>,
         clock: event::Clock,
     ) -> Vec<scheduler::OrderedStep> {
-        if !self.tenancy.is_active {
-            return order;
-        }
-        self.begin_tenant_pass(&order, clock);
-        let mut arranged = Vec::with_capacity(order.len());
-        let mut group = Group::default();
-        let mut group_rank = None;
+        let mut buffers = mem::take(&mut self.tenancy.order_buffers);
+        self.begin_tenant_pass(clock);
+        self.sort_into_classes(&mut buffers.classes, clock);
+        let mut order = Vec::with_capacity(self.waiting.len());
         let mut capped = Vec::new();
         let mut holds = vec![None; self.tenancy.states.len()];
-        for (rank, step) in order {
-            if group_rank.replace((rank.lateness, rank.priority))
-                != Some((rank.lateness, rank.priority))
-            {
-                group.append_to(&mut arranged);
-            }
-            match self.band_under_cap(rank.lateness, &step, &mut holds, clock) {
-                Some(band) => group.push((scheduler::Rank { band, ..rank }, step)),
-                None => capped.push(step),
+        for (lateness, class) in iter::zip(CLASS_ORDER, &mut buffers.classes) {
+            let mut priority = 0;
+            for waiting in class.drain(..) {
+                if waiting.step.priority != priority {
+                    priority = waiting.step.priority;
+                    append_bands(&mut order, &mut buffers.bands);
+                }
+                let Some(band) = self.band_under_cap(lateness, &waiting, &mut holds, clock) else {
+                    capped.push((waiting.step, waiting.is_gang));
+                    continue;
+                };
+                let rank = scheduler::Rank {
+                    lateness,
+                    priority,
+                    band,
+                };
+                buffers.bands[band_index(band)].push((rank, waiting.step));
             }
+            append_bands(&mut order, &mut buffers.bands);
         }
-        group.append_to(&mut arranged);
         for (state, hold) in self.tenancy.states.iter_mut().zip(holds) {
             state.hold = hold;
         }
         if !changed.is_empty() {
-            for step in &capped {
+            for (step, _) in &capped {
                 changed.remove(&step.key);
             }
         }
         self.hold_back_capped(&capped, clock);
         self.tenancy.log_caps(clock.now);
-        arranged
+        self.tenancy.order_buffers = buffers;
+        order
     }
 
     /// Sums up the workers and the active tenants.
-    fn begin_tenant_pass(&mut self, order: &[scheduler::OrderedStep], clock: event::Clock) {
+    fn begin_tenant_pass(&mut self, clock: event::Clock) {
         let (mut capacity, mut usable) = Default::default();
         let mut used = tenants::Amounts::default();
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
@@ -101,7 +139,7 @@
                 ..tenancy::TenantPass::default()
             };
         }
-        for (_, step) in order {
+        for step in &self.waiting {
             tenancy.states[step.tenant as usize].pass.waiting_steps += 1;
         }
         let active = tenancy
@@ -124,67 +162,88 @@
         tenancy.load = tenants::Load {
             used_fraction: tenancy.load.used_fraction,
             others_wait: false,
-            waiting_steps: order.len(),
+            waiting_steps: self.waiting.len(),
             max_waiting_steps: self.settings.max_waiting_steps,
         };
     }
 
+    /// Adds the waiting steps to the classes of their lateness.
+    fn sort_into_classes(&self, classes: &mut [Vec<Waiting>; CLASSES], clock: event::Clock) {
+        for step in &self.waiting {
+            let mut waiting = Waiting {
+                step: *step,
+                demand: model::Demand::default(),
+                waiting_count: 0,
+                is_gang: false,
+                is_whole: false,
+            };
+            // The visit of a step that is not known takes it out of the queue.
+            let mut lateness = scheduler::Lateness::InTime;
+            let state = self.jobs.get(&step.key.job_id);
+            if let Some(state) = state
+                && let Some((of, step_state)) = state.step(step.key)
+            {
+                lateness = self.lateness_of(state, of, step, clock);
+                waiting.demand = workers::counted_demand(of);
+                waiting.waiting_count = step_state.waiting_count;
+                waiting.is_gang = of.gang;
+                waiting.is_whole = !of.gang || step_state.waiting_count == of.task_count;
+            }
+            classes[class_index(lateness)].push(waiting);
+        }
+    }
+
     /// Returns the band of a waiting step, or `None` if the cap of its tenant holds it back.
     fn band_under_cap(
         &mut self,
         lateness: scheduler::Lateness,
-        step: &scheduler::WaitingStep,
+        waiting: &Waiting,
         holds: &mut [Option<caps::Hold>],
         clock: event::Clock,
     ) -> Option<tenants::Band> {
-        let tenancy = &mut self.tenancy;
-        let number = step.tenant;
-        let state = self.jobs.get(&step.key.job_id);
-        let Some((of, step_state)) = state.and_then(|state| state.step(step.key)) else {
-            return Some(tenants::Band::default());
-        };
-        let demand = workers::counted_demand(of);
-        let need = tenants::Amounts::of_tasks(&demand, step_state.waiting_count);
-        // Members of an earlier run of a gang that have not ended keep it from being placed.
-        let is_whole = !of.gang || step_state.waiting_count == of.task_count;
-        let least = match of.gang {
+        let (step, number) = (&waiting.step, waiting.step.tenant);
+        let need = tenants::Amounts::of_tasks(&waiting.demand, waiting.waiting_count);
+        let least = match waiting.is_gang {
             true => need,
-            false => tenants::Amounts::of_tasks(&demand, 1),
+            false => tenants::Amounts::of_tasks(&waiting.demand, 1),
         };
-        let cap = tenancy.terms(number).map(|terms| terms.cap);
-        if let Some(cap) = cap.filter(|_| is_whole) {
-            let is_capped = !cap.admits(&tenancy.counted_use(step), &least);
-            if of.gang {
-                let gang = caps::TenantGang {
-                    step: *step,
-                    step_state,
-                    objective_ms: state.map_or(0, |state| state.objective_ms),
-                    cap,
-                    need,
-                };
+        let cap = self.tenancy.terms(number).map(|terms| terms.cap);
+        if let Some(cap) = cap.filter(|_| waiting.is_whole) {
+            let is_capped = !cap.admits(&self.tenancy.counted_use(step), &least);
+            if waiting.is_gang {
                 let hold = &mut holds[number as usize];
                 let is_first = hold.is_none_or(|first| *step < first.step);
-                if let Some(new) = gang.hold(is_capped, clock).filter(|_| is_first) {
+                let new = self.hold_for_gang(step, &cap, need, is_capped, clock);
+                if let Some(new) = new.filter(|_| is_first) {
                     *hold = Some(new);
                 }
             }
             if is_capped {
-                tenancy.states[number as usize].pass.capped_steps += 1;
+                self.tenancy.states[number as usize].pass.capped_steps += 1;
                 return None;
             }
         }
-        let expected = tenancy.states[number as usize].pass.expected_use;
+        let expected = self.tenancy.states[number as usize].pass.expected_use;
         let band = match expected.is_zero() {
-            true => tenancy.band(number, &expected),
-            false => tenancy.band(number, &expected.plus(&least)),
+            true => self.tenancy.band(number, &expected),
+            false => self.tenancy.band(number, &expected.plus(&least)),
         };
-        let pass = &mut tenancy.states[number as usize].pass;
-        pass.expected_use = pass.expected_use.plus(&need);
+        let state = &mut self.tenancy.states[number as usize];
+        state.pass.expected_use = expected.plus(&need);
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
         let is_owed = lateness < scheduler::Lateness::Beyond;
         if is_owed && waited_ms >= tenants::FULL_WAIT.as_millis() as u64 {
-            tenancy.states[number as usize].long_waited_at = Some(clock.now);
+            state.long_waited_at = Some(clock.now);
         }
         Some(band)
     }
 }
+
+fn append_bands(
+    order: &mut Vec<scheduler::OrderedStep>,
+    bands: &mut [Vec<scheduler::OrderedStep>; BANDS],
+) {
+    for band in bands {
+        order.append(band);
+    }
+}
--- a/crates/jobs/src/tenancy.rs
+++ b/crates/jobs/src/tenancy.rs
@@ -11,6 +11,7 @@
 use crate::job;
 use crate::maps;
 use crate::scheduler;
+use crate::shares;
 
 /// Number of work without a tenant: accepted without an API key, or of an unknown job.
 pub(crate) const NO_TENANT: tenants::TenantNumber = 0;
@@ -31,6 +32,7 @@
     pub(crate) load: tenants::Load,
     /// When the used fraction in `load` was measured.
     pub(crate) peak_at: Option<time::Instant>,
+    pub(crate) order_buffers: shares::OrderBuffers,
     /// Limits the lines about caps that are reached and left.
     pub(crate) cap_log: caps::LogLimit,
     /// Limits the lines about refused jobs.
@@ -113,6 +115,7 @@
             division: tenants::Division::default(),
             load: tenants::Load::default(),
             peak_at: None,
+            order_buffers: shares::OrderBuffers::default(),
             cap_log: caps::LogLimit::default(),
             refusal_log: caps::LogLimit::default(),
         }
--- a/crates/jobs/tests/scheduler/tenant_limits.rs
+++ b/crates/jobs/tests/scheduler/tenant_limits.rs
@@ -385,6 +385,7 @@
         let work = simulation::step(1, 2_000, 1_500);
         simulation.submit_as("big", simulation::job(id, "short", work));
     }
+    assert!(simulation.waiting_steps() > 200, "no backlog");
     let mut submitted = Vec::new();
     for (number, name) in (0..).zip(&small) {
         let id = 1_000 + number;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -19,5 +19,6 @@
 pub use logger::LineLogger;
 pub use logger::init_logs;
 pub use metrics::Metrics;
+pub use metrics::metric_part;
 pub use pair::Pair;
 pub use pair::kv;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -235,3 +235,13 @@
 fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
     lock.write().unwrap_or_else(sync::PoisonError::into_inner)
 }
+
+/// Returns text of operators as a part of a metric's name, which has no spaces, line ends or dots.
+#[must_use]
+pub fn metric_part(text: &str) -> String {
+    let is_plain = |character: char| character.is_alphanumeric() || "-_".contains(character);
+    let characters = text.chars();
+    characters
+        .map(|character| if is_plain(character) { character } else { '_' })
+        .collect()
+}
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -58,3 +58,10 @@
     assert_eq!(snapshot["starts"], 4_000);
     assert_eq!(snapshot["refusals"], 0);
 }
+
+/// Guards against names from a manifest that break the lines of a report, or its hierarchy of names.
+#[test]
+fn parts_of_names_have_no_separators() {
+    assert_eq!(telemetry::metric_part("team-1_x"), "team-1_x");
+    assert_eq!(telemetry::metric_part("a.b c\nd"), "a_b_c_d");
+}
