--- a/crates/jobs/benches/tenants.rs
+++ b/crates/jobs/benches/tenants.rs
@@ -78,7 +78,7 @@
     run_ms: u64,
 ) {
     let step = simulation::step(TASKS_PER_JOB as u32, 1_500, run_ms as u32);
-    let queue = if id % 3 == 0 { "short" } else { "long" };
+    let queue = if id.is_multiple_of(3) { "short" } else { "long" };
     let job = simulation::job(id, queue, step);
     // The heavy tenants submit most.
     let tenant = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as usize % TENANTS;
