tests: crowds of untrusted clients at ferry-platform and ferry-entry

Untrusted clients ended a process, which ran out of memory. The tests start a process with small limits, let a crowd do one thing, and check that the process lives, that its memory and descriptors stay under a bound, and that ordinary requests are answered.

--- a/crates/entry/tests/common/instance.rs
+++ b/crates/entry/tests/common/instance.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,11 +1,12 @@
 //! In-memory stand-ins for the services of the platform, for tests: the key-value store, workers,
-//! the directory, and TCP relays between two addresses.
+//! the directory, TCP relays between two addresses, and crowds of clients that misbehave.
 //!
 //! Each component listens on its own address, supports fault injection and joins its tasks at
 //! shutdown. Nothing is written to disk.
 
 mod clock;
 mod control;
+pub mod crowd;
 mod directory;
 mod error;
 mod faults;
