peer, controller: bound what peers send before it is handled

Anyone could open up to 4,096 connections to the peer listener without a hello, and send each of them as much as the flow control window of 36 MiB allows. The leader counted the requests that wait for its control thread, but not their bytes.

Connections that are not authenticated are bounded (64 unless set); the oldest one is closed for a new one, since an instance authenticates within a round trip. They may send 64 KiB in all and heads of 16 KiB. Requests that are received and not handled are bounded in bytes; one beyond the bound is refused by a stream reset with REFUSED_STREAM, which the sender knows as not handled. Requests that wait for the control thread are bounded in bytes as they are in number: the caller gets the same answer as before (undecided).

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -43,8 +43,8 @@
         self.mailbox.push_event(event);
     }
 
-    /// Sends a caller's request and waits for the reply; `None` if the term ends before that or too
-    /// many requests wait.
+    /// Sends a caller's request and waits for the reply; `None` if the term ends before that, or if
+    /// too many requests wait or take too much memory.
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
@@ -59,6 +59,7 @@
         let (reply, receiver) = oneshot::channel();
         let request = mailbox::Request {
             manifest_version,
+            memory: self.mailbox.reserve(&request)?,
             request,
             reply,
         };
@@ -76,7 +77,8 @@
 }
 
 impl ControlThread {
-    /// Starts the thread, which sends the scheduler's actions to `actions`.
+    /// Starts the thread, which sends the scheduler's actions to `actions`. Requests that wait for it
+    /// take at most `max_waiting_bytes`.
     ///
     /// # Errors
     ///
@@ -85,8 +87,10 @@
         scheduler: jobs::Scheduler,
         metrics: telemetry::Metrics,
         actions: tokio_mpsc::UnboundedSender<Decisions>,
+        max_waiting_bytes: u64,
     ) -> Result<Self, error::Error> {
-        let mailbox = sync::Arc::new(mailbox::Mailbox::new());
+        let mailbox = mailbox::Mailbox::new(max_waiting_bytes, metrics.clone());
+        let mailbox = sync::Arc::new(mailbox);
         let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
@@ -141,6 +145,7 @@
             manifest_version,
             request,
             reply,
+            memory,
         } in round.requests
         {
             let event = jobs::Event::Request {
@@ -151,6 +156,7 @@
                 overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
+            drop(memory);
         }
         if is_stopping {
             pending.send_replies(scheduler.end_term());
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::gateway;
 use crate::heartbeat;
 use crate::links;
+use crate::peer_gauges;
 use crate::pending_counts;
 use crate::platform;
 use crate::registration;
@@ -184,7 +185,11 @@
             settings,
         });
         let peer_server_stop = CancellationToken::new();
-        let server = peer::Server::new(identity);
+        let max_peer_bytes = usize::try_from(shared.settings.max_peer_bytes);
+        let server = peer::Server::new(identity)
+            .max_received_bytes(max_peer_bytes.unwrap_or(usize::MAX))
+            .max_new_connections(shared.settings.max_new_peers);
+        let counted_server = server.clone();
         let handler = gateway::PeerHandler::new(sync::Arc::clone(&shared));
         let stop = peer_server_stop.clone();
         let peer_server = tokio::spawn(async move { server.serve(listener, handler, stop).await });
@@ -195,6 +200,7 @@
         tasks.spawn(heartbeat::run(sync::Arc::clone(&shared)));
         tasks.spawn(election::run(sync::Arc::clone(&shared)));
         tasks.spawn(relay_worker::run(sync::Arc::clone(&shared)));
+        tasks.spawn(peer_gauges::run(sync::Arc::clone(&shared), counted_server));
         tasks.close();
         Ok(Self {
             shared,
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -52,8 +52,12 @@
 ) -> Result<(), error::Error> {
     let scheduler = recover(shared, term).await?;
     let (decisions, decisions_receiver) = mpsc::unbounded_channel();
-    let control =
-        control_thread::ControlThread::start(scheduler, shared.metrics.clone(), decisions)?;
+    let control = control_thread::ControlThread::start(
+        scheduler,
+        shared.metrics.clone(),
+        decisions,
+        shared.settings.max_peer_bytes,
+    )?;
     let term_ended = CancellationToken::new();
     let relays = relays::Relays::new(shared, term, control.handle(), term_ended.clone());
     let leadership = Leadership {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,6 +19,7 @@
 mod links;
 mod mailbox;
 mod orders;
+mod peer_gauges;
 mod pending_counts;
 mod platform;
 mod registration;
--- a/crates/controller/src/mailbox.rs
+++ b/crates/controller/src/mailbox.rs
@@ -1,6 +1,7 @@
 //! What waits for the control thread.
 
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -17,6 +18,30 @@
     pub(crate) manifest_version: model::ManifestVersion,
     pub(crate) request: model::JobRequest,
     pub(crate) reply: oneshot::Sender<model::JobReply>,
+    /// From [`Mailbox::reserve`].
+    pub(crate) memory: WaitingMemory,
+}
+
+/// Memory of a waiting request; counts until it is dropped.
+pub(crate) struct WaitingMemory {
+    bytes: u64,
+    waiting_bytes: sync::Arc<atomic::AtomicU64>,
+}
+
+impl Drop for WaitingMemory {
+    fn drop(&mut self) {
+        self.waiting_bytes
+            .fetch_sub(self.bytes, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Returns the memory that a waiting request takes, in bytes.
+fn memory_bytes(request: &model::JobRequest) -> u64 {
+    let job_bytes = match request {
+        model::JobRequest::Submit(job) => job.memory_bytes(),
+        _ => 0,
+    };
+    (size_of::<Request>() + job_bytes) as u64
 }
 
 /// What the control thread shares with those that send to it.
@@ -24,6 +49,13 @@
     state: sync::Mutex<MailboxState>,
     /// Notified when an input is added or the thread is to stop.
     changed: sync::Condvar,
+    /// Bytes that the waiting requests take.
+    waiting_bytes: sync::Arc<atomic::AtomicU64>,
+    /// Most bytes that the waiting requests take; one alone may take more.
+    max_waiting_bytes: u64,
+    /// Whether requests have been refused since few waited.
+    is_full: atomic::AtomicBool,
+    metrics: telemetry::Metrics,
 }
 
 struct MailboxState {
@@ -41,7 +73,7 @@
 }
 
 impl Mailbox {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(max_waiting_bytes: u64, metrics: telemetry::Metrics) -> Self {
         Self {
             state: sync::Mutex::new(MailboxState {
                 inbox: admit::Inbox::new(MAX_WAITING_REQUESTS),
@@ -49,6 +81,10 @@
                 is_closed: false,
             }),
             changed: sync::Condvar::new(),
+            waiting_bytes: sync::Arc::default(),
+            max_waiting_bytes,
+            is_full: atomic::AtomicBool::new(false),
+            metrics,
         }
     }
 
@@ -82,6 +118,30 @@
         }
     }
 
+    /// Counts the memory of a request that is to be added; `None` if the waiting requests take too
+    /// much.
+    pub(crate) fn reserve(&self, request: &model::JobRequest) -> Option<WaitingMemory> {
+        let bytes = memory_bytes(request);
+        let before = self
+            .waiting_bytes
+            .fetch_add(bytes, atomic::Ordering::Relaxed);
+        let memory = WaitingMemory {
+            bytes,
+            waiting_bytes: sync::Arc::clone(&self.waiting_bytes),
+        };
+        if before < self.max_waiting_bytes / 2 {
+            self.is_full.store(false, atomic::Ordering::Relaxed);
+        }
+        if before == 0 || before + bytes <= self.max_waiting_bytes {
+            return Some(memory);
+        }
+        self.metrics.count("refused.waiting_bytes");
+        if !self.is_full.swap(true, atomic::Ordering::Relaxed) {
+            log::warn!(waiting_bytes = before; "waiting requests take too much memory; refusing more");
+        }
+        None
+    }
+
     /// Adds a request; `None` if the thread has ended or too many requests wait.
     pub(crate) fn push_request(&self, rank: admit::Rank, request: Request) -> Option<()> {
         let mut state = instance::lock(&self.state);
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -37,10 +37,22 @@
     pub order_timeout: time::Duration,
     /// How long a request waits for a leader before it is refused.
     pub leader_wait: time::Duration,
+    /// Most bytes that peers have sent and that are not handled yet; also the most that the jobs
+    /// take that wait for the control thread.
+    pub max_peer_bytes: u64,
+    /// Maximum number of connections to the peer listener that are not authenticated.
+    pub max_new_peers: usize,
     /// Settings of the job scheduler.
     pub jobs: jobs::Settings,
 }
 
+/// Bound of what peers have sent unless set otherwise, in bytes: 64 requests of 2 KB from each of
+/// 120 instances.
+const DEFAULT_MAX_PEER_BYTES: u64 = 15_000_000;
+/// Unauthenticated connections unless set otherwise; an instance authenticates at once, so that this
+/// many are there only if hundreds of instances connect at the same time.
+const DEFAULT_MAX_NEW_PEERS: usize = 64;
+
 impl Settings {
     /// Creates settings with defaults for all but the name and the peer address.
     #[must_use]
@@ -61,10 +73,26 @@
             directory_interval: ms(700),
             order_timeout: ms(400),
             leader_wait: ms(1_500),
+            max_peer_bytes: DEFAULT_MAX_PEER_BYTES,
+            max_new_peers: DEFAULT_MAX_NEW_PEERS,
             jobs: jobs::Settings::default(),
         }
     }
 
+    /// Sets the most bytes that peers have sent and that are not handled yet.
+    #[must_use]
+    pub fn max_peer_bytes(mut self, bytes: impl Into<u64>) -> Self {
+        self.max_peer_bytes = bytes.into();
+        self
+    }
+
+    /// Sets the maximum number of unauthenticated connections to the peer listener.
+    #[must_use]
+    pub fn max_new_peers(mut self, count: impl Into<usize>) -> Self {
+        self.max_new_peers = count.into();
+        self
+    }
+
     /// Sets the processor time of the machine, in thousandths of a core.
     #[must_use]
     pub fn strength_milli(mut self, milli: impl Into<u32>) -> Self {
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -87,6 +87,26 @@
     pub schedule: Option<Schedule>,
 }
 
+impl Job {
+    /// Returns the memory that the job takes, in bytes; texts that jobs share count as their own.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let steps: usize = self.steps.iter().map(Step::memory_bytes).sum();
+        size_of::<Self>() + self.spec.len() + steps
+    }
+}
+
+impl Step {
+    fn memory_bytes(&self) -> usize {
+        let text = |text: &Option<sync::Arc<str>>| text.as_ref().map_or(0, |text| text.len());
+        size_of::<Self>()
+            + size_of_val(self.after.as_slice())
+            + text(&self.required_label)
+            + text(&self.image)
+            + self.data_rack.as_ref().map_or(0, |rack| rack.len())
+    }
+}
+
 /// Status of a job, as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStatus {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -13,6 +13,8 @@
 pub(crate) enum ReadError {
     #[error("message is larger than {limit_bytes} bytes")]
     TooLarge { limit_bytes: usize },
+    #[error("too many bytes are received and not handled")]
+    NoRoom,
     #[error("stream failed: {0}")]
     StreamFailed(#[from] h2::Error),
 }
@@ -30,10 +32,12 @@
     (used_bytes == encoded.len()).then_some(message)
 }
 
-/// Reads a stream to its end, releasing flow control as the data is read.
+/// Reads a stream to its end, releasing flow control as the data is read; stops if `has_room` doesn't
+/// grant the bytes of a chunk.
 pub(crate) async fn read_all(
     stream: &mut RecvStream,
     max_bytes: usize,
+    mut has_room: impl FnMut(usize) -> bool,
 ) -> Result<Vec<u8>, ReadError> {
     let mut message = Vec::new();
     while let Some(chunk) = stream.data().await {
@@ -44,6 +48,9 @@
                 limit_bytes: max_bytes,
             });
         }
+        if !has_room(chunk.len()) {
+            return Err(ReadError::NoRoom);
+        }
         message.extend_from_slice(&chunk);
     }
     Ok(message)
--- a/crates/peer/src/counts.rs
+++ b/crates/peer/src/counts.rs
@@ -39,6 +39,10 @@
     pub refused_too_large: u64,
     /// Connections and requests refused because they were malformed.
     pub refused_malformed: u64,
+    /// Requests refused, before they were handled, as too many bytes of others were not.
+    pub refused_no_room: u64,
+    /// Unauthenticated connections closed for newer ones.
+    pub closed_unauthenticated: u64,
 }
 
 /// The category under which a message is counted.
@@ -89,6 +93,8 @@
     wrong_version: atomic::AtomicU64,
     too_large: atomic::AtomicU64,
     malformed: atomic::AtomicU64,
+    no_room: atomic::AtomicU64,
+    closed_unauthenticated: atomic::AtomicU64,
 }
 
 impl Counters {
@@ -112,6 +118,14 @@
         add(&self.replaced, 1);
     }
 
+    pub(crate) fn count_refused_stream(&self) {
+        add(&self.no_room, 1);
+    }
+
+    pub(crate) fn count_closed_new_connection(&self) {
+        add(&self.closed_unauthenticated, 1);
+    }
+
     pub(crate) fn count_refusal(&self, reason: error::RefusalReason) {
         let counter = match reason {
             error::RefusalReason::WrongCluster => &self.wrong_cluster,
@@ -134,6 +148,8 @@
             refused_wrong_version: load(&self.wrong_version),
             refused_too_large: load(&self.too_large),
             refused_malformed: load(&self.malformed),
+            refused_no_room: load(&self.no_room),
+            closed_unauthenticated: load(&self.closed_unauthenticated),
         }
     }
 
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -94,7 +94,7 @@
     progress: Progress,
 ) -> Result<Vec<u8>, error::Error> {
     let mut stream = response.into_body();
-    match codec::read_all(&mut stream, max_message_bytes).await {
+    match codec::read_all(&mut stream, max_message_bytes, |_| true).await {
         Ok(message) => Ok(message),
         Err(codec::ReadError::StreamFailed(cause)) => Err(progress.h2_failure(&cause)),
         Err(cause) => Err(protocol_error(format!("response cannot be read: {cause}"))),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,11 +9,14 @@
 mod counts;
 mod error;
 mod exchange;
+mod guarded_stream;
 mod handler;
 mod handshake;
 mod identity;
 mod link;
 mod message;
+mod new_sessions;
+mod received;
 mod server;
 mod session;
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -10,6 +10,8 @@
 use crate::counts;
 use crate::handler;
 use crate::identity;
+use crate::new_sessions;
+use crate::received;
 use crate::session;
 
 /// Largest message unless set otherwise, in bytes.
@@ -22,6 +24,12 @@
 pub(crate) const SEND_BUFFER_BYTES: usize = 1024 * 1024;
 /// Maximum number of connections: one from each instance, and old ones until they are dropped.
 const MAX_CONNECTIONS: usize = 4096;
+/// Bytes of requests received and not handled unless set otherwise: no bound, as only the program
+/// knows its machine.
+const DEFAULT_MAX_RECEIVED_BYTES: usize = usize::MAX;
+/// Unauthenticated connections unless set otherwise; an instance authenticates at once, so that this
+/// many are there only if hundreds of instances connect at the same time.
+const DEFAULT_MAX_NEW_CONNECTIONS: usize = 64;
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -30,6 +38,8 @@
 pub struct Server {
     identity: identity::Identity,
     max_message_bytes: usize,
+    received: received::ReceivedBytes,
+    max_new_connections: usize,
     counters: sync::Arc<counts::Counters>,
 }
 
@@ -40,6 +50,8 @@
         Self {
             identity,
             max_message_bytes: DEFAULT_MAX_MESSAGE_BYTES,
+            received: received::ReceivedBytes::new(DEFAULT_MAX_RECEIVED_BYTES),
+            max_new_connections: DEFAULT_MAX_NEW_CONNECTIONS,
             counters: sync::Arc::default(),
         }
     }
@@ -51,6 +63,22 @@
         self
     }
 
+    /// Sets the most bytes of requests that are received and not handled, over all connections. A
+    /// request beyond it is refused before it is handled, so that the sender may repeat it.
+    #[must_use]
+    pub fn max_received_bytes(mut self, bytes: impl Into<usize>) -> Self {
+        self.received = received::ReceivedBytes::new(bytes.into());
+        self
+    }
+
+    /// Sets the maximum number of connections that are not authenticated; the oldest one is closed
+    /// for a further one.
+    #[must_use]
+    pub fn max_new_connections(mut self, count: impl Into<usize>) -> Self {
+        self.max_new_connections = count.into();
+        self
+    }
+
     /// Serves connections until `shutdown`; returns once every open stream is answered.
     ///
     /// On shutdown each connection announces that no new streams are accepted. Requests that are
@@ -64,6 +92,7 @@
         shutdown: CancellationToken,
     ) {
         let mut sessions = task::JoinSet::new();
+        let new_sessions = new_sessions::NewSessions::new(self.max_new_connections, &self.counters);
         loop {
             tokio::select! {
                 () = shutdown.cancelled() => break,
@@ -72,7 +101,7 @@
                     match accepted {
                         Ok((stream, remote)) => {
                             let session = self.session(handler.clone(), remote, shutdown.clone());
-                            sessions.spawn(session.run(stream));
+                            sessions.spawn(session.run(stream, new_sessions.add(remote)));
                         }
                         Err(cause) => {
                             log::warn!("event=peer_accept_failed cause={cause:?}");
@@ -101,6 +130,7 @@
         session::Session {
             identity: self.identity.clone(),
             max_message_bytes: self.max_message_bytes,
+            received: self.received.clone(),
             counters: sync::Arc::clone(&self.counters),
             handler,
             remote,
--- a/crates/peer/src/session.rs
+++ b/crates/peer/src/session.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use h2::server;
@@ -13,10 +14,13 @@
 use crate::counts;
 use crate::error;
 use crate::exchange;
+use crate::guarded_stream;
 use crate::handler;
 use crate::handshake;
 use crate::identity;
 use crate::message;
+use crate::new_sessions;
+use crate::received;
 use crate::server::CONNECTION_WINDOW_BYTES;
 use crate::server::SEND_BUFFER_BYTES;
 use crate::server::STREAM_WINDOW_BYTES;
@@ -25,6 +29,8 @@
 const MAX_STREAMS: u32 = 4096;
 /// Maximum number of requests on one connection that were cancelled before they were accepted.
 const MAX_PENDING_RESET_STREAMS: usize = 4096;
+/// Largest head of a request, in bytes; those of instances take less than 1 KB.
+const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
 /// Time within which a new connection must send its hello.
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Time within which one message must be received or sent.
@@ -34,14 +40,24 @@
 /// Time within which the other end must close a connection that has no open streams any more.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
-type Connection = server::Connection<tokio::net::TcpStream, bytes::Bytes>;
+type Connection = server::Connection<guarded_stream::GuardedStream, bytes::Bytes>;
 type Respond = server::SendResponse<bytes::Bytes>;
 type Request = http::Request<h2::RecvStream>;
 
+/// Result of reading a request that is not refused for what it is.
+enum ReadOutcome<R> {
+    Complete(R, counts::Category),
+    /// It was not received completely.
+    Incomplete,
+    /// Too many bytes are held for requests.
+    NoRoom,
+}
+
 /// Serves one connection.
 pub(crate) struct Session<H> {
     pub(crate) identity: identity::Identity,
     pub(crate) max_message_bytes: usize,
+    pub(crate) received: received::ReceivedBytes,
     pub(crate) counters: sync::Arc<counts::Counters>,
     pub(crate) handler: H,
     pub(crate) remote: net::SocketAddr,
@@ -49,16 +65,18 @@
 }
 
 impl<H: handler::Handler> Session<H> {
-    /// Serves until the connection ends, or until `shutdown` is cancelled and every open stream is
+    /// Serves until the connection ends, until it is closed before it is authenticated, or until `shutdown` is cancelled and every open stream is
     /// answered.
-    pub(crate) async fn run(self, stream: tokio::net::TcpStream) {
+    pub(crate) async fn run(self, stream: tokio::net::TcpStream, new: new_sessions::NewSession) {
         let _ = stream.set_nodelay(true);
         let remote = self.remote;
         let shutdown = self.shutdown.clone();
         let opened = tokio::select! {
             opened = tokio::time::timeout(HELLO_TIMEOUT, self.open(stream)) => opened,
+            () = new.closed() => return,
             () = shutdown.cancelled() => return,
         };
+        drop(new);
         match opened {
             Ok(Ok(Some((connection, from)))) => self.serve(connection, from).await,
             Ok(Ok(None)) => {}
@@ -72,9 +90,13 @@
         &self,
         stream: tokio::net::TcpStream,
     ) -> Result<Option<(Connection, model::InstanceId)>, h2::Error> {
+        let is_authenticated = sync::Arc::new(atomic::AtomicBool::new(false));
+        let stream =
+            guarded_stream::GuardedStream::new(stream, sync::Arc::clone(&is_authenticated));
         let mut connection: Connection = server::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_header_list_size(MAX_HEADER_LIST_BYTES)
             .max_concurrent_streams(MAX_STREAMS)
             .max_pending_accept_reset_streams(MAX_PENDING_RESET_STREAMS)
             .max_send_buffer_size(SEND_BUFFER_BYTES)
@@ -86,6 +108,7 @@
         let (hello, mut respond) = hello?;
         match handshake::authenticate(&self.identity, &hello) {
             Ok(from) => {
+                is_authenticated.store(true, atomic::Ordering::Relaxed);
                 respond.send_response(http::Response::new(()), true)?;
                 self.counters.count_connection();
                 Ok(Some((connection, from)))
@@ -147,9 +170,16 @@
             self.serve_channel(from, request, respond).await;
             return;
         }
-        let (request, category) = match self.read_request(request).await {
-            Ok(Some(decoded)) => decoded,
-            Ok(None) => return,
+        let mut held = self.received.begin();
+        let (request, category) = match self.read_request(request, &mut held).await {
+            Ok(ReadOutcome::Complete(request, category)) => (request, category),
+            Ok(ReadOutcome::Incomplete) => return,
+            Ok(ReadOutcome::NoRoom) => {
+                // Tells the sender that the request was not handled.
+                self.counters.count_refused_stream();
+                respond.send_reset(h2::Reason::REFUSED_STREAM);
+                return;
+            }
             Err(reason) => {
                 self.counters.count_refusal(reason);
                 log::warn!("event=peer_request_refused from={from:?} reason={reason}");
@@ -158,6 +188,7 @@
             }
         };
         let response = self.handler.handle(from, request).await;
+        drop(held);
         let sending = self.write_response(response, category, respond);
         if tokio::time::timeout(TRANSFER_TIMEOUT, sending)
             .await
@@ -176,24 +207,29 @@
         self.handler.serve_channel(from, channel).await;
     }
 
-    /// Returns the request, or `None` if it was not received completely.
+    /// Reads a request; `held` counts its bytes.
     async fn read_request(
         &self,
         request: Request,
-    ) -> Result<Option<(H::Request, counts::Category)>, error::RefusalReason> {
+        held: &mut received::HeldBytes,
+    ) -> Result<ReadOutcome<H::Request>, error::RefusalReason> {
         let mut stream = request.into_body();
-        let reading = codec::read_all(&mut stream, self.max_message_bytes);
+        let has_room = |bytes| held.add(bytes);
+        let reading = codec::read_all(&mut stream, self.max_message_bytes, has_room);
         let message = match tokio::time::timeout(TRANSFER_TIMEOUT, reading).await {
             Ok(Ok(message)) => message,
             Ok(Err(codec::ReadError::TooLarge { .. })) => {
                 return Err(error::RefusalReason::TooLarge);
             }
-            Ok(Err(codec::ReadError::StreamFailed(_))) | Err(_) => return Ok(None),
+            Ok(Err(codec::ReadError::NoRoom)) => return Ok(ReadOutcome::NoRoom),
+            Ok(Err(codec::ReadError::StreamFailed(_))) | Err(_) => {
+                return Ok(ReadOutcome::Incomplete);
+            }
         };
         let request: H::Request = codec::decode(&message).ok_or(error::RefusalReason::Malformed)?;
         let category = counts::Category::of(&request);
         self.counters.count_received(category, message.len());
-        Ok(Some((request, category)))
+        Ok(ReadOutcome::Complete(request, category))
     }
 
     async fn write_response(
