serve: one memory budget for all that clients send

Untrusted clients ended a process: 3,000 connections may each begin a body of 256 KiB, chunks of one byte were kept as a buffer each, and nothing bounded heads, idle connections or responses that nobody reads.

serve has a budget of an instance, from the memory of the machine (settings memory_mb and max_descriptors, both optional). Connections, bodies, requests in flight and large responses are charged to it. A body grows in one buffer as it arrives. When the budget is short, bodies of stalled, then of slow senders are dropped; a source that holds over half of it gives way to others; small calls have a reserved part. When connections run out, unused, unread, pipelining, stalled and idle ones are closed in this order for new ones. Refused requests get a 429 with Retry-After and were not passed on. The status listeners have a budget and a bound of their own.

--- a/crates/entry/src/api/answer.rs
+++ b/crates/entry/src/api/answer.rs
@@ -56,6 +56,9 @@
 }
 
 const MILLIS_PER_SECOND: u64 = 1000;
+/// Delay after which a caller should retry that was refused for lack of memory, in seconds: stalled
+/// bodies give way within 300 ms, requests in flight within a few seconds.
+const OVERLOAD_RETRY_S: u64 = 1;
 
 /// Returns the answer to a lookup or a cancellation.
 #[must_use]
@@ -97,6 +100,15 @@
     (status, axum::Json(body)).into_response()
 }
 
+/// Returns the answer to a request that was refused, before it was passed on, for lack of memory.
+#[must_use]
+pub fn overloaded() -> axum::response::Response {
+    let mut response = error(StatusCode::TOO_MANY_REQUESTS, "overloaded");
+    let headers = response.headers_mut();
+    headers.insert(header::RETRY_AFTER, OVERLOAD_RETRY_S.into());
+    response
+}
+
 /// Returns the answer to an invalid request, with every finding.
 #[must_use]
 pub fn findings(errors: &[request::FieldError]) -> axum::response::Response {
--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -23,6 +23,11 @@
 
 const BEARER: &str = "Bearer ";
 const MAX_LOOKUP_WAIT_MS: u64 = 60_000;
+/// Timeout for receiving a request body; the largest one arrives at 9 KB/s.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Copies of a request in flight: that of the control thread, one for an attempt at another
+/// instance, and the encoded one. Parsed requests are about as large as their bodies.
+pub(crate) const IN_FLIGHT_COPIES: usize = 3;
 
 /// State shared by the HTTP handlers of one instance.
 #[derive(Clone)]
@@ -164,19 +169,26 @@
 
 async fn submit(
     extract::State(gateway): extract::State<Gateway>,
-    headers: http::HeaderMap,
-    body: axum::body::Body,
+    request: extract::Request,
 ) -> response::Response {
-    let Some(customer) = gateway.customer(&headers) else {
+    let Some(customer) = gateway.customer(request.headers()) else {
         return gateway.unauthorized("customer");
     };
-    let Ok(body) = axum::body::to_bytes(body, gateway.shared.max_body_bytes).await else {
-        return gateway.too_large();
+    let body = serve::read_body(request, gateway.shared.max_body_bytes, BODY_TIMEOUT);
+    let body = match body.await {
+        Ok(body) => body,
+        Err(serve::BodyError::Overloaded) => return answer::overloaded(),
+        Err(_) => return gateway.too_large(),
     };
-    let request = match request::parse(&body, gateway.shared.limits) {
+    let request = match request::parse(body.bytes(), gateway.shared.limits) {
         Ok(request) => request,
         Err(errors) => return gateway.bad_request(&errors),
     };
+    // Held while the request is in flight.
+    let in_flight_bytes = IN_FLIGHT_COPIES * body.bytes().len();
+    let Ok(_charge) = body.into_charge(in_flight_bytes) else {
+        return answer::overloaded();
+    };
     let answer = gateway.shared.control_handle.caller_request(|request_id| {
         control::Input::Submit(control::Submit {
             request_id,
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -8,4 +8,5 @@
 
 pub(crate) use gateway::Gateway;
 pub(crate) use gateway::GatewayParts;
+pub(crate) use gateway::IN_FLIGHT_COPIES;
 pub(crate) use peers::PeerGateway;
--- a/crates/entry/src/drive/instance.rs
+++ b/crates/entry/src/drive/instance.rs
@@ -22,6 +22,10 @@
 use crate::drive::platform;
 use crate::drive::state_store;
 
+/// One in this many bytes of the clients' budget bounds what peers have sent.
+const PEER_BUDGET_DIVISOR: u64 = 4;
+/// Messages of the largest size that peers may always have sent at once.
+const MIN_PEER_MESSAGES: usize = 4;
 /// Shortest time that a stopping instance keeps its listeners open, so that balancers notice that
 /// it is not ready.
 const LISTENER_LINGER: time::Duration = time::Duration::from_secs(1);
@@ -135,8 +139,14 @@
             control_handle.clone(),
             stop_periodic.clone(),
         ));
-        let peer_server =
-            peer::Server::new(identity).max_message_bytes(settings.peer.max_message_bytes);
+        let machine = serve::Machine::new(
+            Some(settings.instance.memory_mb),
+            Some(settings.instance.max_descriptors),
+        );
+        let peer_server = peer::Server::new(identity)
+            .max_message_bytes(settings.peer.max_message_bytes)
+            .max_received_bytes(max_received_bytes(&machine, &settings.peer))
+            .max_new_connections(machine.max_side_connections());
         let gateway = api::Gateway::new(api::GatewayParts {
             control_handle: control_handle.clone(),
             lists: lists_receiver,
@@ -154,18 +164,17 @@
         let stop = stop_servers.clone();
         let handler = api::PeerGateway::new(control_handle.clone());
         tracker.spawn(async move { peer_server.serve(peers, handler, stop).await });
+        let budget_metrics = metrics.clone();
+        let max_request_bytes = api::IN_FLIGHT_COPIES * settings.callers.max_body_bytes;
         let limits = serve::ServerLimits {
             max_header_bytes: settings.callers.max_header_bytes,
-            max_connections: settings.callers.max_connections,
+            max_connections: machine
+                .max_caller_connections()
+                .min(settings.callers.max_connections),
+            budget: serve::Budget::new(&machine, max_request_bytes, budget_metrics),
         };
         let stop = stop_servers.clone();
-        tracker.spawn(serve::serve(
-            callers,
-            gateway.router(),
-            limits,
-            metrics,
-            stop,
-        ));
+        tracker.spawn(serve::serve(callers, gateway.router(), limits, stop));
         Ok(Self {
             control_handle,
             flags,
@@ -220,6 +229,14 @@
     }
 }
 
+/// Returns the bound of what peers have sent and what is not handled yet, in bytes: a part of what
+/// clients may fill, and several messages of the largest size.
+fn max_received_bytes(machine: &serve::Machine, peer: &settings::Peer) -> usize {
+    let share_bytes = machine.budget_bytes() / PEER_BUDGET_DIVISOR;
+    let share_bytes = usize::try_from(share_bytes).unwrap_or(usize::MAX);
+    share_bytes.max(MIN_PEER_MESSAGES * peer.max_message_bytes)
+}
+
 async fn bind(address: std::net::SocketAddr) -> Result<net::TcpListener, Error> {
     net::TcpListener::bind(address)
         .await
--- a/crates/entry/src/drive/periodic.rs
+++ b/crates/entry/src/drive/periodic.rs
@@ -70,6 +70,11 @@
             sum(|c| c.traffic.bytes_received),
         );
         metrics.gauge("peer.connections_replaced", sum(|c| c.replaced));
+        metrics.gauge("peer.refused_no_room", sum(|c| c.refused_no_room));
+        metrics.gauge(
+            "peer.closed_unauthenticated",
+            sum(|c| c.closed_unauthenticated),
+        );
         let workers = effects.platform.worker_traffic();
         metrics.gauge("worker.calls", workers.calls);
         metrics.gauge("worker.bytes_sent", workers.sent_bytes);
--- /dev/null
+++ b/crates/serve/src/body.rs
@@ -0,0 +1,170 @@
+//! Receipt of request bodies within the budget.
+
+use std::fmt;
+use std::net;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
+
+use crate::budget;
+use crate::connections;
+use crate::refusals::Refusal;
+
+/// Why a body was not received. Nothing of the request was passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum BodyError {
+    /// The memory budget has no room, or the sender was too slow while it was short.
+    Overloaded,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not arrive in time.
+    TimedOut,
+    /// The connection failed, or the body is malformed.
+    Failed(String),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Overloaded => formatter.write_str("no memory for the request body"),
+            Self::TooLarge => formatter.write_str("request body too large"),
+            Self::TimedOut => formatter.write_str("request body not received in time"),
+            Self::Failed(cause) => formatter.write_str(cause),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// A whole request body; its memory is charged until it is dropped.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    bytes: Vec<u8>,
+    charge: budget::Charge,
+}
+
+impl ReceivedBody {
+    /// Returns the bytes.
+    #[must_use]
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Drops the bytes; the charge becomes that of the decoded request of `request_bytes`, which is
+    /// to be held as long as the request is in flight.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Overloaded`] if the budget has no room for it.
+    pub fn into_charge(self, request_bytes: usize) -> Result<budget::Charge, BodyError> {
+        let Self { bytes, mut charge } = self;
+        drop(bytes);
+        if charge.resize(request_bytes as u64) {
+            return Ok(charge);
+        }
+        Err(BodyError::Overloaded)
+    }
+}
+
+/// Receives the body of a request into one buffer, however it is split.
+///
+/// The memory is charged to the budget of the listener that the request came through; a request that
+/// came through none is charged to no budget.
+///
+/// # Errors
+///
+/// Fails if the budget has no room, or if the body is too large, too late or incomplete.
+pub async fn read_body(
+    request: axum::extract::Request,
+    max_bytes: usize,
+    timeout: time::Duration,
+) -> Result<ReceivedBody, BodyError> {
+    let connection = request.extensions().get::<connections::Handle>().cloned();
+    let body = request.into_body();
+    let announced_bytes = body.size_hint().exact();
+    if announced_bytes.is_some_and(|bytes| bytes > max_bytes as u64) {
+        return Err(BodyError::TooLarge);
+    }
+    let Some(connection) = connection else {
+        let whole = axum::body::to_bytes(body, max_bytes);
+        let bytes = tokio::time::timeout(timeout, whole)
+            .await
+            .map_err(|_| BodyError::TimedOut)?
+            .map_err(|cause| BodyError::Failed(cause.to_string()))?;
+        let source = net::IpAddr::V4(net::Ipv4Addr::UNSPECIFIED);
+        return Ok(ReceivedBody {
+            bytes: bytes.into(),
+            charge: budget::Charge::none(source),
+        });
+    };
+    connection.begin_body();
+    let reading = read_charged(body, announced_bytes, max_bytes, &connection);
+    let read = match tokio::time::timeout(timeout, reading).await {
+        Ok(read) => read,
+        Err(_) => Err(BodyError::TimedOut),
+    };
+    connection.end_body();
+    read
+}
+
+async fn read_charged(
+    mut body: axum::body::Body,
+    announced_bytes: Option<u64>,
+    max_bytes: usize,
+    connection: &connections::Handle,
+) -> Result<ReceivedBody, BodyError> {
+    let budget = connection.budget();
+    let (id, source) = (connection.id(), connection.source());
+    let expected_bytes = announced_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+    let refused = |error| match error {
+        budget::AppendError::TooLarge => BodyError::TooLarge,
+        budget::AppendError::NoBudget => {
+            if !budget.is_shed(id) {
+                budget.record(Refusal::BodyBudget, source);
+            }
+            BodyError::Overloaded
+        }
+    };
+    let shed = connection.body_shed();
+    budget.begin_body(id, source, std::sync::Arc::clone(shed));
+    let _guard = PartialGuard { budget, id };
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = shed.notified() => {
+                // A notification may be left from an earlier body.
+                if budget.is_shed(id) {
+                    return Err(BodyError::Overloaded);
+                }
+                continue;
+            }
+        };
+        let Some(frame) = frame else {
+            break;
+        };
+        let frame = frame.map_err(|cause| BodyError::Failed(cause.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            budget
+                .append(id, &data, expected_bytes, max_bytes)
+                .map_err(refused)?;
+        }
+    }
+    let (bytes, charge) = budget.take_body(id).ok_or(BodyError::Overloaded)?;
+    Ok(ReceivedBody { bytes, charge })
+}
+
+/// Removes a body whose receipt ends early, also when the future is dropped.
+struct PartialGuard<'a> {
+    budget: &'a budget::Budget,
+    id: budget::ConnectionId,
+}
+
+impl Drop for PartialGuard<'_> {
+    fn drop(&mut self) {
+        // Releases the charge.
+        drop(self.budget.take_body(self.id));
+    }
+}
--- a/crates/settings/src/entry/instance.rs
+++ b/crates/settings/src/entry/instance.rs
@@ -4,6 +4,11 @@
 
 use crate::section;
 
+/// Memory of the smallest usual machine, in MB.
+const DEFAULT_MEMORY_MB: u64 = 160;
+/// As many as the setting may name, so that the soft limit of the process counts.
+const DEFAULT_MAX_DESCRIPTORS: u64 = 1_048_576;
+
 /// Name, location and addresses of the instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -17,6 +22,10 @@
     pub callers_address: net::SocketAddr,
     /// Address that the instance listens on for peers, and advertises to them.
     pub peer_address: net::SocketAddr,
+    /// Memory of the machine, in MB; sizes what clients may fill.
+    pub memory_mb: u64,
+    /// Descriptors that the process may open, if its soft limit is not lower.
+    pub max_descriptors: usize,
 }
 
 impl Instance {
@@ -32,6 +41,12 @@
             data_centre: section.required_text("data_centre"),
             callers_address: section.address("callers_address"),
             peer_address: section.address("peer_address"),
+            memory_mb: section.integer("memory_mb", DEFAULT_MEMORY_MB, 32..=1_048_576),
+            max_descriptors: section.size(
+                "max_descriptors",
+                DEFAULT_MAX_DESCRIPTORS,
+                128..=1_048_576,
+            ),
         }
     }
 }
