--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -1,7 +1,11 @@
 //! Receipt of request bodies within the budget.
 
 use std::fmt;
+use std::future;
 use std::net;
+use std::pin;
+use std::sync;
+use std::task;
 use std::time;
 
 use http_body_util::BodyExt as _;
@@ -99,8 +103,36 @@
             charge: budget::Charge::none(source),
         });
     };
+    receive(body, announced_bytes, max_bytes, timeout, &connection).await
+}
+
+/// Receives a body whose memory is charged to the budget of `connection`.
+async fn receive(
+    mut body: axum::body::Body,
+    announced_bytes: Option<u64>,
+    max_bytes: usize,
+    timeout: time::Duration,
+    connection: &connections::Handle,
+) -> Result<ReceivedBody, BodyError> {
+    let mut partial = Partial {
+        connection,
+        expected_bytes: announced_bytes.and_then(|bytes| usize::try_from(bytes).ok()),
+        max_bytes,
+        is_begun: false,
+    };
+    let first =
+        future::poll_fn(|context| task::Poll::Ready(pin::Pin::new(&mut body).poll_frame(context)));
+    if let task::Poll::Ready(Some(frame)) = first.await {
+        let frame = frame.map_err(|cause| BodyError::Failed(cause.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            if body.is_end_stream() {
+                return partial.whole(&data);
+            }
+            partial.append(&data)?;
+        }
+    }
     connection.begin_body();
-    let reading = read_charged(body, announced_bytes, max_bytes, &connection);
+    let reading = partial.read_rest(body);
     let read = match tokio::time::timeout(timeout, reading).await {
         Ok(read) => read,
         Err(_) => Err(BodyError::TimedOut),
@@ -109,62 +141,92 @@
     read
 }
 
-async fn read_charged(
-    mut body: axum::body::Body,
-    announced_bytes: Option<u64>,
+/// A body that is being received.
+struct Partial<'a> {
+    connection: &'a connections::Handle,
+    /// Length that the client has announced.
+    expected_bytes: Option<usize>,
     max_bytes: usize,
-    connection: &connections::Handle,
-) -> Result<ReceivedBody, BodyError> {
-    let budget = connection.budget();
-    let (id, source) = (connection.id(), connection.source());
-    let expected_bytes = announced_bytes.and_then(|bytes| usize::try_from(bytes).ok());
-    let refused = |error| match error {
-        budget::AppendError::TooLarge => BodyError::TooLarge,
-        budget::AppendError::NoBudget => {
-            if !budget.is_shed(id) {
-                budget.record(Refusal::BodyBudget, source);
-            }
-            BodyError::Overloaded
+    /// Whether the budget keeps the body.
+    is_begun: bool,
+}
+
+impl Partial<'_> {
+    /// Returns a body that has arrived at once, which is the usual case: it is copied, so that the
+    /// connection keeps its read buffer.
+    fn whole(&self, data: &[u8]) -> Result<ReceivedBody, BodyError> {
+        if data.len() > self.max_bytes {
+            return Err(BodyError::TooLarge);
         }
-    };
-    let shed = connection.body_shed();
-    budget.begin_body(id, source, std::sync::Arc::clone(shed));
-    let _guard = PartialGuard { budget, id };
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = body.frame() => frame,
-            () = shed.notified() => {
-                // A notification may be left from an earlier body.
-                if budget.is_shed(id) {
-                    return Err(BodyError::Overloaded);
-                }
-                continue;
-            }
+        let (budget, source) = (self.connection.budget(), self.connection.source());
+        let Some(charge) = budget.charge(source, data.len() as u64) else {
+            budget.record(Refusal::BodyBudget, source);
+            return Err(BodyError::Overloaded);
         };
-        let Some(frame) = frame else {
-            break;
-        };
-        let frame = frame.map_err(|cause| BodyError::Failed(cause.to_string()))?;
-        if let Ok(data) = frame.into_data() {
-            budget
-                .append(id, &data, expected_bytes, max_bytes)
-                .map_err(refused)?;
+        Ok(ReceivedBody {
+            bytes: data.to_vec(),
+            charge,
+        })
+    }
+
+    fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let budget = self.connection.budget();
+        let (id, source) = (self.connection.id(), self.connection.source());
+        if !self.is_begun {
+            budget.begin_body(id, source, sync::Arc::clone(self.connection.body_shed()));
+            self.is_begun = true;
         }
+        let appended = budget.append(id, data, self.expected_bytes, self.max_bytes);
+        appended.map_err(|error| match error {
+            budget::AppendError::TooLarge => BodyError::TooLarge,
+            budget::AppendError::NoBudget => {
+                // The dropping of a body for others is counted where it happens.
+                if !budget.is_shed(id) {
+                    budget.record(Refusal::BodyBudget, source);
+                }
+                BodyError::Overloaded
+            }
+        })
     }
-    let (bytes, charge) = budget.take_body(id).ok_or(BodyError::Overloaded)?;
-    Ok(ReceivedBody { bytes, charge })
-}
 
-/// Removes a body whose receipt ends early, also when the future is dropped.
-struct PartialGuard<'a> {
-    budget: &'a budget::Budget,
-    id: budget::ConnectionId,
+    async fn read_rest(&mut self, mut body: axum::body::Body) -> Result<ReceivedBody, BodyError> {
+        let budget = self.connection.budget();
+        let id = self.connection.id();
+        let shed = self.connection.body_shed();
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = shed.notified() => {
+                    // A notification may be left from an earlier body.
+                    if self.is_begun && budget.is_shed(id) {
+                        return Err(BodyError::Overloaded);
+                    }
+                    continue;
+                }
+            };
+            let Some(frame) = frame else {
+                break;
+            };
+            let frame = frame.map_err(|cause| BodyError::Failed(cause.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.append(&data)?;
+            }
+        }
+        if !self.is_begun {
+            return self.whole(&[]);
+        }
+        self.is_begun = false;
+        let (bytes, charge) = budget.take_body(id).ok_or(BodyError::Overloaded)?;
+        Ok(ReceivedBody { bytes, charge })
+    }
 }
 
-impl Drop for PartialGuard<'_> {
+impl Drop for Partial<'_> {
     fn drop(&mut self) {
-        // Releases the charge.
-        drop(self.budget.take_body(self.id));
+        if self.is_begun {
+            // The receipt has ended early, or the future was dropped; this releases the charge.
+            drop(self.connection.budget().take_body(self.connection.id()));
+        }
     }
 }
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -21,6 +21,9 @@
 /// Number of a connection, unique within a budget.
 pub(crate) type ConnectionId = u64;
 
+/// A map with a hash function that is fast and seeded.
+type Map<K, V> = collections::HashMap<K, V, foldhash::fast::RandomState>;
+
 /// Memory budget of an instance; clones share it.
 ///
 /// Every charge is taken before the memory is used, and is released when its [`Charge`] is dropped.
@@ -43,9 +46,9 @@
     /// Sum of all charges and of the buffers of `bodies`.
     used_bytes: u64,
     /// Part of `used_bytes` that each source holds; never 0.
-    by_source: collections::HashMap<Source, u64>,
+    by_source: Map<Source, u64>,
     /// Bodies that are being received, by connection: HTTP/1.1 has one at a time.
-    bodies: collections::HashMap<ConnectionId, Partial>,
+    bodies: Map<ConnectionId, Partial>,
     next_id: ConnectionId,
 }
 
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -106,6 +106,13 @@
     Idle,
 }
 
+impl EvictionRank {
+    /// Returns whether callers don't leave a connection in this state.
+    fn is_misuse(self) -> bool {
+        self <= Self::Pipelining
+    }
+}
+
 impl Connections {
     pub(crate) fn new(budget: budget::Budget, max_connections: usize) -> Self {
         Self {
@@ -180,7 +187,9 @@
         }
     }
 
-    /// Closes the connection that is needed least; returns whether there was one.
+    /// Closes the connection that is needed least, and some more that callers would not have left
+    /// like that, so that a flood of new ones does not cause a search for each; returns whether
+    /// there was one.
     ///
     /// Of equally needed ones that of the source with most connections is closed, then the one that
     /// has been in its phase for longest.
@@ -198,11 +207,15 @@
             let siblings = by_source.get(&handle.0.source).copied();
             Some(((rank, cmp::Reverse(siblings), cmp::Reverse(age)), handle))
         });
-        let Some((_, victim)) = candidates.min_by_key(|(order, _)| *order) else {
-            return false;
-        };
-        victim.close(Refusal::ConnectionShed);
-        true
+        let mut candidates: Vec<_> = candidates.collect();
+        candidates.sort_unstable_by_key(|(order, _)| *order);
+        for (index, ((rank, ..), victim)) in candidates.iter().take(MAX_CLOSING).enumerate() {
+            if index > 0 && !rank.is_misuse() {
+                break;
+            }
+            victim.close(Refusal::ConnectionShed);
+        }
+        !candidates.is_empty()
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<budget::ConnectionId, Handle>> {
@@ -285,6 +298,7 @@
         let mut state = self.lock();
         if !is_blocked {
             state.write_blocked_since = None;
+            state.since = time::Instant::now();
         } else if state.write_blocked_since.is_none() {
             state.write_blocked_since = Some(time::Instant::now());
         }
