peer: tests of the bounds on unauthenticated connections and on received bytes

Each fails without its bound: the sender of a request beyond the bound must know that it was not handled, the oldest connection without a hello gives way, and 64 MB before a hello are not taken.

--- a/crates/peer/tests/links/common.rs
+++ b/crates/peer/tests/links/common.rs
@@ -15,7 +15,7 @@
 
 /// Responds to a lookup with its wait, and to a submission with its body.
 ///
-/// A lookup of the customer `held` is answered after `release`, and one of `large` with as many
+/// A lookup of the customer `held` and a body that starts so are answered after `release`, and one of `large` with as many
 /// bytes as its wait.
 #[derive(Clone, Default)]
 pub(crate) struct Echo {
@@ -46,6 +46,13 @@
                 ..
             } if &*customer_id == "large" => text_response(&"b".repeat(wait_ms as usize)),
             model::PeerRequest::Lookup { wait_ms, .. } => text_response(&wait_ms.to_string()),
+            model::PeerRequest::Submit(submission)
+                if submission.task.spec.body.starts_with("held") =>
+            {
+                self.started.notify_one();
+                self.release.notified().await;
+                model::PeerResponse::Accepted
+            }
             model::PeerRequest::Submit(submission) => text_response(&submission.task.spec.body),
             _ => model::PeerResponse::Accepted,
         }
--- a/crates/peer/tests/links/main.rs
+++ b/crates/peer/tests/links/main.rs
@@ -2,4 +2,5 @@
 
 mod channel;
 mod common;
+mod limits;
 mod link;
