--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -142,6 +142,11 @@
         answer::findings(errors)
     }
 
+    fn body_timeout(&self) -> response::Response {
+        self.shared.metrics.count("refused.body_timeout");
+        answer::error(StatusCode::REQUEST_TIMEOUT, "body_timeout")
+    }
+
     fn too_large(&self) -> response::Response {
         self.shared.metrics.count("refused.body_too_large");
         answer::error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
@@ -178,7 +183,9 @@
     let body = match body.await {
         Ok(body) => body,
         Err(serve::BodyError::Overloaded) => return answer::overloaded(),
-        Err(_) => return gateway.too_large(),
+        Err(serve::BodyError::TooLarge) => return gateway.too_large(),
+        Err(serve::BodyError::TimedOut) => return gateway.body_timeout(),
+        Err(_) => return answer::error(StatusCode::BAD_REQUEST, "bad_request"),
     };
     let request = match request::parse(body.bytes(), gateway.shared.limits) {
         Ok(request) => request,
