--- a/crates/peer/tests/links/main.rs
+++ b/crates/peer/tests/links/main.rs
@@ -3,4 +3,5 @@
 mod channel;
 mod common;
 mod former_build;
+mod limits;
 mod link;
