--- a/crates/jobs/src/gang_preemption.rs
+++ b/crates/jobs/src/gang_preemption.rs
@@ -248,12 +248,11 @@
         );
         self.gang_preemptions
             .record(key, until, chosen.len(), stopped.len());
-        // More urgent steps may use the room: they would otherwise wait for as long as the gang is wide.
         self.reservations.reserve(
             key,
             &reserved,
             &demand,
-            reservations::Exclusivity::LaterSteps,
+            reservations::Exclusivity::AllSteps,
             until,
         );
         for (incarnation, run) in stopped {
