jobs: stop runs of lower priority for urgent single tasks too

Cause: room reserved for gangs left none to urgent short tasks while the workers were full of long work. Change: preemption by priority serves single tasks as well, with the same bounds; half of the waiting work may be lost.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -199,7 +199,7 @@
     crashed_workers: u64,
     given_up_jobs: u64,
     moved_runs: u64,
-    stopped_for_gangs: u64,
+    stopped_for_priority: u64,
 }
 
 impl CrashCounters {
@@ -209,12 +209,12 @@
         metrics.count_by("worker.crashed", crashed);
         metrics.count_by("job.given_up", given_up);
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
-        let stopped_for_gangs = summary.stopped_for_gangs - self.stopped_for_gangs;
-        metrics.count_by("run.stopped_for_gang", stopped_for_gangs);
+        let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
+        metrics.count_by("run.stopped_for_priority", stopped_for_priority);
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
-        self.stopped_for_gangs = summary.stopped_for_gangs;
+        self.stopped_for_priority = summary.stopped_for_priority;
     }
 }
 
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -258,7 +258,8 @@
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
         let missing = step_state.waiting_count - placed - withheld.awaiting_verdict;
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
-        let keeps_reservation = step.long_running && missing > 0;
+        let awaits_room = self.priority_preemptions.is_awaited(key, clock.now);
+        let keeps_reservation = (step.long_running || awaits_room) && missing > 0;
         if !assignment.is_empty() {
             self.plan_runs(key, assignment, clock);
         }
@@ -266,6 +267,7 @@
             self.reservations.release(key);
         }
         if missing == 0 {
+            self.priority_preemptions.finish(key);
             return withheld.awaiting_verdict == 0;
         }
         if placed == cap_limit {
@@ -282,6 +284,9 @@
         }
         self.mark_blocked(key, pass, clock);
         self.preempt_for(key, clock);
+        if startable > 0 {
+            self.preempt_lower_priority(key, startable, pass, clock);
+        }
         false
     }
 
@@ -342,15 +347,16 @@
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
         if !assignment.is_empty() {
             self.reservations.release(key);
-            self.gang_preemptions.finish(key);
+            self.priority_preemptions.finish(key);
             self.plan_runs(key, assignment, clock);
             for suspect in suspects {
                 self.on_suspect_planned(suspect, &mut pass.suspects);
             }
             return true;
         }
-        let total = demand.times(step.task_count);
-        let awaits_room = self.gang_preemptions.is_awaited(key, clock.now);
+        let total_count = step.task_count;
+        let total = demand.times(total_count);
+        let awaits_room = self.priority_preemptions.is_awaited(key, clock.now);
         if !has_call_in_flight
             && !awaits_room
             && let Some(terms) = advice
@@ -367,7 +373,7 @@
             }
         }
         self.mark_blocked(key, pass, clock);
-        self.preempt_for_gang(key, pass, clock);
+        self.preempt_lower_priority(key, total_count, pass, clock);
         pass.add_gang_demand(&total);
         false
     }
--- a/crates/jobs/src/gang_preemption.rs
+++ b/crates/jobs/src/priority_preemption.rs
@@ -1,15 +1,18 @@
-//! Preemption for gangs: runs of lower priority that save their progress give way to a gang that
-//! would otherwise miss its objective.
+//! Preemption by priority: runs of lower priority that save their progress give way to a step that would
+//! otherwise miss its objective.
 //!
-//! A gang needs the room of several workers at once, which small tasks fill again as soon as it is
-//! free. A run with checkpoints loses little when it is stopped and resumes elsewhere.
+//! A gang needs the room of several workers at once, which small tasks fill again as soon as it is free,
+//! and urgent short work that arrives in a burst meets workers full of long work. A run with checkpoints
+//! loses little when it is stopped and resumes elsewhere.
 
+use std::iter;
 use std::time;
 
 use crate::advisors;
 use crate::candidate;
 use crate::event;
 use crate::journal;
+use crate::manifest;
 use crate::maps;
 use crate::pass;
 use crate::placement;
@@ -18,19 +21,19 @@
 use crate::worker;
 use crate::workers;
 
-/// Runs are stopped for a gang that has been blocked for its job's objective divided by this: early
+/// Runs are stopped for a step that has been blocked for its job's objective divided by this: early
 /// enough that it still ends in time, and after the ends of other runs could have made room.
 const PREEMPT_AFTER_OBJECTIVE_DIVISOR: u64 = 10;
-/// Time between two checks of a gang: each looks at all runs of the workers that it may use.
+/// Time between two checks of a step: each looks at all runs of the workers that it may use.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// How long a stop may take until its end is listed.
 const STOP_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Most times that runs are stopped for one step; it waits like any other step after that.
 const MAX_PREEMPTIONS_PER_STEP: u32 = 2;
-/// At most one in this many workers is emptied for gangs at the same time.
+/// At most one in this many workers is emptied for others at the same time.
 const PREEMPTED_WORKERS_DIVISOR: usize = 4;
-/// Runs are stopped if the work that is lost is at most the gang's work divided by this.
-const MAX_LOST_WORK_DIVISOR: u64 = 4;
+/// Runs are stopped if the work that is lost is at most that of the waiting tasks divided by this.
+const MAX_LOST_WORK_DIVISOR: u64 = 2;
 /// Work that a stopped run with checkpoints loses at most, with the time to restore it.
 const LOST_TIME_MS: u64 = 750;
 /// A run that has got so far, in percent, ends about as soon as a stop would.
@@ -40,11 +43,11 @@
 /// Age from which the state of a step that is no longer checked is dropped.
 const STATE_RETENTION: time::Duration = time::Duration::from_secs(10);
 
-/// Gangs for which runs have been stopped or are considered to be.
+/// Steps for which runs have been stopped or are considered to be.
 #[derive(Debug, Default)]
-pub(crate) struct GangPreemptions {
+pub(crate) struct PriorityPreemptions {
     steps: maps::IndexMap<model::StepKey, StepPreemption>,
-    /// Runs stopped for gangs, since the term began.
+    /// Runs stopped for steps of a higher priority, since the term began.
     pub(crate) stopped_runs: u64,
 }
 
@@ -56,7 +59,7 @@
     count: u32,
 }
 
-impl GangPreemptions {
+impl PriorityPreemptions {
     /// Returns whether the ends of runs that were stopped for a step are awaited.
     pub(crate) fn is_awaited(&self, key: model::StepKey, now: time::Instant) -> bool {
         let step = self.steps.get(&key);
@@ -110,7 +113,7 @@
     }
 }
 
-/// A worker that some tasks of a gang fit on once runs there are stopped.
+/// A worker that some tasks of a step fit on once runs there are stopped.
 struct Emptied {
     incarnation: model::WorkerIncarnation,
     /// For each number of tasks that fit: the runs to stop, and the work that is lost, in
@@ -148,11 +151,27 @@
     }
 }
 
-/// Returns the workers to use, each with the level to empty it to, so that `task_count` tasks fit and
-/// little work is lost; `None` if they do not fit.
-fn choose(mut workers: Vec<Emptied>, task_count: u32) -> Option<Vec<(Emptied, Level)>> {
+/// The runs to stop for a step.
+struct PreemptionPlan {
+    demand: model::Demand,
+    advice: Option<manifest::AdviceTerms>,
+    /// The workers with room for the step's tasks then, once for each task.
+    reserved: Vec<model::WorkerIncarnation>,
+    stopped: Vec<(model::WorkerIncarnation, model::RunKey)>,
+    worker_count: usize,
+    /// Work that is lost, in milliseconds times thousandths of a core.
+    lost_work: u64,
+    /// Workers whose tickets expire before the room is free.
+    expired_tickets: Vec<model::WorkerId>,
+    /// When the room is free at the latest.
+    until: time::Instant,
+}
+
+/// Returns the workers to use, each with the level to empty it to, so that up to `wanted` tasks fit and
+/// little work is lost; none if fewer than `least` tasks would fit.
+fn choose(mut workers: Vec<Emptied>, wanted: u32, least: u32) -> Vec<(Emptied, Level)> {
     workers.sort_by_key(|one| (one.lost_per_task(), u32::MAX - one.last_level().tasks));
-    let mut missing = task_count;
+    let mut missing = wanted;
     let mut chosen = Vec::new();
     for worker in workers {
         if missing == 0 {
@@ -164,106 +183,133 @@
             chosen.push((worker, level));
         }
     }
-    (missing == 0).then_some(chosen)
+    match wanted - missing >= least {
+        true => chosen,
+        false => Vec::new(),
+    }
 }
 
 impl scheduler::Scheduler {
-    /// Stops runs of lower priority for a gang that has been blocked for long, if it can still end in
-    /// time and little work is lost.
-    pub(crate) fn preempt_for_gang(
+    /// Stops runs of lower priority for a step that has been blocked for long, if it can still be served
+    /// in time and little work is lost; `wanted` of its waiting tasks may start.
+    pub(crate) fn preempt_lower_priority(
         &mut self,
         key: model::StepKey,
+        wanted: u32,
         pass: &pass::Pass,
         clock: event::Clock,
     ) {
-        let Some(context) = self.step_context(key).filter(|one| one.step.gang) else {
+        let Some(context) = self.step_context(key).filter(|one| !one.step.long_running) else {
             return;
         };
         let patience = context.objective_ms / PREEMPT_AFTER_OBJECTIVE_DIVISOR;
         let waited = context.blocked_for(clock);
         let is_due = waited >= time::Duration::from_millis(patience);
-        if !is_due || !self.is_in_time(key, clock) {
+        if !is_due || !self.may_preempt(key, clock) {
             return;
         }
-        if !self.gang_preemptions.begin_check(key, clock.now) {
+        if !self.priority_preemptions.begin_check(key, clock.now) {
             return;
         }
-        let Some(context) = self.step_context(key) else {
+        let Some(plan) = self.plan_preemption(key, wanted, pass, clock) else {
             return;
         };
-        let (step, advice) = (context.step, context.queue.advice);
-        let demand = workers::counted_demand(step);
-        let gang_work = u64::from(demand.processors_milli)
-            * u64::from(step.task_count)
-            * u64::from(step.estimated_ms);
-        let emptied = self.emptied_workers(&context, &demand, pass, clock);
-        let Some(chosen) = choose(emptied, step.task_count) else {
-            return;
-        };
-        let lost_work: u64 = chosen.iter().map(|(_, level)| level.lost_work).sum();
-        let limit = self.workers.len() / PREEMPTED_WORKERS_DIVISOR;
-        let awaited = self.gang_preemptions.awaited_workers(clock.now);
-        let is_within_limit = awaited == 0 || awaited + chosen.len() <= limit;
-        if lost_work > gang_work / MAX_LOST_WORK_DIVISOR || !is_within_limit {
-            return;
-        }
-        let mut until = clock.now + STOP_TIME;
-        let mut expired = Vec::new();
-        if let Some(terms) = advice {
-            let tickets = &context.step_state.tickets;
-            let ids = chosen.iter().map(|(one, _)| &one.incarnation.worker_id);
-            let needed = ids.filter(|id| tickets.valid_token(id, until).is_none());
-            expired = needed.cloned().collect();
-            let has_call = tickets.has_call_in_flight();
-            let may_call = !has_call && self.advisors.can_take_gang_call(&terms, clock.now);
-            if !expired.is_empty() && !may_call {
-                return;
-            }
-            until += advisors::call_duration(&terms, expired.len());
-        }
-        let task_count = step.task_count;
-        let mut reserved = Vec::new();
-        let mut stopped = Vec::new();
-        let mut missing = task_count;
-        for (worker, level) in &chosen {
-            let tasks = level.tasks.min(missing);
-            missing -= tasks;
-            reserved.extend(std::iter::repeat_n(
-                worker.incarnation.clone(),
-                tasks as usize,
-            ));
-            let victims = worker.victims.iter().take(level.victims);
-            stopped.extend(victims.map(|run| (worker.incarnation.clone(), *run)));
-        }
         log::info!(
             job:% = journal::job_id_hex(key.job_id),
             step = key.step,
-            tasks = task_count,
-            workers = chosen.len(),
-            stopped_runs = stopped.len(),
-            lost_core_ms = lost_work / 1_000,
+            tasks = plan.reserved.len(),
+            workers = plan.worker_count,
+            stopped_runs = plan.stopped.len(),
+            lost_core_ms = plan.lost_work / 1_000,
             waited_ms = waited.as_millis() as u64,
-            renewed_tickets = expired.len();
-            "runs stopped to free capacity for a gang"
+            renewed_tickets = plan.expired_tickets.len();
+            "runs stopped for a step of higher priority"
         );
-        self.gang_preemptions
-            .record(key, until, chosen.len(), stopped.len());
+        self.priority_preemptions
+            .record(key, plan.until, plan.worker_count, plan.stopped.len());
         self.reservations.reserve(
             key,
-            &reserved,
-            &demand,
+            &plan.reserved,
+            &plan.demand,
             reservations::Exclusivity::AllSteps,
-            until,
+            plan.until,
         );
-        for (incarnation, run) in stopped {
+        for (incarnation, run) in plan.stopped {
             self.stop_run(&incarnation, run, clock);
         }
-        if let Some(terms) = advice.filter(|_| !expired.is_empty()) {
-            self.request_gang_advice(key, terms, &expired, clock);
+        if let Some(terms) = plan.advice.filter(|_| !plan.expired_tickets.is_empty()) {
+            self.request_gang_advice(key, terms, &plan.expired_tickets, clock);
         }
     }
 
-    /// Returns for each worker that a gang may use which runs must be stopped to fit its tasks.
+    /// Returns which runs to stop for a step; `None` if none may be stopped or it would not help.
+    fn plan_preemption(
+        &self,
+        key: model::StepKey,
+        wanted: u32,
+        pass: &pass::Pass,
+        clock: event::Clock,
+    ) -> Option<PreemptionPlan> {
+        let context = self.step_context(key)?;
+        let (step, advice) = (context.step, context.queue.advice);
+        let demand = workers::counted_demand(step);
+        let mut until = clock.now + STOP_TIME;
+        let tickets = &context.step_state.tickets;
+        let has_ticket = |id: &model::WorkerId| tickets.valid_token(id, until).is_some();
+        let mut emptied = self.emptied_workers(&context, &demand, pass, clock);
+        if advice.is_some() && !step.gang {
+            // Single tasks are not worth a call whose answer comes as late as the ends of other runs.
+            emptied.retain(|one| has_ticket(&one.incarnation.worker_id));
+        }
+        let least = if step.gang { wanted } else { 1 };
+        let chosen = choose(emptied, wanted, least);
+        let limit = self.workers.len() / PREEMPTED_WORKERS_DIVISOR;
+        let awaited = self.priority_preemptions.awaited_workers(clock.now);
+        let is_within_limit = awaited == 0 || awaited + chosen.len() <= limit;
+        if !is_within_limit {
+            return None;
+        }
+        let ids = chosen.iter().map(|(one, _)| &one.incarnation.worker_id);
+        let expired_tickets: Vec<_> = match advice {
+            Some(_) => ids.filter(|id| !has_ticket(id)).cloned().collect(),
+            None => Vec::new(),
+        };
+        if let Some(terms) = advice.filter(|_| !expired_tickets.is_empty()) {
+            let is_free = self.advisors.can_take_gang_call(&terms, clock.now);
+            if tickets.has_call_in_flight() || !is_free {
+                return None;
+            }
+            until += advisors::call_duration(&terms, expired_tickets.len());
+        }
+        let mut plan = PreemptionPlan {
+            demand,
+            advice,
+            reserved: Vec::new(),
+            stopped: Vec::new(),
+            worker_count: chosen.len(),
+            lost_work: chosen.iter().map(|(_, level)| level.lost_work).sum(),
+            expired_tickets,
+            until,
+        };
+        let mut missing = wanted;
+        for (worker, level) in chosen {
+            let tasks = level.tasks.min(missing);
+            missing -= tasks;
+            let incarnation = worker.incarnation;
+            plan.reserved
+                .extend(iter::repeat_n(incarnation.clone(), tasks as usize));
+            let victims = worker.victims.into_iter().take(level.victims);
+            plan.stopped
+                .extend(victims.map(|run| (incarnation.clone(), run)));
+        }
+        let work = plan.reserved.len() as u64
+            * u64::from(demand.processors_milli)
+            * u64::from(step.estimated_ms);
+        let is_worth_it = plan.lost_work <= work / MAX_LOST_WORK_DIVISOR;
+        (!plan.stopped.is_empty() && is_worth_it).then_some(plan)
+    }
+
+    /// Returns for each worker that a step may use which runs must be stopped to fit its tasks.
     fn emptied_workers(
         &self,
         context: &placement::StepContext<'_>,
@@ -312,7 +358,7 @@
         emptied.collect()
     }
 
-    /// Returns whether a run may be stopped for a gang of `priority`: it has a lower priority, saves its
+    /// Returns whether a run may be stopped for a step of `priority`: it has a lower priority, saves its
     /// progress, and its job has time left.
     fn gives_way(
         &self,
@@ -341,8 +387,9 @@
             && 2 * waited_ms < state.objective_ms
     }
 
-    /// Returns whether the job of a step is owed to its tenant and can still end in time.
-    fn is_in_time(&self, key: model::StepKey, clock: event::Clock) -> bool {
+    /// Returns whether runs may be stopped for a step: its job is owed to its tenant, and a gang can still
+    /// end in time. Single tasks cost little, and are served as long as their result is worth anything.
+    fn may_preempt(&self, key: model::StepKey, clock: event::Clock) -> bool {
         let Some(state) = self.jobs.get(&key.job_id) else {
             return false;
         };
@@ -352,9 +399,13 @@
         let due_at_ms = state.occurrences.get(key.occurrence as usize);
         let due_at_ms = due_at_ms.and_then(|one| one.due_at_ms);
         let since_ms = due_at_ms.unwrap_or(state.accepted_at_ms);
-        let ends_at_ms = clock.wall_ms + u64::from(step.estimated_ms);
+        let waited_ms = clock.wall_ms.saturating_sub(since_ms);
         let is_beyond_rate = state.is_beyond_rate && self.tenancy.is_active;
-        !is_beyond_rate && ends_at_ms.saturating_sub(since_ms) < state.objective_ms
+        let limit_ms = match step.gang {
+            true => state.objective_ms,
+            false => scheduler::WORTHLESS_AFTER_OBJECTIVES * state.objective_ms,
+        };
+        !is_beyond_rate && waited_ms + u64::from(step.estimated_ms) < limit_ms
     }
 }
 
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -12,12 +12,12 @@
 use crate::crashes;
 use crate::ended;
 use crate::event;
-use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
 use crate::maps;
 use crate::pass;
+use crate::priority_preemption;
 use crate::record;
 use crate::reservations;
 use crate::scheduler;
@@ -94,7 +94,7 @@
             newest_incarnations: maps::HashMap::default(),
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
-            gang_preemptions: gang_preemption::GangPreemptions::default(),
+            priority_preemptions: priority_preemption::PriorityPreemptions::default(),
             waiting: collections::BTreeSet::new(),
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,7 +8,6 @@
 use crate::crashes;
 use crate::ended;
 use crate::event;
-use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -16,6 +15,7 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
+use crate::priority_preemption;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
@@ -46,7 +46,7 @@
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
-    pub(crate) gang_preemptions: gang_preemption::GangPreemptions,
+    pub(crate) priority_preemptions: priority_preemption::PriorityPreemptions,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
@@ -94,7 +94,7 @@
 }
 
 /// Multiple of its objective after which a job's result is worth nothing.
-const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
+pub(crate) const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
 /// A step with waiting tasks, ordered by priority and age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -160,8 +160,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
-    /// Runs stopped to free capacity for gangs, since the term began.
-    pub stopped_for_gangs: u64,
+    /// Runs stopped for steps of a higher priority, since the term began.
+    pub stopped_for_priority: u64,
 }
 
 impl Scheduler {
@@ -274,7 +274,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
-            stopped_for_gangs: self.gang_preemptions.stopped_runs,
+            stopped_for_priority: self.priority_preemptions.stopped_runs,
         }
     }
 
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -3,12 +3,12 @@
 mod blocked;
 mod capacity_changes;
 mod crashes;
-mod gang_preemption;
 mod gangs;
 mod invariants;
 mod leases;
 mod long_running;
 mod peak_load;
+mod priority_preemption;
 mod relay_loss;
 mod simulation;
 mod stored_losses;
--- a/crates/jobs/tests/scheduler/gang_preemption.rs
+++ b/crates/jobs/tests/scheduler/priority_preemption.rs
@@ -25,7 +25,7 @@
 
 /// Returns how many runs the leader has stopped for gangs.
 fn stopped_runs(simulation: &Simulation) -> u64 {
-    simulation.summary().stopped_for_gangs
+    simulation.summary().stopped_for_priority
 }
 
 /// Returns a simulation whose workers are full of batch tasks that have run for two seconds.
@@ -62,7 +62,7 @@
 
 /// Work without checkpoints would be lost in full, so no run is stopped.
 #[test]
-fn runs_without_checkpoints_are_not_stopped_for_gangs() {
+fn runs_without_checkpoints_are_not_stopped_for_priority() {
     let mut simulation = full_of_batch_tasks(false, None);
     simulation.submit(gang(2, "short"));
     simulation.run_ms(12_000);
@@ -71,7 +71,7 @@
 
 /// A gang of the same priority has no precedence over running work.
 #[test]
-fn runs_of_the_same_priority_are_not_stopped_for_gangs() {
+fn runs_of_the_same_priority_are_not_stopped_for_priority() {
     let mut simulation = full_of_batch_tasks(true, None);
     simulation.submit(gang(2, "long"));
     simulation.run_ms(12_000);
