jobs: put work beyond a tenant's rate last only far above the tenant's share

Cause: urgent jobs that a tenant sends beyond its rate waited behind all batch work for up to 8 s once the tenant was above its share, and were worthless then: which of them are owed differs from moment to moment. Change: they come last only while the tenant uses more than twice its share; band and cap bound what others lose. The log line of a received job has its tenant and whether it is beyond the rate.

--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -139,6 +139,8 @@
         log::info!(
             job:% = journal::job_id_hex(job_id),
             queue:% = state.job.queue,
+            tenant = state.tenant.as_deref().unwrap_or_default(),
+            is_beyond_rate = state.is_beyond_rate,
             steps = state.job.steps.len(),
             manifest = self.manifest.version,
             term = self.term;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -87,7 +87,8 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
-    /// Its tenant submitted it beyond the rate that it is owed, and uses more than its share.
+    /// Its tenant submitted it beyond the rate that it is owed, and uses more than
+    /// twice its share.
     Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -46,9 +46,9 @@
 /// Returns the rank of a step of a class by its lateness, whose tenant is in `band`.
 ///
 /// What a tenant submits beyond its rate waits behind all owed work only while the tenant uses more than
-/// its share: otherwise the room is owed to it. For the same reason, late work of a tenant within its
-/// share keeps the priority of its queue. As it is bounded by the share, it cannot hold up others after an
-/// outage.
+/// twice its share. Below that, its cap and the band bound what others lose, while its urgent jobs would be
+/// worthless behind batch work. Late work of a tenant within its share keeps the priority of its queue: as
+/// it is bounded by the share, it cannot hold up others after an outage.
 fn rank_of(
     lateness: scheduler::Lateness,
     waiting: &Waiting,
@@ -57,10 +57,11 @@
     let is_within_share = band == tenants::Band::Within;
     let is_late = lateness == scheduler::Lateness::Late;
     let is_timed = is_late || lateness == scheduler::Lateness::InTime;
-    let lateness = match is_within_share {
-        false if is_timed && waiting.is_beyond_rate => scheduler::Lateness::Beyond,
-        true if is_late => scheduler::Lateness::InTime,
-        _ => lateness,
+    let is_far_above = band == tenants::Band::FarAbove;
+    let lateness = match lateness {
+        _ if is_timed && is_far_above && waiting.is_beyond_rate => scheduler::Lateness::Beyond,
+        scheduler::Lateness::Late if is_within_share => scheduler::Lateness::InTime,
+        lateness => lateness,
     };
     scheduler::Rank {
         lateness,
