jobs: estimate the speed of each worker

Workers of a pool run at different speeds, and some turn slow for seconds while they report good health. The leader took all of them for equal.

Compare each run's rate, at its listings and at its end, with the median rate of the runs of the same step on other workers. It is kept in the leader's memory; the next incarnation of a worker inherits a small part of it. Nothing uses the estimates yet.

The simulation's workers have a speed and list their progress.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,6 +7,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::record;
+use crate::speed;
 use crate::tickets;
 
 /// Identifies a request; returned with the reply to it.
@@ -73,6 +74,8 @@
     pub(crate) blocked_since: Option<time::Instant>,
     /// Set while tasks wait and no run of the step has started since.
     pub(crate) wait: Option<blocked::Wait>,
+    /// Rates of its runs, with which the workers are compared.
+    pub(crate) rates: speed::StepRates,
 }
 
 /// One task.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,6 +31,8 @@
 mod scheduler;
 mod segments;
 mod settings;
+mod speed;
+mod speed_tracking;
 mod throttling;
 mod tickets;
 mod worker;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -248,6 +248,9 @@
             worker_api::StartOutcome::Started => {
                 if is_starting {
                     run.set_phase(worker::RunPhase::Running, clock.now);
+                    if run.checkpoint.is_none() {
+                        run.pace.begin(clock.now);
+                    }
                 }
                 self.mark_job_started(key);
                 self.end_wait(key.task.step_key());
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -20,6 +20,7 @@
 use crate::reservations;
 use crate::scheduler;
 use crate::settings;
+use crate::speed_tracking;
 use crate::worker;
 use crate::workers;
 
@@ -91,6 +92,7 @@
             placement_visits: 0,
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
+            speeds: speed_tracking::SpeedTracking::default(),
         };
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::requests;
 use crate::reservations;
 use crate::settings;
+use crate::speed_tracking;
 use crate::worker;
 
 /// Shortest time between two placement passes.
@@ -71,6 +72,7 @@
     pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
+    pub(crate) speeds: speed_tracking::SpeedTracking,
 }
 
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
@@ -121,6 +123,12 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Workers known to be faster than the usual one of their pool.
+    pub fast_workers: usize,
+    /// Workers known to be slower than that.
+    pub slow_workers: usize,
+    /// Comparisons of a run with other runs of its step, since the term began.
+    pub speed_observations: u64,
 }
 
 impl Scheduler {
@@ -233,6 +241,9 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            fast_workers: self.speeds.fast_workers,
+            slow_workers: self.speeds.slow_workers,
+            speed_observations: self.speeds.observations,
         }
     }
 
@@ -271,6 +282,7 @@
         self.expire_losses(clock);
         self.expire_outcomes(clock);
         self.report_incomplete_gangs(clock);
+        self.refresh_speeds(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,6 +7,8 @@
 
 use crate::maps;
 use crate::settings;
+use crate::speed;
+use crate::speed_tracking;
 use crate::throttling;
 use crate::worker_api;
 
@@ -60,6 +62,7 @@
     pub(crate) silent_since: Option<time::Instant>,
     pub(crate) health: Health,
     pub(crate) throttling: throttling::Throttling,
+    pub(crate) speed: speed_tracking::WorkerSpeed,
 }
 
 /// State of the calls that renew the lease.
@@ -103,6 +106,8 @@
     pub(crate) awaits_answer: bool,
     /// Latest progress in percent, and when it last rose.
     pub(crate) progress: Option<(u32, time::Instant)>,
+    /// What its worker's speed is measured by.
+    pub(crate) pace: speed::Pace,
 }
 
 /// Phase of a run.
@@ -186,6 +191,7 @@
             silent_since: None,
             health: Health::default(),
             throttling: throttling::Throttling::default(),
+            speed: speed_tracking::WorkerSpeed::default(),
         }
     }
 
@@ -202,6 +208,7 @@
         });
         Self {
             report,
+            speed: self.speed.inherited(),
             ..Self::new(expires_at)
         }
     }
@@ -469,6 +476,7 @@
             ordered_at: None,
             awaits_answer: false,
             progress: None,
+            pace: speed::Pace::default(),
         }
     }
 
@@ -497,6 +505,7 @@
         self.unanswered |= std::mem::take(&mut self.awaits_answer);
         self.confirmed_at = None;
         self.progress = None;
+        self.pace = speed::Pace::default();
         self.percent = None;
         self.set_phase(phase, now);
         self
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -62,7 +62,8 @@
     ) {
         let expires_at = read_at + self.settings.max_report_age();
         let incarnation = report.incarnation.clone();
-        self.newest_incarnations
+        let earlier = self
+            .newest_incarnations
             .insert(incarnation.worker_id.clone(), incarnation.clone());
         if let Some(worker) = self.workers.get_mut(&incarnation) {
             let was_draining = worker.report.as_ref().is_some_and(|one| one.draining);
@@ -80,6 +81,7 @@
             "worker listed in the directory"
         );
         let mut worker = worker::Worker::new(clock.now);
+        worker.speed = self.inherited_speed(earlier.as_ref(), &incarnation.worker_id);
         worker.set_report(report, expires_at);
         self.workers.insert(incarnation.clone(), worker);
         self.end_earlier_incarnations(&incarnation, clock);
@@ -128,7 +130,10 @@
             "worker incarnation ended"
         );
         self.lose_all_runs(incarnation, why, clock);
-        self.workers.swap_remove(incarnation);
+        if let Some(worker) = self.workers.swap_remove(incarnation) {
+            let worker_id = &incarnation.worker_id;
+            self.speeds.keep_departed(worker_id, worker.speed);
+        }
     }
 
     /// Marks runs as lost on workers that do not answer and whose lease has certainly expired.
@@ -326,6 +331,9 @@
         for row in &listing.running {
             self.apply_running(incarnation, row, clock);
         }
+        for row in &listing.running {
+            self.observe_progress(incarnation, row, read_at);
+        }
         self.adjust_throttling(incarnation, &listing.running, clock);
         let is_complete = listing.ended.len() < self.settings.max_listed_ends;
         for row in listing.ended {
@@ -334,6 +342,7 @@
                 .get_mut(incarnation)
                 .is_some_and(|worker| worker.record_listed_end(row.sequence));
             if is_new {
+                self.observe_end(incarnation, &row, read_at);
                 let ended = runs::RunEnded {
                     key: row.run,
                     end: row.end,
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -11,3 +11,4 @@
 mod relay_loss;
 mod simulation;
 mod stored_losses;
+mod uneven_workers;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -156,6 +156,8 @@
     pub(crate) max_gang_wait_ms: u64,
     /// Run times of the tasks of steps whose estimate is wrong, in milliseconds.
     pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
+    /// By how much the run times of a step's tasks differ from those of the step, as a share.
+    pub(crate) unevenness: f64,
     /// When the last task of a job was listed as done, in milliseconds.
     pub(crate) ended_at_ms: collections::HashMap<model::JobId, u64>,
     pub(crate) max_failures: u32,
@@ -229,6 +231,7 @@
             incomplete_gangs: collections::HashMap::new(),
             max_gang_wait_ms: 0,
             run_times_ms: collections::HashMap::new(),
+            unevenness: 0.0,
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
             relay_wait_ms: 0,
@@ -737,6 +740,9 @@
             let step = &job.steps[usize::from(step_index)];
             let run_ms = self.run_times_ms.get(&(job_id, step_index)).copied();
             let run_ms = run_ms.unwrap_or(u64::from(step.estimated_ms));
+            let uneven =
+                2.0 * unit_hash(order.run.task.step_key(), order.run.task.index.into()) - 1.0;
+            let run_ms = (run_ms as f64 * (1.0 + self.unevenness * uneven)).round() as u64;
             self.workers[index].start_run(&order, step, run_ms, fails, now_ms);
             if self.deadly_jobs.contains(&job_id) {
                 self.start_deadly(order.run, &order.incarnation);
@@ -967,6 +973,11 @@
         }
     }
 
+    /// Changes the speed of a worker.
+    pub(crate) fn change_speed(&mut self, worker: usize, speed: f64) {
+        self.workers[worker].change_speed(speed, self.now_ms);
+    }
+
     /// Changes the processors of a worker, in thousandths of a core.
     pub(crate) fn change_processors(&mut self, worker: usize, processors_milli: u32) {
         let capacity = model::Demand {
@@ -1045,6 +1056,12 @@
         scheduler.map_or(0, |scheduler| scheduler.summary().placement_visits)
     }
 
+    /// Returns the leader's values for metrics.
+    pub(crate) fn summary(&self) -> jobs::Summary {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or_else(jobs::Summary::default, jobs::Scheduler::summary)
+    }
+
     /// Returns how many start orders the leader has withheld since the last call, by the reason.
     pub(crate) fn take_withheld_starts(&mut self) -> Vec<(jobs::StartObstacle, u64)> {
         let scheduler = self.scheduler.as_mut();
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -20,13 +20,21 @@
 const MAX_LEASE_MS: i64 = 10_000;
 /// Most ends in a listing.
 const MAX_LISTED_ENDS: usize = 500;
+/// Time after which a run on a worker that stands still ends, in milliseconds: longer than any test.
+const STALL_MS: u64 = 1_000_000_000;
+/// Time after which a run fails on a worker that fails all that it starts, in milliseconds.
+const FAILURE_MS: u64 = 50;
 /// Rate of a slow clock.
 const SLOW_CLOCK_RATE: f64 = 0.98;
 
 #[derive(Debug)]
 struct Run {
     demand: model::Demand,
-    started_at_ms: u64,
+    /// Work of its task, in milliseconds at the usual speed.
+    work_ms: u64,
+    /// Work that it had done at `updated_at_ms`, without that in the checkpoint, in milliseconds.
+    worked_ms: f64,
+    updated_at_ms: u64,
     ends_at_ms: u64,
     end: jobs::RunEnd,
     /// Work in the checkpoint that it resumed from, in milliseconds; `None` if the task has none.
@@ -44,9 +52,32 @@
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
 impl Run {
-    /// Returns the latest checkpoint at a time.
-    fn checkpoint(&self, task: model::TaskKey, now_ms: u64) -> Option<sync::Arc<str>> {
-        let worked_ms = now_ms.min(self.ends_at_ms) - self.started_at_ms;
+    /// Returns the work that it has done at a time on a worker of `speed`, in milliseconds.
+    fn worked_ms(&self, speed: f64, now_ms: u64) -> f64 {
+        let since_ms = now_ms.min(self.ends_at_ms) - self.updated_at_ms;
+        self.worked_ms + since_ms as f64 * speed
+    }
+
+    /// Returns the progress at a time on a worker of `speed`, in percent.
+    fn percent(&self, speed: f64, now_ms: u64) -> u32 {
+        let done_ms = self.resumed_ms.unwrap_or_default() as f64 + self.worked_ms(speed, now_ms);
+        (100.0 * done_ms / self.work_ms.max(1) as f64).min(99.0) as u32
+    }
+
+    /// Changes the speed of its worker.
+    fn change_speed(&mut self, old: f64, new: f64, now_ms: u64) {
+        self.worked_ms = self.worked_ms(old, now_ms);
+        self.updated_at_ms = now_ms;
+        if self.end != jobs::RunEnd::Stopped {
+            let resumed_ms = self.resumed_ms.unwrap_or_default();
+            let left_ms = self.work_ms.saturating_sub(resumed_ms) as f64 - self.worked_ms;
+            self.ends_at_ms = now_ms + duration_ms(left_ms, new);
+        }
+    }
+
+    /// Returns the latest checkpoint at a time on a worker of `speed`.
+    fn checkpoint(&self, task: model::TaskKey, speed: f64, now_ms: u64) -> Option<sync::Arc<str>> {
+        let worked_ms = self.worked_ms(speed, now_ms) as u64;
         let checkpointed_ms =
             self.resumed_ms? + worked_ms / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS;
         let text = || format!("{checkpointed_ms}-{}-{}", task.job_id, task.index).into();
@@ -54,6 +85,14 @@
     }
 }
 
+/// Returns how long work takes at a speed, in milliseconds; a stalled run does not end.
+fn duration_ms(work_ms: f64, speed: f64) -> u64 {
+    if speed <= 0.0 {
+        return STALL_MS;
+    }
+    (work_ms.max(0.0) / speed).round() as u64
+}
+
 /// Returns the work that a checkpoint contains, in milliseconds.
 pub(crate) fn checkpointed_ms(checkpoint: &str) -> u64 {
     let (checkpointed_ms, _) = checkpoint.split_once('-').unwrap_or_default();
@@ -71,6 +110,10 @@
     pub(crate) drops_starts: bool,
     /// Whether stop orders are lost before they are executed.
     pub(crate) drops_stops: bool,
+    /// Its speed; the usual one is 1, and 0 lets its runs stand still.
+    speed: f64,
+    /// Whether it fails all that it starts.
+    pub(crate) fails_starts: bool,
     /// Its present capacity; `change_capacity` changes it once the simulation runs.
     pub(crate) capacity: model::Demand,
     /// Earlier capacities, each with the time until which it was in force, in milliseconds.
@@ -122,6 +165,8 @@
             draining: false,
             drops_starts: false,
             drops_stops: false,
+            speed: 1.0,
+            fails_starts: false,
             capacity: CAPACITY,
             earlier_capacities: Vec::new(),
             reported_capacity: CAPACITY,
@@ -144,14 +189,14 @@
     /// Restarts under the same id, with all state lost.
     pub(crate) fn restart(&mut self) {
         let (capacity, address) = (self.capacity, self.address.clone());
-        let clock_rate = self.clock_rate;
+        let (clock_rate, speed) = (self.clock_rate, self.speed);
         *self = Self::in_incarnation(
             self.incarnation.worker_id.clone(),
             self.incarnation.born_ms + 1,
         );
         (self.capacity, self.address) = (capacity, address);
         self.reported_capacity = capacity;
-        self.clock_rate = clock_rate;
+        (self.clock_rate, self.speed) = (clock_rate, speed);
     }
 
     /// Restarts under the same id; the directory lists the earlier incarnation until `listed_at_ms`.
@@ -173,6 +218,15 @@
         self.lease_end_ms = self.lease_end_ms.max(now_ms + left_ms);
     }
 
+    /// Changes the speed, also that of the runs there.
+    pub(crate) fn change_speed(&mut self, speed: f64, now_ms: u64) {
+        self.expire(now_ms);
+        for run in self.runs.values_mut() {
+            run.change_speed(self.speed, speed, now_ms);
+        }
+        self.speed = speed;
+    }
+
     /// Changes the capacity; the directory shows it from the next report on.
     pub(crate) fn change_capacity(&mut self, capacity: model::Demand, now_ms: u64) {
         self.earlier_capacities.push((now_ms, self.capacity));
@@ -265,7 +319,7 @@
                     } else {
                         jobs::RunEnd::Lapsed
                     },
-                    run.checkpoint(key.task, now_ms),
+                    run.checkpoint(key.task, self.speed, now_ms),
                 )
             })
             .collect();
@@ -333,6 +387,10 @@
         now_ms: u64,
     ) {
         let resumed_ms = order.checkpoint.as_deref().map_or(0, checkpointed_ms);
+        let left_ms = match self.fails_starts {
+            true => FAILURE_MS,
+            false => duration_ms(run_ms.saturating_sub(resumed_ms) as f64, self.speed),
+        };
         let run = Run {
             demand: match step.fills_idle {
                 true => model::Demand {
@@ -341,14 +399,16 @@
                 },
                 false => step.demand,
             },
-            started_at_ms: now_ms,
-            ends_at_ms: now_ms + run_ms.saturating_sub(resumed_ms),
+            work_ms: run_ms,
+            worked_ms: 0.0,
+            updated_at_ms: now_ms,
+            ends_at_ms: now_ms + left_ms,
             resumed_ms: step.checkpointing.then_some(resumed_ms),
             fills_idle: step.fills_idle,
             target_ms: step.target_tail_ms,
             percent: 100,
             tail_violation_since_ms: None,
-            end: if fails {
+            end: if fails || self.fails_starts {
                 jobs::RunEnd::Failed
             } else {
                 jobs::RunEnd::Done
@@ -453,8 +513,8 @@
         let clock_ms = self.clock_ms(now_ms);
         let running = self.runs.iter().map(|(key, run)| jobs::RunningRow {
             run: *key,
-            checkpoint: run.checkpoint(key.task, now_ms),
-            percent: 100,
+            checkpoint: run.checkpoint(key.task, self.speed, now_ms),
+            percent: run.percent(self.speed, now_ms),
             usage: run.target_ms.map(|target_ms| self.tail_ms(target_ms)),
         });
         jobs::Listing {
