jobs: choose workers by their speed

Urgent work missed its objective on slow workers while other work held the fast ones, and a gang was as slow as its slowest member.

Urgent steps (the highest of several priorities of a pool, or short ones) prefer the fastest workers, other steps the slower ones on which they end in time, and a gang the set of workers whose slowest is fastest. Calls for advice and reservations follow the same order. Best fit decides between workers of one speed, and no step waits for a better worker.

Comparisons are now made within groups of tasks that start together, once all of them are done: fast runs end first, and compared with what had ended by then 0.8, 1.0 and 1.25 looked much alike. The spread of a worker's own runs replaces the assumed one as evidence grows.

Equal workers: the same starts as without speeds.

--- a/crates/jobs/src/advice_planner.rs
+++ b/crates/jobs/src/advice_planner.rs
@@ -79,7 +79,13 @@
         }
         without_ticket.sort_by_key(|one| {
             let is_allowed = self.tickets.is_allowed(&one.incarnation.worker_id);
-            (!is_allowed, u32::MAX - one.fit_count(demand).min(missing))
+            let fitting = one.fit_count(demand).min(missing);
+            (
+                !is_allowed,
+                fitting == 0,
+                one.speed_rank,
+                u32::MAX - fitting,
+            )
         });
         let wanted = f64::from(missing) * TASK_CAPACITY_FACTOR;
         let mut expected = 0.0;
@@ -135,8 +141,9 @@
                 .iter()
                 .any(|(_, incarnation)| incarnation == one.incarnation)
         };
-        let (assigned, others): (Vec<&Candidate<'_>>, Vec<&Candidate<'_>>) =
+        let (assigned, mut others): (Vec<&Candidate<'_>>, Vec<&Candidate<'_>>) =
             allowed.iter().partition(|one| is_assigned(one));
+        others.sort_by_key(|one| one.speed_rank);
         let spares = others
             .into_iter()
             .filter(|one| one.fit_count(&self.demand) > 0)
@@ -151,7 +158,8 @@
         worker_ids_of(expired)
     }
 
-    /// Returns workers not asked about yet, those with the most free capacity first; none if enough
+    /// Returns workers not asked about yet, the preferred ones and those with the most free capacity
+    /// first; none if enough
     /// allowed workers are known.
     ///
     /// Enough are known if the allowed ones, each with the current mean of free capacity, hold the
@@ -177,7 +185,13 @@
         }
         unknown.sort_by_key(|one| {
             let free = one.free.processors_milli;
-            (u32::MAX - one.fit_count(demand), u32::MAX - free)
+            let fitting = one.fit_count(demand);
+            (
+                fitting == 0,
+                one.speed_rank,
+                u32::MAX - fitting,
+                u32::MAX - free,
+            )
         });
         let needed = (missing / self.allowed_share).ceil() as usize;
         worker_ids_of(unknown.into_iter().take(needed))
--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::job;
+use crate::preference;
 
 /// A worker on which tasks of a step may start.
 #[derive(Debug)]
@@ -17,6 +18,10 @@
     /// Whether the worker is in the rack of the step's data.
     pub(crate) is_in_data_rack: bool,
     pub(crate) failures: u32,
+    /// How the step ranks the worker by its speed; a lower rank is preferred.
+    pub(crate) speed_rank: u8,
+    /// Level of its speed; 0 if all workers are taken for alike.
+    pub(crate) speed_level: i8,
 }
 
 /// Task indexes of a step, each with the worker that it is assigned to.
@@ -48,7 +53,8 @@
 }
 
 /// Assigns the included waiting tasks one by one: to workers in the rack of the step's data first,
-/// then to those with the fewest failures, then by best fit, which leaves the fewest processors free.
+/// then to those with the fewest failures, then by speed, then by best fit, which leaves the fewest
+/// processors free.
 pub(crate) fn assign_tasks(
     mut candidates: Vec<Candidate<'_>>,
     step_state: &job::StepState,
@@ -67,6 +73,7 @@
                 (
                     !candidate.is_in_data_rack,
                     candidate.failures,
+                    candidate.speed_rank,
                     left.processors_milli,
                 )
             });
@@ -81,37 +88,57 @@
 
 /// Assigns all members of a gang, or none; within one rack if the step asks for it and one has
 /// enough capacity.
+///
+/// Of the sets of workers that hold the gang, it chooses one whose slowest worker is fastest: a gang is
+/// as slow as its slowest member.
 pub(crate) fn assign_gang(
     candidates: &[&Candidate<'_>],
     step: &model::Step,
     demand: &model::Demand,
 ) -> Assignment {
+    let levels = preference::distinct_levels(candidates);
     if step.same_rack {
         let racks: collections::BTreeSet<_> = candidates.iter().map(|one| one.rack).collect();
-        for rack in racks {
-            let within = candidates.iter().copied().filter(|one| one.rack == rack);
-            let assignment = assign_greedily(within.collect(), step.task_count, demand);
-            if !assignment.is_empty() {
-                return assignment;
+        for lowest in &levels {
+            for rack in &racks {
+                let within = candidates.iter().copied();
+                let within = within.filter(|one| one.rack == *rack && one.speed_level >= *lowest);
+                let assignment = assign_greedily(within.collect(), step.task_count, demand);
+                if !assignment.is_empty() {
+                    return assignment;
+                }
             }
         }
     }
-    assign_greedily(candidates.to_vec(), step.task_count, demand)
+    for lowest in &levels {
+        let fast_enough = candidates.iter().copied();
+        let fast_enough = fast_enough.filter(|one| one.speed_level >= *lowest);
+        let assignment = assign_greedily(fast_enough.collect(), step.task_count, demand);
+        if !assignment.is_empty() {
+            return assignment;
+        }
+    }
+    Assignment::new()
 }
 
 /// Fills one worker after the other until `count` tasks are assigned: those in the rack of the
-/// step's data first, then those with the fewest failures, then those that most tasks fit on. Empty
-/// if not all tasks fit.
+/// step's data first, then those with the fewest failures, then the slowest, as the faster ones would
+/// only wait for them, then those that most tasks fit on. Empty if not all tasks fit.
 fn assign_greedily(
     mut candidates: Vec<&Candidate<'_>>,
     count: u32,
     demand: &model::Demand,
 ) -> Assignment {
+    let fitting = candidates.iter().map(|one| one.fit_count(demand));
+    if fitting.fold(0_u32, u32::saturating_add) < count {
+        return Assignment::new();
+    }
     candidates.sort_by_key(|candidate| {
         let fitting = candidate.fit_count(demand);
         (
             !candidate.is_in_data_rack,
             candidate.failures,
+            candidate.speed_level,
             u32::MAX - fitting,
         )
     });
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod pass;
 mod placement;
 mod preemption;
+mod preference;
 mod record;
 mod recovery;
 mod requests;
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -18,6 +18,10 @@
     pub(crate) total_free: Option<model::Demand>,
     /// Workers that have runs of tasks under which workers have crashed.
     pub(crate) suspects: isolation::SuspectWorkers,
+    /// Whether the workers differ in their speeds.
+    pub(crate) are_levels_distinct: bool,
+    /// Wall-clock time of the pass, in milliseconds since 1970.
+    pub(crate) wall_ms: u64,
     /// What the head of the scheduling order waits for.
     head: EarlierSteps,
     /// What the steps behind the head wait for that the sweep has visited.
@@ -72,6 +76,12 @@
         }
     }
 
+    /// Sets whether the workers differ in their speeds, and the wall-clock time.
+    pub(crate) fn with_speeds(mut self, are_levels_distinct: bool, wall_ms: u64) -> Self {
+        (self.are_levels_distinct, self.wall_ms) = (are_levels_distinct, wall_ms);
+        self
+    }
+
     /// Goes on with the steps behind the head, where a sweep has already visited some.
     pub(crate) fn continue_sweep(&mut self, sweep: Sweep) {
         self.stage = Stage::Sweep;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::pass;
+use crate::preference;
 use crate::reservations;
 use crate::scheduler;
 use crate::worker;
@@ -79,10 +80,12 @@
     pub(crate) fn new_pass(&self, clock: event::Clock) -> pass::Pass {
         let workers = self.workers.values().enumerate();
         let usable = workers.filter(|(_, worker)| worker.accepts_runs(clock.now));
-        pass::Pass::new(
+        let pass = pass::Pass::new(
             usable.map(|(index, _)| index).collect(),
             self.suspect_workers(clock),
-        )
+        );
+        let are_distinct = self.settings.uses_speeds && self.speeds.are_levels_distinct;
+        pass.with_speeds(are_distinct, clock.wall_ms)
     }
 
     /// Places waiting tasks where they fit, in the scheduling order: in each pass the head of it, of
@@ -637,10 +640,15 @@
                 )
         });
         let is_earlier = |step: &model::StepKey| pass.is_earlier(step);
+        let preference = self.preference(context, pass);
         let candidates = usable.map(|(incarnation, worker)| {
             let task_limit = step.max_per_worker.map_or(u32::MAX, |most| {
                 most.saturating_sub(worker.run_count(context.key))
             });
+            let speed_level = match preference {
+                preference::Preference::None => 0,
+                _ => worker.speed.level,
+            };
             Candidate {
                 incarnation,
                 rack: rack_of(worker),
@@ -656,6 +664,8 @@
                     .as_ref()
                     .is_none_or(|rack| worker.has_label(rack)),
                 failures: step_state.failures_on(&incarnation.worker_id),
+                speed_rank: preference.rank(speed_level),
+                speed_level,
             }
         });
         candidates.take(MAX_CONSIDERED_WORKERS).collect()
@@ -684,6 +694,11 @@
         if let Some(wait) = &mut step_state.wait {
             wait.plans += 1;
         }
+        let is_slow = |incarnation: &model::WorkerIncarnation| {
+            let worker = self.workers.get(incarnation);
+            worker.is_some_and(|worker| worker.speed.level < 0)
+        };
+        let on_slow = assignment.iter().filter(|(_, one)| is_slow(one)).count();
         log::info!(
             job:% = journal::job_id_hex(key.job_id),
             step = key.step,
@@ -692,6 +707,7 @@
             blocked_ms = blocked_since.map_or(0, |at| {
                 clock.now.saturating_duration_since(at).as_millis() as u64
             }),
+            on_slow = on_slow,
             answers = step_state.tickets.answers,
             asked = step_state.tickets.asked_count(),
             allowed = step_state.tickets.allowed_count();
@@ -769,7 +785,8 @@
         let mut allowed = self.allowed_workers(&context, pass, clock);
         allowed.sort_by_key(|one| {
             let free = one.free.processors_milli;
-            (u32::MAX - one.fit_count(&demand), u32::MAX - free)
+            let fitting = one.fit_count(&demand);
+            (one.speed_rank, u32::MAX - fitting, u32::MAX - free)
         });
         let wanted = f64::from(context.step.task_count) * RESERVED_CAPACITY_FACTOR;
         let mut capacity = 0.0;
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -25,6 +25,8 @@
     pub capacity_notice: time::Duration,
     /// Number of waiting steps above which further jobs are refused.
     pub max_waiting_steps: usize,
+    /// Whether the estimated speeds of the workers, and how their runs end, decide where work starts.
+    pub uses_speeds: bool,
 }
 
 impl Default for Settings {
@@ -40,6 +42,7 @@
             report_interval: time::Duration::from_millis(1_500),
             capacity_notice: time::Duration::from_millis(4_000),
             max_waiting_steps: 20_000,
+            uses_speeds: true,
         }
     }
 }
--- a/crates/jobs/src/speed.rs
+++ b/crates/jobs/src/speed.rs
@@ -10,6 +10,11 @@
 /// Standard deviation that one task's run time is assumed to have, as a logarithm: tasks of a step are
 /// uneven by 15 to 30 %.
 const TASK_SPREAD: f64 = 0.3;
+/// Weight of that assumption beside the spread that a worker's own runs show, in tasks.
+const SPREAD_PRIOR_WEIGHT: f64 = 5.0;
+/// Least standard deviation that is taken from a worker's own runs: the rates that they are compared
+/// with are uncertain, too.
+const MIN_TASK_SPREAD: f64 = 0.1;
 /// Number of standard errors by which a speed must differ to count. Two would let one in twenty
 /// workers that are equal look different.
 const SIGNIFICANT_ERRORS: f64 = 3.0;
@@ -44,11 +49,16 @@
 /// 0.8, 1.0 and 1.25.
 const LEVEL_FACTOR: f64 = 1.25;
 /// Lowest and highest level: a ninth and about twice the usual speed.
-const MIN_LEVEL: f64 = -10.0;
-const MAX_LEVEL: f64 = 3.0;
-
-/// Most rates kept for a step. The median of so many differs little from that of all.
-const MAX_STEP_RATES: usize = 16;
+pub(crate) const MIN_LEVEL: i8 = -10;
+const MAX_LEVEL: i8 = 3;
+
+/// Most tasks of a group that are compared with each other. The median of so many differs little from
+/// that of more.
+const MAX_GROUP_TASKS: u32 = 32;
+/// Most rates kept for a group.
+const MAX_GROUP_RATES: usize = MAX_GROUP_TASKS as usize;
+/// Most groups kept for a step: 2,048 tasks that run at the same time.
+const MAX_STEP_GROUPS: usize = 64;
 /// Age from which a rate of a step is not compared with any more.
 const MAX_RATE_AGE: time::Duration = time::Duration::from_secs(20);
 /// Weight of an observation by the number of other workers that it is compared with: with a single
@@ -79,6 +89,8 @@
     mean: f64,
     /// Weight of the observations at `updated_at`, in tasks.
     weight: f64,
+    /// Mean of the squared deviations from the mean.
+    variance: f64,
     updated_at: Option<time::Instant>,
 }
 
@@ -101,7 +113,10 @@
         let before = self.weight_at(half_life, now).min(max_weight);
         let sum = before + weight;
         if sum > 0.0 {
-            self.mean = (self.mean * before + value * weight) / sum;
+            let mean = (self.mean * before + value * weight) / sum;
+            let squared = (value - self.mean) * (value - mean);
+            self.variance = (self.variance * before + squared * weight) / sum;
+            self.mean = mean;
         }
         self.weight = sum.min(max_weight);
         self.updated_at = self.updated_at.max(Some(now));
@@ -124,37 +139,44 @@
     pub(crate) log_speed: f64,
     /// Share of a task's work that it covers, from 0 to 1.
     pub(crate) coverage: f64,
-    /// Progress, made or expected, in percent: what the recent evidence is weighed by.
-    pub(crate) percent: f64,
     /// Number of other workers that the run is compared with.
     pub(crate) compared_with: usize,
 }
 
-impl Estimate {
-    /// Adds an observation; one that is not a number is ignored.
-    pub(crate) fn observe(&mut self, observation: &Observation, now: time::Instant) {
+impl Observation {
+    /// Returns the bounded logarithm and the weight by the comparisons; `None` if they tell nothing.
+    fn value_and_weight(&self) -> Option<(f64, f64)> {
         let last = COMPARISON_WEIGHTS.len() - 1;
-        let weight = COMPARISON_WEIGHTS[observation.compared_with.min(last)];
-        let values = [
-            observation.log_speed,
-            observation.coverage,
-            observation.percent,
-        ];
-        if weight <= 0.0 || values.iter().any(|value| value.is_nan()) {
+        let weight = COMPARISON_WEIGHTS[self.compared_with.min(last)];
+        let is_number = !self.log_speed.is_nan() && !self.coverage.is_nan();
+        let value = self.log_speed.clamp(MIN_OBSERVATION, MAX_OBSERVATION);
+        (is_number && weight > 0.0).then_some((value, weight))
+    }
+}
+
+impl Estimate {
+    /// Adds an observation to the recent evidence; one that is not a number is ignored.
+    pub(crate) fn observe_recent(&mut self, observation: &Observation, now: time::Instant) {
+        let percent = 100.0 * observation.coverage;
+        let share = (percent / FULL_WEIGHT_PERCENT).clamp(0.0, 1.0);
+        let Some((value, weight)) = observation.value_and_weight() else {
             return;
-        }
-        self.observations = self.observations.saturating_add(1);
-        let value = observation
-            .log_speed
-            .clamp(MIN_OBSERVATION, MAX_OBSERVATION);
-        let recent_weight = weight * (observation.percent / FULL_WEIGHT_PERCENT).clamp(0.0, 1.0);
+        };
         self.recent.add(
             value,
-            recent_weight,
+            weight * share,
             RECENT_HALF_LIFE,
             MAX_RECENT_WEIGHT,
             now,
         );
+    }
+
+    /// Adds an observation to the steady evidence; one that is not a number is ignored.
+    pub(crate) fn observe_steady(&mut self, observation: &Observation, now: time::Instant) {
+        let Some((value, weight)) = observation.value_and_weight() else {
+            return;
+        };
+        self.observations = self.observations.saturating_add(1);
         let coverage = observation.coverage.clamp(0.0, 1.0);
         let (lowest, highest) = (
             self.steady.mean - MAX_STEADY_SURPRISE,
@@ -184,7 +206,7 @@
         let steady = self.steady_log_speed(now);
         let weight = self.recent.weight_at(RECENT_HALF_LIFE, now);
         let recent = shrunk(self.recent.mean, weight, RECENT_PRIOR_WEIGHT);
-        match is_significant(recent - steady, weight) {
+        match is_significant(recent - steady, weight, TASK_SPREAD) {
             true => recent,
             false => steady,
         }
@@ -194,7 +216,10 @@
     fn steady_log_speed(&self, now: time::Instant) -> f64 {
         let weight = self.evidence(now);
         let steady = shrunk(self.steady.mean, weight, STEADY_PRIOR_WEIGHT);
-        match is_significant(steady, weight) {
+        let assumed = TASK_SPREAD * TASK_SPREAD * SPREAD_PRIOR_WEIGHT;
+        let variance = (self.steady.variance * weight + assumed) / (weight + SPREAD_PRIOR_WEIGHT);
+        let spread = variance.max(0.0).sqrt().max(MIN_TASK_SPREAD);
+        match is_significant(steady, weight, spread) {
             true => steady,
             false => 0.0,
         }
@@ -244,15 +269,18 @@
     mean * weight / (weight + prior_weight)
 }
 
-fn is_significant(difference: f64, weight: f64) -> bool {
-    difference.abs() * weight.sqrt() >= SIGNIFICANT_ERRORS * TASK_SPREAD
+/// Returns whether a difference is more than chance would make it, with evidence of a weight from runs
+/// that have this standard deviation.
+fn is_significant(difference: f64, weight: f64, spread: f64) -> bool {
+    difference.abs() * weight.sqrt() >= SIGNIFICANT_ERRORS * spread
 }
 
 /// Returns the level of the logarithm of a speed.
 fn level_of(log_speed: f64) -> i8 {
     let level = log_speed / LEVEL_FACTOR.ln();
     // The bounds are within those of the type.
-    level.round().clamp(MIN_LEVEL, MAX_LEVEL) as i8
+    let (lowest, highest) = (f64::from(MIN_LEVEL), f64::from(MAX_LEVEL));
+    level.round().clamp(lowest, highest) as i8
 }
 
 /// Returns the speed of a level, as a multiple of the usual speed.
@@ -260,17 +288,76 @@
     LEVEL_FACTOR.powi(i32::from(level))
 }
 
-/// The latest rates of the runs of a step, one for each task.
+/// The rates of the runs of a step, in groups of tasks with neighbouring indexes, which start at about
+/// the same time.
 #[derive(Debug, Default)]
-pub(crate) struct StepRates(Vec<StepRate>);
+pub(crate) struct StepRates(Vec<(u32, GroupRates)>);
+
+impl StepRates {
+    /// Returns the group of a task, and its number, in a step of `task_count` tasks.
+    pub(crate) fn group_mut(&mut self, task: u32, task_count: u32) -> (u32, &mut GroupRates) {
+        let number = task / group_tasks(task_count);
+        let known = self.0.iter().position(|(known, _)| *known == number);
+        let position = known.unwrap_or_else(|| {
+            if self.0.len() >= MAX_STEP_GROUPS {
+                self.0.remove(0);
+            }
+            self.0.push((number, GroupRates::default()));
+            self.0.len() - 1
+        });
+        (number, &mut self.0[position].1)
+    }
+
+    /// Removes a group all tasks of which are done.
+    pub(crate) fn remove_group(&mut self, number: u32) {
+        self.0.retain(|(known, _)| *known != number);
+    }
+}
+
+/// Returns the number of tasks in each group of a step but the last one, which has fewer.
+fn group_tasks(task_count: u32) -> u32 {
+    let groups = task_count.div_ceil(MAX_GROUP_TASKS).max(1);
+    task_count.div_ceil(groups).max(1)
+}
+
+/// Returns the number of tasks in a group.
+fn group_size(number: u32, task_count: u32) -> u32 {
+    let tasks = group_tasks(task_count);
+    task_count.saturating_sub(number * tasks).min(tasks)
+}
+
+/// The latest rates of the runs of a group of tasks, one for each task.
+///
+/// The steady evidence is taken from all of them together: runs on fast workers end first, and compared
+/// with what has ended by then they would not look fast.
+#[derive(Debug, Default)]
+pub(crate) struct GroupRates {
+    rates: Vec<StepRate>,
+    /// Tasks that are done.
+    done_count: u32,
+}
 
 #[derive(Debug)]
 struct StepRate {
     task: u32,
     worker_id: model::WorkerId,
-    /// Logarithm of the rate that a worker of the usual speed would have.
+    /// Logarithm of the latest rate that a worker of the usual speed would have.
     log_rate: f64,
     at: time::Instant,
+    /// Sum of the logarithms of the rates that are not in the steady evidence yet, times the share of
+    /// the work that each covers.
+    pending_log_rates: f64,
+    /// Sum of these shares.
+    pending_coverage: f64,
+    /// Logarithm of the speed of the worker, as far as it is known.
+    log_speed: f64,
+}
+
+impl StepRate {
+    /// Returns the mean logarithm of the pending rates.
+    fn pending_mean(&self) -> Option<f64> {
+        (self.pending_coverage > 0.0).then(|| self.pending_log_rates / self.pending_coverage)
+    }
 }
 
 /// What a run is compared with.
@@ -282,61 +369,123 @@
     pub(crate) workers: usize,
 }
 
-impl StepRates {
-    /// Records the latest rate of a task; `log_speed` is that of its worker as far as it is known.
+/// A rate that was measured.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MeasuredRate {
+    /// Logarithm of the rate.
+    pub(crate) log_rate: f64,
+    /// Logarithm of the speed of the worker, as far as it is known.
+    pub(crate) log_speed: f64,
+    /// Share of the task's work that it covers.
+    pub(crate) coverage: f64,
+}
+
+impl GroupRates {
+    /// Records the latest rate of a task; one that is not a number is ignored.
     pub(crate) fn record(
         &mut self,
         task: u32,
         worker_id: &model::WorkerId,
-        log_rate: f64,
-        log_speed: f64,
+        measured: &MeasuredRate,
         now: time::Instant,
     ) {
-        let log_rate = log_rate - log_speed;
-        if !log_rate.is_finite() {
+        let log_rate = measured.log_rate - measured.log_speed;
+        if !log_rate.is_finite() || !measured.coverage.is_finite() {
             return;
         }
-        if let Some(known) = self.0.iter().position(|one| one.task == task) {
-            self.0.remove(known);
-        } else if self.0.len() >= MAX_STEP_RATES {
-            self.0.remove(0);
-        }
-        self.0.push(StepRate {
+        let known = self.rates.iter().position(|one| one.task == task);
+        let known = match known {
+            Some(known) => Some(self.rates.remove(known)),
+            None if self.rates.len() >= MAX_GROUP_RATES => {
+                let used = self
+                    .rates
+                    .iter()
+                    .position(|one| one.pending_coverage <= 0.0);
+                self.rates.remove(used.unwrap_or_default());
+                None
+            }
+            None => None,
+        };
+        let known = known.filter(|one| one.worker_id == *worker_id);
+        let pending = known.map_or((0.0, 0.0), |one| {
+            (one.pending_log_rates, one.pending_coverage)
+        });
+        self.rates.push(StepRate {
             task,
             worker_id: worker_id.clone(),
             log_rate,
             at: now,
+            pending_log_rates: pending.0 + measured.log_rate * measured.coverage,
+            pending_coverage: pending.1 + measured.coverage,
+            log_speed: measured.log_speed,
+        });
+    }
+
+    /// Records that a task is done; returns whether all tasks of the group, which has this number, are.
+    pub(crate) fn end_task(&mut self, number: u32, task_count: u32) -> bool {
+        self.done_count += 1;
+        self.done_count >= group_size(number, task_count)
+    }
+
+    /// Takes the rates that are not in the steady evidence yet, each compared with those of the other
+    /// workers.
+    pub(crate) fn take_batch(&mut self) -> Vec<(model::WorkerId, Observation)> {
+        let observations = self.rates.iter().filter_map(|one| {
+            let mean = one.pending_mean()?;
+            let others = self.rates.iter();
+            let others = others.filter(|other| other.worker_id != one.worker_id);
+            let baseline = median_of(others.map(|other| {
+                let pending = other.pending_mean();
+                let log_rate = pending.map(|mean| mean - other.log_speed);
+                (&other.worker_id, log_rate.unwrap_or(other.log_rate))
+            }))?;
+            let observation = Observation {
+                log_speed: mean - baseline.log_rate,
+                coverage: one.pending_coverage,
+                compared_with: baseline.workers,
+            };
+            Some((one.worker_id.clone(), observation))
         });
+        let observations = observations.collect();
+        for one in &mut self.rates {
+            (one.pending_log_rates, one.pending_coverage) = (0.0, 0.0);
+        }
+        observations
     }
 
-    /// Returns the median rate on other workers than `worker_id`; `None` if there is none.
+    /// Returns the median of the latest rates on other workers than `worker_id`; `None` if there is none.
     pub(crate) fn baseline(
         &self,
         worker_id: &model::WorkerId,
         now: time::Instant,
     ) -> Option<Baseline> {
-        let others = self.0.iter().filter(|one| {
+        let others = self.rates.iter().filter(|one| {
             one.worker_id != *worker_id && now.saturating_duration_since(one.at) <= MAX_RATE_AGE
         });
-        let (mut rates, mut worker_ids) = ([0.0; MAX_STEP_RATES], [None; MAX_STEP_RATES]);
-        let (mut count, mut workers) = (0, 0);
-        for one in others {
-            rates[count] = one.log_rate;
-            count += 1;
-            if !worker_ids[..workers].contains(&Some(&one.worker_id)) {
-                worker_ids[workers] = Some(&one.worker_id);
-                workers += 1;
-            }
+        median_of(others.map(|one| (&one.worker_id, one.log_rate)))
+    }
+}
+
+/// Returns the median of at most `MAX_GROUP_RATES` rates, each of a run on a worker.
+fn median_of<'a>(of: impl Iterator<Item = (&'a model::WorkerId, f64)>) -> Option<Baseline> {
+    let (mut rates, mut worker_ids) = ([0.0; MAX_GROUP_RATES], [None; MAX_GROUP_RATES]);
+    let (mut count, mut workers) = (0, 0);
+    for (worker_id, log_rate) in of.take(MAX_GROUP_RATES) {
+        rates[count] = log_rate;
+        count += 1;
+        if !worker_ids[..workers].contains(&Some(worker_id)) {
+            worker_ids[workers] = Some(worker_id);
+            workers += 1;
         }
-        let rates = &mut rates[..count];
-        rates.sort_by(f64::total_cmp);
-        let upper = *rates.get(count / 2)?;
-        let lower = rates[(count - 1) / 2];
-        Some(Baseline {
-            log_rate: f64::midpoint(lower, upper),
-            workers,
-        })
     }
+    let rates = &mut rates[..count];
+    rates.sort_by(f64::total_cmp);
+    let upper = *rates.get(count / 2)?;
+    let lower = rates[(count - 1) / 2];
+    Some(Baseline {
+        log_rate: f64::midpoint(lower, upper),
+        workers,
+    })
 }
 
 /// How far a run was at a time.
@@ -454,13 +603,13 @@
 }
 
 impl Measurement {
-    /// Returns what it shows of the speed of the run's worker, compared with other runs of its step.
+    /// Returns what it shows of the present speed of the run's worker, compared with other runs of its
+    /// step.
     pub(crate) fn observation(&self, baseline: &Baseline) -> Observation {
         let expected = self.expected_percent.unwrap_or_default();
         Observation {
             log_speed: self.log_rate - baseline.log_rate,
-            coverage: self.percent / 100.0,
-            percent: self.percent.max(expected),
+            coverage: self.percent.max(expected) / 100.0,
             compared_with: baseline.workers,
         }
     }
--- a/crates/jobs/src/speed_tracking.rs
+++ b/crates/jobs/src/speed_tracking.rs
@@ -120,9 +120,10 @@
 
 /// Returns whether runs of a step show the speed of their workers.
 ///
-/// Long-running tasks make no progress, and best-effort ones get what others leave idle.
+/// Long-running tasks make no progress, best-effort ones get what others leave idle, and the members of a
+/// gang go on together.
 fn shows_speed(step: &model::Step) -> bool {
-    !step.long_running && !step.fills_idle
+    !step.long_running && !step.fills_idle && !step.gang
 }
 
 impl scheduler::Scheduler {
@@ -172,7 +173,6 @@
             baseline.as_ref(),
             seen_at,
         );
-        self.speeds.observations += 1;
         self.speeds.are_levels_distinct |= worker.speed.level != 0;
         if measured.is_new_stall {
             log::info!(
@@ -200,26 +200,51 @@
             return;
         };
         let task = row.run.task;
-        let Some(rates) = rates_of(&mut self.jobs, task) else {
+        let state = self.jobs.get_mut(&task.job_id);
+        let Some((step, step_state)) = state.and_then(|one| one.step_mut(task.step_key())) else {
             return;
         };
-        if row.end != worker_api::RunEnd::Done {
+        if row.end != worker_api::RunEnd::Done || !shows_speed(step) {
             return;
         }
+        let task_count = step.task_count;
+        let (number, rates) = step_state.rates.group_mut(task.index, task_count);
         let baseline = rates.baseline(&incarnation.worker_id, seen_at);
-        let Some(measured) = run.pace.measure_end(baseline.as_ref(), seen_at) else {
-            return;
-        };
-        record_measurement(
-            &mut worker.speed,
-            rates,
-            (task.index, &incarnation.worker_id),
-            &measured,
-            baseline.as_ref(),
-            seen_at,
-        );
-        self.speeds.observations += 1;
-        self.speeds.are_levels_distinct |= worker.speed.level != 0;
+        if let Some(measured) = run.pace.measure_end(baseline.as_ref(), seen_at) {
+            record_measurement(
+                &mut worker.speed,
+                rates,
+                (task.index, &incarnation.worker_id),
+                &measured,
+                baseline.as_ref(),
+                seen_at,
+            );
+            self.speeds.are_levels_distinct |= worker.speed.level != 0;
+        }
+        if rates.end_task(number, task_count) {
+            let batch = rates.take_batch();
+            step_state.rates.remove_group(number);
+            self.apply_batch(batch, seen_at);
+        }
+    }
+
+    /// Adds a batch of comparisons within a step to the steady evidence of the workers.
+    fn apply_batch(
+        &mut self,
+        batch: Vec<(model::WorkerId, speed::Observation)>,
+        now: time::Instant,
+    ) {
+        for (worker_id, observation) in batch {
+            let incarnation = self.newest_incarnations.get(&worker_id);
+            let worker = incarnation.and_then(|one| self.workers.get_mut(one));
+            let Some(worker) = worker else {
+                continue;
+            };
+            worker.speed.estimate.observe_steady(&observation, now);
+            worker.speed.update_level(now);
+            self.speeds.are_levels_distinct |= worker.speed.level != 0;
+            self.speeds.observations += 1;
+        }
     }
 
     /// Updates the levels of all workers if that is due: evidence fades, and the usual speed of a
@@ -294,29 +319,34 @@
 fn rates_of(
     jobs: &mut maps::IndexMap<model::JobId, job::JobState>,
     task: model::TaskKey,
-) -> Option<&mut speed::StepRates> {
+) -> Option<&mut speed::GroupRates> {
     let state = jobs.get_mut(&task.job_id)?;
     let (step, step_state) = state.step_mut(task.step_key())?;
-    shows_speed(step).then_some(&mut step_state.rates)
+    if !shows_speed(step) {
+        return None;
+    }
+    let (_, rates) = step_state.rates.group_mut(task.index, step.task_count);
+    Some(rates)
 }
 
+/// Adds a measurement to the rates of its step and to the recent evidence of its worker.
 fn record_measurement(
     speed: &mut WorkerSpeed,
-    rates: &mut speed::StepRates,
+    rates: &mut speed::GroupRates,
     (task, worker_id): (u32, &model::WorkerId),
     measured: &speed::Measurement,
     baseline: Option<&speed::Baseline>,
     now: time::Instant,
 ) {
-    rates.record(
-        task,
-        worker_id,
-        measured.log_rate,
-        speed.log_speed(now),
-        now,
-    );
+    let rate = speed::MeasuredRate {
+        log_rate: measured.log_rate,
+        log_speed: speed.log_speed(now),
+        coverage: measured.percent / 100.0,
+    };
+    rates.record(task, worker_id, &rate, now);
     if let Some(baseline) = baseline {
-        speed.estimate.observe(&measured.observation(baseline), now);
+        let observation = measured.observation(baseline);
+        speed.estimate.observe_recent(&observation, now);
         speed.update_level(now);
     }
 }
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -156,6 +156,10 @@
     pub(crate) max_gang_wait_ms: u64,
     /// Run times of the tasks of steps whose estimate is wrong, in milliseconds.
     pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
+    /// Settings of the next leader.
+    pub(crate) settings: jobs::Settings,
+    /// Every start: when, in milliseconds, which run, and on which worker.
+    pub(crate) starts: Vec<(u64, model::RunKey, usize)>,
     /// By how much the run times of a step's tasks differ from those of the step, as a share.
     pub(crate) unevenness: f64,
     /// When the last task of a job was listed as done, in milliseconds.
@@ -231,6 +235,8 @@
             incomplete_gangs: collections::HashMap::new(),
             max_gang_wait_ms: 0,
             run_times_ms: collections::HashMap::new(),
+            settings: jobs::Settings::default(),
+            starts: Vec::new(),
             unevenness: 0.0,
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
@@ -331,7 +337,7 @@
                 .add(key, value)
                 .expect("stored values can be decoded");
         }
-        let settings = jobs::Settings::default();
+        let settings = self.settings.clone();
         let scheduler = recovery.build(settings, self.term, self.leadership_timeout, self.clock());
         self.scheduler = Some(scheduler);
         self.inbox.clear();
@@ -732,6 +738,7 @@
         if outcome == jobs::StartOutcome::Started && !self.workers[index].has_run(order.run) {
             self.check_start(index, &order);
             self.start_count += 1;
+            self.starts.push((now_ms, order.run, index));
             let job_id = order.run.task.job_id;
             self.started_at_ms.entry(job_id).or_insert(now_ms);
             let fails = self.failing_jobs.contains(&order.run.task.job_id);
--- a/crates/jobs/tests/scheduler/uneven_workers.rs
+++ b/crates/jobs/tests/scheduler/uneven_workers.rs
@@ -51,7 +51,7 @@
 /// Guards against a new leader that takes over estimates it cannot know, or never finds its own.
 #[test]
 fn new_leader_begins_without_estimates() {
-    let step = simulation::step(24, 1_000, 1_500);
+    let step = simulation::step(40, 1_000, 1_500);
     let mut simulation = new_simulation(2, 20);
     simulation.change_speed(3, 0.4);
     submit_every(&mut simulation, "long", &step, 1, 20, 400);
@@ -62,3 +62,174 @@
     submit_every(&mut simulation, "long", &step, 100, 20, 400);
     assert_eq!(simulation.summary().slow_workers, 1);
 }
+
+/// Submits urgent jobs every 50 ms and plain long ones every 600 ms for some time, with the workers as
+/// `change_workers` sets them at each time; returns which part of the urgent jobs of the later half ended
+/// within their objective.
+fn urgent_share_in_time(
+    uses_speeds: bool,
+    duration_ms: u64,
+    mut change_workers: impl FnMut(&mut Simulation, u64),
+) -> f64 {
+    let mut simulation = Simulation::new(3, 28, None);
+    simulation.unevenness = UNEVENNESS;
+    simulation.settings.uses_speeds = uses_speeds;
+    simulation.elect_leader();
+    simulation.run_ms(200);
+    let urgent = simulation::step(3, 2_000, 650);
+    let plain = simulation::step(8, 2_000, 3_000);
+    let mut submitted = Vec::new();
+    for at_ms in (0..duration_ms).step_by(50) {
+        change_workers(&mut simulation, at_ms);
+        if at_ms % 600 == 0 {
+            let id = 1_000_000 + at_ms;
+            simulation.submit(simulation::job(id, "long", plain.clone()));
+        }
+        let id = 1 + at_ms;
+        simulation.submit(simulation::job(id, "short", urgent.clone()));
+        if at_ms >= duration_ms / 2 {
+            submitted.push((id, simulation.now_ms));
+        }
+
+        simulation.run_ms(50);
+    }
+    simulation.run_ms(20_000);
+    let in_time = submitted.iter().filter(|(id, at_ms)| {
+        let ended_at_ms = simulation.ended_at_ms.get(id);
+        ended_at_ms.is_some_and(|ended_ms| ended_ms - at_ms <= URGENT_OBJECTIVE_MS)
+    });
+    in_time.count() as f64 / submitted.len() as f64
+}
+
+/// Objective of an urgent job of 0.65 s: 1.5 times that and 0.4 s, in milliseconds.
+const URGENT_OBJECTIVE_MS: u64 = 1_375;
+
+/// Guards against urgent work on workers of less than half the speed, where it ends too late, while
+/// other work occupies the faster ones.
+#[test]
+fn urgent_work_goes_to_fast_workers() {
+    let share = |uses_speeds| {
+        urgent_share_in_time(uses_speeds, 24_000, |simulation, at_ms| {
+            if at_ms == 0 {
+                for worker in 0..7 {
+                    simulation.change_speed(4 * worker, 0.45);
+                }
+            }
+        })
+    };
+    let (with, without) = (share(true), share(false));
+    assert!(with >= 0.97, "{with}; {without} without speeds");
+}
+
+/// Guards against slow-downs that are noticed too late or remembered too long: one in seven workers
+/// turns seven times slower for 6 s, then others do.
+#[test]
+fn urgent_work_leaves_workers_that_turn_slow() {
+    let share = |uses_speeds| {
+        urgent_share_in_time(uses_speeds, 36_000, |simulation, at_ms| {
+            if at_ms % 6_000 == 0 {
+                let slow = at_ms / 6_000 % 7;
+                for worker in 0..28 {
+                    let is_slow = worker as u64 % 7 == slow;
+                    simulation.change_speed(worker, if is_slow { 1.0 / 7.0 } else { 1.0 });
+                }
+            }
+        })
+    };
+    let (with, without) = (share(true), share(false));
+    assert!(with >= 0.9, "{with}; {without} without speeds");
+}
+
+/// Returns the mean speed of the slowest members of gangs on workers of these speeds, which end with
+/// that member.
+fn mean_gang_speed(uses_speeds: bool, speeds: &[f64], members: u32) -> f64 {
+    const GANGS: u64 = 10;
+    let mut simulation = Simulation::new(4, 24, None);
+    simulation.unevenness = UNEVENNESS;
+    simulation.settings.uses_speeds = uses_speeds;
+    simulation.elect_leader();
+    simulation.run_ms(200);
+    let speed_of = |worker: usize| speeds[worker % speeds.len()];
+    for worker in 0..24 {
+        simulation.change_speed(worker, speed_of(worker));
+    }
+    let wide = simulation::step(48, 3_000, 1_000);
+    submit_every(&mut simulation, "long", &wide, 1, 25, 1_500);
+    let gang = model::Step {
+        gang: true,
+        ..simulation::step(members, 6_000, 4_000)
+    };
+    let mut sum = 0.0;
+    for id in 100..100 + GANGS {
+        submit_every(&mut simulation, "long", &wide, 1_000 + id, 1, 4_000);
+        simulation.submit(simulation::job(id, "long", gang.clone()));
+        simulation.run_ms(12_000);
+        let starts = simulation.starts.iter();
+        let members = starts.filter(|(_, run, _)| run.task.job_id == id);
+        let of_members = members.map(|(_, _, worker)| speed_of(*worker));
+        let slowest = of_members.fold(f64::INFINITY, f64::min);
+        assert!(slowest.is_finite(), "not started");
+        sum += slowest;
+    }
+    sum / GANGS as f64
+}
+
+/// Guards against gangs with one slow member, for which all others wait.
+#[test]
+fn gang_gets_workers_of_like_speed() {
+    let speeds = [0.8, 1.0, 1.25];
+    let (with, without) = (
+        mean_gang_speed(true, &speeds, 6),
+        mean_gang_speed(false, &speeds, 6),
+    );
+    assert!(with >= 1.1, "{with}; {without} without speeds");
+    let speeds = [0.4, 1.0, 1.0, 1.0];
+    let (with, without) = (
+        mean_gang_speed(true, &speeds, 16),
+        mean_gang_speed(false, &speeds, 16),
+    );
+    assert!(with >= 0.95, "{with}; {without} without speeds");
+}
+
+/// Returns every start among equal workers under load, with and without advice.
+fn starts_on_equal_workers(
+    uses_speeds: bool,
+    allowed_share: Option<f64>,
+) -> Vec<(u64, model::RunKey, usize)> {
+    let mut simulation = Simulation::new(5, 24, allowed_share);
+    simulation.unevenness = UNEVENNESS;
+    simulation.settings.uses_speeds = uses_speeds;
+    simulation.elect_leader();
+    simulation.run_ms(200);
+    for id in 1..=300 {
+        let tasks = 1 + simulation.random(8) as u32;
+        let processors_milli = 500 + 500 * simulation.random(5) as u32;
+        let run_ms = 300 + simulation.random(2_500) as u32;
+        let (queue, is_gang) = match simulation.random(4) {
+            0 => ("long", true),
+            1 => ("long", false),
+            _ => ("short", false),
+        };
+        let step = model::Step {
+            gang: is_gang,
+            checkpointing: is_gang,
+            ..simulation::step(tasks, processors_milli, run_ms)
+        };
+        simulation.submit(simulation::job(id, queue, step));
+        simulation.run_ms(100);
+    }
+    simulation.run_ms(10_000);
+    simulation.starts
+}
+
+/// Guards against a change for deployments with equal workers: each run starts where and when it does
+/// without speeds.
+#[test]
+fn equal_workers_are_served_as_before() {
+    for allowed_share in [None, Some(0.6)] {
+        let with = starts_on_equal_workers(true, allowed_share);
+        let without = starts_on_equal_workers(false, allowed_share);
+        assert!(with.len() > 1_000);
+        assert_eq!(with, without);
+    }
+}
--- a/crates/jobs/tests/speed/main.rs
+++ b/crates/jobs/tests/speed/main.rs
@@ -14,11 +14,18 @@
     speed::Observation {
         log_speed: speed.ln(),
         coverage: 1.0,
-        percent: 100.0,
         compared_with: 4,
     }
 }
 
+fn rate(log_rate: f64) -> speed::MeasuredRate {
+    speed::MeasuredRate {
+        log_rate,
+        log_speed: 0.0,
+        coverage: 1.0,
+    }
+}
+
 /// Returns a number from -1 to 1 that depends on `seed` only.
 fn noise(seed: u64) -> f64 {
     let mut mixed = (seed + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -27,7 +34,13 @@
     ((mixed ^ (mixed >> 31)) % 2_000_001) as f64 / 1e6 - 1.0
 }
 
+fn observe(estimate: &mut speed::Estimate, observation: &speed::Observation, now: time::Instant) {
+    estimate.observe_recent(observation, now);
+    estimate.observe_steady(observation, now);
+}
+
 /// Runs steps of one task on each worker, uneven by `unevenness`, for `rounds`; returns the estimates.
+/// The runs of a step are recorded in the order of their ends.
 fn estimates_after(
     speeds: &[f64],
     unevenness: f64,
@@ -37,24 +50,32 @@
     let mut now = start;
     let mut estimates = vec![speed::Estimate::default(); speeds.len()];
     for round in 0..rounds {
-        let mut rates = speed::StepRates::default();
-        // Each round begins with another worker: the first has none to be compared with.
-        let first = round as usize % speeds.len();
-        for index in (0..speeds.len()).map(|index| (index + first) % speeds.len()) {
-            let of_worker = speeds[index];
+        let mut rates = speed::GroupRates::default();
+        let runs = speeds.iter().enumerate().map(|(index, of_worker)| {
             let size = 1.0 + unevenness * noise(round * 1_000 + index as u64);
             let elapsed_ms = TASK_MS as f64 * size / of_worker;
+            (time::Duration::from_secs_f64(elapsed_ms / 1_000.0), index)
+        });
+        let mut runs: Vec<_> = runs.collect();
+        runs.sort();
+        for (elapsed, index) in runs {
             let mut pace = speed::Pace::default();
             pace.begin(start);
-            let ended_at = start + time::Duration::from_secs_f64(elapsed_ms / 1_000.0);
-            let worker_id: model::WorkerId = format!("w{index}").into();
-            let measured = pace.measure_end(None, ended_at).expect("measured");
-            let log_speed = estimates[index].log_speed(now);
+            let measured = pace.measure_end(None, start + elapsed).expect("measured");
+            let worker_id: model::WorkerId = index.to_string().into();
             if let Some(baseline) = rates.baseline(&worker_id, now) {
-                estimates[index].observe(&measured.observation(&baseline), now);
+                estimates[index].observe_recent(&measured.observation(&baseline), now);
             }
-            let task = u32::try_from(index).expect("few");
-            rates.record(task, &worker_id, measured.log_rate, log_speed, now);
+            let rate = speed::MeasuredRate {
+                log_rate: measured.log_rate,
+                log_speed: estimates[index].log_speed(now),
+                coverage: 1.0,
+            };
+            rates.record(index as u32, &worker_id, &rate, now);
+        }
+        for (worker_id, observation) in rates.take_batch() {
+            let index: usize = worker_id.parse().expect("a number");
+            estimates[index].observe_steady(&observation, now);
         }
         now += time::Duration::from_millis(TASK_MS);
     }
@@ -104,7 +125,7 @@
     let at = |ms: u64| start + time::Duration::from_millis(ms);
     let mut estimate = speed::Estimate::default();
     for second in 0..30 {
-        estimate.observe(&observation(1.0), at(second * 1_000));
+        observe(&mut estimate, &observation(1.0), at(second * 1_000));
     }
     let baseline = speed::Baseline {
         log_rate: (100.0_f64 / 4_000.0).ln(),
@@ -121,7 +142,7 @@
         for pace in &mut paces {
             let now = at(30_000 + since_ms);
             if let Some(measured) = pace.measure(percent as u32, Some(&baseline), now) {
-                estimate.observe(&measured.observation(&baseline), now);
+                observe(&mut estimate, &measured.observation(&baseline), now);
             }
         }
         if estimate.level(0.0, at(30_000 + since_ms)) <= -4 {
@@ -143,12 +164,12 @@
     let mut now = start;
     for _ in 0..6 {
         now += time::Duration::from_millis(1_000);
-        estimate.observe(&observation(1.0 / 7.0), now);
+        observe(&mut estimate, &observation(1.0 / 7.0), now);
     }
     assert!(estimate.level(0.0, now) <= -5);
     for _ in 0..8 {
         now += time::Duration::from_millis(250);
-        estimate.observe(&observation(1.0), now);
+        observe(&mut estimate, &observation(1.0), now);
     }
     assert!(estimate.level(0.0, now) >= -2, "{estimate:?}");
 }
@@ -190,12 +211,12 @@
 #[test]
 fn baseline_leaves_out_the_own_worker() {
     let now = time::Instant::now();
-    let mut rates = speed::StepRates::default();
+    let mut rates = speed::GroupRates::default();
     let (own, other) = (model::WorkerId::from("own"), model::WorkerId::from("other"));
-    rates.record(0, &own, -1.0, 0.0, now);
-    rates.record(1, &own, -2.0, 0.0, now);
+    rates.record(0, &own, &rate(-1.0), now);
+    rates.record(1, &own, &rate(-2.0), now);
     assert_eq!(rates.baseline(&own, now), None);
-    rates.record(2, &other, -3.0, 0.0, now);
+    rates.record(2, &other, &rate(-3.0), now);
     let baseline = rates.baseline(&own, now);
     let wanted = speed::Baseline {
         log_rate: -3.0,
@@ -211,35 +232,28 @@
     let mut estimate = speed::Estimate::default();
     for _ in 0..60 {
         now += time::Duration::from_millis(500);
-        estimate.observe(&observation(0.4), now);
+        observe(&mut estimate, &observation(0.4), now);
     }
     let mut inherited = estimate.inherited();
     assert!(inherited.level(0.0, now) < 0, "{inherited:?}");
     for _ in 0..10 {
         now += time::Duration::from_millis(500);
-        inherited.observe(&observation(1.0), now);
+        observe(&mut inherited, &observation(1.0), now);
     }
     assert_eq!(inherited.level(0.0, now), 0, "{inherited:?}");
 }
 
 fn any_observation() -> impl Strategy<Value = (speed::Observation, u64)> {
     let value = prop_oneof![any::<f64>(), -4.0..4.0];
-    (
-        value.clone(),
-        value.clone(),
-        value,
-        0_usize..40,
-        0_u64..5_000,
-    )
-        .prop_map(|(log_speed, coverage, percent, compared_with, pause_ms)| {
-            let observation = speed::Observation {
-                log_speed,
-                coverage,
-                percent,
-                compared_with,
-            };
-            (observation, pause_ms)
-        })
+    let fields = (value.clone(), value, 0_usize..40, 0_u64..5_000);
+    fields.prop_map(|(log_speed, coverage, compared_with, pause_ms)| {
+        let observation = speed::Observation {
+            log_speed,
+            coverage,
+            compared_with,
+        };
+        (observation, pause_ms)
+    })
 }
 
 proptest! {
@@ -257,7 +271,7 @@
         let mut estimate = speed::Estimate::default();
         for (observation, pause_ms) in &observations {
             now += time::Duration::from_millis(*pause_ms);
-            estimate.observe(observation, now);
+            observe(&mut estimate, observation, now);
             let log_speed = estimate.log_speed(now);
             prop_assert!((-2.5..=0.5).contains(&log_speed), "{log_speed}");
             prop_assert!((-12..=3).contains(&estimate.level(0.0, now)));
@@ -273,13 +287,13 @@
         let mut estimate = speed::Estimate::default();
         for (observation, pause_ms) in &observations {
             now += time::Duration::from_millis(*pause_ms);
-            estimate.observe(observation, now);
+            observe(&mut estimate, observation, now);
         }
         let later = now + time::Duration::from_secs(600);
         prop_assert_eq!(estimate.level(0.0, later), 0);
         for _ in 0..100 {
             now += time::Duration::from_millis(1_000);
-            estimate.observe(&observation(1.0), now);
+            observe(&mut estimate, &observation(1.0), now);
         }
         prop_assert_eq!(estimate.level(0.0, now), 0);
     }
@@ -295,9 +309,9 @@
             (0..log_rates.len()).map(|index| format!("w{index}").into()).collect();
         let rotation = rotation % names.len();
         let baselines = |names: &[model::WorkerId]| {
-            let mut rates = speed::StepRates::default();
+            let mut rates = speed::GroupRates::default();
             for (task, (name, log_rate)) in (0..).zip(names.iter().zip(&log_rates)) {
-                rates.record(task, name, *log_rate, 0.0, now);
+                rates.record(task, name, &rate(*log_rate), now);
             }
             let baselines: Vec<_> = names.iter().map(|name| rates.baseline(name, now)).collect();
             baselines
