jobs: quarantine workers that fail or stall what they start

Some workers report good health and fail, or leave standing, whatever they start. Suspension after three failures in a row gives such a worker its whole load back each time, also members of gangs, and does not see stalls.

Judge a failed run by its step's other runs: those that are done or have outlived it elsewhere, and those that failed elsewhere. Blame that cannot be assigned yet waits until half of the step, at most 16 tasks, is done. A run without progress where a quarter was expected counts as well. With enough blame a worker is quarantined (2 s, doubling to 16 s), then tried with one run, two and four, and no gang; at most a quarter of a pool is avoided. Suspension stays as it was.

A run is compared with the ended runs of its step if the group that it started with is on a few workers, or slow as a whole.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -9,6 +9,7 @@
 use crate::record;
 use crate::speed;
 use crate::tickets;
+use crate::worker_quality;
 
 /// Identifies a request; returned with the reply to it.
 pub type RequestToken = u64;
@@ -76,6 +77,8 @@
     pub(crate) wait: Option<blocked::Wait>,
     /// Rates of its runs, with which the workers are compared.
     pub(crate) rates: speed::StepRates,
+    /// Failures of its runs that may yet turn out to be their workers'.
+    pub(crate) unassigned_blame: worker_quality::UnassignedBlame,
 }
 
 /// One task.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod placement;
 mod preemption;
 mod preference;
+mod quarantine;
 mod record;
 mod recovery;
 mod requests;
@@ -38,6 +39,7 @@
 mod tickets;
 mod worker;
 mod worker_api;
+mod worker_quality;
 mod workers;
 
 pub use blocked::BlockReason;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -641,15 +641,21 @@
         });
         let is_earlier = |step: &model::StepKey| pass.is_earlier(step);
         let preference = self.preference(context, pass);
-        let candidates = usable.map(|(incarnation, worker)| {
-            let task_limit = step.max_per_worker.map_or(u32::MAX, |most| {
-                most.saturating_sub(worker.run_count(context.key))
+        let uses_speeds = self.settings.uses_speeds;
+        let candidates = usable.filter_map(|(incarnation, worker)| {
+            let trial_limit = match uses_speeds {
+                true => worker.trial_limit(step)?,
+                false => u32::MAX,
+            };
+            let task_limit = step.max_per_worker.map_or(trial_limit, |most| {
+                let left = most.saturating_sub(worker.run_count(context.key));
+                left.min(trial_limit)
             });
             let speed_level = match preference {
                 preference::Preference::None => 0,
                 _ => worker.speed.level,
             };
-            Candidate {
+            Some(Candidate {
                 incarnation,
                 rack: rack_of(worker),
                 free: worker.free().minus(&self.reservations.reserved_by_others(
@@ -666,7 +672,7 @@
                 failures: step_state.failures_on(&incarnation.worker_id),
                 speed_rank: preference.rank(speed_level),
                 speed_level,
-            }
+            })
         });
         candidates.take(MAX_CONSIDERED_WORKERS).collect()
     }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -16,6 +16,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::pass;
+use crate::quarantine;
 use crate::record;
 use crate::reservations;
 use crate::scheduler;
@@ -93,6 +94,7 @@
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
             speeds: speed_tracking::SpeedTracking::default(),
+            quarantines: quarantine::Quarantines::default(),
         };
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -14,6 +14,7 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
+use crate::quarantine;
 use crate::record;
 use crate::requests;
 use crate::reservations;
@@ -73,6 +74,7 @@
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
     pub(crate) speeds: speed_tracking::SpeedTracking,
+    pub(crate) quarantines: quarantine::Quarantines,
 }
 
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
@@ -129,6 +131,14 @@
     pub slow_workers: usize,
     /// Comparisons of a run with other runs of its step, since the term began.
     pub speed_observations: u64,
+    /// Workers that get no work, as what they start fails or stands still.
+    pub quarantined_workers: usize,
+    /// Workers that get little work after that.
+    pub workers_on_trial: usize,
+    /// Quarantines of workers since the term began.
+    pub quarantines: u64,
+    /// Quarantines among these that were put off, as enough workers of the pool were avoided.
+    pub quarantines_put_off: u64,
 }
 
 impl Scheduler {
@@ -244,6 +254,10 @@
             fast_workers: self.speeds.fast_workers,
             slow_workers: self.speeds.slow_workers,
             speed_observations: self.speeds.observations,
+            quarantined_workers: self.quarantines.quarantined,
+            workers_on_trial: self.quarantines.on_trial,
+            quarantines: self.quarantines.count,
+            quarantines_put_off: self.quarantines.put_off,
         }
     }
 
--- a/crates/jobs/src/speed.rs
+++ b/crates/jobs/src/speed.rs
@@ -57,6 +57,11 @@
 const MAX_GROUP_TASKS: u32 = 32;
 /// Most rates kept for a group.
 const MAX_GROUP_RATES: usize = MAX_GROUP_TASKS as usize;
+/// Other workers with which a run of a group must be comparable, or it is compared with the step.
+const MIN_GROUP_WORKERS: usize = 2;
+/// Most by which a group may be slower than the ended runs of its step, as a logarithm; with more, the
+/// workers that it is on are slow together.
+const MAX_GROUP_LAG: f64 = 0.7;
 /// Most groups kept for a step: 2,048 tasks that run at the same time.
 const MAX_STEP_GROUPS: usize = 64;
 /// Age from which a rate of a step is not compared with any more.
@@ -291,26 +296,85 @@
 /// The rates of the runs of a step, in groups of tasks with neighbouring indexes, which start at about
 /// the same time.
 #[derive(Debug, Default)]
-pub(crate) struct StepRates(Vec<(u32, GroupRates)>);
+pub(crate) struct StepRates {
+    groups: Vec<(u32, GroupRates)>,
+    /// The latest ended runs of all groups.
+    ended: GroupRates,
+}
 
 impl StepRates {
-    /// Returns the group of a task, and its number, in a step of `task_count` tasks.
-    pub(crate) fn group_mut(&mut self, task: u32, task_count: u32) -> (u32, &mut GroupRates) {
+    /// Returns what a run of a task on a worker is compared with: others of its group, or the ended ones
+    /// of the step if the group is on a few workers or slow as a whole.
+    pub(crate) fn baseline(
+        &self,
+        task: u32,
+        task_count: u32,
+        worker_id: &model::WorkerId,
+        now: time::Instant,
+    ) -> Option<Baseline> {
         let number = task / group_tasks(task_count);
-        let known = self.0.iter().position(|(known, _)| *known == number);
-        let position = known.unwrap_or_else(|| {
-            if self.0.len() >= MAX_STEP_GROUPS {
-                self.0.remove(0);
-            }
-            self.0.push((number, GroupRates::default()));
-            self.0.len() - 1
+        let mut groups = self.groups.iter();
+        let group = groups.find(|(known, _)| *known == number);
+        let of_group = group.and_then(|(_, rates)| rates.baseline(worker_id, now));
+        let of_ended = self.ended.baseline(worker_id, now);
+        let is_group_usable = of_group.is_some_and(|group| {
+            let is_slow =
+                of_ended.is_some_and(|ended| group.log_rate < ended.log_rate - MAX_GROUP_LAG);
+            group.workers >= MIN_GROUP_WORKERS && !is_slow
         });
-        (number, &mut self.0[position].1)
+        match is_group_usable {
+            true => of_group,
+            false => of_ended.or(of_group),
+        }
     }
 
-    /// Removes a group all tasks of which are done.
-    pub(crate) fn remove_group(&mut self, number: u32) {
-        self.0.retain(|(known, _)| *known != number);
+    /// Records the latest rate of a running task.
+    pub(crate) fn record(
+        &mut self,
+        task: u32,
+        task_count: u32,
+        worker_id: &model::WorkerId,
+        measured: &MeasuredRate,
+        now: time::Instant,
+    ) {
+        let rates = self.group_mut(task / group_tasks(task_count));
+        rates.record(task, worker_id, measured, now);
+    }
+
+    /// Records that a task is done, with its last rate if that was measured; returns the comparisons of
+    /// its group once all tasks of it are done.
+    pub(crate) fn record_end(
+        &mut self,
+        task: u32,
+        task_count: u32,
+        worker_id: &model::WorkerId,
+        measured: Option<&MeasuredRate>,
+        now: time::Instant,
+    ) -> Vec<(model::WorkerId, Observation)> {
+        if let Some(measured) = measured {
+            self.record(task, task_count, worker_id, measured, now);
+            self.ended.record(task, worker_id, measured, now);
+        }
+        let number = task / group_tasks(task_count);
+        let rates = self.group_mut(number);
+        if !rates.end_task(number, task_count) {
+            return Vec::new();
+        }
+        let batch = rates.take_batch();
+        self.groups.retain(|(known, _)| *known != number);
+        batch
+    }
+
+    fn group_mut(&mut self, number: u32) -> &mut GroupRates {
+        let known = self.groups.iter().position(|(known, _)| *known == number);
+        let position = known.unwrap_or_else(|| {
+            if self.groups.len() >= MAX_STEP_GROUPS {
+                self.groups.remove(0);
+            }
+            self.groups.push((number, GroupRates::default()));
+            self.groups.len() - 1
+        });
+        &mut self.groups[position].1
     }
 }
 
@@ -390,7 +454,8 @@
         now: time::Instant,
     ) {
         let log_rate = measured.log_rate - measured.log_speed;
-        if !log_rate.is_finite() || !measured.coverage.is_finite() {
+        // A run without progress is nothing to compare others with.
+        if !log_rate.is_finite() || !measured.coverage.is_finite() || measured.coverage <= 0.0 {
             return;
         }
         let known = self.rates.iter().position(|one| one.task == task);
--- a/crates/jobs/src/speed_tracking.rs
+++ b/crates/jobs/src/speed_tracking.rs
@@ -48,6 +48,26 @@
         }
     }
 
+    /// Adds a measurement of a run to the recent evidence; returns the rate for its step.
+    fn observe(
+        &mut self,
+        measured: &speed::Measurement,
+        baseline: Option<&speed::Baseline>,
+        now: time::Instant,
+    ) -> speed::MeasuredRate {
+        let rate = speed::MeasuredRate {
+            log_rate: measured.log_rate,
+            log_speed: self.log_speed(now),
+            coverage: measured.percent / 100.0,
+        };
+        if let Some(baseline) = baseline {
+            let observation = measured.observation(baseline);
+            self.estimate.observe_recent(&observation, now);
+            self.update_level(now);
+        }
+        rate
+    }
+
     fn update_level(&mut self, now: time::Instant) {
         self.level = self.estimate.level(self.centre, now);
     }
@@ -96,7 +116,7 @@
     }
 
     /// Returns whether another log line about a level may be written now.
-    fn may_log(&mut self, now: time::Instant) -> bool {
+    pub(crate) fn may_log(&mut self, now: time::Instant) -> bool {
         let since = *self.log_interval_started_at.get_or_insert(now);
         if now.saturating_duration_since(since) >= LOG_INTERVAL {
             if self.dropped_lines > 0 {
@@ -157,22 +177,17 @@
             return;
         }
         let task = row.run.task;
-        let Some(rates) = rates_of(&mut self.jobs, task) else {
+        let Some((step, step_state)) = measurable_step(&mut self.jobs, task) else {
             return;
         };
-        let baseline = rates.baseline(&incarnation.worker_id, seen_at);
+        let (worker_id, rates) = (&incarnation.worker_id, &mut step_state.rates);
+        let baseline = rates.baseline(task.index, step.task_count, worker_id, seen_at);
         let measured = run.pace.measure(row.percent, baseline.as_ref(), seen_at);
         let Some(measured) = measured else {
             return;
         };
-        record_measurement(
-            &mut worker.speed,
-            rates,
-            (task.index, &incarnation.worker_id),
-            &measured,
-            baseline.as_ref(),
-            seen_at,
-        );
+        let rate = worker.speed.observe(&measured, baseline.as_ref(), seen_at);
+        rates.record(task.index, step.task_count, worker_id, &rate, seen_at);
         self.speeds.are_levels_distinct |= worker.speed.level != 0;
         if measured.is_new_stall {
             log::info!(
@@ -182,6 +197,7 @@
                 expected_percent = measured.expected_percent.unwrap_or_default().round() as u64;
                 "run makes no progress while others of its step do"
             );
+            self.judge_stall(incarnation, seen_at);
         }
     }
 
@@ -199,33 +215,24 @@
         let Some(run) = worker.runs.get(&row.run) else {
             return;
         };
+        if row.end != worker_api::RunEnd::Done {
+            return;
+        }
         let task = row.run.task;
-        let state = self.jobs.get_mut(&task.job_id);
-        let Some((step, step_state)) = state.and_then(|one| one.step_mut(task.step_key())) else {
+        let Some((step, step_state)) = measurable_step(&mut self.jobs, task) else {
             return;
         };
-        if row.end != worker_api::RunEnd::Done || !shows_speed(step) {
-            return;
-        }
+        let (worker_id, rates) = (&incarnation.worker_id, &mut step_state.rates);
+        let baseline = rates.baseline(task.index, step.task_count, worker_id, seen_at);
+        let measured = run.pace.measure_end(baseline.as_ref(), seen_at);
+        let rate = measured.map(|measured| {
+            let speed = &mut worker.speed;
+            speed.observe(&measured, baseline.as_ref(), seen_at)
+        });
+        self.speeds.are_levels_distinct |= worker.speed.level != 0;
         let task_count = step.task_count;
-        let (number, rates) = step_state.rates.group_mut(task.index, task_count);
-        let baseline = rates.baseline(&incarnation.worker_id, seen_at);
-        if let Some(measured) = run.pace.measure_end(baseline.as_ref(), seen_at) {
-            record_measurement(
-                &mut worker.speed,
-                rates,
-                (task.index, &incarnation.worker_id),
-                &measured,
-                baseline.as_ref(),
-                seen_at,
-            );
-            self.speeds.are_levels_distinct |= worker.speed.level != 0;
-        }
-        if rates.end_task(number, task_count) {
-            let batch = rates.take_batch();
-            step_state.rates.remove_group(number);
-            self.apply_batch(batch, seen_at);
-        }
+        let batch = rates.record_end(task.index, task_count, worker_id, rate.as_ref(), seen_at);
+        self.apply_batch(batch, seen_at);
     }
 
     /// Adds a batch of comparisons within a step to the steady evidence of the workers.
@@ -259,6 +266,7 @@
             return;
         }
         self.speeds.refreshed_at = Some(now);
+        self.refresh_quarantines(clock);
         let centres = self.usual_speeds(now);
         let speeds = &mut self.speeds;
         (speeds.fast_workers, speeds.slow_workers) = (0, 0);
@@ -315,38 +323,12 @@
     }
 }
 
-/// Returns the rates of a task's step, unless its runs do not show the speed of their workers.
-fn rates_of(
+/// Returns the step of a task, unless its runs do not show the speed of their workers.
+fn measurable_step(
     jobs: &mut maps::IndexMap<model::JobId, job::JobState>,
     task: model::TaskKey,
-) -> Option<&mut speed::GroupRates> {
+) -> Option<(&model::Step, &mut job::StepState)> {
     let state = jobs.get_mut(&task.job_id)?;
-    let (step, step_state) = state.step_mut(task.step_key())?;
-    if !shows_speed(step) {
-        return None;
-    }
-    let (_, rates) = step_state.rates.group_mut(task.index, step.task_count);
-    Some(rates)
-}
-
-/// Adds a measurement to the rates of its step and to the recent evidence of its worker.
-fn record_measurement(
-    speed: &mut WorkerSpeed,
-    rates: &mut speed::GroupRates,
-    (task, worker_id): (u32, &model::WorkerId),
-    measured: &speed::Measurement,
-    baseline: Option<&speed::Baseline>,
-    now: time::Instant,
-) {
-    let rate = speed::MeasuredRate {
-        log_rate: measured.log_rate,
-        log_speed: speed.log_speed(now),
-        coverage: measured.percent / 100.0,
-    };
-    rates.record(task, worker_id, &rate, now);
-    if let Some(baseline) = baseline {
-        let observation = measured.observation(baseline);
-        speed.estimate.observe_recent(&observation, now);
-        speed.update_level(now);
-    }
+    let found = state.step_mut(task.step_key())?;
+    shows_speed(found.0).then_some(found)
 }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::speed_tracking;
 use crate::throttling;
 use crate::worker_api;
+use crate::worker_quality;
 
 /// Start orders sent for one run before the run is abandoned and stopped.
 const MAX_START_ATTEMPTS: u32 = 3;
@@ -63,6 +64,9 @@
     pub(crate) health: Health,
     pub(crate) throttling: throttling::Throttling,
     pub(crate) speed: speed_tracking::WorkerSpeed,
+    pub(crate) quality: worker_quality::Quality,
+    /// Whether it is avoided as its quality tells: at most a part of a pool is.
+    pub(crate) is_restricted: bool,
 }
 
 /// State of the calls that renew the lease.
@@ -94,6 +98,8 @@
     pub(crate) phase: RunPhase,
     /// When the run entered this phase.
     pub(crate) since: time::Instant,
+    /// When the leader planned it or found it there.
+    pub(crate) planned_at: time::Instant,
     /// When the worker confirmed the run to this leader; `None` before that.
     pub(crate) confirmed_at: Option<time::Instant>,
     /// Whether a start order may have been received without an answer.
@@ -192,6 +198,8 @@
             health: Health::default(),
             throttling: throttling::Throttling::default(),
             speed: speed_tracking::WorkerSpeed::default(),
+            quality: worker_quality::Quality::default(),
+            is_restricted: false,
         }
     }
 
@@ -470,6 +478,7 @@
             checkpoint: None,
             phase,
             since: now,
+            planned_at: now,
             confirmed_at: None,
             unanswered: false,
             attempts: 0,
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -343,6 +343,7 @@
                 .is_some_and(|worker| worker.record_listed_end(row.sequence));
             if is_new {
                 self.observe_end(incarnation, &row, read_at);
+                self.judge_end(incarnation, &row, read_at);
                 let ended = runs::RunEnded {
                     key: row.run,
                     end: row.end,
--- a/crates/jobs/tests/scheduler/uneven_workers.rs
+++ b/crates/jobs/tests/scheduler/uneven_workers.rs
@@ -233,3 +233,165 @@
         assert_eq!(with, without);
     }
 }
+
+/// What happens to the work on faulty workers.
+#[derive(Default)]
+struct FaultyDay {
+    /// Runs that failed.
+    failed_runs: usize,
+    completed: usize,
+    jobs: usize,
+    most_avoided: usize,
+    quarantines: u64,
+    /// Starts on the workers from ten seconds after their faults on.
+    starts_after: usize,
+}
+
+/// Runs jobs while two of 24 workers fail, or stall, all that they start from 4 s to 16 s.
+fn faulty_day(uses_speeds: bool, stalls: bool) -> FaultyDay {
+    const FAULTY: [usize; 2] = [0, 1];
+    let mut simulation = Simulation::new(6, 24, None);
+    simulation.unevenness = UNEVENNESS;
+    simulation.settings.uses_speeds = uses_speeds;
+    simulation.elect_leader();
+    simulation.run_ms(200);
+    let wide = simulation::step(30, 2_000, 1_200);
+    let gang = model::Step {
+        gang: true,
+        ..simulation::step(4, 3_000, 1_500)
+    };
+    let mut day = FaultyDay::default();
+    let mut ids = Vec::new();
+    for at_ms in (0..40_000).step_by(500) {
+        if at_ms == 4_000 || at_ms == 16_000 {
+            let is_faulty = at_ms == 4_000;
+            for worker in FAULTY {
+                match stalls {
+                    true => simulation.change_speed(worker, if is_faulty { 0.0 } else { 1.0 }),
+                    false => simulation.workers[worker].fails_starts = is_faulty,
+                }
+            }
+        }
+        let id = 1 + at_ms;
+        simulation.submit(simulation::job(id, "long", wide.clone()));
+        ids.push(id);
+        if at_ms % 1_500 == 0 {
+            simulation.submit(simulation::job(id + 1, "long", gang.clone()));
+            ids.push(id + 1);
+        }
+        simulation.run_ms(500);
+        let summary = simulation.summary();
+        let avoided = summary.quarantined_workers + summary.workers_on_trial;
+        day.most_avoided = day.most_avoided.max(avoided);
+    }
+    simulation.run_ms(20_000);
+    day.quarantines = simulation.summary().quarantines;
+    day.jobs = ids.len();
+    for id in ids {
+        let completed = model::JobReply::Status(model::JobStatus::Completed);
+        day.completed += usize::from(simulation.status(id) == Some(completed));
+    }
+    day.failed_runs = simulation
+        .forgotten_failures
+        .values()
+        .map(|failures| *failures as usize)
+        .sum();
+    for (at_ms, _, worker) in &simulation.starts {
+        if !FAULTY.contains(worker) {
+            continue;
+        }
+        day.starts_after += usize::from(*at_ms >= 26_200);
+    }
+    day
+}
+
+/// Guards against workers that report good health, fail all that they start and get work all the same;
+/// and against workers that never get work again after that.
+#[test]
+fn workers_that_fail_all_they_start_are_avoided() {
+    let (with, without) = (faulty_day(true, false), faulty_day(false, false));
+    assert!(with.quarantines >= 2);
+    assert!(
+        4 * with.failed_runs <= 3 * without.failed_runs,
+        "{} failed runs; {} without quarantines",
+        with.failed_runs,
+        without.failed_runs
+    );
+    assert!(with.completed >= without.completed);
+    assert!(
+        with.most_avoided <= 6,
+        "{} workers avoided",
+        with.most_avoided
+    );
+    assert!(with.starts_after > 0, "not trusted again");
+}
+
+/// Guards against workers on which all runs stand still and that are not noticed, or never get work again.
+#[test]
+fn workers_that_stall_all_they_start_are_avoided() {
+    let with = faulty_day(true, true);
+    assert!(with.quarantines >= 2);
+    assert_eq!(with.completed, with.jobs, "jobs that have not ended");
+    assert!(with.starts_after > 0, "not trusted again");
+    assert!(
+        with.most_avoided <= 6,
+        "{} workers avoided",
+        with.most_avoided
+    );
+}
+
+/// Guards against a pool that is emptied by evidence: many of the workers stall what they start.
+#[test]
+fn at_most_a_quarter_of_a_pool_is_avoided() {
+    let mut simulation = new_simulation(7, 24);
+    let wide = simulation::step(48, 2_000, 600);
+    submit_every(&mut simulation, "long", &wide, 1, 10, 400);
+    for worker in 0..9 {
+        simulation.change_speed(worker, 0.0);
+    }
+    submit_every(&mut simulation, "long", &wide, 100, 30, 400);
+    let summary = simulation.summary();
+    assert!(summary.quarantines > 6, "{summary:?}");
+    assert!(summary.quarantines_put_off > 0, "{summary:?}");
+    for worker in 0..9 {
+        simulation.change_speed(worker, 1.0);
+    }
+    let id = 1_000;
+    simulation.submit(simulation::job(id, "long", wide.clone()));
+    simulation.run_ms(20_000);
+    let completed = model::JobReply::Status(model::JobStatus::Completed);
+    assert_eq!(simulation.status(id), Some(completed));
+}
+
+/// Guards against a gang on a worker that is still on trial: if that fails again, the work of all members
+/// is lost.
+#[test]
+fn gang_gets_no_worker_on_trial() {
+    let gang_workers = |uses_speeds| {
+        let mut simulation = Simulation::new(8, 8, None);
+        simulation.unevenness = UNEVENNESS;
+        simulation.settings.uses_speeds = uses_speeds;
+        simulation.elect_leader();
+        simulation.run_ms(200);
+        simulation.workers[0].fails_starts = true;
+        let wide = simulation::step(8, 7_000, 600);
+        submit_every(&mut simulation, "long", &wide, 1, 4, 1_500);
+        // Not suspended for the failures any more.
+        simulation.run_ms(4_000);
+        simulation.workers[0].fails_starts = false;
+        let on_trial = simulation.summary().workers_on_trial;
+        let gang = model::Step {
+            gang: true,
+            ..simulation::step(7, 7_000, 1_000)
+        };
+        simulation.submit(simulation::job(100, "long", gang));
+        simulation.run_ms(500);
+        let members = simulation.starts.iter();
+        let members = members.filter(|(_, run, _)| run.task.job_id == 100);
+        let members: Vec<_> = members.map(|(.., worker)| *worker).collect();
+        assert_eq!(members.len(), 7, "not started");
+        (on_trial, members.contains(&0))
+    };
+    assert_eq!(gang_workers(false), (1, true));
+    assert_eq!(gang_workers(true), (1, false));
+}
