--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -90,7 +90,11 @@
         let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || run(scheduler, &metrics, &inputs.0, &actions))
+            .spawn(move || {
+                run(scheduler, &metrics, &inputs.0, &actions);
+                // Only the leader knows these numbers.
+                SpeedCounters::set_gauges(&jobs::Summary::default(), &metrics);
+            })
             .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))?;
         Ok(Self { mailbox, thread })
     }
@@ -122,6 +126,7 @@
     let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
     let mut crashes = CrashCounters::default();
+    let mut speeds = SpeedCounters::default();
     loop {
         let pause = if scheduler.needs_finish() {
             BACKLOG_TICK_INTERVAL
@@ -163,7 +168,9 @@
         if clock.now.saturating_duration_since(ticked_at) >= TICK_INTERVAL {
             ticked_at = clock.now;
             scheduler.handle(jobs::Event::Tick, clock);
-            crashes.update(&scheduler.summary(), metrics);
+            let summary = scheduler.summary();
+            crashes.update(&summary, metrics);
+            speeds.update(&summary, metrics);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
         for (reason, reports) in scheduler.take_block_reports() {
@@ -204,6 +211,59 @@
     }
 }
 
+/// What was counted so far of the workers' speeds and quarantines in this term.
+#[derive(Default)]
+struct SpeedCounters {
+    observations: u64,
+    planned_on_slow: u64,
+    quarantines: u64,
+    quarantines_put_off: u64,
+}
+
+impl SpeedCounters {
+    fn set_gauges(summary: &jobs::Summary, metrics: &telemetry::Metrics) {
+        let gauges = [
+            ("worker.fast", summary.fast_workers),
+            ("worker.slow", summary.slow_workers),
+            ("worker.quarantined", summary.quarantined_workers),
+            ("worker.on_trial", summary.workers_on_trial),
+        ];
+        for (name, value) in gauges {
+            metrics.gauge(name, value as u64);
+        }
+    }
+
+    fn update(&mut self, summary: &jobs::Summary, metrics: &telemetry::Metrics) {
+        Self::set_gauges(summary, metrics);
+        let counters = [
+            (
+                "speed.observations",
+                summary.speed_observations,
+                &mut self.observations,
+            ),
+            (
+                "run.planned_on_slow",
+                summary.runs_planned_on_slow,
+                &mut self.planned_on_slow,
+            ),
+            (
+                "worker.quarantines",
+                summary.quarantines,
+                &mut self.quarantines,
+            ),
+            (
+                "worker.quarantines_put_off",
+                summary.quarantines_put_off,
+                &mut self.quarantines_put_off,
+            ),
+        ];
+        for (name, total, counted) in counters {
+            metrics.count_by(name, total - *counted);
+            *counted = total;
+        }
+    }
+}
+
 /// The overload of the control thread, if there is one.
 #[derive(Default)]
 struct OverloadPeriod {
--- a/crates/jobs/benches/mix.rs
+++ b/crates/jobs/benches/mix.rs
@@ -1,7 +1,9 @@
 //! A mix of gangs, wide steps and short jobs on many workers, in virtual time: how much of its
 //! worth each kind earns by ending in time, and how it loads the recommendation service.
 //!
-//! `cargo bench -p jobs --bench mix [-- SEEDS [WORKERS]]`; jobs arrive in proportion to the workers.
+//! `cargo bench -p jobs --bench mix [-- SEEDS [WORKERS [SLOW_PERCENT]]]`; jobs arrive in proportion to
+//! the workers. With `SLOW_PERCENT`, as many workers run at less than half the speed, tasks of a step
+//! are uneven, and each seed runs without and with the speeds of the workers.
 
 #[path = "../tests/scheduler/simulation/mod.rs"]
 #[allow(dead_code, clippy::expect_used)]
@@ -29,6 +31,11 @@
 const STRAGGLER_SHARE: f64 = 0.03;
 const STRAGGLER_FACTOR: f64 = 7.0;
 
+/// Speed of slow workers.
+const SLOW_SPEED: f64 = 0.45;
+/// By how much tasks of a step differ where some workers are slow, as a share.
+const UNEVENNESS: f64 = 0.2;
+
 /// Workers to which the rates of the kinds apply.
 const BASE_WORKERS: usize = 350;
 
@@ -203,7 +210,14 @@
     (job, submitted)
 }
 
-fn run_seed(seed: u64, workers: usize) -> Vec<(usize, f64)> {
+/// Workers of different speeds.
+#[derive(Clone, Copy)]
+struct UnevenWorkers {
+    slow_percent: usize,
+    uses_speeds: bool,
+}
+
+fn run_seed(seed: u64, workers: usize, uneven: Option<UnevenWorkers>) -> Vec<(usize, f64)> {
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
     let mut simulation = simulation::Simulation::new(seed, workers, Some(1.0));
     for worker in &mut simulation.workers {
@@ -218,6 +232,13 @@
         .map(|kind| (kind.name.into(), kind.allowed_share))
         .collect();
     let scale = workers as f64 / BASE_WORKERS as f64;
+    if let Some(uneven) = uneven {
+        simulation.unevenness = UNEVENNESS;
+        simulation.settings.uses_speeds = uneven.uses_speeds;
+        for worker in (0..workers).filter(|worker| worker * 37 % 100 < uneven.slow_percent) {
+            simulation.change_speed(worker, SLOW_SPEED);
+        }
+    }
     simulation.use_manifest(manifest(), (36.0 * scale) as usize);
     simulation.run_ms(500);
     let mut submitted = collections::HashMap::new();
@@ -335,14 +356,34 @@
     let workers = numbers
         .next()
         .map_or(BASE_WORKERS, |number| number as usize);
-    let mut sums = [0.0; KINDS.len()];
-    for seed in 1..=seeds {
-        println!("seed {seed}");
-        for (kind, worth) in run_seed(seed, workers) {
-            sums[kind] += worth;
+    let slow_percent = numbers.next().map(|number| number as usize);
+    let uneven = |uses_speeds| {
+        slow_percent.map(|slow_percent| UnevenWorkers {
+            slow_percent,
+            uses_speeds,
+        })
+    };
+    let variants = match slow_percent {
+        None => vec![None],
+        Some(_) => vec![uneven(false), uneven(true)],
+    };
+    for variant in variants {
+        match variant {
+            Some(UnevenWorkers {
+                uses_speeds: true, ..
+            }) => println!("with speeds"),
+            Some(_) => println!("without speeds"),
+            None => {}
+        }
+        let mut sums = [0.0; KINDS.len()];
+        for seed in 1..=seeds {
+            println!("seed {seed}");
+            for (kind, worth) in run_seed(seed, workers, variant) {
+                sums[kind] += worth;
+            }
+        }
+        for (kind, sum) in KINDS.iter().zip(sums) {
+            println!("{}: mean worth {:.3}", kind.name, sum / seeds as f64);
         }
-    }
-    for (kind, sum) in KINDS.iter().zip(sums) {
-        println!("{}: mean worth {:.3}", kind.name, sum / seeds as f64);
     }
 }
--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use crate::job;
-use crate::preference;
 
 /// A worker on which tasks of a step may start.
 #[derive(Debug)]
@@ -96,43 +95,59 @@
     step: &model::Step,
     demand: &model::Demand,
 ) -> Assignment {
-    let levels = preference::distinct_levels(candidates);
+    let count = step.task_count;
     if step.same_rack {
         let racks: collections::BTreeSet<_> = candidates.iter().map(|one| one.rack).collect();
-        for lowest in &levels {
-            for rack in &racks {
-                let within = candidates.iter().copied();
-                let within = within.filter(|one| one.rack == *rack && one.speed_level >= *lowest);
-                let assignment = assign_greedily(within.collect(), step.task_count, demand);
-                if !assignment.is_empty() {
-                    return assignment;
-                }
-            }
+        let in_rack = |rack: &str| {
+            let within = candidates.iter().copied().filter(|one| one.rack == rack);
+            within.collect::<Vec<_>>()
+        };
+        let levels = racks.into_iter().filter_map(|rack| {
+            let level = highest_sufficient_level(&in_rack(rack), count, demand)?;
+            Some((rack, level))
+        });
+        // Of several such racks, the first one.
+        if let Some((rack, level)) = levels.min_by_key(|(_, level)| -i16::from(*level)) {
+            return assign_greedily(in_rack(rack), level, count, demand);
         }
     }
-    for lowest in &levels {
-        let fast_enough = candidates.iter().copied();
-        let fast_enough = fast_enough.filter(|one| one.speed_level >= *lowest);
-        let assignment = assign_greedily(fast_enough.collect(), step.task_count, demand);
-        if !assignment.is_empty() {
-            return assignment;
-        }
+    match highest_sufficient_level(candidates, count, demand) {
+        Some(level) => assign_greedily(candidates.to_vec(), level, count, demand),
+        None => Assignment::new(),
     }
-    Assignment::new()
+}
+
+/// Returns the highest level of speed so that `count` tasks fit on the workers of this level and the
+/// faster ones; `None` if they do not fit on all together.
+fn highest_sufficient_level(
+    candidates: &[&Candidate<'_>],
+    count: u32,
+    demand: &model::Demand,
+) -> Option<i8> {
+    let fitting = candidates
+        .iter()
+        .map(|one| (one.speed_level, one.fit_count(demand)));
+    let mut by_level: Vec<_> = fitting.filter(|(_, fitting)| *fitting > 0).collect();
+    by_level.sort_unstable_by(|(one, _), (other, _)| other.cmp(one));
+    let mut sum = 0_u32;
+    let sufficient = by_level.into_iter().find(|(_, fitting)| {
+        sum = sum.saturating_add(*fitting);
+        sum >= count
+    });
+    sufficient.map(|(level, _)| level)
 }
 
 /// Fills one worker after the other until `count` tasks are assigned: those in the rack of the
 /// step's data first, then those with the fewest failures, then the slowest, as the faster ones would
-/// only wait for them, then those that most tasks fit on. Empty if not all tasks fit.
+/// only wait for them, then those that most tasks fit on; none below the level `lowest`. Empty if not
+/// all tasks fit.
 fn assign_greedily(
     mut candidates: Vec<&Candidate<'_>>,
+    lowest: i8,
     count: u32,
     demand: &model::Demand,
 ) -> Assignment {
-    let fitting = candidates.iter().map(|one| one.fit_count(demand));
-    if fitting.fold(0_u32, u32::saturating_add) < count {
-        return Assignment::new();
-    }
+    candidates.retain(|candidate| candidate.speed_level >= lowest);
     candidates.sort_by_key(|candidate| {
         let fitting = candidate.fit_count(demand);
         (
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -705,6 +705,7 @@
             worker.is_some_and(|worker| worker.speed.level < 0)
         };
         let on_slow = assignment.iter().filter(|(_, one)| is_slow(one)).count();
+        self.speeds.planned_on_slow += on_slow as u64;
         log::info!(
             job:% = journal::job_id_hex(key.job_id),
             step = key.step,
--- a/crates/jobs/src/preference.rs
+++ b/crates/jobs/src/preference.rs
@@ -2,7 +2,6 @@
 //!
 //! A preference only orders the workers on which a step may start: no step waits because of it.
 
-use crate::candidate;
 use crate::pass;
 use crate::placement;
 use crate::scheduler;
@@ -110,11 +109,3 @@
         has_lower && !has_higher
     }
 }
-
-/// Returns the distinct levels of speed of candidates, the fastest first.
-pub(crate) fn distinct_levels(candidates: &[&candidate::Candidate<'_>]) -> Vec<i8> {
-    let mut levels: Vec<_> = candidates.iter().map(|one| one.speed_level).collect();
-    levels.sort_unstable_by(|one, other| other.cmp(one));
-    levels.dedup();
-    levels
-}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -131,6 +131,8 @@
     pub slow_workers: usize,
     /// Comparisons of a run with other runs of its step, since the term began.
     pub speed_observations: u64,
+    /// Runs planned on workers known to be slow, since the term began.
+    pub runs_planned_on_slow: u64,
     /// Workers that get no work, as what they start fails or stands still.
     pub quarantined_workers: usize,
     /// Workers that get little work after that.
@@ -254,6 +256,7 @@
             fast_workers: self.speeds.fast_workers,
             slow_workers: self.speeds.slow_workers,
             speed_observations: self.speeds.observations,
+            runs_planned_on_slow: self.speeds.planned_on_slow,
             quarantined_workers: self.quarantines.quarantined,
             workers_on_trial: self.quarantines.on_trial,
             quarantines: self.quarantines.count,
--- a/crates/jobs/src/speed_tracking.rs
+++ b/crates/jobs/src/speed_tracking.rs
@@ -91,6 +91,8 @@
     pub(crate) slow_workers: usize,
     /// Observations since the term began.
     pub(crate) observations: u64,
+    /// Runs planned on workers below the usual speed, since the term began.
+    pub(crate) planned_on_slow: u64,
     log_interval_started_at: Option<time::Instant>,
     logged: u32,
     dropped_lines: u64,
--- a/crates/jobs/tests/scheduler/uneven_workers.rs
+++ b/crates/jobs/tests/scheduler/uneven_workers.rs
@@ -195,9 +195,10 @@
 fn starts_on_equal_workers(
     uses_speeds: bool,
     allowed_share: Option<f64>,
+    unevenness: f64,
 ) -> Vec<(u64, model::RunKey, usize)> {
     let mut simulation = Simulation::new(5, 24, allowed_share);
-    simulation.unevenness = UNEVENNESS;
+    simulation.unevenness = unevenness;
     simulation.settings.uses_speeds = uses_speeds;
     simulation.elect_leader();
     simulation.run_ms(200);
@@ -226,9 +227,9 @@
 /// without speeds.
 #[test]
 fn equal_workers_are_served_as_before() {
-    for allowed_share in [None, Some(0.6)] {
-        let with = starts_on_equal_workers(true, allowed_share);
-        let without = starts_on_equal_workers(false, allowed_share);
+    for (allowed_share, unevenness) in [(None, 0.15), (None, 0.3), (Some(0.6), 0.2)] {
+        let with = starts_on_equal_workers(true, allowed_share, unevenness);
+        let without = starts_on_equal_workers(false, allowed_share, unevenness);
         assert!(with.len() > 1_000);
         assert_eq!(with, without);
     }
