jobs: compute keys and medians of comparisons once

Profiles of the mix benchmark showed more comparisons of worker ids than before: the batch of a group took a median for each of its tasks, and sorts computed how many tasks fit on a worker at each comparison. A batch now takes one median for each worker, or one for all of a large group, and sorts keep their keys.

--- a/crates/jobs/src/advice_planner.rs
+++ b/crates/jobs/src/advice_planner.rs
@@ -77,7 +77,7 @@
         if !self.tickets.is_empty() {
             without_ticket.retain(|one| one.fit_count(demand) > 0);
         }
-        without_ticket.sort_by_key(|one| {
+        without_ticket.sort_by_cached_key(|one| {
             let is_allowed = self.tickets.is_allowed(&one.incarnation.worker_id);
             let fitting = one.fit_count(demand).min(missing);
             (
@@ -183,7 +183,7 @@
         if missing <= 0.0 {
             return Vec::new();
         }
-        unknown.sort_by_key(|one| {
+        unknown.sort_by_cached_key(|one| {
             let free = one.free.processors_milli;
             let fitting = one.fit_count(demand);
             (
--- a/crates/jobs/src/candidate.rs
+++ b/crates/jobs/src/candidate.rs
@@ -124,17 +124,22 @@
     count: u32,
     demand: &model::Demand,
 ) -> Option<i8> {
-    let fitting = candidates
-        .iter()
-        .map(|one| (one.speed_level, one.fit_count(demand)));
-    let mut by_level: Vec<_> = fitting.filter(|(_, fitting)| *fitting > 0).collect();
-    by_level.sort_unstable_by(|(one, _), (other, _)| other.cmp(one));
+    let fitting = candidates.iter().map(|one| one.fit_count(demand));
+    if fitting.fold(0_u32, u32::saturating_add) < count {
+        return None;
+    }
+    let first = candidates.first()?.speed_level;
+    if candidates.iter().all(|one| one.speed_level == first) {
+        return Some(first);
+    }
+    let mut by_level: Vec<_> = candidates.iter().collect();
+    by_level.sort_unstable_by_key(|one| -i16::from(one.speed_level));
     let mut sum = 0_u32;
-    let sufficient = by_level.into_iter().find(|(_, fitting)| {
-        sum = sum.saturating_add(*fitting);
+    let sufficient = by_level.into_iter().find(|one| {
+        sum = sum.saturating_add(one.fit_count(demand));
         sum >= count
     });
-    sufficient.map(|(level, _)| level)
+    sufficient.map(|one| one.speed_level)
 }
 
 /// Fills one worker after the other until `count` tasks are assigned: those in the rack of the
@@ -148,7 +153,7 @@
     demand: &model::Demand,
 ) -> Assignment {
     candidates.retain(|candidate| candidate.speed_level >= lowest);
-    candidates.sort_by_key(|candidate| {
+    candidates.sort_by_cached_key(|candidate| {
         let fitting = candidate.fit_count(demand);
         (
             !candidate.is_in_data_rack,
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -790,7 +790,7 @@
         let demand = workers::counted_demand(context.step);
         let tickets = &context.step_state.tickets;
         let mut allowed = self.allowed_workers(&context, pass, clock);
-        allowed.sort_by_key(|one| {
+        allowed.sort_by_cached_key(|one| {
             let free = one.free.processors_milli;
             let fitting = one.fit_count(&demand);
             (one.speed_rank, u32::MAX - fitting, u32::MAX - free)
--- a/crates/jobs/src/speed.rs
+++ b/crates/jobs/src/speed.rs
@@ -436,7 +436,7 @@
 pub(crate) struct Baseline {
     /// Logarithm of the rate of a run on a worker of the usual speed.
     pub(crate) log_rate: f64,
-    /// Number of other workers whose runs show it.
+    /// Number of other workers whose runs show it, counted up to `LARGE_GROUP_WORKERS`.
     pub(crate) workers: usize,
 }
 
@@ -502,23 +502,42 @@
     /// Takes the rates that are not in the steady evidence yet, each compared with those of the other
     /// workers.
     pub(crate) fn take_batch(&mut self) -> Vec<(model::WorkerId, Observation)> {
-        let observations = self.rates.iter().filter_map(|one| {
-            let mean = one.pending_mean()?;
-            let others = self.rates.iter();
-            let others = others.filter(|other| other.worker_id != one.worker_id);
-            let baseline = median_of(others.map(|other| {
-                let pending = other.pending_mean();
-                let log_rate = pending.map(|mean| mean - other.log_speed);
-                (&other.worker_id, log_rate.unwrap_or(other.log_rate))
-            }))?;
-            let observation = Observation {
-                log_speed: mean - baseline.log_rate,
-                coverage: one.pending_coverage,
-                compared_with: baseline.workers,
-            };
-            Some((one.worker_id.clone(), observation))
+        let rates = self.rates.iter().map(|one| {
+            let pending = one.pending_mean();
+            let log_rate = pending.map(|mean| mean - one.log_speed);
+            (&one.worker_id, log_rate.unwrap_or(one.log_rate))
         });
-        let observations = observations.collect();
+        let rates: Vec<_> = rates.collect();
+        let of_all = median_of(rates.iter().copied());
+        let of_all = of_all.filter(|median| median.workers >= LARGE_GROUP_WORKERS);
+        // Fewer than `LARGE_GROUP_WORKERS` if the group is not large.
+        let mut by_worker: Vec<(&model::WorkerId, Option<Baseline>)> = Vec::new();
+        let mut observations = Vec::new();
+        for one in &self.rates {
+            let Some(mean) = one.pending_mean() else {
+                continue;
+            };
+            let worker_id = &one.worker_id;
+            let known = by_worker.iter().find(|(known, _)| *known == worker_id);
+            let baseline = match (of_all, known) {
+                (Some(_), _) => of_all,
+                (None, Some((_, baseline))) => *baseline,
+                (None, None) => {
+                    let others = rates.iter().copied();
+                    let baseline = median_of(others.filter(|(other, _)| *other != worker_id));
+                    by_worker.push((worker_id, baseline));
+                    baseline
+                }
+            };
+            if let Some(baseline) = baseline {
+                let observation = Observation {
+                    log_speed: mean - baseline.log_rate,
+                    coverage: one.pending_coverage,
+                    compared_with: baseline.workers,
+                };
+                observations.push((worker_id.clone(), observation));
+            }
+        }
         for one in &mut self.rates {
             (one.pending_log_rates, one.pending_coverage) = (0.0, 0.0);
         }
@@ -567,18 +586,18 @@
 
 /// Returns the median of at most `MAX_GROUP_RATES` rates, each of a run on a worker.
 fn median_of<'a>(of: impl Iterator<Item = (&'a model::WorkerId, f64)>) -> Option<Baseline> {
-    let (mut rates, mut worker_ids) = ([0.0; MAX_GROUP_RATES], [None; MAX_GROUP_RATES]);
+    let (mut rates, mut worker_ids) = ([0.0; MAX_GROUP_RATES], [None; LARGE_GROUP_WORKERS]);
     let (mut count, mut workers) = (0, 0);
     for (worker_id, log_rate) in of.take(MAX_GROUP_RATES) {
         rates[count] = log_rate;
         count += 1;
-        if !worker_ids[..workers].contains(&Some(worker_id)) {
+        if workers < LARGE_GROUP_WORKERS && !worker_ids[..workers].contains(&Some(worker_id)) {
             worker_ids[workers] = Some(worker_id);
             workers += 1;
         }
     }
     let rates = &mut rates[..count];
-    rates.sort_by(f64::total_cmp);
+    rates.sort_unstable_by(f64::total_cmp);
     let upper = *rates.get(count / 2)?;
     let lower = rates[(count - 1) / 2];
     Some(Baseline {
