--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,7 +7,9 @@
 use crate::manifest;
 use crate::maps;
 use crate::record;
+use crate::speed;
 use crate::tickets;
+use crate::worker_quality;
 
 /// Identifies a request; returned with the reply to it.
 pub type RequestToken = u64;
@@ -75,6 +77,10 @@
     pub(crate) blocked_since: Option<time::Instant>,
     /// Set while tasks wait and no run of the step has started since.
     pub(crate) wait: Option<blocked::Wait>,
+    /// Rates of its runs, with which the workers are compared.
+    pub(crate) rates: speed::StepRates,
+    /// Failures of its runs that may yet turn out to be their workers'.
+    pub(crate) unassigned_blame: worker_quality::UnassignedBlame,
 }
 
 /// One task.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -16,9 +16,11 @@
 use crate::pass;
 use crate::placement;
 use crate::priority_preemption;
+use crate::quarantine;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
+use crate::speed_tracking;
 use crate::tenancy;
 use crate::worker;
 
@@ -76,6 +78,8 @@
     pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
+    pub(crate) speeds: speed_tracking::SpeedTracking,
+    pub(crate) quarantines: quarantine::Quarantines,
 }
 
 /// Placement class of a waiting step, by the lateness of its job; earlier variants are placed
@@ -163,6 +167,22 @@
     pub moved_runs: u64,
     /// Runs stopped for steps of a higher priority, since the term began.
     pub stopped_for_priority: u64,
+    /// Workers known to be faster than the usual one of their pool.
+    pub fast_workers: usize,
+    /// Workers known to be slower than that.
+    pub slow_workers: usize,
+    /// Comparisons of a run with other runs of its step, since the term began.
+    pub speed_observations: u64,
+    /// Runs planned on workers known to be slow, since the term began.
+    pub runs_planned_on_slow: u64,
+    /// Workers that get no work, as what they start fails or stands still.
+    pub quarantined_workers: usize,
+    /// Workers that get little work after that.
+    pub workers_on_trial: usize,
+    /// Quarantines of workers since the term began.
+    pub quarantines: u64,
+    /// Quarantines among these that were put off, as enough workers of the pool were avoided.
+    pub quarantines_put_off: u64,
 }
 
 impl Scheduler {
@@ -276,6 +296,14 @@
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
             stopped_for_priority: self.priority_preemptions.stopped_runs,
+            fast_workers: self.speeds.fast_workers,
+            slow_workers: self.speeds.slow_workers,
+            speed_observations: self.speeds.observations,
+            runs_planned_on_slow: self.speeds.planned_on_slow,
+            quarantined_workers: self.quarantines.quarantined,
+            workers_on_trial: self.quarantines.on_trial,
+            quarantines: self.quarantines.count,
+            quarantines_put_off: self.quarantines.put_off,
         }
     }
 
@@ -319,6 +347,7 @@
         self.expire_losses(clock);
         self.expire_outcomes(clock);
         self.report_incomplete_gangs(clock);
+        self.refresh_speeds(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
         }
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -14,3 +14,4 @@
 mod stored_losses;
 mod tenant_limits;
 mod tenants;
+mod uneven_workers;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -158,6 +158,12 @@
     pub(crate) max_gang_wait_ms: u64,
     /// Run times of the tasks of steps whose estimate is wrong, in milliseconds.
     pub(crate) run_times_ms: collections::HashMap<(model::JobId, u16), u64>,
+    /// Settings of the next leader.
+    pub(crate) settings: jobs::Settings,
+    /// Every start: when, in milliseconds, which run, and on which worker.
+    pub(crate) starts: Vec<(u64, model::RunKey, usize)>,
+    /// By how much the run times of a step's tasks differ from those of the step, as a share.
+    pub(crate) unevenness: f64,
     /// When the last task of a job was listed as done, in milliseconds.
     pub(crate) ended_at_ms: collections::HashMap<model::JobId, u64>,
     pub(crate) max_failures: u32,
@@ -241,6 +247,9 @@
             incomplete_gangs: collections::HashMap::new(),
             max_gang_wait_ms: 0,
             run_times_ms: collections::HashMap::new(),
+            settings: jobs::Settings::default(),
+            starts: Vec::new(),
+            unevenness: 0.0,
             ended_at_ms: collections::HashMap::new(),
             max_failures: 3,
             relay_wait_ms: 0,
@@ -345,7 +354,7 @@
                 .add(key, value)
                 .expect("stored values can be decoded");
         }
-        let settings = jobs::Settings::default();
+        let settings = self.settings.clone();
         let scheduler = recovery.build(settings, self.term, self.leadership_timeout, self.clock());
         self.scheduler = Some(scheduler);
         self.inbox.clear();
@@ -752,6 +761,7 @@
         if outcome == jobs::StartOutcome::Started && !self.workers[index].has_run(order.run) {
             self.check_start(index, &order);
             self.start_count += 1;
+            self.starts.push((now_ms, order.run, index));
             let job_id = order.run.task.job_id;
             self.started_at_ms.entry(job_id).or_insert(now_ms);
             let fails = self.failing_jobs.contains(&order.run.task.job_id);
@@ -760,6 +770,9 @@
             let step = &job.steps[usize::from(step_index)];
             let run_ms = self.run_times_ms.get(&(job_id, step_index)).copied();
             let run_ms = run_ms.unwrap_or(u64::from(step.estimated_ms));
+            let uneven =
+                2.0 * unit_hash(order.run.task.step_key(), order.run.task.index.into()) - 1.0;
+            let run_ms = (run_ms as f64 * (1.0 + self.unevenness * uneven)).round() as u64;
             self.workers[index].start_run(&order, step, run_ms, fails, now_ms);
             if self.deadly_jobs.contains(&job_id) {
                 self.start_deadly(order.run, &order.incarnation);
@@ -991,6 +1004,11 @@
         }
     }
 
+    /// Changes the speed of a worker.
+    pub(crate) fn change_speed(&mut self, worker: usize, speed: f64) {
+        self.workers[worker].change_speed(speed, self.now_ms);
+    }
+
     /// Changes the processors of a worker, in thousandths of a core.
     pub(crate) fn change_processors(&mut self, worker: usize, processors_milli: u32) {
         let capacity = model::Demand {
