--- a/crates/jobs/tests/scheduler/tenant_limits.rs
+++ b/crates/jobs/tests/scheduler/tenant_limits.rs
@@ -501,3 +501,30 @@
         );
     }
 }
+
+/// A tenant has all workers for work that saves its progress when a gang of higher priority arrives. An
+/// owed gang has runs stopped for it; one that its tenant submits beyond its rate has not. Guards against
+/// a tenant that drives out the work of others with jobs that it is not owed.
+#[test]
+fn others_give_way_to_owed_gangs_only() {
+    for is_owed in [true, false] {
+        let mut simulation = Simulation::new(1, 4, None);
+        simulation.use_limits([tenant("calm", 10.0), tenant("loud", 0.1)]);
+        simulation.run_ms(200);
+        let saved = model::Step {
+            checkpointing: true,
+            ..simulation::step(16, 2_000, 60_000)
+        };
+        simulation.submit_as("calm", simulation::job(1, "long", saved));
+        simulation.run_ms(2_000);
+        if !is_owed {
+            let idle = simulation::step(1, 0, 10);
+            simulation.submit_as("loud", simulation::job(2, "short", idle));
+            simulation.run_ms(500);
+        }
+        simulation.submit_as("loud", simulation::job(3, "short", gang(4, 8_000)));
+        simulation.run_ms(8_000);
+        let has_started = simulation.started_at_ms.contains_key(&3);
+        assert_eq!(has_started, is_owed, "owed: {is_owed}");
+    }
+}
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -6,6 +6,7 @@
 mod amounts;
 mod bucket;
 mod builder;
+mod key;
 mod load;
 mod share;
 mod tenant;
@@ -19,6 +20,8 @@
 pub use builder::Findings;
 pub use builder::TenantEntry;
 pub use builder::TenantsBuilder;
+pub use key::KeyDigest;
+pub use key::digest_key;
 pub use load::FULL_WAIT;
 pub use load::Load;
 pub use share::Band;
