--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -2,6 +2,7 @@
 
 use std::iter;
 use std::mem;
+use std::time;
 
 use crate::admission;
 use crate::caps;
@@ -11,6 +12,8 @@
 use crate::tenancy;
 use crate::workers;
 
+/// Time between two sums over all workers: there are thousands, and what is full remains so for longer.
+const WORKER_SUM_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Number of classes by lateness.
 const CLASSES: usize = 5;
 /// Number of bands of which a class and priority consists.
@@ -81,8 +84,15 @@
         clock: event::Clock,
     ) -> Vec<scheduler::OrderedStep> {
         let mut buffers = mem::take(&mut self.tenancy.order_buffers);
-        self.begin_tenant_pass(clock);
+        self.sum_up_workers(clock);
+        for (number, state) in (0..).zip(&mut self.tenancy.states) {
+            state.pass = tenancy::TenantPass {
+                expected_use: self.tenancy.usage.of(number),
+                ..tenancy::TenantPass::default()
+            };
+        }
         self.sort_into_classes(&mut buffers.classes, clock);
+        self.sum_up_weights();
         let mut order = Vec::with_capacity(self.waiting.len());
         let mut capped = Vec::new();
         let mut holds = vec![None; self.tenancy.states.len()];
@@ -120,8 +130,16 @@
         order
     }
 
-    /// Sums up the workers and the active tenants.
-    fn begin_tenant_pass(&mut self, clock: event::Clock) {
+    /// Sums up the capacity of the workers and what is used of it, if that is due.
+    fn sum_up_workers(&mut self, clock: event::Clock) {
+        let is_due = self
+            .tenancy
+            .summed_at
+            .is_none_or(|at| clock.now.saturating_duration_since(at) >= WORKER_SUM_INTERVAL);
+        if !is_due {
+            return;
+        }
+        self.tenancy.summed_at = Some(clock.now);
         let (mut capacity, mut usable) = Default::default();
         let mut used = tenants::Amounts::default();
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
@@ -133,24 +151,7 @@
             }
         }
         let tenancy = &mut self.tenancy;
-        for (number, state) in (0..).zip(&mut tenancy.states) {
-            state.pass = tenancy::TenantPass {
-                expected_use: tenancy.usage.of(number),
-                ..tenancy::TenantPass::default()
-            };
-        }
-        for step in &self.waiting {
-            tenancy.states[step.tenant as usize].pass.waiting_steps += 1;
-        }
-        let active = tenancy
-            .states
-            .iter()
-            .filter(|state| state.pass.waiting_steps > 0 || !state.pass.expected_use.is_zero());
-        let weights = active.filter_map(|state| Some(state.terms.as_ref()?.weight));
-        tenancy.division = tenants::Division {
-            capacity,
-            active_weight: weights.sum(),
-        };
+        tenancy.division.capacity = capacity;
         let used_fraction = used.dominant_fraction(&usable);
         let is_peak_old = tenancy
             .peak_at
@@ -159,17 +160,22 @@
             tenancy.peak_at = Some(clock.now);
             tenancy.load.used_fraction = used_fraction;
         }
-        tenancy.load = tenants::Load {
-            used_fraction: tenancy.load.used_fraction,
-            others_wait: false,
-            waiting_steps: self.waiting.len(),
-            max_waiting_steps: self.settings.max_waiting_steps,
-        };
+        tenancy.load.max_waiting_steps = self.settings.max_waiting_steps;
+    }
+
+    /// Sums up the weights of the tenants that have work.
+    fn sum_up_weights(&mut self) {
+        let states = self.tenancy.states.iter();
+        let active = states
+            .filter(|state| state.pass.waiting_steps > 0 || !state.pass.expected_use.is_zero());
+        let weights = active.filter_map(|state| Some(state.terms.as_ref()?.weight));
+        self.tenancy.division.active_weight = weights.sum();
     }
 
-    /// Adds the waiting steps to the classes of their lateness.
-    fn sort_into_classes(&self, classes: &mut [Vec<Waiting>; CLASSES], clock: event::Clock) {
+    /// Adds the waiting steps to the classes of their lateness, and counts them for their tenants.
+    fn sort_into_classes(&mut self, classes: &mut [Vec<Waiting>; CLASSES], clock: event::Clock) {
         for step in &self.waiting {
+            self.tenancy.states[step.tenant as usize].pass.waiting_steps += 1;
             let mut waiting = Waiting {
                 step: *step,
                 demand: model::Demand::default(),
--- a/crates/jobs/src/tenancy.rs
+++ b/crates/jobs/src/tenancy.rs
@@ -30,6 +30,8 @@
     pub(crate) division: tenants::Division,
     /// How busy the workers were in the last placement passes.
     pub(crate) load: tenants::Load,
+    /// When the capacity in `division` and the use in `load` were last summed up.
+    pub(crate) summed_at: Option<time::Instant>,
     /// When the used fraction in `load` was measured.
     pub(crate) peak_at: Option<time::Instant>,
     pub(crate) order_buffers: shares::OrderBuffers,
@@ -114,6 +116,7 @@
             usage: tenants::Usage::default(),
             division: tenants::Division::default(),
             load: tenants::Load::default(),
+            summed_at: None,
             peak_at: None,
             order_buffers: shares::OrderBuffers::default(),
             cap_log: caps::LogLimit::default(),
