--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -45,8 +45,8 @@
         self.mailbox.push_event(event);
     }
 
-    /// Sends a caller's request and waits for the reply; `None` if the term ends before that or too
-    /// many requests wait.
+    /// Sends a caller's request and waits for the reply; `None` if the term ends before that, or if
+    /// too many requests wait or take too much memory.
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
@@ -61,6 +61,7 @@
         let (reply, receiver) = oneshot::channel();
         let request = mailbox::Request {
             manifest_version,
+            memory: self.mailbox.reserve(&request.request)?,
             request,
             reply,
         };
@@ -78,7 +79,8 @@
 }
 
 impl ControlThread {
-    /// Starts the thread, which sends the scheduler's actions to `actions`.
+    /// Starts the thread, which sends the scheduler's actions to `actions`. Requests that wait for it
+    /// take at most `max_waiting_bytes`.
     ///
     /// # Errors
     ///
@@ -87,8 +89,10 @@
         scheduler: jobs::Scheduler,
         metrics: telemetry::Metrics,
         actions: tokio_mpsc::UnboundedSender<Decisions>,
+        max_waiting_bytes: u64,
     ) -> Result<Self, error::Error> {
-        let mailbox = sync::Arc::new(mailbox::Mailbox::new());
+        let mailbox = mailbox::Mailbox::new(max_waiting_bytes, metrics.clone());
+        let mailbox = sync::Arc::new(mailbox);
         let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
@@ -144,6 +148,7 @@
             manifest_version,
             request,
             reply,
+            memory,
         } in round.requests
         {
             let event = jobs::Event::Request {
@@ -154,6 +159,7 @@
                 overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
+            drop(memory);
         }
         if is_stopping {
             pending.send_replies(scheduler.end_term());
@@ -193,7 +199,7 @@
     crashed_workers: u64,
     given_up_jobs: u64,
     moved_runs: u64,
-    stopped_for_gangs: u64,
+    stopped_for_priority: u64,
 }
 
 impl CrashCounters {
@@ -203,12 +209,12 @@
         metrics.count_by("worker.crashed", crashed);
         metrics.count_by("job.given_up", given_up);
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
-        let stopped_for_gangs = summary.stopped_for_gangs - self.stopped_for_gangs;
-        metrics.count_by("run.stopped_for_gang", stopped_for_gangs);
+        let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
+        metrics.count_by("run.stopped_for_priority", stopped_for_priority);
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
-        self.stopped_for_gangs = summary.stopped_for_gangs;
+        self.stopped_for_priority = summary.stopped_for_priority;
     }
 }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,7 +8,6 @@
 use crate::crashes;
 use crate::ended;
 use crate::event;
-use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -16,6 +15,7 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
+use crate::priority_preemption;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
@@ -46,7 +46,7 @@
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
-    pub(crate) gang_preemptions: gang_preemption::GangPreemptions,
+    pub(crate) priority_preemptions: priority_preemption::PriorityPreemptions,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
@@ -87,14 +87,14 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
-    /// Its tenant submitted it beyond the rate that it is owed.
+    /// Its tenant submitted it beyond the rate that it is owed, and uses more than its share.
     Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
 }
 
 /// Multiple of its objective after which a job's result is worth nothing.
-const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
+pub(crate) const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
 /// A step with waiting tasks, ordered by priority and age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -132,6 +132,9 @@
     pub(crate) priority: u32,
     /// The same for all steps without tenants.
     pub(crate) band: tenants::Band,
+    /// Whether the step is late and has the class of steps in time, as its tenant is within its share;
+    /// false without tenants.
+    pub(crate) is_late: bool,
 }
 
 /// A waiting step at its place in the scheduling order.
@@ -157,8 +160,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
-    /// Runs stopped to free capacity for gangs, since the term began.
-    pub stopped_for_gangs: u64,
+    /// Runs stopped for steps of a higher priority, since the term began.
+    pub stopped_for_priority: u64,
 }
 
 impl Scheduler {
@@ -271,7 +274,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
-            stopped_for_gangs: self.gang_preemptions.stopped_runs,
+            stopped_for_priority: self.priority_preemptions.stopped_runs,
         }
     }
 
@@ -414,6 +417,7 @@
             lateness: self.lateness(step, clock),
             priority: step.priority,
             band: tenants::Band::default(),
+            is_late: false,
         }
     }
 
@@ -439,10 +443,7 @@
             return Lateness::LongRunning;
         }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
-        let is_beyond_rate = state.is_beyond_rate && self.tenancy.is_active;
-        if is_beyond_rate && waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
-            Lateness::Beyond
-        } else if waited_ms < state.objective_ms {
+        if waited_ms < state.objective_ms {
             Lateness::InTime
         } else if waited_ms < WORTHLESS_AFTER_OBJECTIVES * state.objective_ms {
             Lateness::Late
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -15,9 +15,7 @@
 /// Time between two sums over all workers: there are thousands, and what is full remains so for longer.
 const WORKER_SUM_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Number of classes by lateness.
-const CLASSES: usize = 5;
-/// Number of bands of which a class and priority consists.
-const BANDS: usize = 3;
+const CLASSES: usize = 4;
 
 /// What the order of a waiting step depends on besides its age.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +27,8 @@
     /// Whether its tasks may be placed: members of an earlier run of a gang that have not ended keep it
     /// from that.
     is_whole: bool,
+    /// Whether its job was submitted beyond the rate of its tenant.
+    is_beyond_rate: bool,
 }
 
 /// Buffers for the scheduling order, which are kept from pass to pass.
@@ -36,34 +36,40 @@
 pub(crate) struct OrderBuffers {
     /// Waiting steps by class, each class by priority and age.
     classes: [Vec<Waiting>; CLASSES],
-    /// Steps of one class and priority by band, each band by age.
-    bands: [Vec<scheduler::OrderedStep>; BANDS],
 }
 
-fn class_index(lateness: scheduler::Lateness) -> usize {
-    match lateness {
-        scheduler::Lateness::LongRunning => 0,
-        scheduler::Lateness::InTime => 1,
-        scheduler::Lateness::Late => 2,
-        scheduler::Lateness::Beyond => 3,
-        scheduler::Lateness::Worthless => 4,
-    }
-}
-
-/// The classes in the order of `class_index`.
+/// The classes by lateness, in scheduling order.
 const CLASS_ORDER: [scheduler::Lateness; CLASSES] = [
     scheduler::Lateness::LongRunning,
     scheduler::Lateness::InTime,
     scheduler::Lateness::Late,
-    scheduler::Lateness::Beyond,
     scheduler::Lateness::Worthless,
 ];
 
-fn band_index(band: tenants::Band) -> usize {
-    match band {
-        tenants::Band::Within => 0,
-        tenants::Band::Above => 1,
-        tenants::Band::FarAbove => 2,
+/// Returns the rank of a step of a class by its lateness, whose tenant is in `band`.
+///
+/// What a tenant submits beyond its rate waits behind all owed work only while the tenant uses more than
+/// its share: otherwise the room is owed to it. For the same reason, late work of a tenant within its
+/// share keeps the priority of its queue. As it is bounded by the share, it cannot hold up others after an
+/// outage.
+fn rank_of(
+    lateness: scheduler::Lateness,
+    waiting: &Waiting,
+    band: tenants::Band,
+) -> scheduler::Rank {
+    let is_within_share = band == tenants::Band::Within;
+    let is_late = lateness == scheduler::Lateness::Late;
+    let is_timed = is_late || lateness == scheduler::Lateness::InTime;
+    let lateness = match is_within_share {
+        false if is_timed && waiting.is_beyond_rate => scheduler::Lateness::Beyond,
+        true if is_late => scheduler::Lateness::InTime,
+        _ => lateness,
+    };
+    scheduler::Rank {
+        lateness,
+        priority: waiting.step.priority,
+        band,
+        is_late,
     }
 }
 
@@ -76,8 +82,9 @@
     /// nothing of it runs yet. As steps start, that sum stays the same, and so does their order. The first
     /// step of a tenant of which nothing runs is within its share, however large it is.
     ///
-    /// `waiting` is sorted by priority and age, so that no sorting is needed: the time is linear in the
-    /// number of steps, however many tenants there are.
+    /// `waiting` is sorted by priority and age, so that the ranked steps consist of few sorted runs, which
+    /// the stable sort merges: the time hardly grows faster than the number of steps, however many tenants
+    /// there are.
     pub(crate) fn order_by_share(
         &mut self,
         changed: &mut maps::HashSet<model::StepKey>,
@@ -97,25 +104,14 @@
         let mut capped = Vec::new();
         let mut holds = vec![None; self.tenancy.states.len()];
         for (lateness, class) in iter::zip(CLASS_ORDER, &mut buffers.classes) {
-            let mut priority = 0;
             for waiting in class.drain(..) {
-                if waiting.step.priority != priority {
-                    priority = waiting.step.priority;
-                    append_bands(&mut order, &mut buffers.bands);
+                match self.band_under_cap(lateness, &waiting, &mut holds, clock) {
+                    Some(band) => order.push((rank_of(lateness, &waiting, band), waiting.step)),
+                    None => capped.push((waiting.step, waiting.is_gang)),
                 }
-                let Some(band) = self.band_under_cap(lateness, &waiting, &mut holds, clock) else {
-                    capped.push((waiting.step, waiting.is_gang));
-                    continue;
-                };
-                let rank = scheduler::Rank {
-                    lateness,
-                    priority,
-                    band,
-                };
-                buffers.bands[band_index(band)].push((rank, waiting.step));
             }
-            append_bands(&mut order, &mut buffers.bands);
         }
+        order.sort();
         for (state, hold) in self.tenancy.states.iter_mut().zip(holds) {
             state.hold = hold;
         }
@@ -182,6 +178,7 @@
                 waiting_count: 0,
                 is_gang: false,
                 is_whole: false,
+                is_beyond_rate: false,
             };
             // The visit of a step that is not known takes it out of the queue.
             let mut lateness = scheduler::Lateness::InTime;
@@ -191,11 +188,13 @@
             {
                 lateness = self.lateness_of(state, of, step, clock);
                 waiting.demand = workers::counted_demand(of);
+                waiting.is_beyond_rate = state.is_beyond_rate;
                 waiting.waiting_count = step_state.waiting_count;
                 waiting.is_gang = of.gang;
                 waiting.is_whole = !of.gang || step_state.waiting_count == of.task_count;
             }
-            classes[class_index(lateness)].push(waiting);
+            let class = CLASS_ORDER.iter().position(|one| *one == lateness);
+            classes[class.unwrap_or_default()].push(waiting);
         }
     }
 
@@ -237,19 +236,10 @@
         let state = &mut self.tenancy.states[number as usize];
         state.pass.expected_use = expected.plus(&need);
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
-        let is_owed = lateness < scheduler::Lateness::Beyond;
+        let is_owed = lateness < scheduler::Lateness::Beyond && !waiting.is_beyond_rate;
         if is_owed && waited_ms >= tenants::FULL_WAIT.as_millis() as u64 {
             state.long_waited_at = Some(clock.now);
         }
         Some(band)
     }
 }
-
-fn append_bands(
-    order: &mut Vec<scheduler::OrderedStep>,
-    bands: &mut [Vec<scheduler::OrderedStep>; BANDS],
-) {
-    for band in bands {
-        order.append(band);
-    }
-}
