--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -18,10 +18,12 @@
 use crate::maps;
 use crate::pass;
 use crate::priority_preemption;
+use crate::quarantine;
 use crate::record;
 use crate::reservations;
 use crate::scheduler;
 use crate::settings;
+use crate::speed_tracking;
 use crate::tenancy;
 use crate::worker;
 use crate::workers;
@@ -112,6 +114,8 @@
             tenancy: tenancy::Tenancy::default(),
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
+            speeds: speed_tracking::SpeedTracking::default(),
+            quarantines: quarantine::Quarantines::default(),
         };
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,6 @@
 //! Shares of tenants: their bands in the scheduling order.
 
+use std::collections;
 use std::iter;
 use std::mem;
 use std::time;
@@ -36,6 +37,8 @@
 pub(crate) struct OrderBuffers {
     /// Waiting steps by class, each class by priority and age.
     classes: [Vec<Waiting>; CLASSES],
+    /// Waiting steps by rank, those of a rank by age.
+    ranks: collections::BTreeMap<scheduler::Rank, Vec<scheduler::WaitingStep>>,
 }
 
 /// The classes by lateness, in scheduling order.
@@ -49,9 +52,9 @@
 /// Returns the rank of a step of a class by its lateness, whose tenant is in `band`.
 ///
 /// What a tenant submits beyond its rate waits behind all owed work only while the tenant uses more than
-/// its share: otherwise the room is owed to it. For the same reason, late work of a tenant within its
-/// share keeps the priority of its queue. As it is bounded by the share, it cannot hold up others after an
-/// outage.
+/// twice its share. Below that, its cap and the band bound what others lose, while its urgent jobs would be
+/// worthless behind batch work. Late work of a tenant within its share keeps the priority of its queue: as
+/// it is bounded by the share, it cannot hold up others after an outage.
 fn rank_of(
     lateness: scheduler::Lateness,
     waiting: &Waiting,
@@ -60,10 +63,11 @@
     let is_within_share = band == tenants::Band::Within;
     let is_late = lateness == scheduler::Lateness::Late;
     let is_timed = is_late || lateness == scheduler::Lateness::InTime;
-    let lateness = match is_within_share {
-        false if is_timed && waiting.is_beyond_rate => scheduler::Lateness::Beyond,
-        true if is_late => scheduler::Lateness::InTime,
-        _ => lateness,
+    let is_far_above = band == tenants::Band::FarAbove;
+    let lateness = match lateness {
+        _ if is_timed && is_far_above && waiting.is_beyond_rate => scheduler::Lateness::Beyond,
+        scheduler::Lateness::Late if is_within_share => scheduler::Lateness::InTime,
+        lateness => lateness,
     };
     scheduler::Rank {
         lateness,
@@ -82,9 +86,8 @@
     /// nothing of it runs yet. As steps start, that sum stays the same, and so does their order. The first
     /// step of a tenant of which nothing runs is within its share, however large it is.
     ///
-    /// `waiting` is sorted by priority and age, so that the ranked steps consist of few sorted runs, which
-    /// the stable sort merges: the time hardly grows faster than the number of steps, however many tenants
-    /// there are.
+    /// `waiting` is sorted by priority and age, and all steps of a rank come from one class, so that no
+    /// sorting is needed: the time is linear in the number of steps, however many tenants there are.
     pub(crate) fn order_by_share(
         &mut self,
         changed: &mut maps::HashSet<model::StepKey>,
@@ -106,12 +109,18 @@
         for (lateness, class) in iter::zip(CLASS_ORDER, &mut buffers.classes) {
             for waiting in class.drain(..) {
                 match self.band_under_cap(lateness, &waiting, &mut holds, clock) {
-                    Some(band) => order.push((rank_of(lateness, &waiting, band), waiting.step)),
+                    Some(band) => {
+                        let rank = rank_of(lateness, &waiting, band);
+                        buffers.ranks.entry(rank).or_default().push(waiting.step);
+                    }
                     None => capped.push((waiting.step, waiting.is_gang)),
                 }
             }
         }
-        order.sort();
+        buffers.ranks.retain(|_, steps| !steps.is_empty());
+        for (rank, steps) in &mut buffers.ranks {
+            order.extend(steps.drain(..).map(|step| (*rank, step)));
+        }
         for (state, hold) in self.tenancy.states.iter_mut().zip(holds) {
             state.hold = hold;
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -7,9 +7,12 @@
 
 use crate::maps;
 use crate::settings;
+use crate::speed;
+use crate::speed_tracking;
 use crate::tenancy;
 use crate::throttling;
 use crate::worker_api;
+use crate::worker_quality;
 
 /// Start orders sent for one run before the run is abandoned and stopped.
 const MAX_START_ATTEMPTS: u32 = 3;
@@ -61,6 +64,10 @@
     pub(crate) silent_since: Option<time::Instant>,
     pub(crate) health: Health,
     pub(crate) throttling: throttling::Throttling,
+    pub(crate) speed: speed_tracking::WorkerSpeed,
+    pub(crate) quality: worker_quality::Quality,
+    /// Whether it is avoided as its quality tells: at most a part of a pool is.
+    pub(crate) is_restricted: bool,
 }
 
 /// State of the calls that renew the lease.
@@ -94,6 +101,8 @@
     pub(crate) phase: RunPhase,
     /// When the run entered this phase.
     pub(crate) since: time::Instant,
+    /// When the leader planned it or found it there.
+    pub(crate) planned_at: time::Instant,
     /// When the worker confirmed the run to this leader; `None` before that.
     pub(crate) confirmed_at: Option<time::Instant>,
     /// Whether a start order may have been received without an answer.
@@ -106,6 +115,8 @@
     pub(crate) awaits_answer: bool,
     /// Latest progress in percent, and when it last rose.
     pub(crate) progress: Option<(u32, time::Instant)>,
+    /// What its worker's speed is measured by.
+    pub(crate) pace: speed::Pace,
 }
 
 /// Phase of a run.
@@ -189,6 +200,9 @@
             silent_since: None,
             health: Health::default(),
             throttling: throttling::Throttling::default(),
+            speed: speed_tracking::WorkerSpeed::default(),
+            quality: worker_quality::Quality::default(),
+            is_restricted: false,
         }
     }
 
@@ -205,6 +219,7 @@
         });
         Self {
             report,
+            speed: self.speed.inherited(),
             ..Self::new(expires_at)
         }
     }
@@ -487,12 +502,14 @@
             checkpoint: None,
             phase,
             since: now,
+            planned_at: now,
             confirmed_at: None,
             unanswered: false,
             attempts: 0,
             ordered_at: None,
             awaits_answer: false,
             progress: None,
+            pace: speed::Pace::default(),
         }
     }
 
@@ -527,6 +544,7 @@
         self.unanswered |= std::mem::take(&mut self.awaits_answer);
         self.confirmed_at = None;
         self.progress = None;
+        self.pace = speed::Pace::default();
         self.percent = None;
         self.set_phase(phase, now);
         self
