--- a/crates/jobs/benches/tenants.rs
+++ b/crates/jobs/benches/tenants.rs
@@ -1,7 +1,7 @@
 //! What 180 tenants cost the leader at the planned size, in virtual time: 55,000 running tasks, 11,000
 //! waiting jobs and 970 starts a second, against the same load without tenants.
 //!
-//! `cargo bench -p jobs --bench tenants [-- ROUNDS [WORKERS]]`; running and waiting work is in proportion
+//! `cargo bench -p jobs --bench tenants [-- WINDOWS [WORKERS]]`; running and waiting work is in proportion
 //! to the workers.
 
 #[path = "../tests/scheduler/simulation/mod.rs"]
@@ -18,15 +18,18 @@
 const TASKS_PER_WORKER: usize = 21;
 /// Waiting jobs for each worker.
 const WAITING_PER_WORKER: f64 = 4.2;
-/// Length of a run, in milliseconds: 55,000 of them end at 970 a second.
-const RUN_MS: u64 = 56_700;
+/// Length of a run, in milliseconds: 55,000 of them end at 970 a second, with the time until their places
+/// are taken again.
+const RUN_MS: u64 = 54_500;
 /// Tasks of a job.
 const TASKS_PER_JOB: usize = 5;
 /// Number of tenants.
 const TENANTS: usize = 180;
-/// Virtual time before and of the measurement, in milliseconds.
+/// Virtual time before the measurement, in milliseconds.
 const WARM_UP_MS: u64 = 3_000;
-const MEASURED_MS: u64 = 5_000;
+/// Number of windows that are measured, and the virtual time of each, in milliseconds.
+const WINDOWS: usize = 40;
+const WINDOW_MS: u64 = 250;
 /// Virtual time between two submissions, in milliseconds.
 const STEP_MS: u64 = 5;
 /// One in this many tenants has a cap, of half of what its weight is owed.
@@ -40,13 +43,15 @@
     SharesAndCaps,
 }
 
-/// Result of one run.
-struct Measured {
-    /// Time of the scheduler.
-    took: time::Duration,
-    starts: u32,
-    waiting_steps: usize,
-    visits: u64,
+/// A load and what it has taken so far.
+struct Load {
+    simulation: simulation::Simulation,
+    variant: Variant,
+    workers: usize,
+    last_id: model::JobId,
+    /// Jobs that are due by now, and those that have been submitted.
+    due: f64,
+    submitted: f64,
 }
 
 /// Weights fall from 1 to 1/180 of the largest, and are so high that no job is beyond its rate.
@@ -71,108 +76,126 @@
     (0..TENANTS).map(tenant).collect()
 }
 
-fn submit(
-    simulation: &mut simulation::Simulation,
-    variant: Variant,
-    id: model::JobId,
-    run_ms: u64,
-) {
-    let step = simulation::step(TASKS_PER_JOB as u32, 1_500, run_ms as u32);
-    let queue = if id.is_multiple_of(3) {
-        "short"
-    } else {
-        "long"
-    };
-    let job = simulation::job(id, queue, step);
-    // The heavy tenants submit most.
-    let tenant = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as usize % TENANTS;
-    match variant {
-        Variant::NoTenants => simulation.submit(job),
-        _ => simulation.submit_as(&name(tenant / (1 + id as usize % 4)), job),
-    };
-}
-
-fn run(variant: Variant, workers: usize) -> Measured {
-    let mut simulation = simulation::Simulation::new(1, workers, None);
-    simulation.omits_checks = true;
-    simulation.directory_interval_ms = 1_000;
-    for worker in &mut simulation.workers {
-        worker.capacity = model::Demand {
-            processors_milli: 32_000,
-            memory_mb: 131_072,
-            accelerators: 0,
+impl Load {
+    /// Creates a load in which as many tasks run and as many jobs wait as in the measurement.
+    fn new(variant: Variant, workers: usize) -> Self {
+        let mut simulation = simulation::Simulation::new(1, workers, None);
+        simulation.omits_checks = true;
+        simulation.directory_interval_ms = 1_000;
+        for worker in &mut simulation.workers {
+            worker.capacity = model::Demand {
+                processors_milli: 32_000,
+                memory_mb: 131_072,
+                accelerators: 0,
+            };
+        }
+        if variant != Variant::NoTenants {
+            simulation.use_limits(tenants(variant, workers));
+        }
+        simulation.run_ms(1_200);
+        let mut load = Self {
+            simulation,
+            variant,
+            workers,
+            last_id: 0,
+            due: 0.0,
+            submitted: 0.0,
         };
-    }
-    if variant != Variant::NoTenants {
-        simulation.use_limits(tenants(variant, workers));
-    }
-    simulation.run_ms(1_200);
-    let mut next_id = 0;
-    // Runs that end one after the other from the start on.
-    let running = workers * TASKS_PER_WORKER / TASKS_PER_JOB;
-    for number in 0..running {
-        next_id += 1;
-        let run_ms = 3_000 + RUN_MS * number as u64 / running as u64;
-        submit(&mut simulation, variant, next_id, run_ms);
-        if number % 100 == 0 {
-            simulation.run_ms(20);
+        // Runs that end one after the other from the start on.
+        let running = workers * TASKS_PER_WORKER / TASKS_PER_JOB;
+        for number in 0..running {
+            load.submit(3_000 + RUN_MS * number as u64 / running as u64);
+            if number % 100 == 0 {
+                load.simulation.run_ms(20);
+            }
         }
-    }
-    let waiting = (workers as f64 * WAITING_PER_WORKER) as usize;
-    for number in 0..waiting {
-        next_id += 1;
-        submit(&mut simulation, variant, next_id, RUN_MS);
-        if number % 200 == 0 {
-            simulation.run_ms(20);
+        for number in 0..(workers as f64 * WAITING_PER_WORKER) as usize {
+            load.submit(RUN_MS);
+            if number % 200 == 0 {
+                load.simulation.run_ms(20);
+            }
         }
+        load.proceed(WARM_UP_MS);
+        load
     }
-    let per_second = (workers * TASKS_PER_WORKER) as f64 / RUN_MS as f64 * 1_000.0;
-    let mut proceed = |simulation: &mut simulation::Simulation, duration_ms: u64| {
-        let (begin_ms, mut due, mut submitted) = (simulation.now_ms, 0.0, 0.0);
-        while simulation.now_ms < begin_ms + duration_ms {
-            due += per_second / TASKS_PER_JOB as f64 * STEP_MS as f64 / 1_000.0;
-            while submitted < due {
-                submitted += 1.0;
-                next_id += 1;
-                submit(simulation, variant, next_id, RUN_MS);
+
+    fn submit(&mut self, run_ms: u64) {
+        self.last_id += 1;
+        let id = self.last_id;
+        let step = simulation::step(TASKS_PER_JOB as u32, 1_500, run_ms as u32);
+        let queue = if id.is_multiple_of(3) {
+            "short"
+        } else {
+            "long"
+        };
+        let job = simulation::job(id, queue, step);
+        // The heavy tenants submit most.
+        let tenant = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as usize % TENANTS;
+        match self.variant {
+            Variant::NoTenants => self.simulation.submit(job),
+            _ => {
+                let tenant = name(tenant / (1 + id as usize % 4));
+                self.simulation.submit_as(&tenant, job)
             }
-            simulation.run_ms(STEP_MS);
+        };
+    }
+
+    /// Goes on for some virtual time, with as many new tasks as end; returns the time that the scheduler
+    /// has taken.
+    fn proceed(&mut self, duration_ms: u64) -> time::Duration {
+        let took = self.simulation.decision_time;
+        let end_ms = self.simulation.now_ms + duration_ms;
+        let per_ms = (self.workers * TASKS_PER_WORKER / TASKS_PER_JOB) as f64 / RUN_MS as f64;
+        while self.simulation.now_ms < end_ms {
+            self.due += per_ms * STEP_MS as f64;
+            while self.submitted < self.due {
+                self.submitted += 1.0;
+                self.submit(RUN_MS);
+            }
+            self.simulation.run_ms(STEP_MS);
         }
-    };
-    proceed(&mut simulation, WARM_UP_MS);
-    let (took, starts) = (simulation.decision_time, simulation.start_count);
-    let visits = simulation.placement_visits();
-    proceed(&mut simulation, MEASURED_MS);
-    Measured {
-        took: simulation.decision_time - took,
-        starts: simulation.start_count - starts,
-        waiting_steps: simulation.waiting_steps(),
-        visits: simulation.placement_visits() - visits,
+        self.simulation.decision_time - took
     }
 }
 
+fn median(mut numbers: Vec<f64>) -> f64 {
+    numbers.sort_by(f64::total_cmp);
+    numbers[numbers.len() / 2]
+}
+
 fn main() {
     let mut numbers = std::env::args().filter_map(|argument| argument.parse::<usize>().ok());
-    let rounds = numbers.next().unwrap_or(3);
+    let windows = numbers.next().unwrap_or(WINDOWS);
     let workers = numbers.next().unwrap_or(WORKERS);
     let variants = [Variant::NoTenants, Variant::Shares, Variant::SharesAndCaps];
-    let mut best = [f64::MAX; 3];
-    for round in 1..=rounds {
-        for (variant, best) in variants.into_iter().zip(&mut best) {
-            let measured = run(variant, workers);
-            let per_second = measured.took.as_secs_f64() / (MEASURED_MS as f64 / 1_000.0);
-            // Other processes only add to the time.
-            *best = best.min(per_second);
-            println!(
-                "round {round}, {variant:?}: {:.1}% of a core, {:.0} starts/s, {} waiting, {} visits/s",
-                100.0 * per_second,
-                f64::from(measured.starts) / (MEASURED_MS as f64 / 1_000.0),
-                measured.waiting_steps,
-                measured.visits * 1_000 / MEASURED_MS,
-            );
+    let mut loads = variants.map(|variant| Load::new(variant, workers));
+    let begins = [0, 1, 2].map(|index| {
+        let simulation = &loads[index].simulation;
+        (simulation.start_count, simulation.placement_visits())
+    });
+    // Window by window in turn, so that other processes slow down all of them.
+    let mut shares = [const { Vec::new() }; 3];
+    for _ in 0..windows {
+        for (load, shares) in loads.iter_mut().zip(&mut shares) {
+            let took = load.proceed(WINDOW_MS);
+            shares.push(took.as_secs_f64() * 1_000.0 / WINDOW_MS as f64);
         }
     }
-    for (variant, one) in variants.into_iter().zip(best) {
-        println!("{variant:?}: {:.2} times without tenants", one / best[0]);
+    let base = shares[0].clone();
+    let seconds = (windows as u64 * WINDOW_MS) as f64 / 1_000.0;
+    for ((load, shares), (starts, visits)) in loads.iter().zip(shares).zip(begins) {
+        let ratios = shares.iter().zip(&base).map(|(one, base)| one / base);
+        let least = shares.iter().copied().fold(f64::MAX, f64::min);
+        println!(
+            "{:?}: {:.2} times without tenants; {:.1}% of a core, least {:.1}%; {:.0} starts/s, \
+             {} waiting, {:.0} visits/s",
+            load.variant,
+            median(ratios.collect()),
+            100.0 * median(shares),
+            100.0 * least,
+            f64::from(load.simulation.start_count - starts) / seconds,
+            load.simulation.waiting_steps(),
+            (load.simulation.placement_visits() - visits) as f64 / seconds,
+        );
     }
 }
--- a/crates/jobs/src/caps.rs
+++ b/crates/jobs/src/caps.rs
@@ -222,6 +222,7 @@
             pass.set_cap_reached(tenant);
         }
         self.reservations.release(key);
+        self.priority_preemptions.finish(key);
         self.begin_wait(key, clock);
     }
 
@@ -235,6 +236,7 @@
         let mut reported = vec![0; self.tenancy.states.len()];
         for (step, is_gang) in capped {
             self.reservations.release(step.key);
+            self.priority_preemptions.finish(step.key);
             let of_tenant: &mut u32 = &mut reported[step.tenant as usize];
             *of_tenant += 1;
             // The wait of a gang tells from when room is kept for it.
