--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -49,13 +49,12 @@
 ) {
     let open = connections::Connections::new(limits.budget.clone(), limits.max_connections);
     let tracker = task::TaskTracker::new();
-    let mut overdue_check = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
-    overdue_check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut overdue_check = OverdueCheck::new(open.clone());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = overdue_check.tick() => {
-                open.close_overdue();
+            () = overdue_check.wait() => {
+                overdue_check.run();
                 continue;
             }
             () = shutdown.cancelled() => break,
@@ -91,7 +90,46 @@
     loop {
         tokio::select! {
             () = finish.as_mut() => return,
-            _ = overdue_check.tick() => open.close_overdue(),
+            () = overdue_check.wait() => overdue_check.run(),
+        }
+    }
+}
+
+/// Closes connections that take too long.
+struct OverdueCheck {
+    open: connections::Connections,
+    interval: tokio::time::Interval,
+    last_at: time::Instant,
+    /// Whether the last check was left out.
+    is_skipped: bool,
+}
+
+impl OverdueCheck {
+    fn new(open: connections::Connections) -> Self {
+        let mut interval = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        Self {
+            open,
+            interval,
+            last_at: time::Instant::now(),
+            is_skipped: false,
+        }
+    }
+
+    /// Waits until the next check is due.
+    async fn wait(&mut self) {
+        self.interval.tick().await;
+    }
+
+    /// Checks the connections. After a time in which the process stood still one check is left out:
+    /// what clients have sent meanwhile is read first.
+    fn run(&mut self) {
+        let now = time::Instant::now();
+        let is_late = now.duration_since(self.last_at) > 2 * OVERDUE_CHECK_INTERVAL;
+        self.last_at = now;
+        self.is_skipped = is_late && !self.is_skipped;
+        if !self.is_skipped {
+            self.open.close_overdue();
         }
     }
 }
