--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -82,14 +82,14 @@
 }
 
 impl Budget {
-    /// Creates the budget of `machine`, with room for at least two requests of `max_request_bytes`.
+    /// Creates the budget of `machine`, with room for at least one request of `max_request_bytes`.
     #[must_use]
     pub fn new(
         machine: &crate::Machine,
         max_request_bytes: usize,
         metrics: telemetry::Metrics,
     ) -> Self {
-        let largest_bytes = 2 * max_request_bytes as u64;
+        let largest_bytes = max_request_bytes as u64;
         let reserved_bytes = machine.reserved_bytes();
         let total_bytes = machine.budget_bytes().max(largest_bytes + reserved_bytes);
         Self::with_sizes(total_bytes, reserved_bytes, metrics)
