settings: two more keys in the list that a finding names

The test of findings lists the known keys of [instance], which has memory_mb and max_descriptors now; it checks as much as before. It failed since these settings were added.

--- a/crates/settings/tests/entry.rs
+++ b/crates/settings/tests/entry.rs
@@ -90,7 +90,7 @@
         entry.ini:3: [instance] name: 'a#b' given, expected a name without '#' and '/'
         entry.ini:4: [instance] region: 'astana' given, expected one of the cluster's regions: almaty, , almaty
         entry.ini:6: [instance] callers_address: 'localhost:7001' given, expected an ip number and a port, such as 10.1.0.4:7000
-        entry.ini:8: [instance] colour: unknown key, expected one of: name, region, data_centre, callers_address, peer_address
+        entry.ini:8: [instance] colour: unknown key, expected one of: name, region, data_centre, callers_address, peer_address, memory_mb, max_descriptors
         entry.ini:11: [cluster] name: the key stands twice, first on line 10
         entry.ini:12: [cluster] secret_file: the key is missing, expected a text
         entry.ini:13: [cluster] regions: an item is empty, expected texts separated by commas
