--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -298,7 +298,10 @@
         let mut state = self.lock();
         if !is_blocked {
             state.write_blocked_since = None;
-            state.since = time::Instant::now();
+            if state.phase == Phase::Idle {
+                // The rest of a response counts as use.
+                state.since = time::Instant::now();
+            }
         } else if state.write_blocked_since.is_none() {
             state.write_blocked_since = Some(time::Instant::now());
         }
