platform: read how long a draining worker stays, and how long a stop takes

Cause: a worker that drains reports the least time until it leaves (remaining_ms), which was ignored. Nothing uses either yet.

--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -23,6 +23,8 @@
     pub report_interval: time::Duration,
     /// How long after its report a smaller capacity of a worker need not be respected yet.
     pub capacity_notice: time::Duration,
+    /// Longest time from a stop order to the end of its run, during which the run saves a checkpoint.
+    pub stop_grace: time::Duration,
     /// Number of waiting steps above which further jobs are refused.
     pub max_waiting_steps: usize,
 }
@@ -39,6 +41,7 @@
             renew_before: time::Duration::from_millis(3_500),
             report_interval: time::Duration::from_millis(1_500),
             capacity_notice: time::Duration::from_millis(4_000),
+            stop_grace: time::Duration::from_millis(900),
             max_waiting_steps: 20_000,
         }
     }
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -25,6 +25,9 @@
     pub capacity: model::Demand,
     /// Whether it will leave soon and must not get new runs.
     pub draining: bool,
+    /// While it drains, the least time until it leaves, as of when the worker wrote the entry; `None`
+    /// if it does not tell.
+    pub remaining: Option<time::Duration>,
     /// Whether the worker could have replaced the entry if its capacity had shrunk: false for some
     /// time after the store was unavailable. No run is started by such an entry.
     pub is_current: bool,
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -222,6 +222,7 @@
             labels: vec!["kind".into(), "r".into()],
             capacity: self.reported_capacity,
             draining: self.draining,
+            remaining: None,
             is_current: self.is_report_current,
         }
     }
