jobs: decide which runs a worker that leaves can still finish

Cause: everything that runs on a worker ends when it leaves, and its last ends may never be listed. Change: module departure, without the scheduler: the least time until a worker leaves by reports of unknown age, the time within which a run ends by its progress or its caller's estimate, and from both whether the run is left, stopped now or stopped at a time at which its checkpoint is still listed. Members of a gang get one decision. A plain run is left if it may end; one that cannot is stopped in the last moment in which its end is noticed, since a run that leaves with its worker counts as lost only once its lease has expired.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod blocked;
 mod candidate;
 mod crashes;
+pub mod departure;
 mod event;
 mod gangs;
 mod isolation;
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -3,6 +3,7 @@
 mod blocked;
 mod capacity_changes;
 mod crashes;
+mod departure;
 mod gangs;
 mod invariants;
 mod leases;
