jobs: stop runs on workers that leave in time to save their work

Cause: a worker that leaves takes all its runs with it. Their progress since the last listed checkpoint was lost, the other members of their gangs broke, and the tasks started again only once the lease had expired. Change: on each read of the directory and on ticks, the leader applies the decisions of module departure to the runs of workers that drain and tell when they leave: it stops runs, with all members of their gangs, and the tasks resume from the checkpoint of the listed end. Long-running tasks move at once. A checkpoint that a gang's member has saved at a stop is kept when members that broke with it list older ones. Workers that tell no time are treated as before. Counters drain.OUTCOME. Tests: the simulated workers give notice, leave, restore checkpoints and list their true progress; gangs break with their members.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -21,14 +21,24 @@
         u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX)
     }
 
-    /// Sets the checkpoint of a task; that of any member of a gang applies to the whole gang.
-    pub(crate) fn set_checkpoint(
+    /// Sets the checkpoint of a task to one that its latest run has saved; that of any member of a gang
+    /// applies to the whole gang.
+    ///
+    /// A checkpoint that a member has saved when it was stopped is newer than those of members that end
+    /// because it has ended, whichever is listed first.
+    pub(crate) fn offer_checkpoint(
         &mut self,
-        index: u32,
+        key: model::RunKey,
         is_gang: bool,
         checkpoint: &sync::Arc<str>,
+        is_stopped: bool,
     ) {
-        let index = if is_gang { 0 } else { index as usize };
+        if is_gang && is_stopped {
+            self.stopped_run = Some(key.run);
+        } else if is_gang && self.stopped_run == Some(key.run) {
+            return;
+        }
+        let index = if is_gang { 0 } else { key.task.index as usize };
         if let Some(task) = self.tasks.get_mut(index) {
             task.checkpoint = Some(sync::Arc::clone(checkpoint));
         }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -69,6 +69,8 @@
     pub(crate) tickets: tickets::Tickets,
     /// Failed runs by worker, so that a retry prefers another worker.
     pub(crate) failures_by_worker: maps::IndexMap<model::WorkerId, u32>,
+    /// Run of a gang of which a member has saved a checkpoint when it was stopped.
+    pub(crate) stopped_run: Option<model::RunNumber>,
     /// Since when waiting tasks could not be placed for lack of capacity or advice.
     pub(crate) blocked_since: Option<time::Instant>,
     /// Set while tasks wait and no run of the step has started since.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod candidate;
 mod crashes;
 pub mod departure;
+mod draining;
 mod event;
 mod gangs;
 mod isolation;
@@ -39,6 +40,7 @@
 mod workers;
 
 pub use blocked::BlockReason;
+pub use draining::DrainOutcome;
 pub use event::Action;
 pub use event::AdviceCall;
 pub use event::Batch;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -10,6 +10,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::draining;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -79,6 +80,7 @@
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
             crashes: crashes::Crashes::default(),
+            drains: draining::Drains::default(),
             moved_runs: 0,
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use crate::draining;
 use crate::event;
 use crate::job;
 use crate::scheduler;
@@ -56,6 +57,7 @@
         clock: event::Clock,
     ) {
         let key = ended.key;
+        self.note_drained_end(incarnation, &ended);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key);
             worker.record_run_end(ended.end, incarnation, clock.now);
@@ -118,7 +120,8 @@
             && step.checkpointing
             && is_latest
         {
-            step_state.set_checkpoint(key.task.index, is_gang, checkpoint);
+            let is_stopped = ended.end == worker_api::RunEnd::Stopped;
+            step_state.offer_checkpoint(key, is_gang, checkpoint, is_stopped);
         }
         if is_latest {
             step_state.set_phase(key.task.index, job::Phase::Waiting);
@@ -203,6 +206,7 @@
         clock: event::Clock,
     ) {
         log::info!(run:% = run_name(key), worker:% = incarnation.worker_id, why; "run lost");
+        self.note_drained(incarnation, key, draining::DrainOutcome::Lost);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key);
         }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::draining;
 use crate::event;
 use crate::job;
 use crate::journal;
@@ -52,6 +53,7 @@
     /// Occurrences that are not due yet, by their due time in milliseconds since 1970.
     pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
     pub(crate) crashes: crashes::Crashes,
+    pub(crate) drains: draining::Drains,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
     pub(crate) journal: journal::Journal,
@@ -271,6 +273,7 @@
         self.expire_losses(clock);
         self.expire_outcomes(clock);
         self.report_incomplete_gangs(clock);
+        self.leave_workers(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -103,6 +103,8 @@
     pub(crate) awaits_answer: bool,
     /// Latest progress in percent, and when it last rose.
     pub(crate) progress: Option<(u32, time::Instant)>,
+    /// Progress in percent when it was first listed, and when that was.
+    pub(crate) first_progress: Option<(u32, time::Instant)>,
 }
 
 /// Phase of a run.
@@ -469,6 +471,7 @@
             ordered_at: None,
             awaits_answer: false,
             progress: None,
+            first_progress: None,
         }
     }
 
@@ -497,6 +500,7 @@
         self.unanswered |= std::mem::take(&mut self.awaits_answer);
         self.confirmed_at = None;
         self.progress = None;
+        self.first_progress = None;
         self.percent = None;
         self.set_phase(phase, now);
         self
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use crate::draining;
 use crate::event;
 use crate::job;
 use crate::maps;
@@ -51,6 +52,8 @@
             self.apply_report(report, read_at, clock);
         }
         self.resolve_losses(clock);
+        self.note_directory_read(read_at);
+        self.leave_workers(clock);
         self.placement_needed = true;
     }
 
@@ -64,6 +67,7 @@
         let incarnation = report.incarnation.clone();
         self.newest_incarnations
             .insert(incarnation.worker_id.clone(), incarnation.clone());
+        self.note_departure(&report, read_at, clock);
         if let Some(worker) = self.workers.get_mut(&incarnation) {
             let was_draining = worker.report.as_ref().is_some_and(|one| one.draining);
             if report.draining && !was_draining {
@@ -194,6 +198,7 @@
     /// Renews a worker's lease if that is due.
     fn renew(&mut self, incarnation: &model::WorkerIncarnation, clock: event::Clock) {
         let settings = &self.settings;
+        let is_leaving = self.drains.is_leaving(incarnation);
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
@@ -204,7 +209,11 @@
         if !needs_renewal(worker, settings.renew_before, clock.now) {
             return;
         }
-        let may_extend = worker.silent_since.is_none() && !worker.runs.is_empty();
+        // The runs of a worker that leaves count as lost once its lease has expired: its listings, which
+        // are frequent, do not all extend it.
+        let may_extend = worker.silent_since.is_none()
+            && !worker.runs.is_empty()
+            && (!is_leaving || is_lease_short(worker, settings.renew_before, clock.now));
         let lease_end_ms = match may_extend {
             true => worker.lease_end_ms(settings, clock.now),
             false => None,
@@ -226,6 +235,9 @@
             term: self.term,
             forget_up_to,
             wait: match may_wait {
+                true if is_leaving => settings
+                    .max_renewal_wait
+                    .min(draining::MAX_DRAINING_LISTING_WAIT),
                 true if worker.has_shared_processors() => settings
                     .max_renewal_wait
                     .min(throttling::MAX_SHARED_LISTING_WAIT),
@@ -385,6 +397,7 @@
             .is_none_or(|(percent, _)| percent < row.percent)
         {
             run.progress = Some((row.percent, clock.now));
+            run.first_progress.get_or_insert((row.percent, clock.now));
         }
         let state = self.jobs.get_mut(&key.task.job_id);
         let Some((step, step_state)) = state.and_then(|one| one.step_mut(key.task.step_key()))
@@ -398,7 +411,7 @@
             && step.checkpointing
             && task.last_run == key.run
         {
-            step_state.set_checkpoint(key.task.index, step.gang, checkpoint);
+            step_state.offer_checkpoint(key, step.gang, checkpoint, false);
         }
     }
 
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -4,6 +4,7 @@
 mod capacity_changes;
 mod crashes;
 mod departure;
+mod draining_workers;
 mod gangs;
 mod invariants;
 mod leases;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -4,6 +4,7 @@
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
 mod crashes;
+mod departures;
 pub(crate) mod worker;
 
 use std::collections;
@@ -75,6 +76,8 @@
     Tick(model::Term),
     /// This incarnation of a worker crashes.
     Crash(model::WorkerIncarnation),
+    /// A worker that has given notice leaves.
+    Depart(usize),
     /// A worker that has crashed is back.
     Restart(usize),
     /// The leader of this term has finished a round of decisions, or has more to decide.
@@ -121,6 +124,14 @@
     pub(crate) store_ms: u64,
     /// Latency of the answer to a start order, in milliseconds.
     pub(crate) start_answer_ms: u64,
+    /// Whether the members of a complete gang end as soon as one of them has ended.
+    pub(crate) breaks_gangs: bool,
+    /// Work that is done more than once.
+    rework: departures::Rework,
+    /// Time between two reads of the worker directory, in milliseconds; 0 to read it at each tick.
+    pub(crate) directory_interval_ms: u64,
+    /// When the worker directory was last read, in milliseconds.
+    directory_read_ms: u64,
     /// Whether reads of the worker directory fail.
     pub(crate) is_directory_unreadable: bool,
     /// Whether the store refuses every batch.
@@ -212,6 +223,10 @@
             answered_at_ms: collections::HashMap::new(),
             store_ms: ONE_WAY_MS,
             start_answer_ms: ONE_WAY_MS,
+            breaks_gangs: false,
+            rework: departures::Rework::default(),
+            directory_interval_ms: 0,
+            directory_read_ms: 0,
             is_directory_unreadable: false,
             store_refuses: false,
             store_resets: false,
@@ -557,6 +572,7 @@
             Event::Tick(term) => {
                 self.check_tail_latency();
                 self.measure_gang_waits();
+                self.break_gangs();
                 if term == self.term && self.scheduler.is_some() {
                     self.read_directory(term);
                     self.deliver(term, jobs::Event::Tick);
@@ -564,6 +580,7 @@
                 }
             }
             Event::Crash(incarnation) => self.crash(&incarnation),
+            Event::Depart(index) => self.depart(index),
             Event::Restart(index) => self.bring_back(index),
             Event::Start(order, fate) => self.start(order, fate),
             Event::Stop(order, answered) => self.stop(order, answered),
@@ -612,10 +629,13 @@
 
     /// Delivers the directory to the leader, unless it cannot be read.
     fn read_directory(&mut self, term: model::Term) {
-        if self.is_directory_unreadable {
+        let now_ms = self.now_ms;
+        if self.is_directory_unreadable
+            || now_ms < self.directory_read_ms + self.directory_interval_ms
+        {
             return;
         }
-        let now_ms = self.now_ms;
+        self.directory_read_ms = now_ms;
         let up = self.workers.iter_mut().filter(|one| one.is_up);
         let reports = up.map(|worker| {
             worker.beat(now_ms);
@@ -728,6 +748,7 @@
         };
         if outcome == jobs::StartOutcome::Started && !self.workers[index].has_run(order.run) {
             self.check_start(index, &order);
+            self.record_rework(&order);
             self.start_count += 1;
             let job_id = order.run.task.job_id;
             self.started_at_ms.entry(job_id).or_insert(now_ms);
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -3,6 +3,7 @@
 
 use std::collections;
 use std::sync;
+use std::time::Duration;
 
 /// Default capacity of a worker.
 pub(crate) const CAPACITY: model::Demand = model::Demand {
@@ -26,8 +27,11 @@
 #[derive(Debug)]
 struct Run {
     demand: model::Demand,
-    started_at_ms: u64,
+    /// When it has restored its checkpoint and begins to work, in milliseconds.
+    works_from_ms: u64,
     ends_at_ms: u64,
+    /// Work of the whole task, in milliseconds.
+    total_ms: u64,
     end: jobs::RunEnd,
     /// Work in the checkpoint that it resumed from, in milliseconds; `None` if the task has none.
     resumed_ms: Option<u64>,
@@ -44,11 +48,29 @@
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
 impl Run {
-    /// Returns the latest checkpoint at a time.
+    /// Returns how much of the task's work is done at a time, in milliseconds.
+    fn worked_ms(&self, now_ms: u64) -> u64 {
+        let own_ms = now_ms
+            .min(self.ends_at_ms)
+            .saturating_sub(self.works_from_ms);
+        self.resumed_ms.unwrap_or_default() + own_ms
+    }
+
+    /// Returns the progress at a time, in percent.
+    fn percent(&self, now_ms: u64) -> u32 {
+        (self.worked_ms(now_ms) * 100 / self.total_ms.max(1)).min(100) as u32
+    }
+
+    /// Returns the latest checkpoint at a time; a run that is stopped saves one at its end.
     fn checkpoint(&self, task: model::TaskKey, now_ms: u64) -> Option<sync::Arc<str>> {
-        let worked_ms = now_ms.min(self.ends_at_ms) - self.started_at_ms;
-        let checkpointed_ms =
-            self.resumed_ms? + worked_ms / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS;
+        let resumed_ms = self.resumed_ms?;
+        let worked_ms = self.worked_ms(now_ms) - resumed_ms;
+        let is_stopped = self.end == jobs::RunEnd::Stopped && now_ms >= self.ends_at_ms;
+        let checkpointed_ms = resumed_ms
+            + match is_stopped {
+                true => worked_ms,
+                false => worked_ms / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS,
+            };
         let text = || format!("{checkpointed_ms}-{}-{}", task.job_id, task.index).into();
         (checkpointed_ms > 0).then(text)
     }
@@ -67,6 +89,16 @@
     /// Whether it is unreachable while its runs continue.
     pub(crate) is_partitioned: bool,
     pub(crate) draining: bool,
+    /// When it leaves, in milliseconds; `None` if that is not known.
+    departs_at_ms: Option<u64>,
+    /// Time until it leaves in its entry of the directory, in milliseconds.
+    reported_remaining_ms: Option<u64>,
+    /// How long a run takes to restore a checkpoint, in milliseconds.
+    pub(crate) restore_ms: u64,
+    /// How long a stopped run still occupies its capacity, in milliseconds.
+    pub(crate) stop_ms: u64,
+    /// Work of runs that have ended, in milliseconds of the task; not collected yet.
+    ended_work: Vec<(model::TaskKey, u64)>,
     /// Whether start orders are lost before they are executed.
     pub(crate) drops_starts: bool,
     /// Whether stop orders are lost before they are executed.
@@ -120,6 +152,11 @@
             is_up: true,
             is_partitioned: false,
             draining: false,
+            departs_at_ms: None,
+            reported_remaining_ms: None,
+            restore_ms: 0,
+            stop_ms: STOP_DURATION_MS,
+            ended_work: Vec::new(),
             drops_starts: false,
             drops_stops: false,
             capacity: CAPACITY,
@@ -184,11 +221,58 @@
         if self.is_report_current && now_ms >= self.next_beat_ms {
             self.next_beat_ms = now_ms + BEAT_MS;
             self.reported_capacity = self.capacity;
+            self.reported_remaining_ms = self.departs_at_ms.map(|at_ms| at_ms - now_ms.min(at_ms));
         }
         self.stuck_report
             .take_if(|(_, listed_at_ms)| *listed_at_ms <= now_ms);
     }
 
+    /// Gives notice that it leaves, which it reports at once; without a time if `is_timed` is false, as
+    /// workers did before.
+    pub(crate) fn give_notice(&mut self, remaining_ms: u64, is_timed: bool, now_ms: u64) {
+        self.draining = true;
+        self.departs_at_ms = is_timed.then_some(now_ms + remaining_ms);
+        self.next_beat_ms = now_ms;
+        self.beat(now_ms);
+    }
+
+    /// Makes its entry show another time until it leaves, unless it shows none.
+    pub(crate) fn claim_remaining(&mut self, remaining_ms: u64, is_timed: bool) {
+        self.reported_remaining_ms = is_timed.then_some(remaining_ms);
+    }
+
+    /// Takes its notice back, which it reports at once.
+    pub(crate) fn withdraw_notice(&mut self, now_ms: u64) {
+        self.draining = false;
+        self.departs_at_ms = None;
+        self.next_beat_ms = now_ms;
+        self.beat(now_ms);
+    }
+
+    /// Leaves: all its runs end, and nobody learns of it.
+    pub(crate) fn depart(&mut self, now_ms: u64) {
+        self.is_up = false;
+        let runs = std::mem::take(&mut self.runs);
+        let work = runs
+            .iter()
+            .map(|(key, run)| (key.task, run.worked_ms(now_ms)));
+        self.ended_work.extend(work);
+    }
+
+    /// Takes the work of runs that have ended.
+    pub(crate) fn take_ended_work(&mut self) -> Vec<(model::TaskKey, u64)> {
+        std::mem::take(&mut self.ended_work)
+    }
+
+    /// Ends a member of a gang of which another member has ended.
+    pub(crate) fn break_run(&mut self, key: model::RunKey, now_ms: u64) {
+        if let Some(run) = self.runs.get_mut(&key) {
+            run.ends_at_ms = run.ends_at_ms.min(now_ms);
+            run.end = jobs::RunEnd::GangBroken;
+        }
+        self.expire(now_ms);
+    }
+
     /// Returns the capacity that starts must respect: a smaller one binds only once the leader has
     /// had the time to learn of it.
     pub(crate) fn binding_capacity(&self, now_ms: u64) -> model::Demand {
@@ -222,7 +306,7 @@
             labels: vec!["kind".into(), "r".into()],
             capacity: self.reported_capacity,
             draining: self.draining,
-            remaining: None,
+            remaining: self.reported_remaining_ms.map(Duration::from_millis),
             is_current: self.is_report_current,
         }
     }
@@ -271,7 +355,9 @@
             })
             .collect();
         for (key, end, checkpoint) in due {
-            self.runs.swap_remove(&key);
+            let run = self.runs.swap_remove(&key);
+            let worked_ms = run.map_or(0, |run| run.worked_ms(now_ms));
+            self.ended_work.push((key.task, worked_ms));
             self.add_tombstone(key);
             self.last_sequence += 1;
             self.ended.push(jobs::EndedRow {
@@ -334,6 +420,10 @@
         now_ms: u64,
     ) {
         let resumed_ms = order.checkpoint.as_deref().map_or(0, checkpointed_ms);
+        let restore_ms = match resumed_ms {
+            0 => 0,
+            _ => self.restore_ms,
+        };
         let run = Run {
             demand: match step.fills_idle {
                 true => model::Demand {
@@ -342,8 +432,9 @@
                 },
                 false => step.demand,
             },
-            started_at_ms: now_ms,
-            ends_at_ms: now_ms + run_ms.saturating_sub(resumed_ms),
+            works_from_ms: now_ms + restore_ms,
+            ends_at_ms: now_ms + restore_ms + run_ms.saturating_sub(resumed_ms),
+            total_ms: run_ms,
             resumed_ms: step.checkpointing.then_some(resumed_ms),
             fills_idle: step.fills_idle,
             target_ms: step.target_tail_ms,
@@ -365,7 +456,7 @@
         self.expire(now_ms);
         match self.runs.get_mut(&order.run) {
             Some(run) => {
-                run.ends_at_ms = run.ends_at_ms.min(now_ms + STOP_DURATION_MS);
+                run.ends_at_ms = run.ends_at_ms.min(now_ms + self.stop_ms);
                 run.end = jobs::RunEnd::Stopped;
             }
             None => self.add_tombstone(order.run),
@@ -455,7 +546,7 @@
         let running = self.runs.iter().map(|(key, run)| jobs::RunningRow {
             run: *key,
             checkpoint: run.checkpoint(key.task, now_ms),
-            percent: 100,
+            percent: run.percent(now_ms),
             usage: run.target_ms.map(|target_ms| self.tail_ms(target_ms)),
         });
         jobs::Listing {
