jobs: keep capacity for gangs that are stopped as a worker leaves

Cause: while the members of a gang stop, work of other steps takes what the first of them free, and the gang waits for all its slots at once, or for tickets that it requests only then. Change: when the gang is stopped, the leader reserves what its members free on workers that stay, and as much on others as it loses, until 2 s after the stop at the latest, and renews the tickets meanwhile.

--- a/crates/jobs/src/draining.rs
+++ b/crates/jobs/src/draining.rs
@@ -10,11 +10,14 @@
 use crate::departure;
 use crate::event;
 use crate::job;
+use crate::manifest;
 use crate::maps;
+use crate::reservations;
 use crate::runs;
 use crate::scheduler;
 use crate::worker;
 use crate::worker_api;
+use crate::workers;
 
 /// Longest wait of a listing of a worker that is about to leave: its progress and its checkpoints must
 /// be known when it leaves.
@@ -22,6 +25,11 @@
 /// Time between two checks of the runs that are left or to be stopped later; their progress is listed
 /// no more often.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// How long capacity stays reserved for a gang that is stopped, besides the time that the stop takes:
+/// for the listings of the ends, a call to the recommendation service and the next start.
+const RESUME_TIME: time::Duration = time::Duration::from_millis(2_000);
+/// Time from the end of the last member of a stopped gang to its next start.
+const END_LISTING_TIME: time::Duration = time::Duration::from_millis(300);
 /// Time that a report needs to reach the directory, with a margin: workers that report every 1.5 s have
 /// entries that are up to two seconds old.
 const REPORT_TRANSFER: time::Duration = time::Duration::from_millis(500);
@@ -62,6 +70,9 @@
     departures: maps::IndexMap<model::WorkerIncarnation, departure::Departure>,
     /// Runs that are left or have been ordered to stop, with their worker.
     decided: maps::IndexMap<model::RunKey, model::WorkerIncarnation>,
+    /// Gangs that were stopped and have not been planned again, with the time until which capacity is
+    /// reserved for them.
+    resuming: maps::IndexMap<model::StepKey, time::Instant>,
     /// When the last read of the directory began.
     read_at: Option<time::Instant>,
     /// When the runs are to be checked next; `None` for as soon as possible.
@@ -76,6 +87,17 @@
         self.departures.contains_key(incarnation)
     }
 
+    /// Returns whether capacity is reserved for a gang that was stopped, so that its next run waits for
+    /// that capacity.
+    pub(crate) fn is_resuming(&self, step: model::StepKey, now: time::Instant) -> bool {
+        self.resuming.get(&step).is_some_and(|until| now < *until)
+    }
+
+    /// Ends the wait of a gang that has been planned or has ended.
+    pub(crate) fn end_resuming(&mut self, step: model::StepKey) {
+        self.resuming.swap_remove(&step);
+    }
+
     /// Returns since when a report that differs from that of the last read can have been written.
     fn written_after(
         &self,
@@ -170,6 +192,7 @@
     /// Stops the runs that would not end before their workers leave, once that is due.
     pub(crate) fn leave_workers(&mut self, clock: event::Clock) {
         let (workers, drains) = (&self.workers, &mut self.drains);
+        drains.resuming.retain(|_, until| clock.now < *until);
         if drains.departures.is_empty() && drains.decided.is_empty() {
             return;
         }
@@ -293,6 +316,12 @@
         }
     }
 
+    fn is_gang(&self, key: model::RunKey) -> bool {
+        let state = self.jobs.get(&key.task.job_id);
+        let step = state.and_then(|state| state.step(key.task.step_key()));
+        step.is_some_and(|(step, _)| step.gang)
+    }
+
     fn keep_runs(&mut self, subject: &Subject) {
         let mut is_new = false;
         for (incarnation, key) in &subject.runs {
@@ -325,6 +354,7 @@
                 "run stopped before its worker leaves"
             );
         }
+        self.reserve_for_next_run(subject, clock);
         for (incarnation, key) in &subject.runs {
             self.stop_run(incarnation, *key, clock);
             self.drains.decided.insert(*key, incarnation.clone());
@@ -332,6 +362,89 @@
         }
     }
 
+    /// Reserves capacity for the next run of a gang: what its members free on workers that stay, and as
+    /// much on others as it loses; otherwise work of other steps would take one slot after the other
+    /// while the last members stop.
+    fn reserve_for_next_run(&mut self, subject: &Subject, clock: event::Clock) {
+        let Some((_, first)) = subject.runs.first() else {
+            return;
+        };
+        let key = first.task.step_key();
+        let Some(context) = self.step_context(key) else {
+            return;
+        };
+        if !context.step.gang || context.step.long_running || self.reservations.has_reservation(key)
+        {
+            return;
+        }
+        let demand = workers::counted_demand(context.step);
+        let runs = subject.runs.iter().map(|(incarnation, _)| incarnation);
+        let mut slots: Vec<_> = runs
+            .filter(|incarnation| !self.drains.is_leaving(incarnation))
+            .cloned()
+            .collect();
+        let terms = context.queue.advice;
+        let pass = self.new_pass(clock);
+        let mut others = self.allowed_workers(&context, &pass, clock);
+        let allowed_count = others.len();
+        if terms.is_some() {
+            others.extend(self.usable_candidates(&context, &pass));
+        }
+        let mut others: Vec<_> = others.into_iter().enumerate().collect();
+        others.sort_by_key(|(position, one)| {
+            let reserved = self
+                .reservations
+                .reserved_by_others(key, one.incarnation, |_| true);
+            let has_room = one.fit_count(&demand) > 0;
+            let is_allowed = *position < allowed_count;
+            (!is_allowed, !has_room, reserved.processors_milli)
+        });
+        for (_, one) in others {
+            if slots.len() >= context.step.task_count as usize {
+                break;
+            }
+            if one.idle_fit_count(&demand) > 0 && !slots.contains(one.incarnation) {
+                slots.push(one.incarnation.clone());
+            }
+        }
+        let until = clock.now + self.settings.stop_grace + RESUME_TIME;
+        let exclusivity = reservations::Exclusivity::AllSteps;
+        self.reservations
+            .reserve(key, &slots, &demand, exclusivity, until);
+        self.drains.resuming.insert(key, until);
+        if let Some(terms) = terms {
+            self.renew_tickets(key, terms, &slots, clock);
+        }
+    }
+
+    /// Calls the recommendation service about the workers on which a gang is to start once its members
+    /// have stopped, so that the tickets are there by then.
+    fn renew_tickets(
+        &mut self,
+        key: model::StepKey,
+        terms: manifest::AdviceTerms,
+        slots: &[model::WorkerIncarnation],
+        clock: event::Clock,
+    ) {
+        let state = self.jobs.get(&key.job_id);
+        let Some((_, step_state)) = state.and_then(|state| state.step(key)) else {
+            return;
+        };
+        let tickets = &step_state.tickets;
+        if !tickets.may_call(clock.now) || !self.advisors.can_take_gang_call(&terms, clock.now) {
+            return;
+        }
+        let needed_until = clock.now + self.settings.stop_grace + END_LISTING_TIME;
+        let ids: maps::IndexSet<_> = slots.iter().map(|slot| slot.worker_id.clone()).collect();
+        let asked = ids
+            .into_iter()
+            .filter(|worker_id| tickets.valid_token(worker_id, needed_until).is_none());
+        let asked: Vec<_> = asked.collect();
+        if !asked.is_empty() {
+            self.request_gang_advice(key, terms, &asked, clock);
+        }
+    }
+
     /// Records the listed end of a run about which was decided; to be called before the run is removed.
     pub(crate) fn note_drained_end(
         &mut self,
@@ -358,6 +471,10 @@
         }
         self.drains.decided.swap_remove(&key);
         self.drains.count(outcome);
+        if outcome == DrainOutcome::Done && self.is_gang(key) {
+            self.drains.end_resuming(key.task.step_key());
+            self.reservations.release(key.task.step_key());
+        }
         let worker = self.workers.get(incarnation);
         let run = worker.and_then(|worker| worker.runs.get(&key));
         log::info!(
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -315,6 +315,7 @@
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
         if !assignment.is_empty() {
             self.reservations.release(key);
+            self.drains.end_resuming(key);
             self.plan_runs(key, assignment, clock);
             for suspect in suspects {
                 self.on_suspect_planned(suspect, &mut pass.suspects);
@@ -325,7 +326,9 @@
         if !has_call_in_flight && let Some(terms) = advice {
             let call_duration = advisors::call_duration(&terms, step.task_count as usize);
             let wait = step_state.wait;
-            self.reservations.release(key);
+            if !self.drains.is_resuming(key, clock.now) {
+                self.reservations.release(key);
+            }
             if self.has_capacity_beyond_earlier_gangs(pass) {
                 self.request_advice_for_gang(key, terms, pass, clock);
             } else if wait.is_some_and(|wait| wait.may_call_ahead(call_duration, clock.now))
