jobs: copy tasks of speculative steps that are far behind the others

Cause: a step waits for its slowest run; some workers turn several times slower for seconds while they report good health. Change: a placed task may have a second run, a copy. The leader plans one on another worker, where capacity is left over, for a run that has taken twice the median of its step's ended runs and would end later than a new one. The first success counts and the other run is stopped; if the latest run ends otherwise, the copy takes its place. Copies are stored behind the lost runs of a segment; segments without copies are as before. Gangs, long-running steps and steps that are not speculative get none. Counter run.copied.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -192,6 +192,7 @@
     crashed_workers: u64,
     given_up_jobs: u64,
     moved_runs: u64,
+    planned_copies: u64,
 }
 
 impl CrashCounters {
@@ -201,6 +202,9 @@
         metrics.count_by("worker.crashed", crashed);
         metrics.count_by("job.given_up", given_up);
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
+        let copies = summary.planned_copies - self.planned_copies;
+        metrics.count_by("run.copied", copies);
+        self.planned_copies = summary.planned_copies;
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
--- a/crates/jobs/src/draining.rs
+++ b/crates/jobs/src/draining.rs
@@ -495,7 +495,7 @@
     }
 }
 
-fn progress_of(run: &worker::WorkerRun, step: &model::Step) -> departure::RunProgress {
+pub(crate) fn progress_of(run: &worker::WorkerRun, step: &model::Step) -> departure::RunProgress {
     let estimate = u64::from(step.estimated_ms);
     departure::RunProgress {
         started_at: run.confirmed_at.unwrap_or(run.since),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,6 +7,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::record;
+use crate::speculation;
 use crate::tickets;
 
 /// Identifies a request; returned with the reply to it.
@@ -73,6 +74,9 @@
     pub(crate) stopped_run: Option<model::RunNumber>,
     /// Since when waiting tasks could not be placed for lack of capacity or advice.
     pub(crate) blocked_since: Option<time::Instant>,
+    /// Run times of the tasks that are done, in milliseconds; only of steps that may be copied, and
+    /// since the term began.
+    pub(crate) done_ms: Vec<u64>,
     /// Set while tasks wait and no run of the step has started since.
     pub(crate) wait: Option<blocked::Wait>,
 }
@@ -87,6 +91,8 @@
     pub(crate) failed_runs: Vec<model::RunNumber>,
     /// Latest checkpoint; that of a gang is recorded at its first task.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
+    /// A second run, beside the latest one; `None` unless the task is placed.
+    pub(crate) copy: Option<Box<speculation::Copy>>,
 }
 
 /// Phase of a task.
@@ -261,6 +267,7 @@
                         run: task.last_run,
                     };
                     runs.push((incarnation.clone(), run));
+                    runs.extend(task.copied_run(task_key));
                 }
             }
         }
@@ -385,5 +392,6 @@
         last_run: record.last_run,
         failed_runs: record.failed_runs,
         checkpoint: record.checkpoint,
+        copy: None,
     }
 }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -175,6 +175,7 @@
             archive: None,
         };
         let (mut records, mut losses) = (Vec::new(), Vec::new());
+        let mut copies = Vec::new();
         let mut bytes = 0;
         while bytes < MAX_BATCH_BYTES
             && let Some(job_id) = self.journal.dirty.shift_remove_index(0)
@@ -186,13 +187,15 @@
                     bytes += losses_size(&lost);
                     losses.push(lost);
                 }
+                let state = self.jobs.get(&job_id).filter(|_| is_open);
+                copies.extend(state.and_then(job::JobState::copies));
                 records.push(record);
             }
         }
         let mut batch = event::Batch {
             id: id.batch,
             segment_key: id.key(record::SEGMENT_PREFIX),
-            segment: record::encode_segment(&records, &losses),
+            segment: record::encode_segment(&records, &losses, &copies),
             outcomes: None,
             deletes: Vec::new(),
         };
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -33,6 +33,7 @@
 mod scheduler;
 mod segments;
 mod settings;
+mod speculation;
 mod throttling;
 mod tickets;
 mod worker;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -357,13 +357,17 @@
         let Some((_, step)) = state.step_mut(key.task.step_key()) else {
             return;
         };
+        if step.end_copy(incarnation, key) {
+            self.journal.mark_dirty(job_id);
+            return;
+        }
         let Some(task) = step.tasks.get(key.task.index as usize) else {
             return;
         };
         if task.last_run != key.run || task.phase != job::Phase::Placed(incarnation.clone()) {
             return;
         }
-        step.set_phase(key.task.index, job::Phase::Waiting);
+        step.end_latest_run(key.task.index);
         self.journal.mark_dirty(job_id);
         self.enqueue(job_id, clock);
     }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -539,7 +539,7 @@
 
     /// Returns the workers on which a step may start now: those with a valid ticket if its queue
     /// needs advice.
-    fn startable_workers<'a>(
+    pub(crate) fn startable_workers<'a>(
         &'a self,
         context: &StepContext<'a>,
         pass: &pass::Pass,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,7 +1,7 @@
 //! Job records as they are written to the store.
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
-//! changed, followed by the lost runs of these jobs. A later segment takes precedence over an
+//! changed, followed by the lost runs and the copies of these jobs. A later segment takes precedence over an
 //! earlier one. Outcomes of ended jobs are moved to values of their own, the archives, which take
 //! precedence over every segment.
 
@@ -119,6 +119,24 @@
     pub(crate) addresses: Vec<(model::WorkerIncarnation, sync::Arc<str>)>,
 }
 
+/// Copies of the tasks of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct JobCopies {
+    /// The job.
+    pub(crate) job_id: model::JobId,
+    /// Copies by task.
+    pub(crate) copies: Vec<(model::TaskKey, CopyRecord)>,
+}
+
+/// A copy of a task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CopyRecord {
+    /// The run.
+    pub(crate) run: model::RunNumber,
+    /// The incarnation of the worker that has it; `None` once it has ended.
+    pub(crate) incarnation: Option<model::WorkerIncarnation>,
+}
+
 /// A lost run whose worker may have crashed under it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LossRecord {
@@ -173,25 +191,56 @@
 
 /// Encodes a segment.
 ///
-/// The lost runs follow the records, and are left out if there are none: builds that do not know
-/// them ignore what follows the records.
-pub(crate) fn encode_segment(records: &[JobRecord], losses: &[JobLosses]) -> Vec<u8> {
+/// The lost runs follow the records, and the copies follow these; what is empty is left out at the
+/// end. Builds that do not know them ignore what follows.
+pub(crate) fn encode_segment(
+    records: &[JobRecord],
+    losses: &[JobLosses],
+    copies: &[JobCopies],
+) -> Vec<u8> {
     let mut bytes = encode(&records);
-    if !losses.is_empty() {
+    if !losses.is_empty() || !copies.is_empty() {
         bytes.extend(encode(&losses));
     }
+    if !copies.is_empty() {
+        bytes.extend(encode(&copies));
+    }
     bytes
 }
 
+/// Contents of a segment.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    pub(crate) records: Vec<JobRecord>,
+    pub(crate) losses: Vec<JobLosses>,
+    pub(crate) copies: Vec<JobCopies>,
+}
+
 /// Decodes a segment; the error is the decoder's message.
-pub(crate) fn decode_segment(bytes: &[u8]) -> Result<(Vec<JobRecord>, Vec<JobLosses>), String> {
-    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    let (records, length): (_, usize) = decoded.map_err(|error| error.to_string())?;
-    let losses = match bytes.get(length..) {
-        None | Some([]) => Vec::new(),
-        Some(rest) => decode(rest)?,
-    };
-    Ok((records, losses))
+pub(crate) fn decode_segment(bytes: &[u8]) -> Result<Segment, String> {
+    let mut rest = bytes;
+    let records = decode_next(&mut rest)?;
+    let mut losses = Vec::new();
+    let mut copies = Vec::new();
+    if !rest.is_empty() {
+        losses = decode_next(&mut rest)?;
+    }
+    if !rest.is_empty() {
+        copies = decode_next(&mut rest)?;
+    }
+    Ok(Segment {
+        records,
+        losses,
+        copies,
+    })
+}
+
+/// Decodes the first value of `rest`, and removes it from there.
+fn decode_next<T: serde::de::DeserializeOwned>(rest: &mut &[u8]) -> Result<T, String> {
+    let decoded = bincode::serde::decode_from_slice(rest, bincode::config::standard());
+    let (value, length): (T, usize) = decoded.map_err(|error| error.to_string())?;
+    *rest = rest.get(length..).unwrap_or_default();
+    Ok(value)
 }
 
 /// Decodes a value of the store; the error is the decoder's message.
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -21,6 +21,7 @@
 use crate::reservations;
 use crate::scheduler;
 use crate::settings;
+use crate::speculation;
 use crate::worker;
 use crate::workers;
 
@@ -31,6 +32,8 @@
     segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
     /// Lost runs in each segment, by job.
     losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
+    /// Copies of tasks in each segment, by job.
+    copies: collections::BTreeMap<record::SegmentId, Vec<record::JobCopies>>,
     /// Size of each segment in bytes.
     sizes: collections::BTreeMap<record::SegmentId, usize>,
     archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
@@ -44,9 +47,10 @@
     /// Returns the decoder's message if the value cannot be decoded.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
         if let Some(id) = record::SegmentId::from_key(key, record::SEGMENT_PREFIX) {
-            let (records, losses) = record::decode_segment(value)?;
-            self.segments.insert(id, records);
-            self.losses.insert(id, losses);
+            let segment = record::decode_segment(value)?;
+            self.segments.insert(id, segment.records);
+            self.losses.insert(id, segment.losses);
+            self.copies.insert(id, segment.copies);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
             self.archives.push((key.to_owned(), record::decode(value)?));
@@ -81,6 +85,7 @@
             scheduled: collections::BTreeSet::new(),
             crashes: crashes::Crashes::default(),
             drains: draining::Drains::default(),
+            copies: speculation::Copies::default(),
             moved_runs: 0,
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
@@ -97,6 +102,7 @@
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
         let mut losses = maps::IndexMap::default();
+        let mut copies = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
             scheduler.journal.segments.add(id, bytes);
@@ -110,9 +116,12 @@
                 }
                 progress.insert(record.job_id, record.progress);
                 losses.swap_remove(&record.job_id);
+                copies.swap_remove(&record.job_id);
             }
             let stored = self.losses.remove(&id).unwrap_or_default();
             losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.copies.remove(&id).unwrap_or_default();
+            copies.extend(stored.into_iter().map(|one| (one.job_id, one)));
         }
         scheduler.restore_outcomes(self.archives, &mut progress);
         for (job_id, progress) in progress {
@@ -128,7 +137,10 @@
                         );
                         continue;
                     };
-                    let state = job::JobState::restore(definition, progress);
+                    let mut state = job::JobState::restore(definition, progress);
+                    if let Some(stored) = copies.swap_remove(&job_id) {
+                        state.restore_copies(stored);
+                    }
                     scheduler.jobs.insert(job_id, state);
                     if let Some(losses) = losses.swap_remove(&job_id) {
                         scheduler.crashes.restore(losses, clock.now);
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -97,6 +97,12 @@
         }
         let job_id = key.task.job_id;
         let state = self.jobs.get_mut(&job_id);
+        if let Some((_, step)) = state.and_then(|state| state.step_mut(key.task.step_key()))
+            && step.move_copy(key, incarnation, successor)
+        {
+            self.journal.mark_dirty(job_id);
+        }
+        let state = self.jobs.get_mut(&job_id);
         if let Some((_, step)) = state.and_then(|state| state.step_mut(key.task.step_key()))
             && step.tasks.get(key.task.index as usize).is_some_and(|task| {
                 task.last_run == key.run && task.phase == job::Phase::Placed(incarnation.clone())
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -58,6 +58,7 @@
     ) {
         let key = ended.key;
         self.note_drained_end(incarnation, &ended);
+        self.note_run_time(incarnation, &ended, clock);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key);
             worker.record_run_end(ended.end, incarnation, clock.now);
@@ -116,6 +117,7 @@
         }
         let is_latest =
             task.last_run == key.run && task.phase == job::Phase::Placed(incarnation.clone());
+        let others = task.other_runs(key);
         if let Some(checkpoint) = &ended.checkpoint
             && step.checkpointing
             && is_latest
@@ -124,7 +126,9 @@
             step_state.offer_checkpoint(key, is_gang, checkpoint, is_stopped);
         }
         if is_latest {
-            step_state.set_phase(key.task.index, job::Phase::Waiting);
+            step_state.end_latest_run(key.task.index);
+        } else {
+            step_state.end_copy(incarnation, key);
         }
         if is_long_running {
             self.enqueue(job_id, clock);
@@ -140,6 +144,9 @@
                 let index = if is_gang { 0 } else { key.task.index };
                 self.crashes
                     .remove_task(model::TaskKey { index, ..key.task });
+                for (incarnation, other) in others {
+                    self.stop_run(&incarnation, other, clock);
+                }
                 if !is_latest {
                     self.stop_superfluous_runs(key, clock);
                 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::requests;
 use crate::reservations;
 use crate::settings;
+use crate::speculation;
 use crate::worker;
 
 /// Shortest time between two placement passes.
@@ -54,6 +55,7 @@
     pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
     pub(crate) crashes: crashes::Crashes,
     pub(crate) drains: draining::Drains,
+    pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
     pub(crate) journal: journal::Journal,
@@ -123,6 +125,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Copies of stragglers planned since the term began.
+    pub planned_copies: u64,
 }
 
 impl Scheduler {
@@ -197,6 +201,7 @@
             self.last_placement_at = Some(clock.now);
             self.place_waiting(clock);
         }
+        self.copy_stragglers(clock);
         self.send_due_calls(clock);
         self.flush(clock);
         std::mem::take(&mut self.actions)
@@ -235,6 +240,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            planned_copies: self.copies.planned,
         }
     }
 
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -12,4 +12,5 @@
 mod peak_load;
 mod relay_loss;
 mod simulation;
+mod speculation;
 mod stored_losses;
