jobs: reserve for stopped gangs only where runs may start, with one pass over the workers for all

Cause: a member on a worker that drains without telling the time counted as staying, so that its slot was reserved in vain; each stopped gang made a pass over all workers. Change: slots are reserved on workers that accept runs; the gangs of a check share a pass.

--- a/crates/jobs/src/draining.rs
+++ b/crates/jobs/src/draining.rs
@@ -12,6 +12,7 @@
 use crate::job;
 use crate::manifest;
 use crate::maps;
+use crate::pass;
 use crate::reservations;
 use crate::runs;
 use crate::scheduler;
@@ -207,11 +208,15 @@
             worker.is_some_and(|worker| worker.runs.contains_key(key))
         });
         let mut check_at = clock.now + CHECK_INTERVAL;
+        let mut pass = None;
         for subject in self.leaving_runs(clock) {
             match subject.decision {
                 departure::Decision::Keep => self.keep_runs(&subject),
                 departure::Decision::StopAt(at) => check_at = check_at.min(at),
-                departure::Decision::StopNow => self.stop_leaving_runs(&subject, clock),
+                departure::Decision::StopNow => {
+                    let pass = pass.get_or_insert_with(|| self.new_pass(clock));
+                    self.stop_leaving_runs(&subject, pass, clock);
+                }
             }
         }
         self.drains.check_at = Some(check_at);
@@ -344,7 +349,7 @@
     }
 
     /// Stops a run, or all members of a gang.
-    fn stop_leaving_runs(&mut self, subject: &Subject, clock: event::Clock) {
+    fn stop_leaving_runs(&mut self, subject: &Subject, pass: &pass::Pass, clock: event::Clock) {
         if let Some((incarnation, key)) = subject.runs.first() {
             log::info!(
                 run:% = runs::run_name(*key),
@@ -354,7 +359,7 @@
                 "run stopped before its worker leaves"
             );
         }
-        self.reserve_for_next_run(subject, clock);
+        self.reserve_for_next_run(subject, pass, clock);
         for (incarnation, key) in &subject.runs {
             self.stop_run(incarnation, *key, clock);
             self.drains.decided.insert(*key, incarnation.clone());
@@ -365,7 +370,7 @@
     /// Reserves capacity for the next run of a gang: what its members free on workers that stay, and as
     /// much on others as it loses; otherwise work of other steps would take one slot after the other
     /// while the last members stop.
-    fn reserve_for_next_run(&mut self, subject: &Subject, clock: event::Clock) {
+    fn reserve_for_next_run(&mut self, subject: &Subject, pass: &pass::Pass, clock: event::Clock) {
         let Some((_, first)) = subject.runs.first() else {
             return;
         };
@@ -380,18 +385,20 @@
         let demand = workers::counted_demand(context.step);
         let runs = subject.runs.iter().map(|(incarnation, _)| incarnation);
         let mut slots: Vec<_> = runs
-            .filter(|incarnation| !self.drains.is_leaving(incarnation))
+            .filter(|incarnation| {
+                let worker = self.workers.get(*incarnation);
+                worker.is_some_and(|worker| worker.accepts_runs(clock.now))
+            })
             .cloned()
             .collect();
         let terms = context.queue.advice;
-        let pass = self.new_pass(clock);
-        let mut others = self.allowed_workers(&context, &pass, clock);
+        let mut others = self.allowed_workers(&context, pass, clock);
         let allowed_count = others.len();
         if terms.is_some() {
-            others.extend(self.usable_candidates(&context, &pass));
+            others.extend(self.usable_candidates(&context, pass));
         }
         let mut others: Vec<_> = others.into_iter().enumerate().collect();
-        others.sort_by_key(|(position, one)| {
+        others.sort_by_cached_key(|(position, one)| {
             let reserved = self
                 .reservations
                 .reserved_by_others(key, one.incarnation, |_| true);
