--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -8,8 +8,10 @@
 use tokio::sync::mpsc as tokio_mpsc;
 use tokio::sync::oneshot;
 
+use crate::caller_request;
 use crate::error;
 use crate::mailbox;
+use crate::tenant_metrics;
 
 /// Shortest time between two ticks of the scheduler, which handle expired leases and outcomes; also
 /// the longest wait for an input.
@@ -43,14 +45,14 @@
         self.mailbox.push_event(event);
     }
 
-    /// Sends a caller's request and waits for the reply; `None` if the term ends before that or too
-    /// many requests wait.
+    /// Sends a caller's request and waits for the reply; `None` if the term ends before that, or if
+    /// too many requests wait or take too much memory.
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
-        request: model::JobRequest,
+        request: caller_request::CallerRequest,
     ) -> Option<model::JobReply> {
-        let rank = match &request {
+        let rank = match &request.request {
             model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. } => admit::Rank::Change,
             model::JobRequest::Status { .. } | model::JobRequest::Pending { .. } => {
                 admit::Rank::Read
@@ -59,6 +61,7 @@
         let (reply, receiver) = oneshot::channel();
         let request = mailbox::Request {
             manifest_version,
+            memory: self.mailbox.reserve(&request.request)?,
             request,
             reply,
         };
@@ -76,7 +79,8 @@
 }
 
 impl ControlThread {
-    /// Starts the thread, which sends the scheduler's actions to `actions`.
+    /// Starts the thread, which sends the scheduler's actions to `actions`. Requests that wait for it
+    /// take at most `max_waiting_bytes`.
     ///
     /// # Errors
     ///
@@ -85,8 +89,10 @@
         scheduler: jobs::Scheduler,
         metrics: telemetry::Metrics,
         actions: tokio_mpsc::UnboundedSender<Decisions>,
+        max_waiting_bytes: u64,
     ) -> Result<Self, error::Error> {
-        let mailbox = sync::Arc::new(mailbox::Mailbox::new());
+        let mailbox = mailbox::Mailbox::new(max_waiting_bytes, metrics.clone());
+        let mailbox = sync::Arc::new(mailbox);
         let inputs = mailbox::CloseOnDrop(sync::Arc::clone(&mailbox));
         let thread = thread::Builder::new()
             .name("control".to_owned())
@@ -122,6 +128,7 @@
     let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
     let mut crashes = CrashCounters::default();
+    let mut tenants = tenant_metrics::TenantMetrics::new(metrics);
     loop {
         let pause = if scheduler.needs_finish() {
             BACKLOG_TICK_INTERVAL
@@ -141,16 +148,18 @@
             manifest_version,
             request,
             reply,
+            memory,
         } in round.requests
         {
             let event = jobs::Event::Request {
                 token: pending.insert(reply),
                 manifest_version,
-                request,
-                tenant: None,
+                request: request.request,
+                tenant: request.tenant,
                 overload_retry_ms: overload.retry_ms(),
             };
             scheduler.handle(event, clock);
+            drop(memory);
         }
         if is_stopping {
             pending.send_replies(scheduler.end_term());
@@ -164,6 +173,7 @@
             ticked_at = clock.now;
             scheduler.handle(jobs::Event::Tick, clock);
             crashes.update(&scheduler.summary(), metrics);
+            tenants.publish(&scheduler, clock.now);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
         for (reason, reports) in scheduler.take_block_reports() {
@@ -193,6 +203,7 @@
     given_up_jobs: u64,
     moved_runs: u64,
     planned_copies: u64,
+    stopped_for_gangs: u64,
 }
 
 impl CrashCounters {
@@ -204,10 +215,13 @@
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
         let copies = summary.planned_copies - self.planned_copies;
         metrics.count_by("run.copied", copies);
-        self.planned_copies = summary.planned_copies;
+        let stopped_for_gangs = summary.stopped_for_gangs - self.stopped_for_gangs;
+        metrics.count_by("run.stopped_for_gang", stopped_for_gangs);
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
+        self.planned_copies = summary.planned_copies;
+        self.stopped_for_gangs = summary.stopped_for_gangs;
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,8 +6,10 @@
 //! access to the store, the workers and the recommendation service.
 
 mod call_lanes;
+mod caller_request;
 mod cluster_entries;
 mod committer;
+mod confirmation;
 mod control_thread;
 mod directory;
 mod election;
@@ -19,14 +21,17 @@
 mod links;
 mod mailbox;
 mod orders;
+mod peer_gauges;
 mod pending_counts;
 mod platform;
 mod registration;
 mod relay_worker;
 mod relays;
 mod settings;
+mod tenant_metrics;
 mod watches;
 
+pub use caller_request::CallerRequest;
 pub use error::Error;
 pub use error::ErrorKind;
 pub use gateway::Gateway;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -22,6 +22,8 @@
     pub(crate) accepted_at_ms: u64,
     /// Tenant that submitted it; `None` if it was accepted without an API key.
     pub(crate) tenant: Option<model::TenantName>,
+    /// Whether its tenant submitted it beyond the rate that it is owed.
+    pub(crate) is_beyond_rate: bool,
     /// Time from acceptance, or from the due time of an occurrence, within which it should end, in
     /// milliseconds.
     pub(crate) objective_ms: u64,
@@ -121,6 +123,7 @@
             accepted_queue: queue,
             accepted_at_ms,
             tenant: None,
+            is_beyond_rate: false,
             objective_ms,
             occurrences,
             outcome: None,
@@ -194,6 +197,15 @@
         }
     }
 
+    /// Returns the tenant and the queue; `None` without a tenant.
+    pub(crate) fn owner(&self) -> Option<record::Owner> {
+        let tenant = self.tenant.as_ref()?;
+        Some(record::Owner {
+            tenant: model::TenantName::clone(tenant),
+            queue: sync::Arc::clone(&self.job.queue),
+        })
+    }
+
     /// Returns the status that callers see.
     pub(crate) fn status(&self) -> model::JobStatus {
         match self.stored_outcome {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,14 +5,18 @@
 //! a change of leader is returned as [`Batch`]es to write to the store; actions that depend on a
 //! batch are returned only after the batch is committed.
 
+mod admission;
 mod advice_planner;
 mod advisors;
 mod blocked;
 mod candidate;
+mod caps;
 mod crashes;
 pub mod departure;
 mod draining;
+mod ended;
 mod event;
+mod gang_preemption;
 mod gangs;
 mod isolation;
 mod job;
@@ -33,7 +37,9 @@
 mod scheduler;
 mod segments;
 mod settings;
+mod shares;
 mod speculation;
+mod tenancy;
 mod throttling;
 mod tickets;
 mod worker;
@@ -62,6 +68,8 @@
 pub use scheduler::Scheduler;
 pub use scheduler::Summary;
 pub use settings::Settings;
+pub use tenancy::TenantCounters;
+pub use tenancy::TenantReport;
 pub use worker_api::EndedRow;
 pub use worker_api::Listing;
 pub use worker_api::RenewalOrder;
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -48,16 +48,21 @@
     pub(crate) queue: &'a manifest::Queue,
     pub(crate) step: &'a model::Step,
     pub(crate) step_state: &'a job::StepState,
-    objective_ms: u64,
+    pub(crate) objective_ms: u64,
     /// What the tasks must not share a worker with.
     isolation: isolation::Isolation,
 }
 
 impl StepContext<'_> {
+    /// Returns how long the step has been blocked.
+    pub(crate) fn blocked_for(&self, clock: event::Clock) -> time::Duration {
+        let since = self.step_state.blocked_since.unwrap_or(clock.now);
+        clock.now.saturating_duration_since(since)
+    }
+
     /// Returns how long the step has been blocked, as a multiple of the job's objective.
     fn blocked_ratio(&self, clock: event::Clock) -> f64 {
-        let since = self.step_state.blocked_since.unwrap_or(clock.now);
-        let waited = clock.now.saturating_duration_since(since);
+        let waited = self.blocked_for(clock);
         waited.as_millis() as f64 / self.objective_ms.max(1) as f64
     }
 
@@ -91,7 +96,10 @@
     pub(crate) fn place_waiting(&mut self, clock: event::Clock) {
         self.reservations.expire(clock.now);
         let mut changed = mem::take(&mut self.changed_steps);
-        let order = self.scheduling_order(clock);
+        let order = match self.tenancy.is_active {
+            true => self.order_by_share(&mut changed, clock),
+            false => self.scheduling_order(clock),
+        };
         let mut pass = self.new_pass(clock);
         let head = self.place_head(&order, &mut changed, &mut pass, clock);
         let rest = &order[head..];
@@ -122,7 +130,9 @@
                 return index;
             }
             changed.remove(&step.key);
-            blocked += usize::from(!self.visit(step, pass, clock));
+            if !self.is_capped(step, pass) {
+                blocked += usize::from(!self.visit(step, pass, clock));
+            }
         }
         order.len()
     }
@@ -143,7 +153,9 @@
             }
             if !pass.is_earlier(&step.key) {
                 changed.remove(&step.key);
-                blocked += usize::from(!self.visit(step, pass, clock));
+                if !self.is_capped(step, pass) {
+                    blocked += usize::from(!self.visit(step, pass, clock));
+                }
             }
         }
         steps.len()
@@ -168,7 +180,7 @@
                 self.placement_needed = true;
                 return;
             }
-            if changed.remove(&step.key) {
+            if changed.remove(&step.key) && !self.is_capped(step, pass) {
                 blocked += usize::from(!self.visit(step, pass, clock));
             }
         }
@@ -231,12 +243,18 @@
         let Some(context) = self.step_context(key) else {
             return true;
         };
+        let cap_limit = self.cap_limit(key);
+        if cap_limit == 0 {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let (step, step_state, advice) = (context.step, context.step_state, context.queue.advice);
         let allowed = self.startable_workers(&context, pass, clock);
         let demand = workers::counted_demand(step);
-        let assignment = candidate::assign_tasks(allowed, step_state, &demand, |index| {
-            !withheld.contains(index)
-        });
+        let assignment =
+            candidate::assign_tasks(allowed, step_state, &demand, cap_limit, |index| {
+                !withheld.contains(index)
+            });
         let placed = u32::try_from(assignment.len()).unwrap_or(u32::MAX);
         let missing = step_state.waiting_count - placed - withheld.awaiting_verdict;
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
@@ -250,7 +268,12 @@
         if missing == 0 {
             return withheld.awaiting_verdict == 0;
         }
+        if placed == cap_limit {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let startable = missing.saturating_sub(withheld.behind_suspects);
+        let startable = startable.min(cap_limit - placed);
         if !has_call_in_flight
             && startable > 0
             && let Some(terms) = advice
@@ -270,7 +293,7 @@
             return;
         };
         let suspicion = self.crashes.suspicion_of(task);
-        if pass.suspects.is_full(&context.queue.pool, task, suspicion) {
+        if pass.suspects.is_full(&context.queue.pool, task, suspicion) || self.cap_limit(key) == 0 {
             return;
         }
         let context = StepContext {
@@ -281,7 +304,7 @@
         let allowed = self.startable_workers(&context, pass, clock);
         let demand = workers::counted_demand(step);
         let assignment =
-            candidate::assign_tasks(allowed, step_state, &demand, |index| index == task.index);
+            candidate::assign_tasks(allowed, step_state, &demand, 1, |index| index == task.index);
         if !assignment.is_empty() {
             self.plan_runs(key, assignment, clock);
             self.on_suspect_planned(task, &mut pass.suspects);
@@ -307,6 +330,10 @@
         let Some(context) = self.step_context(key) else {
             return true;
         };
+        if self.cap_limit(key) < context.step.task_count {
+            self.wait_for_cap(key, pass, clock);
+            return false;
+        }
         let (step, step_state, advice) = (context.step, context.step_state, context.queue.advice);
         let demand = workers::counted_demand(step);
         let allowed = self.startable_workers(&context, pass, clock);
@@ -316,6 +343,7 @@
         if !assignment.is_empty() {
             self.reservations.release(key);
             self.drains.end_resuming(key);
+            self.gang_preemptions.finish(key);
             self.plan_runs(key, assignment, clock);
             for suspect in suspects {
                 self.on_suspect_planned(suspect, &mut pass.suspects);
@@ -323,7 +351,11 @@
             return true;
         }
         let total = demand.times(step.task_count);
-        if !has_call_in_flight && let Some(terms) = advice {
+        let awaits_room = self.gang_preemptions.is_awaited(key, clock.now);
+        if !has_call_in_flight
+            && !awaits_room
+            && let Some(terms) = advice
+        {
             let call_duration = advisors::call_duration(&terms, step.task_count as usize);
             let wait = step_state.wait;
             if !self.drains.is_resuming(key, clock.now) {
@@ -338,6 +370,7 @@
             }
         }
         self.mark_blocked(key, pass, clock);
+        self.preempt_for_gang(key, pass, clock);
         pass.add_gang_demand(&total);
         false
     }
@@ -674,6 +707,7 @@
         let Some(state) = self.jobs.get_mut(&key.job_id) else {
             return;
         };
+        let tenant = self.tenancy.number_of(state);
         let Some((step, step_state)) = state.step_mut(key) else {
             return;
         };
@@ -718,9 +752,10 @@
                 let checkpoint = step_state.checkpoint_of(index, step.gang);
                 let planned = worker::RunPhase::Planned;
                 let planned = worker::WorkerRun::new(demand, planned, clock.now)
+                    .with_tenant(tenant)
                     .with_sharing_of(step)
                     .with_checkpoint(checkpoint.filter(|_| step.checkpointing));
-                worker.add_run(run, planned);
+                worker.add_run(run, planned, &mut self.tenancy.usage);
             }
             effects.push(job::Effect::SendStart(incarnation, run));
         }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,9 @@
 //! Job records as they are written to the store.
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
-//! changed, followed by the lost runs and the copies of these jobs. A later segment takes precedence over an
-//! earlier one. Outcomes of ended jobs are moved to values of their own, the archives, which take
-//! precedence over every segment.
+//! changed, followed by the lost runs, the tenants and the copies of tasks of these jobs. A later
+//! segment takes precedence over an earlier one. Outcomes of ended jobs are moved to values of their
+//! own, the archives, which take precedence over every segment.
 
 use std::sync;
 
@@ -94,6 +94,40 @@
     pub(crate) ended_at_ms: u64,
 }
 
+/// Outcomes of ended jobs.
+pub(crate) type Outcomes = Vec<(model::JobId, Ending)>;
+
+/// The tenant of a job, and the queue that decides who else may see it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct Owner {
+    /// The tenant.
+    pub(crate) tenant: model::TenantName,
+    /// The queue.
+    pub(crate) queue: model::QueueName,
+}
+
+/// Jobs of one tenant and queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OwnedJobs {
+    /// The tenant and the queue.
+    pub(crate) owner: Owner,
+    /// The jobs.
+    pub(crate) job_ids: Vec<model::JobId>,
+}
+
+/// Records that are written as one value.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Segment {
+    /// Records of the jobs.
+    pub(crate) records: Vec<JobRecord>,
+    /// Lost runs of some of them.
+    pub(crate) losses: Vec<JobLosses>,
+    /// Tenants of those with a definition or an end.
+    pub(crate) owners: Vec<OwnedJobs>,
+    /// Copies of the tasks of open jobs.
+    pub(crate) copies: Vec<JobCopies>,
+}
+
 /// Progress of a task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TaskRecord {
@@ -191,62 +225,96 @@
 
 /// Encodes a segment.
 ///
-/// The lost runs follow the records, and the copies follow these; what is empty is left out at the
-/// end. Builds that do not know them ignore what follows.
-pub(crate) fn encode_segment(
-    records: &[JobRecord],
-    losses: &[JobLosses],
-    copies: &[JobCopies],
-) -> Vec<u8> {
-    let mut bytes = encode(&records);
-    if !losses.is_empty() || !copies.is_empty() {
-        bytes.extend(encode(&losses));
-    }
-    if !copies.is_empty() {
-        bytes.extend(encode(&copies));
+/// The lost runs, the tenants and the copies follow the records in this order, and are left out from
+/// where the rest is empty: builds that do not know them ignore what follows what they know.
+pub(crate) fn encode_segment(segment: &Segment) -> Vec<u8> {
+    let Segment {
+        records,
+        losses,
+        owners,
+        copies,
+    } = segment;
+    let optional = [
+        (losses.is_empty(), encode(losses)),
+        (owners.is_empty(), encode(owners)),
+        (copies.is_empty(), encode(copies)),
+    ];
+    let last = optional.iter().rposition(|(is_empty, _)| !is_empty);
+    let mut bytes = encode(records);
+    for (_, part) in optional.iter().take(last.map_or(0, |last| last + 1)) {
+        bytes.extend(part);
     }
     bytes
 }
 
-/// Contents of a segment.
-#[derive(Debug)]
-pub(crate) struct Segment {
-    pub(crate) records: Vec<JobRecord>,
-    pub(crate) losses: Vec<JobLosses>,
-    pub(crate) copies: Vec<JobCopies>,
-}
-
 /// Decodes a segment; the error is the decoder's message.
 pub(crate) fn decode_segment(bytes: &[u8]) -> Result<Segment, String> {
-    let mut rest = bytes;
-    let records = decode_next(&mut rest)?;
-    let mut losses = Vec::new();
-    let mut copies = Vec::new();
-    if !rest.is_empty() {
-        losses = decode_next(&mut rest)?;
-    }
-    if !rest.is_empty() {
-        copies = decode_next(&mut rest)?;
-    }
+    let (records, rest) = decode_part(bytes)?;
+    let (losses, rest) = decode_optional_part(rest)?;
+    let (owners, rest) = decode_optional_part(rest)?;
+    let (copies, _) = decode_optional_part(rest)?;
     Ok(Segment {
         records,
         losses,
+        owners,
         copies,
     })
 }
 
-/// Decodes the first value of `rest`, and removes it from there.
-fn decode_next<T: serde::de::DeserializeOwned>(rest: &mut &[u8]) -> Result<T, String> {
-    let decoded = bincode::serde::decode_from_slice(rest, bincode::config::standard());
-    let (value, length): (T, usize) = decoded.map_err(|error| error.to_string())?;
-    *rest = rest.get(length..).unwrap_or_default();
-    Ok(value)
+/// Encodes archived outcomes. The tenants follow them, and are left out if there are none.
+pub(crate) fn encode_outcomes(outcomes: &Outcomes, owners: &[OwnedJobs]) -> Vec<u8> {
+    let mut bytes = encode(&outcomes);
+    if !owners.is_empty() {
+        bytes.extend(encode(&owners));
+    }
+    bytes
+}
+
+/// Decodes archived outcomes; the error is the decoder's message.
+pub(crate) fn decode_outcomes(bytes: &[u8]) -> Result<(Outcomes, Vec<OwnedJobs>), String> {
+    let (outcomes, rest) = decode_part(bytes)?;
+    let (owners, _) = decode_optional_part(rest)?;
+    Ok((outcomes, owners))
 }
 
-/// Decodes a value of the store; the error is the decoder's message.
-pub(crate) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+/// Decodes the first part of a value; returns it with what follows.
+fn decode_part<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), String> {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    decoded
-        .map(|(value, _)| value)
-        .map_err(|error| error.to_string())
+    let (part, length): (T, usize) = decoded.map_err(|error| error.to_string())?;
+    Ok((part, bytes.get(length..).unwrap_or_default()))
+}
+
+/// Decodes a part that may have been left out.
+fn decode_optional_part<T: serde::de::DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(Vec<T>, &[u8]), String> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), bytes));
+    }
+    decode_part(bytes)
+}
+
+/// Groups jobs by their tenants and queues.
+pub(crate) fn group_by_owner(
+    owners: impl IntoIterator<Item = (model::JobId, Owner)>,
+) -> Vec<OwnedJobs> {
+    let mut groups = maps::IndexMap::<Owner, Vec<model::JobId>>::default();
+    for (job_id, owner) in owners {
+        groups.entry(owner).or_default().push(job_id);
+    }
+    let groups = groups.into_iter();
+    groups
+        .map(|(owner, job_ids)| OwnedJobs { owner, job_ids })
+        .collect()
+}
+
+/// Returns the tenant and queue of each job.
+pub(crate) fn owners_by_job(groups: Vec<OwnedJobs>) -> impl Iterator<Item = (model::JobId, Owner)> {
+    groups.into_iter().flat_map(|group| {
+        let owner = group.owner;
+        group
+            .job_ids
+            .into_iter()
+            .map(move |job_id| (job_id, owner.clone()))
+    })
 }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -11,7 +11,9 @@
 use crate::blocked;
 use crate::crashes;
 use crate::draining;
+use crate::ended;
 use crate::event;
+use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -22,6 +24,7 @@
 use crate::scheduler;
 use crate::settings;
 use crate::speculation;
+use crate::tenancy;
 use crate::worker;
 use crate::workers;
 
@@ -34,9 +37,19 @@
     losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
     /// Copies of tasks in each segment, by job.
     copies: collections::BTreeMap<record::SegmentId, Vec<record::JobCopies>>,
+    /// Tenants of the jobs in each segment.
+    owners: collections::BTreeMap<record::SegmentId, Vec<record::OwnedJobs>>,
     /// Size of each segment in bytes.
     sizes: collections::BTreeMap<record::SegmentId, usize>,
-    archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
+    archives: Vec<Archive>,
+}
+
+/// Archived outcomes with their key.
+#[derive(Debug)]
+struct Archive {
+    key: String,
+    outcomes: record::Outcomes,
+    owners: Vec<record::OwnedJobs>,
 }
 
 impl Recovery {
@@ -51,9 +64,15 @@
             self.segments.insert(id, segment.records);
             self.losses.insert(id, segment.losses);
             self.copies.insert(id, segment.copies);
+            self.owners.insert(id, segment.owners);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
-            self.archives.push((key.to_owned(), record::decode(value)?));
+            let (outcomes, owners) = record::decode_outcomes(value)?;
+            self.archives.push(Archive {
+                key: key.to_owned(),
+                outcomes,
+                owners,
+            });
         }
         Ok(())
     }
@@ -80,6 +99,7 @@
             newest_incarnations: maps::HashMap::default(),
             advisors: advisors::Advisors::default(),
             reservations: reservations::Reservations::default(),
+            gang_preemptions: gang_preemption::GangPreemptions::default(),
             waiting: collections::BTreeSet::new(),
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
@@ -96,6 +116,7 @@
             last_placement_at: None,
             sweep: pass::Sweep::default(),
             placement_visits: 0,
+            tenancy: tenancy::Tenancy::default(),
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
         };
@@ -103,6 +124,7 @@
         let mut progress = maps::IndexMap::default();
         let mut losses = maps::IndexMap::default();
         let mut copies = maps::IndexMap::default();
+        let mut owners = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
             scheduler.journal.segments.add(id, bytes);
@@ -112,6 +134,8 @@
                 let segments = &mut scheduler.journal.segments;
                 segments.add_record(id, record.job_id, has_definition, is_ended);
                 if let Some(definition) = record.definition {
+                    // An earlier job with this id may have had a tenant.
+                    owners.swap_remove(&record.job_id);
                     definitions.insert(record.job_id, definition);
                 }
                 progress.insert(record.job_id, record.progress);
@@ -122,12 +146,17 @@
             losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
             let stored = self.copies.remove(&id).unwrap_or_default();
             copies.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.owners.remove(&id).unwrap_or_default();
+            owners.extend(record::owners_by_job(stored));
         }
-        scheduler.restore_outcomes(self.archives, &mut progress);
+        scheduler.restore_outcomes(self.archives, &mut progress, &mut owners);
         for (job_id, progress) in progress {
             match progress {
                 record::Progress::Ended(ending) => {
-                    scheduler.ended.insert(job_id, ending);
+                    let owner = owners.swap_remove(&job_id);
+                    scheduler
+                        .ended
+                        .insert(job_id, ended::EndedJob { ending, owner });
                 }
                 record::Progress::Open { .. } => {
                     let Some(definition) = definitions.swap_remove(&job_id) else {
@@ -137,7 +166,9 @@
                         );
                         continue;
                     };
-                    let mut state = job::JobState::restore(definition, progress);
+                    let owner: Option<record::Owner> = owners.swap_remove(&job_id);
+                    let mut state = job::JobState::restore(definition, progress)
+                        .with_tenant(owner.map(|owner| owner.tenant));
                     if let Some(stored) = copies.swap_remove(&job_id) {
                         state.restore_copies(stored);
                     }
@@ -150,7 +181,7 @@
         }
         scheduler
             .ended
-            .sort_by_key(|job_id, ending| (ending.ended_at_ms, *job_id));
+            .sort_by_key(|job_id, ended| (ended.ending.ended_at_ms, *job_id));
         scheduler.journal.segments.collect_garbage();
         scheduler.inherit_runs(leadership_timeout, clock);
         scheduler
@@ -161,18 +192,26 @@
     /// Restores archived outcomes, which take precedence over segments with the same jobs.
     fn restore_outcomes(
         &mut self,
-        archives: Vec<(String, Vec<(model::JobId, record::Ending)>)>,
+        archives: Vec<Archive>,
         progress: &mut maps::IndexMap<model::JobId, record::Progress>,
+        owners: &mut maps::IndexMap<model::JobId, record::Owner>,
     ) {
-        for (key, outcomes) in archives {
-            let newest = outcomes.iter().map(|(_, ending)| ending.ended_at_ms).max();
+        for archive in archives {
+            owners.extend(record::owners_by_job(archive.owners));
+            let newest = archive
+                .outcomes
+                .iter()
+                .map(|(_, ending)| ending.ended_at_ms)
+                .max();
             self.journal
                 .segments
-                .add_archive(key, newest.unwrap_or_default());
-            for (job_id, ending) in outcomes {
+                .add_archive(archive.key, newest.unwrap_or_default());
+            for (job_id, ending) in archive.outcomes {
                 progress.swap_remove(&job_id);
                 self.journal.segments.remove_job(job_id);
-                self.ended.insert(job_id, ending);
+                let owner = owners.swap_remove(&job_id);
+                let ended = ended::EndedJob { ending, owner };
+                self.ended.insert(job_id, ended);
             }
         }
     }
@@ -182,6 +221,7 @@
         let expires_at = clock.now + leadership_timeout + self.settings.lease_horizon();
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
+            let tenant = self.tenancy.enter(state.tenant.as_ref());
             for (incarnation, run) in state.placed_runs() {
                 let step = state.step(run.task.step_key());
                 let demand = step.map(|(step, _)| workers::counted_demand(step));
@@ -192,7 +232,8 @@
                     worker::RunPhase::Inherited
                 };
                 let mut inherited_run =
-                    worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now);
+                    worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now)
+                        .with_tenant(tenant);
                 if let Some((step, _)) = step {
                     inherited_run = inherited_run.with_sharing_of(step);
                 }
@@ -217,7 +258,7 @@
             if run.fills_idle {
                 worker.throttling.reset_to_inherited();
             }
-            worker.add_run(key, run);
+            worker.add_run(key, run, &mut self.tenancy.usage);
         }
         for job_id in self.jobs.keys().copied().collect::<Vec<_>>() {
             self.enqueue(job_id, clock);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -60,7 +60,7 @@
         self.note_drained_end(incarnation, &ended);
         self.note_run_time(incarnation, &ended, clock);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
             worker.record_run_end(ended.end, incarnation, clock.now);
         }
         self.placement_needed = true;
@@ -215,7 +215,7 @@
         log::info!(run:% = run_name(key), worker:% = incarnation.worker_id, why; "run lost");
         self.note_drained(incarnation, key, draining::DrainOutcome::Lost);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key);
+            worker.remove_run(&key, &mut self.tenancy.usage);
         }
         self.placement_needed = true;
         self.requeue(incarnation, key, clock);
@@ -249,7 +249,7 @@
         };
         match run.phase {
             worker::RunPhase::Planned => {
-                worker.remove_run(&key);
+                worker.remove_run(&key, &mut self.tenancy.usage);
                 self.requeue(incarnation, key, clock);
             }
             worker::RunPhase::Stopping(_) | worker::RunPhase::Stopped => {}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,7 +7,9 @@
 use crate::blocked;
 use crate::crashes;
 use crate::draining;
+use crate::ended;
 use crate::event;
+use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -15,11 +17,11 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
-use crate::record;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
 use crate::speculation;
+use crate::tenancy;
 use crate::worker;
 
 /// Shortest time between two placement passes.
@@ -39,13 +41,14 @@
     pub(crate) manifest: manifest::Manifest,
     pub(crate) jobs: maps::IndexMap<model::JobId, job::JobState>,
     /// Outcomes of ended jobs, in the order of their ends.
-    pub(crate) ended: maps::IndexMap<model::JobId, record::Ending>,
+    pub(crate) ended: maps::IndexMap<model::JobId, ended::EndedJob>,
     pub(crate) workers: maps::IndexMap<model::WorkerIncarnation, worker::Worker>,
     /// The newest incarnation of each worker that the directory lists.
     pub(crate) newest_incarnations: maps::HashMap<model::WorkerId, model::WorkerIncarnation>,
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
+    pub(crate) gang_preemptions: gang_preemption::GangPreemptions,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
@@ -72,6 +75,8 @@
     pub(crate) sweep: pass::Sweep,
     /// How many times it was tried to place a waiting step.
     pub(crate) placement_visits: u64,
+    /// The tenants, and what each has running.
+    pub(crate) tenancy: tenancy::Tenancy,
     pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
@@ -86,6 +91,8 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
+    /// Its tenant submitted it beyond the rate that it is owed, and uses more than its share.
+    Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
 }
@@ -100,10 +107,42 @@
     /// When the job was accepted or the occurrence was due, in milliseconds since 1970.
     pub(crate) since_ms: u64,
     pub(crate) key: model::StepKey,
+    /// Tenant of the job; does not decide the order, as no two steps have the same key.
+    pub(crate) tenant: tenants::TenantNumber,
+}
+
+impl WaitingStep {
+    pub(crate) fn new(
+        state: &job::JobState,
+        key: model::StepKey,
+        priority: u32,
+        tenant: tenants::TenantNumber,
+    ) -> Self {
+        let occurrence = state.occurrences.get(key.occurrence as usize);
+        let due_at_ms = occurrence.and_then(|one| one.due_at_ms);
+        Self {
+            priority,
+            since_ms: due_at_ms.unwrap_or(state.accepted_at_ms),
+            key,
+            tenant,
+        }
+    }
+}
+
+/// What decides the scheduling order before the age of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) lateness: Lateness,
+    pub(crate) priority: u32,
+    /// The same for all steps without tenants.
+    pub(crate) band: tenants::Band,
+    /// Whether the step is late and has the class of steps in time, as its tenant is within its share;
+    /// false without tenants.
+    pub(crate) is_late: bool,
 }
 
 /// A waiting step at its place in the scheduling order.
-pub(crate) type OrderedStep = (Lateness, WaitingStep);
+pub(crate) type OrderedStep = (Rank, WaitingStep);
 
 /// Values for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -127,6 +166,8 @@
     pub moved_runs: u64,
     /// Copies of stragglers planned since the term began.
     pub planned_copies: u64,
+    /// Runs stopped to free capacity for gangs, since the term began.
+    pub stopped_for_gangs: u64,
 }
 
 impl Scheduler {
@@ -148,7 +189,7 @@
                 };
                 self.on_request(arrived, request, clock);
             }
-            event::Event::Manifest(manifest) => self.apply_manifest(manifest),
+            event::Event::Manifest(manifest) => self.apply_manifest(manifest, clock),
             event::Event::Directory { reports, read_at } => {
                 self.apply_directory(reports, read_at, clock)
             }
@@ -241,6 +282,7 @@
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
             planned_copies: self.copies.planned,
+            stopped_for_gangs: self.gang_preemptions.stopped_runs,
         }
     }
 
@@ -250,7 +292,7 @@
         self.term
     }
 
-    fn apply_manifest(&mut self, manifest: manifest::Manifest) {
+    fn apply_manifest(&mut self, manifest: manifest::Manifest, clock: event::Clock) {
         if manifest.version <= self.manifest.version && self.manifest.version > 0 {
             return;
         }
@@ -259,7 +301,12 @@
             queues = manifest.queues.len();
             "manifest applied by the leader"
         );
+        let is_first = self.manifest.version == 0;
         self.manifest = manifest;
+        self.apply_tenants(clock);
+        if is_first {
+            self.mark_recovered_jobs(clock);
+        }
         self.placement_needed = true;
     }
 
@@ -319,7 +366,7 @@
         let expired = self
             .ended
             .values()
-            .take_while(|ending| ending.ended_at_ms < limit_ms)
+            .take_while(|ended| ended.ending.ended_at_ms < limit_ms)
             .count();
         for (job_id, _) in self.ended.drain(..expired) {
             self.journal.segments.remove_job(job_id);
@@ -354,38 +401,54 @@
                 continue;
             }
             if occurrence.steps[usize::from(key.step)].waiting_count > 0 && state.is_ready(key) {
-                self.waiting.insert(WaitingStep {
-                    priority,
-                    since_ms: occurrence.due_at_ms.unwrap_or(state.accepted_at_ms),
-                    key,
-                });
+                let tenant = self.tenancy.number_of(state);
+                self.waiting
+                    .insert(WaitingStep::new(state, key, priority, tenant));
                 self.changed_steps.insert(key);
                 self.placement_needed = true;
             }
         }
     }
 
-    /// Returns the waiting steps in scheduling order.
+    /// Returns the waiting steps in scheduling order without tenants.
     ///
     /// Jobs that can still end in time precede jobs that cannot, whatever their priorities: after
     /// an outage the former would become late while they wait for the latter.
     pub(crate) fn scheduling_order(&self, clock: event::Clock) -> Vec<OrderedStep> {
         let steps = self.waiting.iter();
-        let mut order: Vec<_> = steps
-            .map(|step| (self.lateness(step, clock), *step))
-            .collect();
+        let mut order: Vec<_> = steps.map(|step| (self.rank(step, clock), *step)).collect();
         order.sort();
         order
     }
 
+    fn rank(&self, step: &WaitingStep, clock: event::Clock) -> Rank {
+        Rank {
+            lateness: self.lateness(step, clock),
+            priority: step.priority,
+            band: tenants::Band::default(),
+            is_late: false,
+        }
+    }
+
     fn lateness(&self, step: &WaitingStep, clock: event::Clock) -> Lateness {
         let Some(state) = self.jobs.get(&step.key.job_id) else {
             return Lateness::InTime;
         };
-        if state
-            .step(step.key)
-            .is_some_and(|(step, _)| step.long_running)
-        {
+        match state.step(step.key) {
+            Some((of, _)) => self.lateness_of(state, of, step, clock),
+            None => Lateness::InTime,
+        }
+    }
+
+    /// Returns the class of a waiting step, the definition of which is `of`.
+    pub(crate) fn lateness_of(
+        &self,
+        state: &job::JobState,
+        of: &model::Step,
+        step: &WaitingStep,
+        clock: event::Clock,
+    ) -> Lateness {
+        if of.long_running {
             return Lateness::LongRunning;
         }
         let waited_ms = clock.wall_ms.saturating_sub(step.since_ms);
@@ -416,7 +479,7 @@
             };
             let run = worker.runs.get(&key);
             if run.is_some_and(|run| run.phase == worker::RunPhase::Planned) {
-                worker.remove_run(&key);
+                worker.remove_run(&key, &mut self.tenancy.usage);
                 self.placement_needed = true;
             }
         }
--- a/crates/jobs/src/speculation.rs
+++ b/crates/jobs/src/speculation.rs
@@ -17,6 +17,7 @@
 use crate::record;
 use crate::runs;
 use crate::scheduler;
+use crate::tenancy;
 use crate::worker;
 use crate::worker_api;
 use crate::workers;
@@ -282,11 +283,15 @@
         }
     }
 
+    /// Returns whether a gang waits for capacity; one that waits for the cap of its tenant must not keep
+    /// capacity from other work.
     fn has_waiting_gang(&self) -> bool {
         self.waiting.iter().any(|waiting| {
             let state = self.jobs.get(&waiting.key.job_id);
             let step = state.and_then(|state| state.step(waiting.key));
-            step.is_some_and(|(step, _)| step.gang)
+            step.is_some_and(|(step, _)| {
+                step.gang && self.cap_limit(waiting.key) >= step.task_count
+            })
         })
     }
 
@@ -336,7 +341,8 @@
         stragglers.collect()
     }
 
-    /// Plans a copy of a task on another worker; returns whether one has capacity.
+    /// Plans a copy of a task on another worker; returns whether one has capacity and the cap of the
+    /// tenant has room for it.
     fn plan_copy(&mut self, task: model::TaskKey, clock: event::Clock) -> bool {
         let key = task.step_key();
         let Some(context) = self.step_context(key) else {
@@ -349,6 +355,10 @@
         let job::Phase::Placed(latest) = &state.phase else {
             return false;
         };
+        // What the latest run occupies counts already, also while it is being stopped.
+        if self.cap_limit(key) == 0 {
+            return false;
+        }
         let demand = workers::counted_demand(step);
         let pass = self.new_pass(clock);
         let candidates = self.startable_workers(&context, &pass, clock);
@@ -374,7 +384,10 @@
             run: state.last_run + 1,
         };
         let checkpoint = step_state.checkpoint_of(task.index, false);
+        let tenant = self.jobs.get(&key.job_id);
+        let tenant = tenant.map_or(tenancy::NO_TENANT, |state| self.tenancy.number_of(state));
         let planned = worker::WorkerRun::new(demand, worker::RunPhase::Planned, clock.now)
+            .with_tenant(tenant)
             .with_sharing_of(step)
             .with_checkpoint(checkpoint.filter(|_| step.checkpointing));
         log::info!(
@@ -385,7 +398,7 @@
             "copy of a straggler planned"
         );
         if let Some(worker) = self.workers.get_mut(&incarnation) {
-            worker.add_run(run, planned);
+            worker.add_run(run, planned, &mut self.tenancy.usage);
         }
         if let Some(state) = self.jobs.get_mut(&key.job_id) {
             let start = job::Effect::SendStart(incarnation.clone(), run);
--- a/crates/jobs/tests/scheduler/draining_workers.rs
+++ b/crates/jobs/tests/scheduler/draining_workers.rs
@@ -8,6 +8,7 @@
 
 use crate::simulation;
 use crate::simulation::Simulation;
+use crate::simulation::limits;
 
 /// Longest time that a stop takes, in milliseconds.
 const STOP_MS: u64 = 900;
@@ -27,6 +28,7 @@
     let mut simulation = Simulation::new(seed, workers, allowed_share);
     simulation.breaks_gangs = true;
     simulation.directory_interval_ms = DIRECTORY_INTERVAL_MS;
+    simulation.first_directory_read_ms = DIRECTORY_INTERVAL_MS;
     for worker in &mut simulation.workers {
         worker.stop_ms = STOP_MS;
         worker.restore_ms = RESTORE_MS;
@@ -171,6 +173,136 @@
     assert_eq!(simulation.lost_core_seconds(), 0);
 }
 
+/// Guards against work that starts under the cap of a tenant in the room of a run that is still being
+/// stopped on a worker that leaves.
+#[test]
+fn stopped_run_counts_towards_the_cap_until_its_end() {
+    let mut simulation = cluster(1, 4);
+    simulation.use_limits([limits::capped("one", 100.0, 8_000)]);
+    let step = checkpointing(simulation::step(2, 4_000, 8_000));
+    simulation.submit_as("one", simulation::job(1, "long", step));
+    simulation.run_ms(200);
+    let other = simulation::step(2, 4_000, 1_000);
+    simulation.submit_as("one", simulation::job(2, "short", other));
+    simulation.run_ms(2_000);
+    assert_eq!(simulation.start_count, 2);
+    let mut workers = simulation.workers.iter();
+    let leaving = workers.position(|worker| worker.run_keys().next().is_some());
+    simulation.give_notice(leaving.expect("a task runs"), 2_000, true);
+    let mut stopping_ms = 0;
+    while simulation.start_count == 2 {
+        assert!(simulation.now_ms < 10_000, "nothing starts again");
+        let runs_ms = simulation.now_ms;
+        simulation.run_ms(10);
+        let used = simulation.tenant_report("one").used.processors_milli;
+        let running = simulation.processors_of("one");
+        assert!(running <= used && used <= 8_000, "{running} of {used}");
+        let outcomes = simulation.take_drain_outcomes();
+        if stopping_ms > 0 || outcomes.contains_key(&DrainOutcome::Stopped) {
+            stopping_ms += simulation.now_ms - runs_ms;
+        }
+    }
+    assert!(stopping_ms >= STOP_MS, "started after {stopping_ms} ms");
+    while simulation.status(1) != COMPLETED || simulation.status(2) != COMPLETED {
+        assert!(simulation.now_ms < 30_000, "not done");
+        simulation.run_ms(10);
+        assert!(simulation.processors_of("one") <= 8_000);
+    }
+    assert_eq!(simulation.lost_core_seconds(), 0);
+}
+
+/// Returns a simulation in which a gang of tenant `one`, which uses its whole cap, is being stopped as a
+/// worker leaves.
+fn with_stopping_gang() -> Simulation {
+    let mut simulation = cluster(1, 6);
+    simulation.use_limits([
+        limits::capped("one", 100.0, 16_000),
+        limits::tenant("two", 100.0),
+    ]);
+    let member = simulation::step(4, 4_000, 15_000);
+    simulation.submit_as(
+        "one",
+        simulation::job(1, "long", gang(checkpointing(member))),
+    );
+    simulation.run_ms(2_000);
+    assert_eq!(simulation.start_count, 4);
+    let mut workers = simulation.workers.iter();
+    let leaving = workers.position(|worker| worker.run_keys().next().is_some());
+    simulation.give_notice(leaving.expect("the gang runs"), 2_000, true);
+    simulation.run_ms(800);
+    let outcomes = simulation.take_drain_outcomes();
+    assert_eq!(outcomes.get(&DrainOutcome::Stopped), Some(&4));
+    assert_eq!(simulation.processors_of("one"), 16_000);
+    simulation
+}
+
+/// Guards against a stopped gang that does not resume as its earlier run uses up the cap of its tenant, or
+/// that resumes before that run has ended.
+#[test]
+fn stopped_gang_resumes_within_its_cap() {
+    let mut simulation = with_stopping_gang();
+    while simulation.status(1) != COMPLETED {
+        assert!(simulation.now_ms < 25_000, "not done");
+        simulation.run_ms(10);
+        assert!(simulation.processors_of("one") <= 16_000);
+    }
+    assert_eq!(simulation.start_count, 8);
+    assert!(simulation.mean_resume_ms() <= 2_000);
+    assert_eq!(simulation.lost_core_seconds(), 0);
+}
+
+/// Guards against capacity that stays reserved for a stopped gang that must wait for its cap, which has
+/// been lowered.
+#[test]
+fn stopped_gang_that_must_wait_for_its_cap_reserves_nothing() {
+    let mut simulation = with_stopping_gang();
+    simulation.use_limits([
+        limits::capped("one", 100.0, 8_000),
+        limits::tenant("two", 100.0),
+    ]);
+    while simulation.processors_of("one") > 0 {
+        assert!(simulation.now_ms < 6_000, "the gang was not stopped");
+        simulation.run_ms(10);
+    }
+    let everything = simulation::step(5, 8_000, 1_000);
+    simulation.submit_as("two", simulation::job(2, "long", everything));
+    simulation.run_ms(700);
+    assert_eq!(simulation.processors_of("two"), 40_000, "still reserved");
+    simulation.use_limits([
+        limits::capped("one", 100.0, 16_000),
+        limits::tenant("two", 100.0),
+    ]);
+    run_until_done(&mut simulation, 2, 30_000);
+    assert_eq!(simulation.start_count, 4 + 5 + 4);
+}
+
+/// Guards against a stopped gang that loses the room reserved for it when runs of lower priority are stopped
+/// for the rest, or that waits for their ends: they fill all other workers for a minute.
+#[test]
+fn stopped_gang_resumes_on_workers_full_of_batch_tasks() {
+    for allowed_share in [None, Some(1.0)] {
+        let mut simulation = cluster_with_advice(1, 6, allowed_share);
+        let member = checkpointing(simulation::step(3, 8_000, 10_000));
+        simulation.submit(simulation::job(1, "short", gang(member)));
+        simulation.run_ms(1_000);
+        assert_eq!(simulation.start_count, 3);
+        let batch = checkpointing(simulation::step(40, 2_000, 60_000));
+        simulation.submit(simulation::job(2, "long", batch));
+        simulation.run_ms(2_000);
+        assert_eq!(simulation.start_count, 3 + 12);
+        let mut workers = simulation.workers.iter();
+        let leaving = workers.position(|worker| worker.run_keys().any(|run| run.task.job_id == 1));
+        simulation.give_notice(leaving.expect("the gang runs"), 2_000, true);
+        let noticed_at_ms = simulation.now_ms;
+        let done_at_ms = run_until_done(&mut simulation, 1, 40_000);
+        // The notice is read and the gang is stopped within 1.7 s; room is free 2.2 s after its
+        // preemption, which is due after a tenth of its objective of 20.4 s.
+        let took_ms = done_at_ms - noticed_at_ms;
+        assert!(took_ms < 15_000, "{allowed_share:?}: {took_ms} ms");
+        assert!(simulation.summary().stopped_for_gangs > 0);
+    }
+}
+
 /// Guards against a departure that a new leader does not learn of.
 #[test]
 fn new_leader_stops_runs_by_the_notice_given_to_the_last_one() {
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -3,8 +3,10 @@
 //!
 //! Whenever a worker executes a start order, the simulation checks the invariants.
 
+mod callers;
 mod crashes;
 mod departures;
+pub(crate) mod limits;
 pub(crate) mod worker;
 
 use std::collections;
@@ -130,8 +132,10 @@
     rework: departures::Rework,
     /// Time between two reads of the worker directory, in milliseconds; 0 to read it at each tick.
     pub(crate) directory_interval_ms: u64,
+    /// When the worker directory is first read at the earliest, in milliseconds.
+    pub(crate) first_directory_read_ms: u64,
     /// When the worker directory was last read, in milliseconds.
-    directory_read_ms: u64,
+    directory_read_ms: Option<u64>,
     /// Whether reads of the worker directory fail.
     pub(crate) is_directory_unreadable: bool,
     /// Whether the store refuses every batch.
@@ -195,6 +199,12 @@
     pub(crate) ticket_rejections: u32,
     /// Longest round of decisions so far, in milliseconds.
     pub(crate) max_round_ms: u64,
+    /// Tenant of each job that was submitted with an API key.
+    pub(crate) tenants_of_jobs: collections::HashMap<model::JobId, model::TenantName>,
+    /// Tenants of replaced manifests, with the time until which their caps count, in milliseconds.
+    earlier_tenants: Vec<(u64, sync::Arc<::tenants::Tenants>)>,
+    /// Whether benches leave out the checks of tenants, which take time for each run.
+    pub(crate) omits_checks: bool,
     /// Share of workers that the recommendation service allows; `None` if there is no service.
     pub(crate) allowed_share: Option<f64>,
 }
@@ -232,7 +242,8 @@
             breaks_gangs: false,
             rework: departures::Rework::default(),
             directory_interval_ms: 0,
-            directory_read_ms: 0,
+            first_directory_read_ms: 0,
+            directory_read_ms: None,
             is_directory_unreadable: false,
             store_refuses: false,
             store_resets: false,
@@ -264,6 +275,9 @@
             inbox: Vec::new(),
             ticket_rejections: 0,
             max_round_ms: 0,
+            tenants_of_jobs: collections::HashMap::new(),
+            earlier_tenants: Vec::new(),
+            omits_checks: false,
             allowed_share,
         };
         simulation.elect_leader();
@@ -404,9 +418,11 @@
         let actions = scheduler.finish(clock);
         self.decision_time += began_at.elapsed();
         let visits = scheduler.summary().placement_visits - visits_before;
+        let needs_finish = scheduler.needs_finish();
+        self.check_tenant_use();
         let round_ms = visits * self.visit_cost_us / 1_000;
         self.max_round_ms = self.max_round_ms.max(round_ms);
-        let needs_round = scheduler.needs_finish() || round_ms > 0;
+        let needs_round = needs_finish || round_ms > 0;
         self.busy_until_ms = self.now_ms + round_ms;
         if needs_round && !self.has_next_round {
             self.has_next_round = true;
@@ -639,12 +655,15 @@
     /// Delivers the directory to the leader, unless it cannot be read.
     fn read_directory(&mut self, term: model::Term) {
         let now_ms = self.now_ms;
-        if self.is_directory_unreadable
-            || now_ms < self.directory_read_ms + self.directory_interval_ms
-        {
+        let next_ms = self
+            .directory_read_ms
+            .map_or(self.first_directory_read_ms, |at_ms| {
+                at_ms + self.directory_interval_ms
+            });
+        if self.is_directory_unreadable || now_ms < next_ms {
             return;
         }
-        self.directory_read_ms = now_ms;
+        self.directory_read_ms = Some(now_ms);
         let up = self.workers.iter_mut().filter(|one| one.is_up);
         let reports = up.map(|worker| {
             worker.beat(now_ms);
@@ -846,6 +865,7 @@
                 assert!(self.done.contains(&before), "{task:?} before {before:?}");
             }
         }
+        self.check_cap(task);
         self.check_checkpoint(order);
         let step = &self.accepted[&task.job_id].steps[usize::from(task.step)];
         if let Some(most) = step.max_per_worker {
@@ -1053,11 +1073,19 @@
         if let model::JobRequest::Submit(job) = &request {
             self.accepted.insert(job.id, (**job).clone());
         }
+        let job_id = match &request {
+            model::JobRequest::Submit(job) => Some(job.id),
+            model::JobRequest::Status { job_id } | model::JobRequest::Cancel { job_id } => {
+                Some(*job_id)
+            }
+            model::JobRequest::Pending { .. } => None,
+        };
+        let tenant = job_id.and_then(|job_id| self.tenants_of_jobs.get(&job_id).cloned());
         let event = jobs::Event::Request {
             token,
-            manifest_version: 1,
+            manifest_version: self.manifest.version,
             request,
-            tenant: None,
+            tenant,
             overload_retry_ms: self.overload_retry_ms,
         };
         self.deliver(self.term, event);
@@ -1088,6 +1116,12 @@
         scheduler.map_or(0, |scheduler| scheduler.summary().placement_visits)
     }
 
+    /// Returns the leader's values for metrics; defaults without a leader.
+    pub(crate) fn summary(&self) -> jobs::Summary {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or_else(jobs::Summary::default, jobs::Scheduler::summary)
+    }
+
     /// Returns how many start orders the leader has withheld since the last call, by the reason.
     pub(crate) fn take_withheld_starts(&mut self) -> Vec<(jobs::StartObstacle, u64)> {
         let scheduler = self.scheduler.as_mut();
--- a/crates/jobs/tests/scheduler/speculation.rs
+++ b/crates/jobs/tests/scheduler/speculation.rs
@@ -7,6 +7,7 @@
 
 use crate::simulation;
 use crate::simulation::Simulation;
+use crate::simulation::limits;
 use crate::stored_losses;
 
 const COMPLETED: Option<model::JobReply> =
@@ -178,8 +179,8 @@
     }
 }
 
-/// Guards against records that other builds cannot read: copies follow the records and the lost runs, and
-/// segments without them are as before.
+/// Guards against records that other builds cannot read: copies follow the records, the lost runs and the
+/// tenants, and segments without them are as before.
 #[test]
 fn builds_without_copies_read_segments_with_them() {
     let mut simulation = with_straggler(3, speculative);
@@ -198,8 +199,9 @@
     let tails = simulation.store.values().map(tail);
     let tails: Vec<_> = tails.filter(|tail| !tail.is_empty()).collect();
     assert!(!tails.is_empty(), "no segment has a copy");
-    // An empty list of lost runs precedes the copies.
-    assert!(tails.iter().all(|tail| tail[0] == 0 && tail.len() > 1));
+    // Empty lists of lost runs and of tenants precede the copies.
+    let is_in_order = |tail: &Vec<u8>| tail[..2] == [0, 0] && tail.len() > 2 && tail[2] > 0;
+    assert!(tails.iter().all(is_in_order), "{tails:?}");
     simulation.kill_leader();
     for segment in simulation.store.values_mut() {
         let (_, length) = stored_losses::decode(segment);
@@ -224,6 +226,102 @@
     assert_eq!(simulation.status(1), Some(cancelled));
 }
 
+/// Runs on for `duration_ms`; returns the most processors that a tenant occupied meanwhile, on the workers
+/// or by the leader's count, in thousandths of a core.
+fn most_used(simulation: &mut Simulation, tenant: &str, duration_ms: u64) -> u64 {
+    let mut most = 0;
+    for _ in 0..duration_ms / 10 {
+        simulation.run_ms(10);
+        let counted = simulation.tenant_report(tenant).used.processors_milli;
+        let running = simulation.processors_of(tenant);
+        most = most.max(counted).max(running);
+    }
+    most
+}
+
+/// Guards against a copy beyond the cap of its tenant, or one that the use of the tenant does not include;
+/// there is room on the workers all the time.
+#[test]
+fn copy_waits_for_the_cap_of_its_tenant() {
+    let mut simulation = Simulation::new(1, 6, None);
+    simulation.use_limits([limits::capped("one", 100.0, 14_000)]);
+    simulation.run_ms(200);
+    simulation.slow_runs_ms.insert(run(2, 1), 20_000);
+    let step = speculative(simulation::step(6, 2_000, 1_000));
+    simulation.submit_as("one", simulation::job(1, "short", step));
+    // Six of these fill the cap beside the straggler.
+    let other = simulation::step(6, 2_000, 4_000);
+    simulation.submit_as("one", simulation::job(2, "short", other));
+    assert_eq!(most_used(&mut simulation, "one", 3_800), 14_000);
+    assert_eq!(simulation.max_runs_of_task, 1, "beyond the cap");
+    assert_eq!(simulation.start_count, 12);
+    // The first of the other tasks ends, and the copy gets its room; five have begun later.
+    let copied_ms = simulation.now_ms + 1_500;
+    while simulation.max_runs_of_task == 1 {
+        assert!(simulation.now_ms < copied_ms, "no copy");
+        assert!(most_used(&mut simulation, "one", 10) <= 14_000);
+    }
+    let used = simulation.tenant_report("one").used.processors_milli;
+    assert_eq!(used, simulation.processors_of("one"));
+    assert!(most_used(&mut simulation, "one", 3_000) <= 14_000);
+    assert_eq!(simulation.status(1), COMPLETED);
+    assert!(simulation.tenant_report("one").used.is_zero());
+}
+
+/// Guards against a new leader that does not count the copy for its tenant: it fills the cap beside the
+/// straggler, so that other work of the tenant waits.
+#[test]
+fn new_leader_counts_both_runs_towards_the_cap() {
+    let mut simulation = Simulation::new(1, 4, None);
+    simulation.use_limits([limits::capped("one", 100.0, 12_000)]);
+    simulation.run_ms(200);
+    simulation.slow_runs_ms.insert(run(2, 1), 20_000);
+    simulation.slow_runs_ms.insert(run(2, 2), 12_000);
+    let step = speculative(simulation::step(6, 2_000, 1_000));
+    simulation.submit_as("one", simulation::job(1, "short", step));
+    simulation.run_ms(3_500);
+    assert_eq!(simulation.start_count, 7);
+    simulation.use_limits([limits::capped("one", 100.0, 4_000)]);
+    simulation.run_ms(500);
+    simulation.kill_leader();
+    simulation.elect_leader();
+    let used = simulation.tenant_report("one").used;
+    assert_eq!(used.processors_milli, 4_000);
+    let other = simulation::step(1, 2_000, 100);
+    simulation.submit_as("one", simulation::job(2, "short", other));
+    simulation.run_ms(6_000);
+    assert_eq!(simulation.start_count, 7, "beyond the cap");
+    simulation.run_ms(8_000);
+    assert_eq!(simulation.status(1), COMPLETED);
+    assert_eq!(simulation.status(2), COMPLETED);
+}
+
+/// Guards against a gang that waits for the cap of its tenant and keeps the tasks of others from being
+/// copied.
+#[test]
+fn gang_that_waits_for_its_cap_does_not_hold_up_copies() {
+    let mut simulation = Simulation::new(1, 6, None);
+    simulation.use_limits([
+        limits::tenant("one", 100.0),
+        limits::capped("two", 100.0, 16_000),
+    ]);
+    simulation.run_ms(200);
+    let busy = simulation::step(1, 2_000, 60_000);
+    simulation.submit_as("two", simulation::job(2, "short", busy));
+    let gang = model::Step {
+        gang: true,
+        ..simulation::step(8, 2_000, 1_000)
+    };
+    simulation.submit_as("two", simulation::job(3, "short", gang));
+    simulation.slow_runs_ms.insert(run(2, 1), 20_000);
+    let step = speculative(simulation::step(6, 2_000, 1_000));
+    simulation.submit_as("one", simulation::job(1, "short", step));
+    simulation.run_ms(5_000);
+    assert!(!simulation.started_at_ms.contains_key(&3), "beyond the cap");
+    assert_eq!(simulation.max_runs_of_task, 2, "no copy");
+    assert_eq!(simulation.status(1), COMPLETED);
+}
+
 /// Trouble while jobs with stragglers are submitted.
 #[derive(Clone, Copy, Debug)]
 enum Operation {
@@ -344,4 +442,32 @@
         }
         prop_assert_eq!(used_milli(&simulation), 0);
     }
+    /// Guards against a copy by which a tenant exceeds its cap, also while workers fail and leaders are
+    /// replaced, and against work that never ends under a cap.
+    #[test]
+    fn copies_keep_the_caps(
+        seed in any::<u64>(),
+        operations in prop::collection::vec((operation(), 0_u64..1_500), 5..40),
+    ) {
+        const CAP_MILLI: u64 = 5_000;
+        let mut simulation = Simulation::new(seed, 5, None);
+        simulation.use_limits([limits::capped("one", 1_000.0, CAP_MILLI)]);
+        simulation.run_ms(500);
+        let mut last_id = 0;
+        for (operation, pause_ms) in operations {
+            simulation.tenants_of_jobs.insert(last_id + 1, "one".into());
+            apply_operation(&mut simulation, operation, &mut last_id);
+            let most = most_used(&mut simulation, "one", pause_ms);
+            prop_assert!(most <= CAP_MILLI, "{most} after {operation:?}");
+        }
+        apply_operation(&mut simulation, Operation::RepairWorkers, &mut last_id);
+        let most = most_used(&mut simulation, "one", 90_000);
+        prop_assert!(most <= CAP_MILLI, "{most}");
+        for job_id in 1..=last_id {
+            if let Some(model::JobReply::Status(status)) = simulation.status(job_id) {
+                prop_assert!(status.is_final(), "job {} is {:?}", job_id, status);
+            }
+        }
+        prop_assert!(simulation.tenant_report("one").used.is_zero());
+    }
 }
--- a/crates/jobs/tests/scheduler/stored_losses.rs
+++ b/crates/jobs/tests/scheduler/stored_losses.rs
@@ -35,7 +35,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Ending {
+pub(crate) struct Ending {
     outcome: model::JobStatus,
     ended_at_ms: u64,
 }
--- a/crates/peer/tests/links/main.rs
+++ b/crates/peer/tests/links/main.rs
@@ -2,4 +2,6 @@
 
 mod channel;
 mod common;
+mod former_build;
+mod limits;
 mod link;
