--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -203,7 +203,7 @@
     given_up_jobs: u64,
     moved_runs: u64,
     planned_copies: u64,
-    stopped_for_gangs: u64,
+    stopped_for_priority: u64,
 }
 
 impl CrashCounters {
@@ -215,13 +215,13 @@
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
         let copies = summary.planned_copies - self.planned_copies;
         metrics.count_by("run.copied", copies);
-        let stopped_for_gangs = summary.stopped_for_gangs - self.stopped_for_gangs;
-        metrics.count_by("run.stopped_for_gang", stopped_for_gangs);
+        let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
+        metrics.count_by("run.stopped_for_priority", stopped_for_priority);
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
         self.planned_copies = summary.planned_copies;
-        self.stopped_for_gangs = summary.stopped_for_gangs;
+        self.stopped_for_priority = summary.stopped_for_priority;
     }
 }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,7 +9,6 @@
 use crate::draining;
 use crate::ended;
 use crate::event;
-use crate::gang_preemption;
 use crate::job;
 use crate::journal;
 use crate::manifest;
@@ -17,6 +16,7 @@
 use crate::orders;
 use crate::pass;
 use crate::placement;
+use crate::priority_preemption;
 use crate::requests;
 use crate::reservations;
 use crate::settings;
@@ -48,7 +48,7 @@
     pub(crate) advisors: advisors::Advisors,
     /// Capacity reserved for steps that wait for tickets or for stopped runs to end.
     pub(crate) reservations: reservations::Reservations,
-    pub(crate) gang_preemptions: gang_preemption::GangPreemptions,
+    pub(crate) priority_preemptions: priority_preemption::PriorityPreemptions,
     /// Steps with waiting tasks, by priority and age.
     pub(crate) waiting: collections::BTreeSet<WaitingStep>,
     /// Steps that have been enqueued, or got an answer about their tickets, since the last placement
@@ -91,14 +91,15 @@
     InTime,
     /// Its objective has passed, so that its result is worth less.
     Late,
-    /// Its tenant submitted it beyond the rate that it is owed, and uses more than its share.
+    /// Its tenant submitted it beyond the rate that it is owed, and uses more than
+    /// twice its share.
     Beyond,
     /// Its result is worth nothing; it is completed nevertheless.
     Worthless,
 }
 
 /// Multiple of its objective after which a job's result is worth nothing.
-const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
+pub(crate) const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
 /// A step with waiting tasks, ordered by priority and age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,8 +167,8 @@
     pub moved_runs: u64,
     /// Copies of stragglers planned since the term began.
     pub planned_copies: u64,
-    /// Runs stopped to free capacity for gangs, since the term began.
-    pub stopped_for_gangs: u64,
+    /// Runs stopped for steps of a higher priority, since the term began.
+    pub stopped_for_priority: u64,
 }
 
 impl Scheduler {
@@ -282,7 +283,7 @@
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
             planned_copies: self.copies.planned,
-            stopped_for_gangs: self.gang_preemptions.stopped_runs,
+            stopped_for_priority: self.priority_preemptions.stopped_runs,
         }
     }
 
--- a/crates/jobs/tests/scheduler/draining_workers.rs
+++ b/crates/jobs/tests/scheduler/draining_workers.rs
@@ -299,7 +299,7 @@
         // preemption, which is due after a tenth of its objective of 20.4 s.
         let took_ms = done_at_ms - noticed_at_ms;
         assert!(took_ms < 15_000, "{allowed_share:?}: {took_ms} ms");
-        assert!(simulation.summary().stopped_for_gangs > 0);
+        assert!(simulation.summary().stopped_for_priority > 0);
     }
 }
 
