--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -190,6 +190,9 @@
         for (obstacle, count) in scheduler.take_withheld_starts() {
             metrics.count_by(&format!("start.withheld.{}", obstacle.as_str()), count);
         }
+        for (outcome, count) in scheduler.take_drain_outcomes() {
+            metrics.count_by(&format!("drain.{}", outcome.as_str()), count);
+        }
         let decisions = Decisions {
             decided_at: clock.now,
             actions: other_actions,
@@ -206,6 +209,7 @@
     crashed_workers: u64,
     given_up_jobs: u64,
     moved_runs: u64,
+    planned_copies: u64,
     stopped_for_priority: u64,
 }
 
@@ -216,11 +220,14 @@
         metrics.count_by("worker.crashed", crashed);
         metrics.count_by("job.given_up", given_up);
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
+        let copies = summary.planned_copies - self.planned_copies;
+        metrics.count_by("run.copied", copies);
         let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
         metrics.count_by("run.stopped_for_priority", stopped_for_priority);
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
+        self.planned_copies = summary.planned_copies;
         self.stopped_for_priority = summary.stopped_for_priority;
     }
 }
--- a/crates/jobs/src/caps.rs
+++ b/crates/jobs/src/caps.rs
@@ -221,11 +221,17 @@
         if let Some(tenant) = tenant.map(|state| self.tenancy.number_of(state)) {
             pass.set_cap_reached(tenant);
         }
-        self.reservations.release(key);
-        self.priority_preemptions.finish(key);
+        self.release_for_cap(key);
         self.begin_wait(key, clock);
     }
 
+    /// Releases what a step reserves that a cap holds back, also for the next run of a gang that was
+    /// stopped as a worker leaves.
+    fn release_for_cap(&mut self, key: model::StepKey) {
+        self.reservations.release(key);
+        self.drains.end_resuming(key);
+    }
+
     /// Releases what steps reserve that caps hold back, and reports some of them for each tenant; each step
     /// is given with whether it is a gang.
     pub(crate) fn hold_back_capped(
@@ -235,8 +241,7 @@
     ) {
         let mut reported = vec![0; self.tenancy.states.len()];
         for (step, is_gang) in capped {
-            self.reservations.release(step.key);
-            self.priority_preemptions.finish(step.key);
+            self.release_for_cap(step.key);
             let of_tenant: &mut u32 = &mut reported[step.tenant as usize];
             *of_tenant += 1;
             // The wait of a gang tells from when room is kept for it.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,6 +7,7 @@
 use crate::manifest;
 use crate::maps;
 use crate::record;
+use crate::speculation;
 use crate::speed;
 use crate::tickets;
 use crate::worker_quality;
@@ -73,8 +74,13 @@
     pub(crate) tickets: tickets::Tickets,
     /// Failed runs by worker, so that a retry prefers another worker.
     pub(crate) failures_by_worker: maps::IndexMap<model::WorkerId, u32>,
+    /// Run of a gang of which a member has saved a checkpoint when it was stopped.
+    pub(crate) stopped_run: Option<model::RunNumber>,
     /// Since when waiting tasks could not be placed for lack of capacity or advice.
     pub(crate) blocked_since: Option<time::Instant>,
+    /// Run times of the tasks that are done, in milliseconds; only of steps that may be copied, and
+    /// since the term began.
+    pub(crate) done_ms: Vec<u64>,
     /// Set while tasks wait and no run of the step has started since.
     pub(crate) wait: Option<blocked::Wait>,
     /// Rates of its runs, with which the workers are compared.
@@ -93,6 +99,8 @@
     pub(crate) failed_runs: Vec<model::RunNumber>,
     /// Latest checkpoint; that of a gang is recorded at its first task.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
+    /// A second run, beside the latest one; `None` unless the task is placed.
+    pub(crate) copy: Option<Box<speculation::Copy>>,
 }
 
 /// Phase of a task.
@@ -277,6 +285,7 @@
                         run: task.last_run,
                     };
                     runs.push((incarnation.clone(), run));
+                    runs.extend(task.copied_run(task_key));
                 }
             }
         }
@@ -401,5 +410,6 @@
         last_run: record.last_run,
         failed_runs: record.failed_runs,
         checkpoint: record.checkpoint,
+        copy: None,
     }
 }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -188,10 +188,13 @@
                     bytes += losses_size(&lost);
                     segment.losses.push(lost);
                 }
+                let state = self.jobs.get(&job_id);
                 if record.definition.is_some() || !is_open {
-                    let owner = self.jobs.get(&job_id).and_then(job::JobState::owner);
+                    let owner = state.and_then(job::JobState::owner);
                     owners.extend(owner.map(|owner| (job_id, owner)));
                 }
+                let copies = state.filter(|_| is_open).and_then(job::JobState::copies);
+                segment.copies.extend(copies);
                 segment.records.push(record);
             }
         }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -350,6 +350,7 @@
         let has_call_in_flight = step_state.tickets.has_call_in_flight();
         if !assignment.is_empty() {
             self.reservations.release(key);
+            self.drains.end_resuming(key);
             self.priority_preemptions.finish(key);
             self.plan_runs(key, assignment, clock);
             for suspect in suspects {
@@ -366,7 +367,9 @@
         {
             let call_duration = advisors::call_duration(&terms, step.task_count as usize);
             let wait = step_state.wait;
-            self.reservations.release(key);
+            if !self.drains.is_resuming(key, clock.now) {
+                self.reservations.release(key);
+            }
             if self.has_capacity_beyond_earlier_gangs(pass) {
                 self.request_advice_for_gang(key, terms, pass, clock);
             } else if wait.is_some_and(|wait| wait.may_call_ahead(call_duration, clock.now))
@@ -578,7 +581,7 @@
 
     /// Returns the workers on which a step may start now: those with a valid ticket if its queue
     /// needs advice.
-    fn startable_workers<'a>(
+    pub(crate) fn startable_workers<'a>(
         &'a self,
         context: &StepContext<'a>,
         pass: &pass::Pass,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,9 +1,9 @@
 //! Job records as they are written to the store.
 //!
 //! Each batch is written as one value, a segment, with the newest record of every job that has
-//! changed, followed by the lost runs and the tenants of these jobs. A later segment takes
-//! precedence over an earlier one. Outcomes of ended jobs are moved to values of their own, the
-//! archives, which take precedence over every segment.
+//! changed, followed by the lost runs, the tenants and the copies of tasks of these jobs. A later
+//! segment takes precedence over an earlier one. Outcomes of ended jobs are moved to values of their
+//! own, the archives, which take precedence over every segment.
 
 use std::sync;
 
@@ -124,6 +124,8 @@
     pub(crate) losses: Vec<JobLosses>,
     /// Tenants of those with a definition or an end.
     pub(crate) owners: Vec<OwnedJobs>,
+    /// Copies of the tasks of open jobs.
+    pub(crate) copies: Vec<JobCopies>,
 }
 
 /// Progress of a task.
@@ -151,6 +153,24 @@
     pub(crate) addresses: Vec<(model::WorkerIncarnation, sync::Arc<str>)>,
 }
 
+/// Copies of the tasks of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct JobCopies {
+    /// The job.
+    pub(crate) job_id: model::JobId,
+    /// Copies by task.
+    pub(crate) copies: Vec<(model::TaskKey, CopyRecord)>,
+}
+
+/// A copy of a task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CopyRecord {
+    /// The run.
+    pub(crate) run: model::RunNumber,
+    /// The incarnation of the worker that has it; `None` once it has ended.
+    pub(crate) incarnation: Option<model::WorkerIncarnation>,
+}
+
 /// A lost run whose worker may have crashed under it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LossRecord {
@@ -205,15 +225,24 @@
 
 /// Encodes a segment.
 ///
-/// The lost runs and the tenants follow the records, and are left out at the end if there are none:
-/// builds that do not know them ignore what follows what they know.
+/// The lost runs, the tenants and the copies follow the records in this order, and are left out from
+/// where the rest is empty: builds that do not know them ignore what follows what they know.
 pub(crate) fn encode_segment(segment: &Segment) -> Vec<u8> {
-    let mut bytes = encode(&segment.records);
-    if !segment.losses.is_empty() || !segment.owners.is_empty() {
-        bytes.extend(encode(&segment.losses));
-    }
-    if !segment.owners.is_empty() {
-        bytes.extend(encode(&segment.owners));
+    let Segment {
+        records,
+        losses,
+        owners,
+        copies,
+    } = segment;
+    let optional = [
+        (losses.is_empty(), encode(losses)),
+        (owners.is_empty(), encode(owners)),
+        (copies.is_empty(), encode(copies)),
+    ];
+    let last = optional.iter().rposition(|(is_empty, _)| !is_empty);
+    let mut bytes = encode(records);
+    for (_, part) in optional.iter().take(last.map_or(0, |last| last + 1)) {
+        bytes.extend(part);
     }
     bytes
 }
@@ -222,11 +251,13 @@
 pub(crate) fn decode_segment(bytes: &[u8]) -> Result<Segment, String> {
     let (records, rest) = decode_part(bytes)?;
     let (losses, rest) = decode_optional_part(rest)?;
-    let (owners, _) = decode_optional_part(rest)?;
+    let (owners, rest) = decode_optional_part(rest)?;
+    let (copies, _) = decode_optional_part(rest)?;
     Ok(Segment {
         records,
         losses,
         owners,
+        copies,
     })
 }
 
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -10,6 +10,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::draining;
 use crate::ended;
 use crate::event;
 use crate::job;
@@ -23,6 +24,7 @@
 use crate::reservations;
 use crate::scheduler;
 use crate::settings;
+use crate::speculation;
 use crate::speed_tracking;
 use crate::tenancy;
 use crate::worker;
@@ -35,6 +37,8 @@
     segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
     /// Lost runs in each segment, by job.
     losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
+    /// Copies of tasks in each segment, by job.
+    copies: collections::BTreeMap<record::SegmentId, Vec<record::JobCopies>>,
     /// Tenants of the jobs in each segment.
     owners: collections::BTreeMap<record::SegmentId, Vec<record::OwnedJobs>>,
     /// Size of each segment in bytes.
@@ -61,6 +65,7 @@
             let segment = record::decode_segment(value)?;
             self.segments.insert(id, segment.records);
             self.losses.insert(id, segment.losses);
+            self.copies.insert(id, segment.copies);
             self.owners.insert(id, segment.owners);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
@@ -101,6 +106,8 @@
             changed_steps: maps::HashSet::default(),
             scheduled: collections::BTreeSet::new(),
             crashes: crashes::Crashes::default(),
+            drains: draining::Drains::default(),
+            copies: speculation::Copies::default(),
             moved_runs: 0,
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
@@ -120,6 +127,7 @@
         let mut definitions = maps::IndexMap::default();
         let mut progress = maps::IndexMap::default();
         let mut losses = maps::IndexMap::default();
+        let mut copies = maps::IndexMap::default();
         let mut owners = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
@@ -136,9 +144,12 @@
                 }
                 progress.insert(record.job_id, record.progress);
                 losses.swap_remove(&record.job_id);
+                copies.swap_remove(&record.job_id);
             }
             let stored = self.losses.remove(&id).unwrap_or_default();
             losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.copies.remove(&id).unwrap_or_default();
+            copies.extend(stored.into_iter().map(|one| (one.job_id, one)));
             let stored = self.owners.remove(&id).unwrap_or_default();
             owners.extend(record::owners_by_job(stored));
         }
@@ -160,8 +171,11 @@
                         continue;
                     };
                     let owner: Option<record::Owner> = owners.swap_remove(&job_id);
-                    let state = job::JobState::restore(definition, progress)
+                    let mut state = job::JobState::restore(definition, progress)
                         .with_tenant(owner.map(|owner| owner.tenant));
+                    if let Some(stored) = copies.swap_remove(&job_id) {
+                        state.restore_copies(stored);
+                    }
                     scheduler.jobs.insert(job_id, state);
                     if let Some(losses) = losses.swap_remove(&job_id) {
                         scheduler.crashes.restore(losses, clock.now);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use crate::draining;
 use crate::event;
 use crate::job;
 use crate::scheduler;
@@ -56,6 +57,8 @@
         clock: event::Clock,
     ) {
         let key = ended.key;
+        self.note_drained_end(incarnation, &ended);
+        self.note_run_time(incarnation, &ended, clock);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key, &mut self.tenancy.usage);
             worker.record_run_end(ended.end, incarnation, clock.now);
@@ -114,14 +117,18 @@
         }
         let is_latest =
             task.last_run == key.run && task.phase == job::Phase::Placed(incarnation.clone());
+        let others = task.other_runs(key);
         if let Some(checkpoint) = &ended.checkpoint
             && step.checkpointing
             && is_latest
         {
-            step_state.set_checkpoint(key.task.index, is_gang, checkpoint);
+            let is_stopped = ended.end == worker_api::RunEnd::Stopped;
+            step_state.offer_checkpoint(key, is_gang, checkpoint, is_stopped);
         }
         if is_latest {
-            step_state.set_phase(key.task.index, job::Phase::Waiting);
+            step_state.end_latest_run(key.task.index);
+        } else {
+            step_state.end_copy(incarnation, key);
         }
         if is_long_running {
             self.enqueue(job_id, clock);
@@ -137,6 +144,9 @@
                 let index = if is_gang { 0 } else { key.task.index };
                 self.crashes
                     .remove_task(model::TaskKey { index, ..key.task });
+                for (incarnation, other) in others {
+                    self.stop_run(&incarnation, other, clock);
+                }
                 if !is_latest {
                     self.stop_superfluous_runs(key, clock);
                 }
@@ -203,6 +213,7 @@
         clock: event::Clock,
     ) {
         log::info!(run:% = run_name(key), worker:% = incarnation.worker_id, why; "run lost");
+        self.note_drained(incarnation, key, draining::DrainOutcome::Lost);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key, &mut self.tenancy.usage);
         }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 use crate::advisors;
 use crate::blocked;
 use crate::crashes;
+use crate::draining;
 use crate::ended;
 use crate::event;
 use crate::job;
@@ -20,6 +21,7 @@
 use crate::requests;
 use crate::reservations;
 use crate::settings;
+use crate::speculation;
 use crate::speed_tracking;
 use crate::tenancy;
 use crate::worker;
@@ -57,6 +59,8 @@
     /// Occurrences that are not due yet, by their due time in milliseconds since 1970.
     pub(crate) scheduled: collections::BTreeSet<(u64, model::JobId, u32)>,
     pub(crate) crashes: crashes::Crashes,
+    pub(crate) drains: draining::Drains,
+    pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
     pub(crate) journal: journal::Journal,
@@ -165,6 +169,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Copies of stragglers planned since the term began.
+    pub planned_copies: u64,
     /// Runs stopped for steps of a higher priority, since the term began.
     pub stopped_for_priority: u64,
     /// Workers known to be faster than the usual one of their pool.
@@ -257,6 +263,7 @@
             self.last_placement_at = Some(clock.now);
             self.place_waiting(clock);
         }
+        self.copy_stragglers(clock);
         self.send_due_calls(clock);
         self.flush(clock);
         std::mem::take(&mut self.actions)
@@ -295,6 +302,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            planned_copies: self.copies.planned,
             stopped_for_priority: self.priority_preemptions.stopped_runs,
             fast_workers: self.speeds.fast_workers,
             slow_workers: self.speeds.slow_workers,
@@ -348,6 +356,7 @@
         self.expire_outcomes(clock);
         self.report_incomplete_gangs(clock);
         self.refresh_speeds(clock);
+        self.leave_workers(clock);
         if self.advisors.log_recent_calls(clock.now) {
             self.log_utilisation();
         }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -117,6 +117,8 @@
     pub(crate) progress: Option<(u32, time::Instant)>,
     /// What its worker's speed is measured by.
     pub(crate) pace: speed::Pace,
+    /// Progress in percent when it was first listed, and when that was.
+    pub(crate) first_progress: Option<(u32, time::Instant)>,
 }
 
 /// Phase of a run.
@@ -510,6 +512,7 @@
             awaits_answer: false,
             progress: None,
             pace: speed::Pace::default(),
+            first_progress: None,
         }
     }
 
@@ -545,6 +548,7 @@
         self.confirmed_at = None;
         self.progress = None;
         self.pace = speed::Pace::default();
+        self.first_progress = None;
         self.percent = None;
         self.set_phase(phase, now);
         self
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -3,6 +3,8 @@
 mod blocked;
 mod capacity_changes;
 mod crashes;
+mod departure;
+mod draining_workers;
 mod gangs;
 mod invariants;
 mod leases;
@@ -11,6 +13,7 @@
 mod priority_preemption;
 mod relay_loss;
 mod simulation;
+mod speculation;
 mod stored_losses;
 mod tenant_limits;
 mod tenants;
--- a/crates/jobs/tests/scheduler/tenants.rs
+++ b/crates/jobs/tests/scheduler/tenants.rs
@@ -1,5 +1,8 @@
 //! Jobs of tenants: who may see them, and what of it a new leader knows.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -25,6 +28,23 @@
     is_crash: bool,
 }
 
+/// Tenants of jobs, which follow the lost runs, as builds without copies of tasks define them.
+#[derive(Serialize, Deserialize)]
+struct OwnedJobs {
+    owner: (String, String),
+    job_ids: Vec<model::JobId>,
+}
+
+/// Copies of tasks, which follow the tenants.
+#[derive(Serialize, Deserialize)]
+struct JobCopies {
+    job_id: model::JobId,
+    copies: Vec<(
+        model::TaskKey,
+        (model::RunNumber, Option<model::WorkerIncarnation>),
+    )>,
+}
+
 /// Archived outcomes as builds without tenants define them.
 type Outcomes = Vec<(model::JobId, stored_losses::Ending)>;
 
@@ -115,6 +135,146 @@
     }
 }
 
+/// Splits a segment into records, lost runs, tenants and copies; fails if anything else is there.
+fn sections(segment: &[u8]) -> Vec<Vec<u8>> {
+    let (records, mut rest) = recode::<Vec<stored_losses::JobRecord>>(segment);
+    let mut sections = vec![records];
+    type Recode = fn(&[u8]) -> (Vec<u8>, &[u8]);
+    let optional: [Recode; 3] = [
+        recode::<Vec<JobLosses>>,
+        recode::<Vec<OwnedJobs>>,
+        recode::<Vec<JobCopies>>,
+    ];
+    for recode in optional {
+        if !rest.is_empty() {
+            let (section, after) = recode(rest);
+            sections.push(section);
+            rest = after;
+        }
+    }
+    assert!(rest.is_empty(), "{rest:?} follows the copies");
+    assert_eq!(sections.concat(), segment);
+    sections
+}
+
+/// Returns the encoding of sections of which the empty ones at the end are left out.
+fn without_empty_end(sections: &[Vec<u8>]) -> Vec<u8> {
+    let is_empty = |section: &&Vec<u8>| **section == [0];
+    let count = sections.iter().rev().take_while(is_empty).count();
+    sections[..(sections.len() - count).max(1)].concat()
+}
+
+/// Returns a simulation with a straggler and its copy, both of which go on, of tenant `a` if there are
+/// tenants, and the segments written so far. The store is so slow that one segment has the copy, other
+/// jobs that have just been submitted, and a job that has lost runs.
+fn straggler_with_copy(has_tenants: bool) -> (Simulation, BTreeMap<String, Vec<u8>>) {
+    let mut simulation = Simulation::new(3, 8, None);
+    simulation.run_ms(200);
+    if has_tenants {
+        simulation.use_tenants(&["a", "b"], &[]);
+    }
+    let tenant = has_tenants.then_some("a");
+    let run = |job_id, step, index, run| {
+        let task = model::TaskKey {
+            job_id,
+            occurrence: 0,
+            step,
+            index,
+        };
+        model::RunKey { task, run }
+    };
+    // One task goes on, so that its lost run is stored whenever the job has changed; the others, of which
+    // few are on the same worker, end one after the other.
+    let mut loser = simulation::job(2, "short", simulation::step(1, 500, 60_000));
+    loser.steps.push(model::Step {
+        max_per_worker: Some(8),
+        ..simulation::step(60, 100, 60_000)
+    });
+    for index in 0..60 {
+        let run_ms = 8_000 + 40 * u64::from(index);
+        simulation.slow_runs_ms.insert(run(2, 1, index, 1), run_ms);
+    }
+    simulation.submit_of(tenant, loser);
+    simulation.run_ms(500);
+    let mut workers = simulation.workers.iter();
+    let worker = workers.find(|one| one.has_run(run(2, 0, 0, 1)));
+    let incarnation = worker.expect("the task runs").incarnation.clone();
+    simulation.crash(&incarnation);
+    simulation.run_ms(6_000);
+    let step = model::Step {
+        speculative: true,
+        ..simulation::step(6, 2_000, 1_000)
+    };
+    for number in [1, 2] {
+        simulation.slow_runs_ms.insert(run(1, 0, 2, number), 10_000);
+    }
+    simulation.submit_of(tenant, simulation::job(1, "short", step));
+    simulation.run_ms(1_500);
+    simulation.store_ms = 150;
+    let mut written = BTreeMap::new();
+    for id in 3..203 {
+        let short = simulation::job(id, "short", simulation::step(1, 100, 9_000));
+        let request = model::JobRequest::Submit(Box::new(short));
+        simulation.request_of(tenant, 1, request);
+        simulation.run_ms(10);
+        written.extend(simulation.store.clone());
+    }
+    simulation.store_ms = 5;
+    simulation.run_ms(500);
+    assert_eq!(simulation.max_runs_of_task, 2);
+    (simulation, written)
+}
+
+/// Guards against copies that change segments without them, and against sections that are left out before
+/// one that is not: segments without copies equal those of builds that know only tenants, and segments
+/// without copies and tenants equal those of the former build.
+#[test]
+fn copies_follow_the_tenants_in_segments() {
+    for has_tenants in [false, true] {
+        let (_, written) = straggler_with_copy(has_tenants);
+        // Segments by which of the lost runs, tenants and copies they have.
+        let mut kinds = BTreeSet::new();
+        for (key, segment) in &written {
+            assert!(key.starts_with(jobs::SEGMENT_PREFIX), "{key}");
+            let sections = sections(segment);
+            assert_eq!(without_empty_end(&sections), *segment, "{key}");
+            let has = |index: usize| sections.get(index).is_some_and(|one| *one != [0]);
+            kinds.insert([has(1), has(2), has(3)]);
+        }
+        assert!(kinds.contains(&[true, has_tenants, true]), "{kinds:?}");
+        assert!(kinds.contains(&[true, has_tenants, false]), "{kinds:?}");
+        assert_eq!(kinds.iter().any(|[_, has, _]| *has), has_tenants);
+    }
+}
+
+/// Guards against a change of build in either direction that loses a job with a copy, or its tenant.
+#[test]
+fn segments_of_builds_without_copies_are_read() {
+    for has_copies in [false, true] {
+        let (mut simulation, _) = straggler_with_copy(true);
+        simulation.kill_leader();
+        if !has_copies {
+            for segment in simulation.store.values_mut() {
+                let sections = sections(segment);
+                *segment = without_empty_end(&sections[..sections.len().min(3)]);
+            }
+        }
+        simulation.elect_leader();
+        simulation.run_ms(1_000);
+        let running = status(model::JobStatus::Running);
+        assert_eq!(simulation.status_of(Some("a"), 1), running);
+        assert_eq!(simulation.status_of(Some("b"), 1), UNKNOWN);
+        // The copy goes on only if the leader knows it.
+        let mut workers = simulation.workers.iter();
+        let is_copy = |run: model::RunKey| run.task.job_id == 1 && run.run == 2;
+        let goes_on = workers.any(|worker| worker.run_keys().any(is_copy));
+        assert_eq!(goes_on, has_copies);
+        simulation.run_ms(15_000);
+        let completed = status(model::JobStatus::Completed);
+        assert_eq!(simulation.status_of(Some("a"), 1), completed);
+    }
+}
+
 /// Guards against a new leader that shows the jobs of a tenant to others, whether they are open, ended or
 /// archived.
 #[test]
