--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -683,9 +683,9 @@
         });
         let is_earlier = |step: &model::StepKey| pass.is_earlier(step);
         let preference = self.preference(context, pass);
-        let uses_speeds = self.settings.uses_speeds;
+        let uses_quarantines = self.settings.uses_speeds && self.settings.uses_quarantines;
         let candidates = usable.filter_map(|(incarnation, worker)| {
-            let trial_limit = match uses_speeds {
+            let trial_limit = match uses_quarantines {
                 true => worker.trial_limit(step)?,
                 false => u32::MAX,
             };
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -27,8 +27,10 @@
     pub stop_grace: time::Duration,
     /// Number of waiting steps above which further jobs are refused.
     pub max_waiting_steps: usize,
-    /// Whether the estimated speeds of the workers, and how their runs end, decide where work starts.
+    /// Whether the estimated speeds of the workers decide where work starts.
     pub uses_speeds: bool,
+    /// Whether workers whose runs fail or stand still get little work; only with `uses_speeds`.
+    pub uses_quarantines: bool,
 }
 
 impl Default for Settings {
@@ -46,6 +48,7 @@
             stop_grace: time::Duration::from_millis(900),
             max_waiting_steps: 20_000,
             uses_speeds: true,
+            uses_quarantines: true,
         }
     }
 }
