jobs, relay, platform: show in logs and metrics which incarnation executed a start

A run that was lost did not say whether its worker had ever listed it, nor how long ago the worker was heard of; the answer to a start order was not attributed to an incarnation, although it has a reading of the worker's clock, which starts anew in each.

New lines for a start that another incarnation executed and for a restart; more fields in the lines for a lost run, a worker that does not answer and an ended run. Counters start.other_incarnation and run.ended_after_loss. No decision changes.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -209,6 +209,8 @@
     crashed_workers: u64,
     given_up_jobs: u64,
     moved_runs: u64,
+    starts_on_other_incarnations: u64,
+    ends_of_lost_runs: u64,
     planned_copies: u64,
     stopped_for_priority: u64,
 }
@@ -220,6 +222,10 @@
         metrics.count_by("worker.crashed", crashed);
         metrics.count_by("job.given_up", given_up);
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
+        let on_others = summary.starts_on_other_incarnations - self.starts_on_other_incarnations;
+        metrics.count_by("start.other_incarnation", on_others);
+        let ends_of_lost = summary.ends_of_lost_runs - self.ends_of_lost_runs;
+        metrics.count_by("run.ended_after_loss", ends_of_lost);
         let copies = summary.planned_copies - self.planned_copies;
         metrics.count_by("run.copied", copies);
         let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
@@ -227,6 +233,8 @@
         self.crashed_workers = summary.crashed_workers;
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
+        self.starts_on_other_incarnations = summary.starts_on_other_incarnations;
+        self.ends_of_lost_runs = summary.ends_of_lost_runs;
         self.planned_copies = summary.planned_copies;
         self.stopped_for_priority = summary.stopped_for_priority;
     }
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -43,7 +43,7 @@
         relay::Request::Start(order) => {
             let outcome = workers.start(&order, timeout).await;
             shared.metrics.count(match &outcome {
-                jobs::StartOutcome::Started => "start.started",
+                jobs::StartOutcome::Started(_) => "start.started",
                 jobs::StartOutcome::Rejected(_) => "start.rejected",
                 jobs::StartOutcome::NoAnswer => "start.unanswered",
             });
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -241,6 +241,9 @@
     ) {
         let is_rejected = matches!(outcome, worker_api::StartOutcome::Rejected(_));
         self.decide_lost_start(incarnation, key, is_rejected, clock);
+        if let worker_api::StartOutcome::Started(Some(reading)) = &outcome {
+            self.check_clock_of_start(incarnation, key, *reading, clock);
+        }
         let Some(run) = self.run_mut(incarnation, key) else {
             return;
         };
@@ -248,7 +251,7 @@
         run.awaits_answer = false;
         let is_starting = run.phase == worker::RunPhase::Starting;
         match outcome {
-            worker_api::StartOutcome::Started => {
+            worker_api::StartOutcome::Started(_) => {
                 if is_starting {
                     run.set_phase(worker::RunPhase::Running, clock.now);
                     if run.checkpoint.is_none() {
@@ -286,6 +289,32 @@
         }
     }
 
+    /// Compares the clock in the answer to a start order with that of the incarnation to which the order
+    /// was addressed.
+    fn check_clock_of_start(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        reading: worker_api::ClockReading,
+        clock: event::Clock,
+    ) {
+        let worker = self.workers.get(incarnation);
+        let deviation =
+            worker.and_then(|one| one.clock_deviation(reading, &self.settings, clock.now));
+        if deviation.is_none_or(|one| one < worker::MAX_CLOCK_DEVIATION) {
+            return;
+        }
+        self.starts_on_other_incarnations += 1;
+        log::warn!(
+            run:% = run_name(key),
+            worker:% = incarnation.worker_id,
+            born_ms = incarnation.born_ms,
+            clock_ms = reading.clock_ms,
+            deviation_ms = deviation.map(|one| one.as_millis() as u64);
+            "start order executed by another incarnation of the worker, as its clock shows"
+        );
+    }
+
     /// Handles the rejection of a start order; `may_exist` tells whether an earlier copy of it may
     /// still be executed, or has been.
     fn start_rejected(
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -109,6 +109,8 @@
             drains: draining::Drains::default(),
             copies: speculation::Copies::default(),
             moved_runs: 0,
+            starts_on_other_incarnations: 0,
+            ends_of_lost_runs: 0,
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
             actions: Vec::new(),
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -25,6 +25,21 @@
         clock: event::Clock,
     ) {
         const EVIDENCE: &str = "worker restarted";
+        if let Some(worker) = self.workers.get(incarnation) {
+            let age_ms =
+                |at: time::Instant| clock.now.saturating_duration_since(at).as_millis() as u64;
+            // A renewal in flight may reach the successor.
+            let pending = &worker.renewal;
+            log::info!(
+                worker:% = incarnation.worker_id,
+                born_ms = incarnation.born_ms,
+                successor_born_ms = successor.born_ms,
+                heard_ms_ago = worker.heard_at().map(age_ms),
+                renewal_ms_ago = pending.sent_at.map(age_ms),
+                renewal_forgets_up_to = pending.forgets_up_to;
+                "worker restarted under its id"
+            );
+        }
         // Before any run is moved: which run may have caused the crash depends on all of them.
         self.record_losses(incarnation, clock);
         self.move_runs(incarnation, successor, clock);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -59,16 +59,19 @@
         let key = ended.key;
         self.note_drained_end(incarnation, &ended);
         self.note_run_time(incarnation, &ended, clock);
+        let mut was_lost = false;
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            worker.remove_run(&key, &mut self.tenancy.usage);
+            was_lost = worker.remove_run(&key, &mut self.tenancy.usage).is_none();
             worker.record_run_end(ended.end, incarnation, clock.now);
         }
+        self.ends_of_lost_runs += u64::from(was_lost);
         self.placement_needed = true;
         log::info!(
             run:% = run_name(key),
             worker:% = incarnation.worker_id,
             sequence = ended.sequence,
-            how = ended.end.as_str();
+            how = ended.end.as_str(),
+            was_lost;
             "run ended"
         );
         let job_id = key.task.job_id;
@@ -212,7 +215,7 @@
         why: &str,
         clock: event::Clock,
     ) {
-        log::info!(run:% = run_name(key), worker:% = incarnation.worker_id, why; "run lost");
+        self.log_loss(incarnation, key, why, clock);
         self.note_drained(incarnation, key, draining::DrainOutcome::Lost);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key, &mut self.tenancy.usage);
@@ -223,6 +226,31 @@
         self.journal.mark_dirty(key.task.job_id);
     }
 
+    /// Logs a loss with what is known of the run and its worker: how long ago it was ordered, whether the
+    /// worker has listed it, and how long ago the worker was last heard of.
+    fn log_loss(
+        &self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        why: &str,
+        clock: event::Clock,
+    ) {
+        let worker = self.workers.get(incarnation);
+        let run = worker.and_then(|worker| worker.runs.get(&key));
+        let age_ms = |at: time::Instant| clock.now.saturating_duration_since(at).as_millis() as u64;
+        log::info!(
+            run:% = run_name(key),
+            worker:% = incarnation.worker_id,
+            born_ms = incarnation.born_ms,
+            is_listed = run.is_some_and(worker::WorkerRun::is_listed),
+            is_unanswered = run.is_some_and(|run| run.unanswered),
+            ordered_ms_ago = run.and_then(|run| run.ordered_at).map(age_ms),
+            heard_ms_ago = worker.and_then(worker::Worker::heard_at).map(age_ms),
+            why;
+            "run lost"
+        );
+    }
+
     /// Stops every run of a job.
     pub(crate) fn stop_runs_of(&mut self, job_id: model::JobId, clock: event::Clock) {
         let Some(state) = self.jobs.get(&job_id) else {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -63,6 +63,10 @@
     pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
+    /// Start orders that another incarnation executed than they were addressed to, since the term began.
+    pub(crate) starts_on_other_incarnations: u64,
+    /// Ends listed of runs that had been given up, since the term began.
+    pub(crate) ends_of_lost_runs: u64,
     pub(crate) journal: journal::Journal,
     pub(crate) ended_job_effects: Vec<job::Effect>,
     pub(crate) actions: Vec<event::Action>,
@@ -169,6 +173,11 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Start orders that another incarnation executed than they were addressed to, as the clock in its
+    /// answer shows, since the term began.
+    pub starts_on_other_incarnations: u64,
+    /// Ends listed of runs that had been given up, since the term began.
+    pub ends_of_lost_runs: u64,
     /// Copies of stragglers planned since the term began.
     pub planned_copies: u64,
     /// Runs stopped for steps of a higher priority, since the term began.
@@ -302,6 +311,8 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            starts_on_other_incarnations: self.starts_on_other_incarnations,
+            ends_of_lost_runs: self.ends_of_lost_runs,
             planned_copies: self.copies.planned,
             stopped_for_priority: self.priority_preemptions.stopped_runs,
             fast_workers: self.speeds.fast_workers,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -21,6 +21,9 @@
 const MAX_REMOVED_UNANSWERED: usize = 64;
 /// Age of a worker's last answer from which it may have restarted since.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(200);
+/// Difference between a reading of a worker's clock and the time expected there from which the reading
+/// is another incarnation's. Answers spend less time on their way, and no worker restarts faster.
+pub(crate) const MAX_CLOCK_DEVIATION: time::Duration = time::Duration::from_millis(500);
 
 /// One incarnation of a worker, as the leader sees it.
 #[derive(Debug)]
@@ -389,6 +392,25 @@
         self.clock = Some((clock_ms, now));
     }
 
+    /// Returns by how much a reading of a worker's clock differs from what this incarnation's clock can
+    /// show; zero if it may be its own, `None` if its clock is not known.
+    pub(crate) fn clock_deviation(
+        &self,
+        reading: worker_api::ClockReading,
+        settings: &settings::Settings,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let (clock_ms, read_at) = self.clock?;
+        // An answer may be older than the last reading, which came on another connection.
+        let passed_ms = signed_ms(now.saturating_duration_since(read_at)) - signed_ms(reading.age);
+        let slowest_ms = (passed_ms as f64 * (1.0 - settings.clock_drift)) as i64;
+        let earliest_ms = clock_ms + passed_ms.min(slowest_ms);
+        let latest_ms = clock_ms + passed_ms.max(slowest_ms);
+        let nearest_ms = reading.clock_ms.clamp(earliest_ms, latest_ms);
+        let deviation_ms = reading.clock_ms.abs_diff(nearest_ms);
+        Some(time::Duration::from_millis(deviation_ms))
+    }
+
     /// Returns when it last sent a listing.
     pub(crate) fn heard_at(&self) -> Option<time::Instant> {
         self.clock.map(|(_, read_at)| read_at)
@@ -407,7 +429,7 @@
         let (clock_ms, read_at) = self.clock?;
         let passed = now.saturating_duration_since(read_at);
         let granted = passed.mul_f64(1.0 - settings.clock_drift) + settings.run_lease;
-        Some(clock_ms + i64::try_from(granted.as_millis()).unwrap_or(i64::MAX / 2))
+        Some(clock_ms + signed_ms(granted))
     }
 
     /// Records that a lease is granted now.
@@ -577,3 +599,7 @@
         self.attempts < MAX_START_ATTEMPTS
     }
 }
+
+fn signed_ms(duration: time::Duration) -> i64 {
+    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX / 2)
+}
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -100,11 +100,20 @@
     pub wait: time::Duration,
 }
 
+/// A reading of a worker's monotonic clock, which starts anew in each incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockReading {
+    /// The reading, in milliseconds.
+    pub clock_ms: i64,
+    /// How long ago it was received by the instance that made the call.
+    pub age: time::Duration,
+}
+
 /// Result of a start order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
-    /// The worker has the run.
-    Started,
+    /// The worker has the run; with its clock, if the answer contains a reading.
+    Started(Option<ClockReading>),
     /// This copy of the order has not been executed and never will be.
     Rejected(StartRejection),
     /// No usable answer: the order may have been executed, or may still be.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -289,9 +289,14 @@
                 if worker.silent_since.is_none() {
                     worker.silent_since = Some(clock.now);
                     let lease_left = worker.expires_at.saturating_duration_since(clock.now);
+                    let heard_ago = worker
+                        .heard_at()
+                        .map(|at| clock.now.saturating_duration_since(at));
                     log::info!(
                         worker:% = incarnation.worker_id,
+                        born_ms = incarnation.born_ms,
                         runs = worker.runs.len(),
+                        heard_ms_ago = heard_ago.map(|ago| ago.as_millis() as u64),
                         lease_left_ms = lease_left.as_millis() as u64;
                         "worker does not answer"
                     );
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -783,7 +783,8 @@
         } else {
             self.workers[index].accept_start(&order, now_ms)
         };
-        if outcome == jobs::StartOutcome::Started && !self.workers[index].has_run(order.run) {
+        let is_started = matches!(outcome, jobs::StartOutcome::Started(_));
+        if is_started && !self.workers[index].has_run(order.run) {
             self.check_start(index, &order);
             self.record_rework(&order);
             self.start_count += 1;
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -452,8 +452,12 @@
             return rejected(jobs::StartRejection::Late);
         }
         self.extend_lease(order.lease_end_ms, now_ms);
+        let started = jobs::StartOutcome::Started(Some(jobs::ClockReading {
+            clock_ms: self.clock_ms(now_ms),
+            age: Duration::ZERO,
+        }));
         if self.has_run(order.run) {
-            return jobs::StartOutcome::Started;
+            return started;
         }
         let tombstone = self
             .tombstones
@@ -463,7 +467,7 @@
         if order.run.run <= tombstone {
             return rejected(jobs::StartRejection::Outdated);
         }
-        jobs::StartOutcome::Started
+        started
     }
 
     pub(crate) fn start_run(
--- a/crates/relay/tests/relays/in_flight.rs
+++ b/crates/relay/tests/relays/in_flight.rs
@@ -60,7 +60,7 @@
 fn started(id: relay::OrderId) -> relay::Report {
     relay::Report {
         id,
-        response: relay::Response::Start(jobs::StartOutcome::Started),
+        response: relay::Response::Start(jobs::StartOutcome::Started(None)),
     }
 }
 
@@ -81,7 +81,7 @@
     assert!(in_flight.complete(&"b".into(), started(order.id)).is_none());
     let event = in_flight.complete(&"a".into(), started(order.id));
     let outcome = event.as_ref().and_then(start_outcome);
-    assert_eq!(outcome, Some((1, jobs::StartOutcome::Started)));
+    assert_eq!(outcome, Some((1, jobs::StartOutcome::Started(None))));
     assert!(in_flight.complete(&"a".into(), started(order.id)).is_none());
     assert!(in_flight.is_empty());
 }
