jobs: failing tests of restarts that the leader has not noticed

An ended run now says whether its task had been started again, in place of whether this leader knew the run, which is also false after an election.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -210,7 +210,7 @@
     given_up_jobs: u64,
     moved_runs: u64,
     starts_on_other_incarnations: u64,
-    ends_of_lost_runs: u64,
+    ends_after_next_start: u64,
     planned_copies: u64,
     stopped_for_priority: u64,
 }
@@ -224,8 +224,8 @@
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
         let on_others = summary.starts_on_other_incarnations - self.starts_on_other_incarnations;
         metrics.count_by("start.other_incarnation", on_others);
-        let ends_of_lost = summary.ends_of_lost_runs - self.ends_of_lost_runs;
-        metrics.count_by("run.ended_after_loss", ends_of_lost);
+        let ends_after_next_start = summary.ends_after_next_start - self.ends_after_next_start;
+        metrics.count_by("run.ended_after_next", ends_after_next_start);
         let copies = summary.planned_copies - self.planned_copies;
         metrics.count_by("run.copied", copies);
         let stopped_for_priority = summary.stopped_for_priority - self.stopped_for_priority;
@@ -234,7 +234,7 @@
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
         self.starts_on_other_incarnations = summary.starts_on_other_incarnations;
-        self.ends_of_lost_runs = summary.ends_of_lost_runs;
+        self.ends_after_next_start = summary.ends_after_next_start;
         self.planned_copies = summary.planned_copies;
         self.stopped_for_priority = summary.stopped_for_priority;
     }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -110,7 +110,7 @@
             copies: speculation::Copies::default(),
             moved_runs: 0,
             starts_on_other_incarnations: 0,
-            ends_of_lost_runs: 0,
+            ends_after_next_start: 0,
             journal: journal::Journal::default(),
             ended_job_effects: Vec::new(),
             actions: Vec::new(),
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -59,19 +59,19 @@
         let key = ended.key;
         self.note_drained_end(incarnation, &ended);
         self.note_run_time(incarnation, &ended, clock);
-        let mut was_lost = false;
+        let has_later_run = self.has_later_run(key);
+        self.ends_after_next_start += u64::from(has_later_run);
         if let Some(worker) = self.workers.get_mut(incarnation) {
-            was_lost = worker.remove_run(&key, &mut self.tenancy.usage).is_none();
+            worker.remove_run(&key, &mut self.tenancy.usage);
             worker.record_run_end(ended.end, incarnation, clock.now);
         }
-        self.ends_of_lost_runs += u64::from(was_lost);
         self.placement_needed = true;
         log::info!(
             run:% = run_name(key),
             worker:% = incarnation.worker_id,
             sequence = ended.sequence,
             how = ended.end.as_str(),
-            was_lost;
+            has_later_run;
             "run ended"
         );
         let job_id = key.task.job_id;
@@ -93,6 +93,14 @@
         }
     }
 
+    /// Returns whether the task of a run has been started again since.
+    fn has_later_run(&self, key: model::RunKey) -> bool {
+        let state = self.jobs.get(&key.task.job_id);
+        let step = state.and_then(|state| state.step(key.task.step_key()));
+        let task = step.and_then(|(_, step)| step.tasks.get(key.task.index as usize));
+        task.is_some_and(|task| task.last_run > key.run)
+    }
+
     /// Updates the task of a run that has ended.
     ///
     /// A run that was marked as lost may turn out to have succeeded or failed before that.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -65,8 +65,8 @@
     pub(crate) moved_runs: u64,
     /// Start orders that another incarnation executed than they were addressed to, since the term began.
     pub(crate) starts_on_other_incarnations: u64,
-    /// Ends listed of runs that had been given up, since the term began.
-    pub(crate) ends_of_lost_runs: u64,
+    /// Ends listed of runs whose task had been started again, since the term began.
+    pub(crate) ends_after_next_start: u64,
     pub(crate) journal: journal::Journal,
     pub(crate) ended_job_effects: Vec<job::Effect>,
     pub(crate) actions: Vec<event::Action>,
@@ -176,8 +176,8 @@
     /// Start orders that another incarnation executed than they were addressed to, as the clock in its
     /// answer shows, since the term began.
     pub starts_on_other_incarnations: u64,
-    /// Ends listed of runs that had been given up, since the term began.
-    pub ends_of_lost_runs: u64,
+    /// Ends listed of runs whose task had been started again, since the term began.
+    pub ends_after_next_start: u64,
     /// Copies of stragglers planned since the term began.
     pub planned_copies: u64,
     /// Runs stopped for steps of a higher priority, since the term began.
@@ -312,7 +312,7 @@
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
             starts_on_other_incarnations: self.starts_on_other_incarnations,
-            ends_of_lost_runs: self.ends_of_lost_runs,
+            ends_after_next_start: self.ends_after_next_start,
             planned_copies: self.copies.planned,
             stopped_for_priority: self.priority_preemptions.stopped_runs,
             fast_workers: self.speeds.fast_workers,
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -18,3 +18,4 @@
 mod tenant_limits;
 mod tenants;
 mod uneven_workers;
+mod unnoticed_restarts;
--- /dev/null
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -0,0 +1,128 @@
+//! Workers that restart under their id and are cut off before the leader has learned of it.
+//!
+//! Orders for the earlier incarnation name a lease end on a clock that has started anew, so that the
+//! next one grants the longest lease.
+
+use crate::simulation;
+use crate::simulation::Simulation;
+
+/// Time after which the clock of a worker is ahead of its successor's by more than the longest lease, in
+/// milliseconds.
+const LONG_UPTIME_MS: u64 = 20_000;
+/// Run time of a task that does not end before the longest lease, in milliseconds.
+const LONG_RUN_MS: u32 = 30_000;
+
+/// Returns a simulation of two workers, the first of which is draining, so that everything starts on
+/// the second.
+fn two_workers(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, 2, None);
+    simulation.workers[0].draining = true;
+    simulation
+}
+
+fn submit_long(simulation: &mut Simulation) {
+    let step = simulation::step(1, 1_000, LONG_RUN_MS);
+    simulation.submit(simulation::job(1, "long", step));
+}
+
+/// Runs until the second worker has executed its first start order.
+fn run_until_started(simulation: &mut Simulation) {
+    for _ in 0..200 {
+        simulation.run_ms(1);
+        if simulation.start_count > 0 {
+            return;
+        }
+    }
+    panic!("no start order was executed");
+}
+
+/// Cuts the second worker off and lets the first take work.
+fn cut_off_second(simulation: &mut Simulation) {
+    simulation.workers[1].is_partitioned = true;
+    simulation.workers[0].draining = false;
+}
+
+/// Two runs of a task at the same time: the next incarnation executes a start order, confirms it, and is
+/// cut off before it lists its runs.
+#[test]
+fn run_confirmed_by_an_unnoticed_incarnation_is_not_started_again_during_its_lease() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+        simulation.faults.lost_renewals = 1.0;
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation);
+        cut_off_second(&mut simulation);
+        simulation.faults.lost_renewals = 0.0;
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 2, "the task was not started again");
+    }
+}
+
+/// Two runs of a task at the same time: the next incarnation executes a start order, and is cut off before
+/// its answer arrives.
+#[test]
+fn unanswered_run_on_an_unnoticed_incarnation_is_not_started_again_during_its_lease() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+        simulation.faults.lost_answers = 1.0;
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation);
+        cut_off_second(&mut simulation);
+        simulation.faults.lost_answers = 0.0;
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 2, "the task was not started again");
+    }
+}
+
+/// Two runs of a task at the same time: a worker is given up after its lease, and a renewal for it is
+/// executed late by the next incarnation, which the leader takes for a new worker.
+#[test]
+fn late_renewal_for_a_worker_that_was_given_up_is_counted_on_its_next_incarnation() {
+    for seed in 0..20 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        submit_long(&mut simulation);
+        simulation.run_ms(1_000);
+        simulation.faults.late_renewals = 1.0;
+        simulation.run_ms(1_500);
+        simulation.workers[1].is_up = false;
+        simulation.faults.late_renewals = 0.0;
+        simulation.run_ms(6_500);
+        simulation.workers[1].restart();
+        simulation.run_ms(3_000);
+        cut_off_second(&mut simulation);
+        simulation.run_ms(30_000);
+        let last = simulation.starts.last();
+        assert_eq!(last.map(|(_, _, worker)| *worker), Some(0));
+    }
+}
+
+/// Two runs of a task at the same time: a renewal of an earlier leader for an incarnation that had no
+/// runs any more is executed late by the next one, before the first call of the new leader.
+#[test]
+fn late_renewal_of_an_earlier_leader_is_counted_by_the_next_leader() {
+    for seed in 0..20 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.faults.late_renewals = 1.0;
+        let short = simulation::step(1, 1_000, 300);
+        simulation.submit(simulation::job(2, "short", short));
+        run_until_started(&mut simulation);
+        simulation.faults.late_renewals = 0.0;
+        simulation.run_ms(3_000);
+        simulation.kill_leader();
+        simulation.workers[1].restart();
+        simulation.run_ms(5_000);
+        simulation.elect_leader();
+        submit_long(&mut simulation);
+        simulation.run_ms(200);
+        assert_eq!(simulation.start_count, 2, "the task was not started");
+        cut_off_second(&mut simulation);
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 3, "the task was not started again");
+    }
+}
