jobs: keep runs that an unnoticed incarnation of their worker may have

Cause: orders name a worker by its id only. The next incarnation executes them, and as its clock starts anew, the end of the lease that they name lies far ahead there: it grants the longest lease, 10 s. The leader counted that only once it had seen the restart. If the worker was cut off first, the run was given up after 5.4 s, by the lease of the incarnation before, and started elsewhere while it went on.

Change: a run is proven once the incarnation has listed it, or confirmed it with its own clock. On a worker that does not answer, the others are kept for a call of 1.2 s and the longest lease (11.7 s) after the last order that grants one. A start confirmed by another clock ends starts and leases on the worker until a listing shows its incarnation. The first renewal of a worker that was idle asks for its listing at once. No run is planned on a worker while a start order there has no answer, so that few runs have to be kept.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -234,6 +234,21 @@
         &mut self,
         incarnation: &model::WorkerIncarnation,
         clock: event::Clock,
+    ) {
+        let runs = self.workers.get(incarnation).map(|worker| &worker.runs);
+        let keys: Vec<_> = runs
+            .into_iter()
+            .flat_map(|runs| runs.keys().copied())
+            .collect();
+        self.record_losses_of(incarnation, &keys, clock);
+    }
+
+    /// Records that some runs of an incarnation are lost; otherwise as [`Self::record_losses`].
+    pub(crate) fn record_losses_of(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        keys: &[model::RunKey],
+        clock: event::Clock,
     ) {
         let Some(worker) = self.workers.get(incarnation) else {
             return;
@@ -243,10 +258,11 @@
             return;
         }
         let address = self.address_of(incarnation);
-        let executed = worker.runs.iter();
-        let executed = executed.filter(|(_, run)| run.phase != worker::RunPhase::Planned);
+        let runs = keys.iter();
+        let runs = runs.filter_map(|key| Some((*key, worker.runs.get(key)?)));
+        let executed = runs.filter(|(_, run)| run.phase != worker::RunPhase::Planned);
         let executed: Vec<_> = executed
-            .map(|(key, run)| (*key, run.is_start_undecided()))
+            .map(|(key, run)| (key, run.is_start_undecided()))
             .collect();
         let early = early_runs(worker);
         // Orders that no worker confirms are more often lost with it than the cause of its crash.
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -241,8 +241,13 @@
     ) {
         let is_rejected = matches!(outcome, worker_api::StartOutcome::Rejected(_));
         self.decide_lost_start(incarnation, key, is_rejected, clock);
+        if outcome == worker_api::StartOutcome::NoAnswer
+            && let Some(worker) = self.workers.get_mut(incarnation)
+        {
+            worker.record_unanswered(clock.now);
+        }
         if let worker_api::StartOutcome::Started(Some(reading)) = &outcome {
-            self.check_clock_of_start(incarnation, key, *reading, clock);
+            self.attribute_start(incarnation, key, *reading, clock);
         }
         let Some(run) = self.run_mut(incarnation, key) else {
             return;
@@ -289,28 +294,41 @@
         }
     }
 
-    /// Compares the clock in the answer to a start order with that of the incarnation to which the order
-    /// was addressed.
-    fn check_clock_of_start(
+    /// Records which incarnation has executed a start order, by the clock in its answer.
+    ///
+    /// If that is not the one to which the order was addressed, the worker has restarted: it gets no more starts or leases
+    /// until a listing shows its incarnation.
+    fn attribute_start(
         &mut self,
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
         reading: worker_api::ClockReading,
         clock: event::Clock,
     ) {
-        let worker = self.workers.get(incarnation);
-        let deviation =
-            worker.and_then(|one| one.clock_deviation(reading, &self.settings, clock.now));
-        if deviation.is_none_or(|one| one < worker::MAX_CLOCK_DEVIATION) {
+        let Some(worker) = self.workers.get_mut(incarnation) else {
+            return;
+        };
+        let Some(deviation) = worker.clock_deviation(reading, &self.settings, clock.now) else {
+            return;
+        };
+        if deviation <= worker::MAX_OWN_CLOCK_DEVIATION {
+            worker.record_confirmation();
+            if let Some(run) = worker.runs.get_mut(&key) {
+                run.is_proven = true;
+            }
+            return;
+        }
+        if deviation < worker::MIN_OTHER_CLOCK_DEVIATION {
             return;
         }
+        worker.silent_since.get_or_insert(clock.now);
         self.starts_on_other_incarnations += 1;
         log::warn!(
             run:% = run_name(key),
             worker:% = incarnation.worker_id,
             born_ms = incarnation.born_ms,
             clock_ms = reading.clock_ms,
-            deviation_ms = deviation.map(|one| one.as_millis() as u64);
+            deviation_ms = deviation.as_millis() as u64;
             "start order executed by another incarnation of the worker, as its clock shows"
         );
     }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -84,7 +84,7 @@
     /// Starts a pass over the waiting steps.
     pub(crate) fn new_pass(&self, clock: event::Clock) -> pass::Pass {
         let workers = self.workers.values().enumerate();
-        let usable = workers.filter(|(_, worker)| worker.accepts_runs(clock.now));
+        let usable = workers.filter(|(_, worker)| worker.accepts_plans(clock.now));
         let pass = pass::Pass::new(
             usable.map(|(index, _)| index).collect(),
             self.suspect_workers(clock),
@@ -641,7 +641,7 @@
         worker_ids
             .filter_map(|worker_id| self.newest_incarnations.get(worker_id))
             .filter_map(|incarnation| self.workers.get_key_value(incarnation))
-            .filter(move |(_, worker)| worker.accepts_runs(clock.now))
+            .filter(move |(_, worker)| worker.accepts_plans(clock.now))
     }
 
     /// Returns the workers on which a step may start once they have capacity and, if its queue
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -109,6 +109,7 @@
             drains: draining::Drains::default(),
             copies: speculation::Copies::default(),
             moved_runs: 0,
+            runs_kept_beyond_lease: 0,
             starts_on_other_incarnations: 0,
             ends_after_next_start: 0,
             journal: journal::Journal::default(),
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -10,10 +10,14 @@
 use crate::event;
 use crate::job;
 use crate::scheduler;
+use crate::settings;
 use crate::worker;
 
 /// Longest delay with which a worker executes an order that was not answered.
-const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
+pub(crate) const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
+/// Longest time from the decision of an order to its execution if the network does not delay it:
+/// instances begin a call within 900 ms, and connect within 300 ms.
+pub(crate) const MAX_UNDELAYED_CALL: time::Duration = time::Duration::from_millis(1_200);
 
 impl scheduler::Scheduler {
     /// Removes an incarnation whose worker has restarted under its id, which is a crash unless it was
@@ -76,7 +80,7 @@
         }
         let expires_at = worker
             .expires_at
-            .max(clock.now + MAX_ORDER_DELAY + self.settings.max_lease_horizon());
+            .max(clock.now + successor_horizon(&self.settings));
         let unlisted = worker.unlisted_successor(successor, expires_at);
         let target = self.workers.entry(successor.clone()).or_insert(unlisted);
         target.expires_at = target.expires_at.max(expires_at);
@@ -132,6 +136,12 @@
     }
 }
 
+/// Returns how long after an order was sent every run has certainly ended whose lease the order grants on
+/// a later incarnation than it names.
+pub(crate) fn successor_horizon(settings: &settings::Settings) -> time::Duration {
+    MAX_ORDER_DELAY + settings.max_lease_horizon()
+}
+
 /// Returns since when an order must have been sent to be executed still; `None` for ever.
 pub(crate) fn oldest_pending_order(clock: event::Clock) -> Option<time::Instant> {
     clock.now.checked_sub(MAX_ORDER_DELAY)
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -63,6 +63,9 @@
     pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
+    /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
+    /// began.
+    pub(crate) runs_kept_beyond_lease: u64,
     /// Start orders that another incarnation executed than they were addressed to, since the term began.
     pub(crate) starts_on_other_incarnations: u64,
     /// Ends listed of runs whose task had been started again, since the term began.
@@ -173,6 +176,9 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
+    /// began.
+    pub runs_kept_beyond_lease: u64,
     /// Start orders that another incarnation executed than they were addressed to, as the clock in its
     /// answer shows, since the term began.
     pub starts_on_other_incarnations: u64,
@@ -311,6 +317,7 @@
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
             moved_runs: self.moved_runs,
+            runs_kept_beyond_lease: self.runs_kept_beyond_lease,
             starts_on_other_incarnations: self.starts_on_other_incarnations,
             ends_after_next_start: self.ends_after_next_start,
             planned_copies: self.copies.planned,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use crate::maps;
+use crate::restarts;
 use crate::settings;
 use crate::speed;
 use crate::speed_tracking;
@@ -21,9 +22,13 @@
 const MAX_REMOVED_UNANSWERED: usize = 64;
 /// Age of a worker's last answer from which it may have restarted since.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(200);
-/// Difference between a reading of a worker's clock and the time expected there from which the reading
-/// is another incarnation's. Answers spend less time on their way, and no worker restarts faster.
-pub(crate) const MAX_CLOCK_DEVIATION: time::Duration = time::Duration::from_millis(500);
+/// Largest difference between a reading of a worker's clock and the time expected there with which the
+/// reading counts as this incarnation's: answers usually spend less time on their way, and no worker
+/// restarts faster.
+pub(crate) const MAX_OWN_CLOCK_DEVIATION: time::Duration = time::Duration::from_millis(500);
+/// Difference from which a reading counts as another incarnation's: no answer that is still used is
+/// delayed for so long.
+pub(crate) const MIN_OTHER_CLOCK_DEVIATION: time::Duration = time::Duration::from_secs(5);
 
 /// One incarnation of a worker, as the leader sees it.
 #[derive(Debug)]
@@ -60,6 +65,12 @@
     call_check_at: Option<time::Instant>,
     /// When every run there has certainly ended, unless the lease is renewed again.
     pub(crate) expires_at: time::Instant,
+    /// When this leader last sent an order that grants a lease.
+    last_lease_at: Option<time::Instant>,
+    /// Since when a start order has not been answered and nothing else has shown that it works.
+    unanswered_since: Option<time::Instant>,
+    /// Whether runs were kept beyond `expires_at` since the worker last answered.
+    pub(crate) keeps_runs_beyond_lease: bool,
     /// When the lease that this leader has granted last expires; runs of an earlier leader or of an
     /// earlier incarnation may go on until `expires_at`.
     pub(crate) lease_expires_at: Option<time::Instant>,
@@ -108,6 +119,9 @@
     pub(crate) planned_at: time::Instant,
     /// When the worker confirmed the run to this leader; `None` before that.
     pub(crate) confirmed_at: Option<time::Instant>,
+    /// Whether this incarnation is known to have executed a start order of the run: it has listed the
+    /// run, or confirmed it with a reading of its own clock.
+    pub(crate) is_proven: bool,
     /// Whether a start order may have been received without an answer.
     pub(crate) unanswered: bool,
     /// Start orders sent.
@@ -201,6 +215,9 @@
             renewal: RenewalState::default(),
             call_check_at: None,
             expires_at,
+            last_lease_at: None,
+            unanswered_since: None,
+            keeps_runs_beyond_lease: false,
             lease_expires_at: None,
             silent_since: None,
             health: Health::default(),
@@ -416,6 +433,12 @@
         self.clock.map(|(_, read_at)| read_at)
     }
 
+    /// Returns whether its last listing is at most `age` old.
+    pub(crate) fn was_heard_within(&self, age: time::Duration, now: time::Instant) -> bool {
+        self.heard_at()
+            .is_some_and(|at| now.saturating_duration_since(at) <= age)
+    }
+
     /// Returns the time on the worker's clock, in milliseconds, at which a lease granted now ends;
     /// `None` if the clock is not known.
     ///
@@ -437,6 +460,54 @@
         let expires_at = now + settings.lease_horizon();
         self.lease_expires_at = Some(expires_at);
         self.expires_at = self.expires_at.max(expires_at);
+        self.last_lease_at = Some(now);
+    }
+
+    /// Returns when a run has certainly ended if the worker does not answer any more.
+    ///
+    /// Orders name a worker by its id only. What this incarnation is not known to have executed may have
+    /// been executed by the next one, whose clock starts anew, so that it grants the longest lease.
+    pub(crate) fn run_expires_at(
+        &self,
+        run: &WorkerRun,
+        settings: &settings::Settings,
+    ) -> time::Instant {
+        let last_lease_at = self.last_lease_at.filter(|_| self.may_be_on_successor(run));
+        last_lease_at.map_or(self.expires_at, |at| {
+            let horizon = restarts::MAX_UNDELAYED_CALL + settings.max_lease_horizon();
+            self.expires_at.max(at + horizon)
+        })
+    }
+
+    /// Returns whether a later incarnation may have executed a start order of the run.
+    fn may_be_on_successor(&self, run: &WorkerRun) -> bool {
+        if run.phase == RunPhase::Planned {
+            return false;
+        }
+        // The order that was not answered may have been executed after this incarnation had ended,
+        // unless it has answered since.
+        let has_pending_order = run.unanswered
+            && run.ordered_at.is_some_and(|ordered_at| {
+                let executed_by = ordered_at + restarts::MAX_UNDELAYED_CALL;
+                self.heard_at().is_none_or(|at| at < executed_by)
+            });
+        !run.is_proven || has_pending_order
+    }
+
+    /// Records that a start order was not answered.
+    pub(crate) fn record_unanswered(&mut self, now: time::Instant) {
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Records that a start order was confirmed with a reading of the worker's clock.
+    pub(crate) fn record_confirmation(&mut self) {
+        self.unanswered_since = None;
+    }
+
+    /// Returns whether a run may be planned there: if it does not answer, as few runs as possible have to
+    /// be given up.
+    pub(crate) fn accepts_plans(&self, now: time::Instant) -> bool {
+        self.accepts_runs(now) && self.unanswered_since.is_none()
     }
 
     /// Updates the worker's health by how a run ended.
@@ -504,6 +575,7 @@
     /// Records that the worker has answered the last renewal.
     pub(crate) fn record_answer(&mut self, now: time::Instant) {
         self.answered_at = Some(now);
+        self.unanswered_since = None;
         self.forgotten_up_to = self.forgotten_up_to.max(self.renewal.forgets_up_to);
     }
 
@@ -528,6 +600,7 @@
             since: now,
             planned_at: now,
             confirmed_at: None,
+            is_proven: false,
             unanswered: false,
             attempts: 0,
             ordered_at: None,
@@ -568,6 +641,7 @@
         // Answers to orders for the earlier incarnation are not waited for.
         self.unanswered |= std::mem::take(&mut self.awaits_answer);
         self.confirmed_at = None;
+        self.is_proven = false;
         self.progress = None;
         self.pace = speed::Pace::default();
         self.first_progress = None;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -22,8 +22,14 @@
 /// Shortest time between two renewals of a worker, so that runs that end at about the same time are
 /// reported by one.
 const MIN_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(10);
+/// Longest time that a renewal and its answer usually spend on their way. A worker that was not heard of
+/// for longer than a renewal waits, and this, was idle and may have restarted: the answer, which shows that, is
+/// not delayed.
+const RENEWAL_TRANSFER: time::Duration = time::Duration::from_millis(500);
 /// Age of the last reading of a worker's clock from which it is read again.
 const MAX_CLOCK_READING_AGE: time::Duration = time::Duration::from_secs(30);
+/// Why runs on a worker that does not answer are lost.
+const LEASE_EXPIRED: &str = "no answer until the lease expired";
 /// Longest time between two checks of which calls to a worker are due.
 const MAX_CALL_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -143,6 +149,8 @@
     }
 
     /// Marks runs as lost on workers that do not answer and whose lease has certainly expired.
+    ///
+    /// Runs that a later incarnation may have are kept until its lease has expired, too.
     pub(crate) fn lose_runs_on_expired(&mut self, clock: event::Clock) {
         let expired = self.workers.iter().filter(|(_, worker)| {
             let is_silent = worker.silent_since.is_some() || worker.report.is_none();
@@ -153,18 +161,56 @@
             .map(|(incarnation, worker)| {
                 let has_pending_orders = worker.runs.values().any(|run| run.unanswered)
                     || worker.removed_unanswered(sent_after).next().is_some();
-                (incarnation.clone(), worker.is_listed || has_pending_orders)
+                let mut runs = worker.runs.values();
+                let keeps_runs =
+                    runs.any(|run| worker.run_expires_at(run, &self.settings) >= clock.now);
+                let is_kept = worker.is_listed || has_pending_orders || keeps_runs;
+                (incarnation.clone(), is_kept)
             })
             .collect();
         for (incarnation, is_kept) in expired {
             if is_kept {
-                self.lose_all_runs(&incarnation, "no answer until the lease expired", clock);
+                self.lose_expired_runs(&incarnation, clock);
             } else {
-                self.end_incarnation(&incarnation, "no answer until the lease expired", clock);
+                self.end_incarnation(&incarnation, LEASE_EXPIRED, clock);
             }
         }
     }
 
+    /// Marks those runs of a worker that does not answer as lost that have certainly ended.
+    fn lose_expired_runs(&mut self, incarnation: &model::WorkerIncarnation, clock: event::Clock) {
+        let Some(worker) = self.workers.get_mut(incarnation) else {
+            return;
+        };
+        let settings = &self.settings;
+        let expiries = worker.runs.iter();
+        let expiries = expiries.map(|(key, run)| (*key, worker.run_expires_at(run, settings)));
+        let (lost, kept): (Vec<_>, Vec<_>) = expiries.partition(|(_, at)| *at < clock.now);
+        let lost: Vec<_> = lost.into_iter().map(|(key, _)| key).collect();
+        let kept_until = kept.iter().map(|(_, at)| *at).max();
+        if let Some(until) = kept_until
+            && !worker.keeps_runs_beyond_lease
+        {
+            worker.keeps_runs_beyond_lease = true;
+            self.runs_kept_beyond_lease += kept.len() as u64;
+            log::info!(
+                worker:% = incarnation.worker_id,
+                born_ms = incarnation.born_ms,
+                runs = kept.len(),
+                lost = lost.len(),
+                left_ms = until.saturating_duration_since(clock.now).as_millis() as u64;
+                "runs kept beyond the lease, as the next incarnation of the worker may have them"
+            );
+        }
+        if lost.is_empty() {
+            return;
+        }
+        self.record_losses_of(incarnation, &lost, clock);
+        for key in lost {
+            self.lose_run(incarnation, key, LEASE_EXPIRED, clock);
+        }
+    }
+
     fn lose_all_runs(
         &mut self,
         incarnation: &model::WorkerIncarnation,
@@ -233,6 +279,7 @@
         let may_wait = worker.is_fenced
             && !must_check_incarnation
             && worker.silent_since.is_none()
+            && worker.was_heard_within(settings.max_renewal_wait + RENEWAL_TRANSFER, clock.now)
             && !worker.runs.is_empty()
             && !worker.has_pending_ends();
         let order = worker_api::RenewalOrder {
@@ -334,6 +381,7 @@
         let read_at = clock.now.checked_sub(listing.age).unwrap_or(clock.now);
         worker.record_clock(listing.clock_ms, read_at);
         let was_silent = worker.silent_since.take();
+        worker.keeps_runs_beyond_lease = false;
         if let Some(since) = was_silent {
             let silent_ms = clock.now.saturating_duration_since(since).as_millis() as u64;
             log::info!(worker:% = incarnation.worker_id, silent_ms; "worker answers again");
@@ -396,6 +444,7 @@
         let Some(run) = self.run_mut(incarnation, key) else {
             return;
         };
+        run.is_proven = true;
         let is_confirmed = matches!(
             run.phase,
             worker::RunPhase::Starting
