jobs: keep what is known of a silent worker while orders for it may be executed

Cause: a worker that did not answer, was not listed and whose lease had expired was forgotten. A renewal for it that its next incarnation executed later extended that one's lease to the longest, and the leader took that one for a new worker: it gave its runs up by the ordinary lease.

If the next incarnation is listed meanwhile, the lease is counted there, as for any restart.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -494,6 +494,17 @@
         !run.is_proven || has_pending_order
     }
 
+    /// Returns whether no order of this leader can have an effect any more, on this incarnation or on the
+    /// next one.
+    pub(crate) fn are_orders_over(
+        &self,
+        settings: &settings::Settings,
+        now: time::Instant,
+    ) -> bool {
+        let last = self.last_lease_at;
+        last.is_none_or(|at| at + restarts::successor_horizon(settings) < now)
+    }
+
     /// Records that a start order was not answered.
     pub(crate) fn record_unanswered(&mut self, now: time::Instant) {
         self.unanswered_since.get_or_insert(now);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -150,7 +150,9 @@
 
     /// Marks runs as lost on workers that do not answer and whose lease has certainly expired.
     ///
-    /// Runs that a later incarnation may have are kept until its lease has expired, too.
+    /// Runs that a later incarnation may have are kept until its lease has expired, too, and so is what
+    /// is known of the worker: if the next incarnation is listed meanwhile, orders for this one may have
+    /// extended its lease.
     pub(crate) fn lose_runs_on_expired(&mut self, clock: event::Clock) {
         let expired = self.workers.iter().filter(|(_, worker)| {
             let is_silent = worker.silent_since.is_some() || worker.report.is_none();
@@ -161,10 +163,9 @@
             .map(|(incarnation, worker)| {
                 let has_pending_orders = worker.runs.values().any(|run| run.unanswered)
                     || worker.removed_unanswered(sent_after).next().is_some();
-                let mut runs = worker.runs.values();
-                let keeps_runs =
-                    runs.any(|run| worker.run_expires_at(run, &self.settings) >= clock.now);
-                let is_kept = worker.is_listed || has_pending_orders || keeps_runs;
+                let is_kept = worker.is_listed
+                    || has_pending_orders
+                    || !worker.are_orders_over(&self.settings, clock.now);
                 (incarnation.clone(), is_kept)
             })
             .collect();
