jobs: count leases that late orders of an earlier leader may grant

Cause: a new leader knows only the runs that are stored. An order of the leader before for an incarnation that had no runs any more, executed late by the next one before the new leader had called that, left it with the longest lease; the new leader counted the ordinary one for the runs that it started there.

--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -22,6 +22,7 @@
 use crate::quarantine;
 use crate::record;
 use crate::reservations;
+use crate::restarts;
 use crate::scheduler;
 use crate::settings;
 use crate::speculation;
@@ -30,6 +31,9 @@
 use crate::worker;
 use crate::workers;
 
+/// Term of the first leader, which no other has led before.
+const FIRST_TERM: model::Term = 1;
+
 /// Collects the stored records, then builds the scheduler of a new term.
 #[derive(Debug, Default)]
 pub struct Recovery {
@@ -109,6 +113,10 @@
             drains: draining::Drains::default(),
             copies: speculation::Copies::default(),
             moved_runs: 0,
+            earlier_orders_end_at: match term {
+                ..=FIRST_TERM => clock.now,
+                _ => clock.now + leadership_timeout + restarts::MAX_ORDER_DELAY,
+            },
             runs_kept_beyond_lease: 0,
             starts_on_other_incarnations: 0,
             ends_after_next_start: 0,
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -390,6 +390,12 @@
         let is_first_answer = !worker.is_fenced;
         if is_first_answer {
             worker.is_fenced = true;
+            if clock.now < self.earlier_orders_end_at {
+                // An order of an earlier leader for the incarnation before may have granted the longest
+                // lease here; from now on this incarnation rejects such orders.
+                let expires_at = clock.now + self.settings.max_lease_horizon();
+                worker.expires_at = worker.expires_at.max(expires_at);
+            }
             self.placement_needed = true;
         }
         if is_first_answer || was_silent.is_some() {
