serve: wait for the dropping of a body once, not for each chunk

In an unoptimized build, a body of 262,144 bytes in chunks of one byte takes 3.1 s of processor time, more than the 2,850 ms that a request has: each chunk polls hyper, the router and the handler once. The reply is then a 504, and single_body_of_the_largest_size_is_served fails at its chunked request. The wait for the dropping of the body was created, registered and dropped again for each chunk; it is now kept until it ends.

This does not make the test pass.

--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -193,15 +193,18 @@
         let budget = self.connection.budget();
         let id = self.connection.id();
         let shed = self.connection.body_shed();
+        // Registered once and not for each chunk, of which a body may have one a byte.
+        let mut dropped = pin::pin!(shed.notified());
         loop {
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
-                () = shed.notified() => {
+                () = dropped.as_mut() => {
                     // A notification may be left from an earlier body.
                     if self.is_begun && budget.is_shed(id) {
                         return Err(BodyError::Overloaded);
                     }
+                    dropped.set(shed.notified());
                     continue;
                 }
             };
