jobs: ask a worker that has not answered a start for its listing

Cause: plans no run on a worker with an unanswered start until it has answered. If the run had ended and was listed before the order timed out, nothing asked the worker again for 30 s, and it got no work.

Change: only an unanswered start of a run that is being started counts, and the worker is asked for its listing at once until it answers. The workers set aside for suspects are those that take plans.

Test: worker_gets_work_after_a_short_run_whose_start_was_not_answered fails before (no second start) and passes now.

--- a/crates/jobs/src/isolation.rs
+++ b/crates/jobs/src/isolation.rs
@@ -228,7 +228,7 @@
             }
             let is_usable = |worker: &worker::Worker| {
                 let report = worker.report.as_ref();
-                worker.accepts_runs(clock.now)
+                worker.accepts_plans(clock.now)
                     && report.is_some_and(|report| report.pool == *pool)
                     && !worker.runs.keys().any(|run| self.is_long_running(run.task))
             };
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -241,11 +241,6 @@
     ) {
         let is_rejected = matches!(outcome, worker_api::StartOutcome::Rejected(_));
         self.decide_lost_start(incarnation, key, is_rejected, clock);
-        if outcome == worker_api::StartOutcome::NoAnswer
-            && let Some(worker) = self.workers.get_mut(incarnation)
-        {
-            worker.record_unanswered(clock.now);
-        }
         if let worker_api::StartOutcome::Started(Some(reading)) = &outcome {
             self.attribute_start(incarnation, key, *reading, clock);
         }
@@ -274,12 +269,16 @@
                     tries = run.attempts;
                     "start order not answered"
                 );
-                if is_starting && run.may_retry_start() {
+                let may_retry = run.may_retry_start();
+                if is_starting && may_retry {
                     let next = worker::RunPhase::Retrying(clock.now + START_RETRY_PAUSE);
                     run.set_phase(next, clock.now);
                 } else if is_starting {
                     self.stop_run_and_gang(incarnation, key, clock);
                 }
+                if is_starting && let Some(worker) = self.workers.get_mut(incarnation) {
+                    worker.record_start_answer(false);
+                }
             }
             worker_api::StartOutcome::Rejected(reason) => {
                 log::info!(
@@ -312,7 +311,7 @@
             return;
         };
         if deviation <= worker::MAX_OWN_CLOCK_DEVIATION {
-            worker.record_confirmation();
+            worker.record_start_answer(true);
             if let Some(run) = worker.runs.get_mut(&key) {
                 run.is_proven = true;
             }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -67,8 +67,8 @@
     pub(crate) expires_at: time::Instant,
     /// When this leader last sent an order that grants a lease.
     last_lease_at: Option<time::Instant>,
-    /// Since when a start order has not been answered and nothing else has shown that it works.
-    unanswered_since: Option<time::Instant>,
+    /// Whether it has not answered a start order, nor anything after that.
+    has_unanswered_start: bool,
     /// Whether runs were kept beyond `expires_at` since the worker last answered.
     pub(crate) keeps_runs_beyond_lease: bool,
     /// When the lease that this leader has granted last expires; runs of an earlier leader or of an
@@ -216,7 +216,7 @@
             call_check_at: None,
             expires_at,
             last_lease_at: None,
-            unanswered_since: None,
+            has_unanswered_start: false,
             keeps_runs_beyond_lease: false,
             lease_expires_at: None,
             silent_since: None,
@@ -505,20 +505,24 @@
         last.is_none_or(|at| at + restarts::successor_horizon(settings) < now)
     }
 
-    /// Records that a start order was not answered.
-    pub(crate) fn record_unanswered(&mut self, now: time::Instant) {
-        self.unanswered_since.get_or_insert(now);
+    /// Records whether it has answered a start order.
+    pub(crate) fn record_start_answer(&mut self, is_answered: bool) {
+        self.has_unanswered_start = !is_answered;
+        self.request_call_check();
     }
 
-    /// Records that a start order was confirmed with a reading of the worker's clock.
-    pub(crate) fn record_confirmation(&mut self) {
-        self.unanswered_since = None;
+    /// Returns whether it must be asked for a listing, as it has not answered a start order.
+    pub(crate) fn has_unanswered_start(&self) -> bool {
+        self.has_unanswered_start
     }
 
-    /// Returns whether a run may be planned there: if it does not answer, as few runs as possible have to
-    /// be given up.
+    /// Returns whether runs may be planned there; orders of runs that are planned already, and their
+    /// retries, need only `accepts_runs`.
+    ///
+    /// While a start order is unanswered the worker may be gone, and what is started there would have to
+    /// be kept for long.
     pub(crate) fn accepts_plans(&self, now: time::Instant) -> bool {
-        self.accepts_runs(now) && self.unanswered_since.is_none()
+        self.accepts_runs(now) && !self.has_unanswered_start
     }
 
     /// Updates the worker's health by how a run ended.
@@ -586,7 +590,7 @@
     /// Records that the worker has answered the last renewal.
     pub(crate) fn record_answer(&mut self, now: time::Instant) {
         self.answered_at = Some(now);
-        self.unanswered_since = None;
+        self.has_unanswered_start = false;
         self.forgotten_up_to = self.forgotten_up_to.max(self.renewal.forgets_up_to);
     }
 
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -280,6 +280,7 @@
         let may_wait = worker.is_fenced
             && !must_check_incarnation
             && worker.silent_since.is_none()
+            && !worker.has_unanswered_start()
             && worker.was_heard_within(settings.max_renewal_wait + RENEWAL_TRANSFER, clock.now)
             && !worker.runs.is_empty()
             && !worker.has_pending_ends();
@@ -572,7 +573,10 @@
     if !worker.is_fenced || worker.silent_since.is_some() {
         return worker.is_listed || !worker.runs.is_empty();
     }
-    if worker.keeps_processed_ends() || is_clock_reading_old(worker, now) {
+    if worker.keeps_processed_ends()
+        || worker.has_unanswered_start()
+        || is_clock_reading_old(worker, now)
+    {
         return true;
     }
     let has_orders = worker
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -126,3 +126,19 @@
         assert_eq!(simulation.start_count, 3, "the task was not started again");
     }
 }
+
+/// An idle worker gets no work for 30 s: the answer to a start order was lost, and its run was listed as
+/// ended before the order timed out.
+#[test]
+fn worker_gets_work_after_a_short_run_whose_start_was_not_answered() {
+    let mut simulation = Simulation::new(1, 1, None);
+    simulation.run_ms(1_000);
+    simulation.faults.lost_answers = 1.0;
+    let short = simulation::step(1, 1_000, 100);
+    simulation.submit(simulation::job(1, "short", short.clone()));
+    simulation.run_ms(1_000);
+    simulation.faults.lost_answers = 0.0;
+    simulation.submit(simulation::job(2, "short", short));
+    simulation.run_ms(200);
+    assert_eq!(simulation.start_count, 2);
+}
