jobs: count leases on the next incarnation for as long as they may last

Cause: when the leader learned of a restart more than 12 s after the last lease for the incarnation before, it counted nothing on the next one. An order that is executed 12 s late grants the longest lease from then on, until 22.5 s after it was sent.

Change: the lease is counted until no order for the incarnation before can have an effect, as the entry is kept.

Test: late_renewal_is_counted_if_the_restart_is_noticed_after_the_longest_delay fails before, with two runs of a task, and passes now.

--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -73,8 +73,7 @@
         let moved: Vec<_> = moved.collect();
         // All runs on a worker have one lease, which a late renewal for the earlier incarnation extends
         // on the next one.
-        let has_recent_lease =
-            worker.lease_expires_at >= sent_after.map(|at| at + self.settings.lease_horizon());
+        let has_recent_lease = !worker.are_orders_over(&self.settings, clock.now);
         if moved.is_empty() && !has_recent_lease && worker.expires_at <= clock.now {
             return;
         }
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -25,11 +25,11 @@
     simulation.submit(simulation::job(1, "long", step));
 }
 
-/// Runs until the second worker has executed its first start order.
-fn run_until_started(simulation: &mut Simulation) {
-    for _ in 0..200 {
+/// Runs until this many start orders have been executed.
+fn run_until_started(simulation: &mut Simulation, count: u32) {
+    for _ in 0..14_000 {
         simulation.run_ms(1);
-        if simulation.start_count > 0 {
+        if simulation.start_count == count {
             return;
         }
     }
@@ -52,7 +52,7 @@
         simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
         simulation.faults.lost_renewals = 1.0;
         submit_long(&mut simulation);
-        run_until_started(&mut simulation);
+        run_until_started(&mut simulation, 1);
         cut_off_second(&mut simulation);
         simulation.faults.lost_renewals = 0.0;
         simulation.run_ms(30_000);
@@ -70,7 +70,7 @@
         simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
         simulation.faults.lost_answers = 1.0;
         submit_long(&mut simulation);
-        run_until_started(&mut simulation);
+        run_until_started(&mut simulation, 1);
         cut_off_second(&mut simulation);
         simulation.faults.lost_answers = 0.0;
         simulation.run_ms(30_000);
@@ -101,6 +101,30 @@
     }
 }
 
+/// Two runs of a task at the same time: the next incarnation executes a renewal late, and is noticed more
+/// than 12 s after that was sent, when the lease lasts on.
+#[test]
+fn late_renewal_is_counted_if_the_restart_is_noticed_after_the_longest_delay() {
+    for seed in 0..40 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        submit_long(&mut simulation);
+        simulation.run_ms(1_000);
+        simulation.faults.late_renewals = 1.0;
+        simulation.run_ms(1_500);
+        simulation.faults.late_renewals = 0.0;
+        simulation.faults.lost_renewals = 1.0;
+        let listed_at_ms = simulation.now_ms + 13_000;
+        simulation.workers[1].restart_unlisted(listed_at_ms);
+        simulation.run_ms(12_500);
+        simulation.faults.lost_renewals = 0.0;
+        run_until_started(&mut simulation, 2);
+        cut_off_second(&mut simulation);
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 3, "the task was not started again");
+    }
+}
+
 /// Two runs of a task at the same time: a renewal of an earlier leader for an incarnation that had no
 /// runs any more is executed late by the next one, before the first call of the new leader.
 #[test]
@@ -111,7 +135,7 @@
         simulation.faults.late_renewals = 1.0;
         let short = simulation::step(1, 1_000, 300);
         simulation.submit(simulation::job(2, "short", short));
-        run_until_started(&mut simulation);
+        run_until_started(&mut simulation, 1);
         simulation.faults.late_renewals = 0.0;
         simulation.run_ms(3_000);
         simulation.kill_leader();
