jobs: horizons of a new leader include the longest lease

Cause: a new leader gave runs up by the ordinary lease of the leader before, although a run may be on an incarnation that nobody has noticed; only the leadership timeout of 9 s made up for that. And it counted leases by late orders of the leader before at a worker's first answer only while such orders may be executed, not while the leases last that they grant.

Change: inherited runs are kept for a call and the longest lease at least (11.7 s; with the timeout of 9 s it is 14.4 s, as before), and first answers count for 12 s and the longest lease after the timeout.

Tests: new_leader_does_not_give_up_a_run_on_an_unnoticed_incarnation_during_its_lease, and late_renewal_of_an_earlier_leader_is_counted_by_the_next_leader with a first call after 13 s, fail before with two runs of a task, and pass now.

--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -95,6 +95,7 @@
         leadership_timeout: time::Duration,
         clock: event::Clock,
     ) -> scheduler::Scheduler {
+        let successor_horizon = restarts::successor_horizon(&settings);
         let mut scheduler = scheduler::Scheduler {
             settings,
             term,
@@ -115,7 +116,7 @@
             moved_runs: 0,
             earlier_orders_end_at: match term {
                 ..=FIRST_TERM => clock.now,
-                _ => clock.now + leadership_timeout + restarts::MAX_ORDER_DELAY,
+                _ => clock.now + leadership_timeout + successor_horizon,
             },
             runs_kept_beyond_lease: 0,
             starts_on_other_incarnations: 0,
@@ -233,7 +234,11 @@
 
     /// Adds every run that an earlier leader may have started.
     fn inherit_runs(&mut self, leadership_timeout: time::Duration, clock: event::Clock) {
-        let expires_at = clock.now + leadership_timeout + self.settings.lease_horizon();
+        // A run of an earlier leader may be on an incarnation that nobody has noticed, like one of this
+        // leader: that leader has sent no order since, or goes on until it notices its end.
+        let undelayed_horizon = restarts::undelayed_horizon(&self.settings);
+        let horizon = leadership_timeout + self.settings.lease_horizon();
+        let expires_at = clock.now + horizon.max(undelayed_horizon);
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
             let tenant = self.tenancy.enter(state.tenant.as_ref());
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -141,6 +141,12 @@
     MAX_ORDER_DELAY + settings.max_lease_horizon()
 }
 
+/// Returns how long after an order was sent every run has certainly ended whose lease the order grants on
+/// a later incarnation than it names, if the network has not delayed the order.
+pub(crate) fn undelayed_horizon(settings: &settings::Settings) -> time::Duration {
+    MAX_UNDELAYED_CALL + settings.max_lease_horizon()
+}
+
 /// Returns since when an order must have been sent to be executed still; `None` for ever.
 pub(crate) fn oldest_pending_order(clock: event::Clock) -> Option<time::Instant> {
     clock.now.checked_sub(MAX_ORDER_DELAY)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -474,8 +474,8 @@
     ) -> time::Instant {
         let last_lease_at = self.last_lease_at.filter(|_| self.may_be_on_successor(run));
         last_lease_at.map_or(self.expires_at, |at| {
-            let horizon = restarts::MAX_UNDELAYED_CALL + settings.max_lease_horizon();
-            self.expires_at.max(at + horizon)
+            let successor_expires_at = at + restarts::undelayed_horizon(settings);
+            self.expires_at.max(successor_expires_at)
         })
     }
 
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -129,7 +129,9 @@
 /// runs any more is executed late by the next one, before the first call of the new leader.
 #[test]
 fn late_renewal_of_an_earlier_leader_is_counted_by_the_next_leader() {
-    for seed in 0..20 {
+    // The first call comes as soon as there is a leader, or after the last order of the earlier one.
+    let first_calls_ms = [100, 13_050];
+    for (seed, first_call_ms) in (0..20).flat_map(|seed| first_calls_ms.map(|at| (seed, at))) {
         let mut simulation = two_workers(seed);
         simulation.run_ms(LONG_UPTIME_MS);
         simulation.faults.late_renewals = 1.0;
@@ -140,17 +142,40 @@
         simulation.run_ms(3_000);
         simulation.kill_leader();
         simulation.workers[1].restart();
-        simulation.run_ms(5_000);
+        simulation.run_ms(if first_call_ms > 1_000 { 0 } else { 5_000 });
+        simulation.faults.lost_renewals = 1.0;
         simulation.elect_leader();
+        simulation.run_ms(first_call_ms);
+        simulation.faults.lost_renewals = 0.0;
         submit_long(&mut simulation);
-        simulation.run_ms(200);
-        assert_eq!(simulation.start_count, 2, "the task was not started");
+        run_until_started(&mut simulation, 2);
         cut_off_second(&mut simulation);
         simulation.run_ms(30_000);
         assert_eq!(simulation.start_count, 3, "the task was not started again");
     }
 }
 
+/// Two runs of a task at the same time: an incarnation that the leader has not noticed executes a start and
+/// is cut off, and a new leader gives the run up by the ordinary lease.
+#[test]
+fn new_leader_does_not_give_up_a_run_on_an_unnoticed_incarnation_during_its_lease() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+        simulation.faults.lost_renewals = 1.0;
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation, 1);
+        simulation.run_ms(50);
+        cut_off_second(&mut simulation);
+        simulation.faults.lost_renewals = 0.0;
+        simulation.kill_leader();
+        simulation.elect_leader();
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 2, "the task was not started again");
+    }
+}
+
 /// An idle worker gets no work for 30 s: the answer to a start order was lost, and its run was listed as
 /// ended before the order timed out.
 #[test]
