jobs: call incarnations that are known from stored tasks and listings only

Cause: a run was stored on an incarnation that the directory did not list yet. A new leader knew that incarnation from the store, without an address; listings of the earlier one showed it, but nothing was to be moved, so it never got the address, was not called although it was reachable, and its runs were given up while they ran.

Change: the successor that a listing shows takes the address of the incarnation that was called.

Test: new_leader_calls_an_incarnation_that_only_listings_show fails before (the task is started again) and passes now.

--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -74,15 +74,22 @@
         // All runs on a worker have one lease, which a late renewal for the earlier incarnation extends
         // on the next one.
         let has_recent_lease = !worker.are_orders_over(&self.settings, clock.now);
-        if moved.is_empty() && !has_recent_lease && worker.expires_at <= clock.now {
+        let may_have_lease = !moved.is_empty() || has_recent_lease || worker.expires_at > clock.now;
+        if !may_have_lease && !self.workers.contains_key(successor) {
             return;
         }
-        let expires_at = worker
-            .expires_at
-            .max(clock.now + successor_horizon(&self.settings));
+        let expires_at = match may_have_lease {
+            true => worker
+                .expires_at
+                .max(clock.now + successor_horizon(&self.settings)),
+            false => clock.now,
+        };
         let unlisted = worker.unlisted_successor(successor, expires_at);
+        let report = unlisted.report.clone();
         let target = self.workers.entry(successor.clone()).or_insert(unlisted);
         target.expires_at = target.expires_at.max(expires_at);
+        // An incarnation that is known from stored tasks only cannot be called without an address.
+        target.report = target.report.take().or(report);
         if !moved.is_empty() {
             log::info!(
                 worker:% = incarnation.worker_id,
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -176,6 +176,25 @@
     }
 }
 
+/// Two runs of a task at the same time: a run is stored on an incarnation that the directory does not list yet,
+/// and a new leader never calls that one, though it is reachable.
+#[test]
+fn new_leader_calls_an_incarnation_that_only_listings_show() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation, 1);
+        simulation.run_ms(3_000);
+        simulation.workers[0].draining = false;
+        simulation.kill_leader();
+        simulation.elect_leader();
+        simulation.run_ms(30_000);
+        assert_eq!(simulation.start_count, 1, "the task was started again");
+    }
+}
+
 /// An idle worker gets no work for 30 s: the answer to a start order was lost, and its run was listed as
 /// ended before the order timed out.
 #[test]
