--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -295,8 +295,8 @@
 
     /// Records which incarnation has executed a start order, by the clock in its answer.
     ///
-    /// If that is not the one to which the order was addressed, the worker has restarted: it gets no more starts or leases
-    /// until a listing shows its incarnation.
+    /// If that is not the one to which the order was addressed, the worker has restarted: it gets no more
+    /// starts or leases until a listing shows its incarnation.
     fn attribute_start(
         &mut self,
         incarnation: &model::WorkerIncarnation,
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -16,7 +16,8 @@
 /// Longest delay with which a worker executes an order that was not answered.
 pub(crate) const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
 /// Longest time from the decision of an order to its execution if the network does not delay it:
-/// instances begin a call within 900 ms, and connect within 300 ms.
+/// instances begin a call within 900 ms (`SILENCE_LIMIT` of the controller's relays), and connect within
+/// 300 ms.
 pub(crate) const MAX_UNDELAYED_CALL: time::Duration = time::Duration::from_millis(1_200);
 
 impl scheduler::Scheduler {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -23,11 +23,11 @@
 /// Age of a worker's last answer from which it may have restarted since.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(200);
 /// Largest difference between a reading of a worker's clock and the time expected there with which the
-/// reading counts as this incarnation's: answers usually spend less time on their way, and no worker
-/// restarts faster.
+/// reading counts as this incarnation's. It covers the time that answers spend on their way; clocks of
+/// two incarnations differ by at least the uptime of the first.
 pub(crate) const MAX_OWN_CLOCK_DEVIATION: time::Duration = time::Duration::from_millis(500);
-/// Difference from which a reading counts as another incarnation's: no answer that is still used is
-/// delayed for so long.
+/// Difference from which a reading counts as another incarnation's: orders time out sooner, so that only a
+/// leader that has stood still reads an answer so late.
 pub(crate) const MIN_OTHER_CLOCK_DEVIATION: time::Duration = time::Duration::from_secs(5);
 
 /// One incarnation of a worker, as the leader sees it.
@@ -463,10 +463,12 @@
         self.last_lease_at = Some(now);
     }
 
-    /// Returns when a run has certainly ended if the worker does not answer any more.
+    /// Returns when a run counts as ended if the worker does not answer any more.
     ///
     /// Orders name a worker by its id only. What this incarnation is not known to have executed may have
     /// been executed by the next one, whose clock starts anew, so that it grants the longest lease.
+    /// Orders that the network delays beyond `restarts::MAX_UNDELAYED_CALL` are not counted before the next
+    /// incarnation is noticed: waiting for these would keep each lost task for 22 s.
     pub(crate) fn run_expires_at(
         &self,
         run: &WorkerRun,
@@ -485,7 +487,7 @@
             return false;
         }
         // The order that was not answered may have been executed after this incarnation had ended,
-        // unless it has answered since.
+        // unless this incarnation was heard of after the time that an undelayed order takes.
         let has_pending_order = run.unanswered
             && run.ordered_at.is_some_and(|ordered_at| {
                 let executed_by = ordered_at + restarts::MAX_UNDELAYED_CALL;
--- a/crates/jobs/tests/scheduler/invariants.rs
+++ b/crates/jobs/tests/scheduler/invariants.rs
@@ -15,6 +15,8 @@
     KillLeader,
     KillWorker,
     RestartWorker,
+    /// Restarts a worker that the directory lists late, and cuts it off soon after.
+    RestartUnnoticed,
     PartitionWorker,
     RepairWorkers,
     DrainWorker,
@@ -22,6 +24,9 @@
     ChangeCaps,
 }
 
+/// Time after which the clock of a worker is ahead of its successor's by more than the longest lease, in
+/// milliseconds.
+const LONG_UPTIME_MS: u64 = 20_000;
 /// Tenants of generated jobs; the third has no cap.
 const TENANTS: [&str; 3] = ["one", "two", "three"];
 
@@ -46,6 +51,13 @@
     ]
 }
 
+fn operation_with_unnoticed_restarts() -> impl Strategy<Value = Operation> {
+    prop_oneof![
+        9 => operation(),
+        1 => Just(Operation::RestartUnnoticed),
+    ]
+}
+
 fn random_job(simulation: &mut Simulation, id: model::JobId) -> model::Job {
     // Some runs are longer than a lease, so that they may continue on a partitioned worker.
     let run_ms = match simulation.random(3) {
@@ -110,6 +122,17 @@
         }
         Operation::KillWorker => simulation.workers[number].is_up = false,
         Operation::RestartWorker => simulation.restart_worker(number),
+        Operation::RestartUnnoticed => {
+            // No worker is back sooner; what was sent just after its last answer finds nobody.
+            let down_ms = 250 + simulation.random(1_000);
+            simulation.workers[number].is_up = false;
+            simulation.run_ms(down_ms);
+            let listed_at_ms = simulation.now_ms + 1_000 + simulation.random(20_000);
+            simulation.workers[number].restart_unlisted(listed_at_ms);
+            let until_cut_ms = simulation.random(1_500);
+            simulation.run_ms(until_cut_ms);
+            simulation.workers[number].is_partitioned = true;
+        }
         Operation::PartitionWorker => simulation.workers[number].is_partitioned = true,
         Operation::RepairWorkers => {
             for worker in &mut simulation.workers {
@@ -167,7 +190,11 @@
     has_tenants: bool,
     operations: &[(Operation, u64)],
 ) {
-    let mut simulation = Simulation::new(seed, 6, allowed_share);
+    let simulation = Simulation::new(seed, 6, allowed_share);
+    run_case_in(simulation, has_tenants, operations);
+}
+
+fn run_case_in(mut simulation: Simulation, has_tenants: bool, operations: &[(Operation, u64)]) {
     if has_tenants {
         use_random_caps(&mut simulation);
     }
@@ -211,6 +238,18 @@
         run_case(seed, Some(0.6), false, &operations);
     }
 
+    /// Two runs of a task at the same time: workers restart, and are cut off before anybody notices, when
+    /// their clocks are ahead of those of their next incarnations by more than the longest lease.
+    #[test]
+    fn no_task_runs_twice_around_unnoticed_restarts(
+        seed in any::<u64>(),
+        operations in prop::collection::vec((operation_with_unnoticed_restarts(), 0_u64..900), 5..60),
+    ) {
+        let mut simulation = Simulation::new(seed, 6, None);
+        simulation.run_ms(LONG_UPTIME_MS);
+        run_case_in(simulation, false, &operations);
+    }
+
     #[test]
     fn no_tenant_exceeds_its_cap(
         seed in any::<u64>(),
