--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -20,6 +20,13 @@
     pub wall_ms: u64,
 }
 
+impl Clock {
+    /// Returns how long ago `at` was, in milliseconds, for logs.
+    pub(crate) fn ms_since(self, at: time::Instant) -> u64 {
+        self.now.saturating_duration_since(at).as_millis() as u64
+    }
+}
+
 /// An input of the scheduler.
 #[derive(Debug)]
 pub enum Event {
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -234,8 +234,7 @@
 
     /// Adds every run that an earlier leader may have started.
     fn inherit_runs(&mut self, leadership_timeout: time::Duration, clock: event::Clock) {
-        // A run of an earlier leader may be on an incarnation that nobody has noticed, like one of this
-        // leader: that leader has sent no order since, or goes on until it notices its end.
+        // A run may be on an incarnation of its worker that the earlier leader had not noticed, either.
         let undelayed_horizon = restarts::undelayed_horizon(&self.settings);
         let horizon = leadership_timeout + self.settings.lease_horizon();
         let expires_at = clock.now + horizon.max(undelayed_horizon);
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -31,16 +31,14 @@
     ) {
         const EVIDENCE: &str = "worker restarted";
         if let Some(worker) = self.workers.get(incarnation) {
-            let age_ms =
-                |at: time::Instant| clock.now.saturating_duration_since(at).as_millis() as u64;
             // A renewal in flight may reach the successor.
             let pending = &worker.renewal;
             log::info!(
                 worker:% = incarnation.worker_id,
                 born_ms = incarnation.born_ms,
                 successor_born_ms = successor.born_ms,
-                heard_ms_ago = worker.heard_at().map(age_ms),
-                renewal_ms_ago = pending.sent_at.map(age_ms),
+                heard_ms_ago = worker.heard_at().map(|at| clock.ms_since(at)),
+                renewal_ms_ago = pending.sent_at.map(|at| clock.ms_since(at)),
                 renewal_forgets_up_to = pending.forgets_up_to;
                 "worker restarted under its id"
             );
@@ -90,7 +88,9 @@
         let target = self.workers.entry(successor.clone()).or_insert(unlisted);
         target.expires_at = target.expires_at.max(expires_at);
         // An incarnation that is known from stored tasks only cannot be called without an address.
-        target.report = target.report.take().or(report);
+        if target.report.is_none() {
+            target.report = report;
+        }
         if !moved.is_empty() {
             log::info!(
                 worker:% = incarnation.worker_id,
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -245,15 +245,14 @@
     ) {
         let worker = self.workers.get(incarnation);
         let run = worker.and_then(|worker| worker.runs.get(&key));
-        let age_ms = |at: time::Instant| clock.now.saturating_duration_since(at).as_millis() as u64;
         log::info!(
             run:% = run_name(key),
             worker:% = incarnation.worker_id,
             born_ms = incarnation.born_ms,
             is_listed = run.is_some_and(worker::WorkerRun::is_listed),
             is_unanswered = run.is_some_and(|run| run.unanswered),
-            ordered_ms_ago = run.and_then(|run| run.ordered_at).map(age_ms),
-            heard_ms_ago = worker.and_then(worker::Worker::heard_at).map(age_ms),
+            ordered_ms_ago = run.and_then(|run| run.ordered_at).map(|at| clock.ms_since(at)),
+            heard_ms_ago = worker.and_then(worker::Worker::heard_at).map(|at| clock.ms_since(at)),
             why;
             "run lost"
         );
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -63,7 +63,7 @@
     pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
-    /// Until when workers may execute orders of earlier leaders.
+    /// Until when leases may last that workers grant by orders of earlier leaders.
     pub(crate) earlier_orders_end_at: time::Instant,
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
     /// began.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -23,8 +23,8 @@
 /// reported by one.
 const MIN_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Longest time that a renewal and its answer usually spend on their way. A worker that was not heard of
-/// for longer than a renewal waits, and this, was idle and may have restarted: the answer, which shows that, is
-/// not delayed.
+/// for this and the time that a renewal may wait was idle and may have restarted: its next answer, which
+/// shows that, must not wait.
 const RENEWAL_TRANSFER: time::Duration = time::Duration::from_millis(500);
 /// Age of the last reading of a worker's clock from which it is read again.
 const MAX_CLOCK_READING_AGE: time::Duration = time::Duration::from_secs(30);
@@ -338,14 +338,11 @@
                 if worker.silent_since.is_none() {
                     worker.silent_since = Some(clock.now);
                     let lease_left = worker.expires_at.saturating_duration_since(clock.now);
-                    let heard_ago = worker
-                        .heard_at()
-                        .map(|at| clock.now.saturating_duration_since(at));
                     log::info!(
                         worker:% = incarnation.worker_id,
                         born_ms = incarnation.born_ms,
                         runs = worker.runs.len(),
-                        heard_ms_ago = heard_ago.map(|ago| ago.as_millis() as u64),
+                        heard_ms_ago = worker.heard_at().map(|at| clock.ms_since(at)),
                         lease_left_ms = lease_left.as_millis() as u64;
                         "worker does not answer"
                     );
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -36,27 +36,40 @@
     panic!("no start order was executed");
 }
 
-/// Cuts the second worker off and lets the first take work.
-fn cut_off_second(simulation: &mut Simulation) {
+/// Cuts the second worker off, and checks that the long task starts again, which must not be while it
+/// may run.
+fn check_start_after_cut(simulation: &mut Simulation) {
+    let start_count = simulation.start_count;
     simulation.workers[1].is_partitioned = true;
     simulation.workers[0].draining = false;
+    simulation.run_ms(30_000);
+    assert_eq!(simulation.start_count, start_count + 1);
+}
+
+/// Returns a simulation in which the second worker has just restarted, and has executed the start order of
+/// a long task for its earlier incarnation; the directory does not list the next one.
+fn started_on_unnoticed_incarnation(seed: u64, faults: simulation::Faults) -> Simulation {
+    let mut simulation = two_workers(seed);
+    simulation.run_ms(LONG_UPTIME_MS);
+    simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+    simulation.faults = faults;
+    submit_long(&mut simulation);
+    run_until_started(&mut simulation, 1);
+    simulation
 }
 
 /// Two runs of a task at the same time: the next incarnation executes a start order, confirms it, and is
 /// cut off before it lists its runs.
 #[test]
 fn run_confirmed_by_an_unnoticed_incarnation_is_not_started_again_during_its_lease() {
+    let faults = simulation::Faults {
+        lost_renewals: 1.0,
+        ..simulation::Faults::default()
+    };
     for seed in 0..10 {
-        let mut simulation = two_workers(seed);
-        simulation.run_ms(LONG_UPTIME_MS);
-        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
-        simulation.faults.lost_renewals = 1.0;
-        submit_long(&mut simulation);
-        run_until_started(&mut simulation, 1);
-        cut_off_second(&mut simulation);
+        let mut simulation = started_on_unnoticed_incarnation(seed, faults);
         simulation.faults.lost_renewals = 0.0;
-        simulation.run_ms(30_000);
-        assert_eq!(simulation.start_count, 2, "the task was not started again");
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -64,17 +77,14 @@
 /// its answer arrives.
 #[test]
 fn unanswered_run_on_an_unnoticed_incarnation_is_not_started_again_during_its_lease() {
+    let faults = simulation::Faults {
+        lost_answers: 1.0,
+        ..simulation::Faults::default()
+    };
     for seed in 0..10 {
-        let mut simulation = two_workers(seed);
-        simulation.run_ms(LONG_UPTIME_MS);
-        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
-        simulation.faults.lost_answers = 1.0;
-        submit_long(&mut simulation);
-        run_until_started(&mut simulation, 1);
-        cut_off_second(&mut simulation);
+        let mut simulation = started_on_unnoticed_incarnation(seed, faults);
         simulation.faults.lost_answers = 0.0;
-        simulation.run_ms(30_000);
-        assert_eq!(simulation.start_count, 2, "the task was not started again");
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -94,10 +104,7 @@
         simulation.run_ms(6_500);
         simulation.workers[1].restart();
         simulation.run_ms(3_000);
-        cut_off_second(&mut simulation);
-        simulation.run_ms(30_000);
-        let last = simulation.starts.last();
-        assert_eq!(last.map(|(_, _, worker)| *worker), Some(0));
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -119,9 +126,7 @@
         simulation.run_ms(12_500);
         simulation.faults.lost_renewals = 0.0;
         run_until_started(&mut simulation, 2);
-        cut_off_second(&mut simulation);
-        simulation.run_ms(30_000);
-        assert_eq!(simulation.start_count, 3, "the task was not started again");
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -149,9 +154,7 @@
         simulation.faults.lost_renewals = 0.0;
         submit_long(&mut simulation);
         run_until_started(&mut simulation, 2);
-        cut_off_second(&mut simulation);
-        simulation.run_ms(30_000);
-        assert_eq!(simulation.start_count, 3, "the task was not started again");
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -159,20 +162,17 @@
 /// is cut off, and a new leader gives the run up by the ordinary lease.
 #[test]
 fn new_leader_does_not_give_up_a_run_on_an_unnoticed_incarnation_during_its_lease() {
+    let faults = simulation::Faults {
+        lost_renewals: 1.0,
+        ..simulation::Faults::default()
+    };
     for seed in 0..10 {
-        let mut simulation = two_workers(seed);
-        simulation.run_ms(LONG_UPTIME_MS);
-        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
-        simulation.faults.lost_renewals = 1.0;
-        submit_long(&mut simulation);
-        run_until_started(&mut simulation, 1);
+        let mut simulation = started_on_unnoticed_incarnation(seed, faults);
         simulation.run_ms(50);
-        cut_off_second(&mut simulation);
         simulation.faults.lost_renewals = 0.0;
         simulation.kill_leader();
         simulation.elect_leader();
-        simulation.run_ms(30_000);
-        assert_eq!(simulation.start_count, 2, "the task was not started again");
+        check_start_after_cut(&mut simulation);
     }
 }
 
@@ -181,11 +181,8 @@
 #[test]
 fn new_leader_calls_an_incarnation_that_only_listings_show() {
     for seed in 0..10 {
-        let mut simulation = two_workers(seed);
-        simulation.run_ms(LONG_UPTIME_MS);
-        simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
-        submit_long(&mut simulation);
-        run_until_started(&mut simulation, 1);
+        let faults = simulation::Faults::default();
+        let mut simulation = started_on_unnoticed_incarnation(seed, faults);
         simulation.run_ms(3_000);
         simulation.workers[0].draining = false;
         simulation.kill_leader();
