--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -44,6 +44,9 @@
             let outcome = workers.start(&order, timeout).await;
             shared.metrics.count(match &outcome {
                 jobs::StartOutcome::Started(_) => "start.started",
+                jobs::StartOutcome::Rejected(jobs::StartRejection::OtherLife) => {
+                    "start.worker_restarted"
+                }
                 jobs::StartOutcome::Rejected(_) => "start.rejected",
                 jobs::StartOutcome::NoAnswer => "start.unanswered",
             });
