jobs, platform: a start is proven by the incarnation on whose connection it was answered

Cause: a reading of a worker's clock within 500 ms of the one expected counted as proof that the addressed incarnation had executed a start. The clocks of two incarnations have arbitrary offsets, so that it may be the next one's by chance. Its run was then given up 5.4 s after its order, while its lease lasts up to 5.6 s.

Change: StartOutcome::Started carries the start (model::BornMs) of the incarnation that was shown on the connection on which the order was answered; None if it is not known. The addressed one: proven. Another one: the worker is silent until a listing names it, and counted in start.other_incarnation, as before for a deviation of 5 s or more. None: not proven. ClockReading and the two limits are gone, relay::LAYOUT is 4.

Tests for run.kept_beyond_lease and start.other_incarnation, and for a confirmed run that is not kept; with the new code changed back in one place, they fail. No existing test relied on the clock or was changed.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -75,7 +75,6 @@
 pub use settings::Settings;
 pub use tenancy::TenantCounters;
 pub use tenancy::TenantReport;
-pub use worker_api::ClockReading;
 pub use worker_api::EndedRow;
 pub use worker_api::Listing;
 pub use worker_api::RenewalOrder;
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -241,8 +241,8 @@
     ) {
         let is_rejected = matches!(outcome, worker_api::StartOutcome::Rejected(_));
         self.decide_lost_start(incarnation, key, is_rejected, clock);
-        if let worker_api::StartOutcome::Started(Some(reading)) = &outcome {
-            self.attribute_start(incarnation, key, *reading, clock);
+        if let worker_api::StartOutcome::Started(Some(executed_by)) = outcome {
+            self.attribute_start(incarnation, key, executed_by, clock);
         }
         let Some(run) = self.run_mut(incarnation, key) else {
             return;
@@ -293,7 +293,7 @@
         }
     }
 
-    /// Records which incarnation has executed a start order, by the clock in its answer.
+    /// Records which incarnation has executed a start order.
     ///
     /// If that is not the one to which the order was addressed, the worker has restarted: it gets no more
     /// starts or leases until a listing shows its incarnation.
@@ -301,34 +301,27 @@
         &mut self,
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
-        reading: worker_api::ClockReading,
+        executed_by: model::BornMs,
         clock: event::Clock,
     ) {
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
-        let Some(deviation) = worker.clock_deviation(reading, &self.settings, clock.now) else {
-            return;
-        };
-        if deviation <= worker::MAX_OWN_CLOCK_DEVIATION {
+        if executed_by == incarnation.born_ms {
             worker.record_start_answer(true);
             if let Some(run) = worker.runs.get_mut(&key) {
                 run.is_proven = true;
             }
             return;
         }
-        if deviation < worker::MIN_OTHER_CLOCK_DEVIATION {
-            return;
-        }
         worker.silent_since.get_or_insert(clock.now);
         self.starts_on_other_incarnations += 1;
         log::warn!(
             run:% = run_name(key),
             worker:% = incarnation.worker_id,
             born_ms = incarnation.born_ms,
-            clock_ms = reading.clock_ms,
-            deviation_ms = deviation.as_millis() as u64;
-            "start order executed by another incarnation of the worker, as its clock shows"
+            executed_by_born_ms = executed_by;
+            "start order executed by another incarnation of the worker"
         );
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -181,8 +181,8 @@
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
     /// began.
     pub runs_kept_beyond_lease: u64,
-    /// Start orders that another incarnation executed than they were addressed to, as the clock in its
-    /// answer shows, since the term began.
+    /// Start orders that another incarnation executed than they were addressed to, as its connection
+    /// shows, since the term began.
     pub starts_on_other_incarnations: u64,
     /// Ends listed of runs whose task had been started again, since the term began.
     pub ends_after_next_start: u64,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -22,13 +22,6 @@
 const MAX_REMOVED_UNANSWERED: usize = 64;
 /// Age of a worker's last answer from which it may have restarted since.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(200);
-/// Largest difference between a reading of a worker's clock and the time expected there with which the
-/// reading counts as this incarnation's. It covers the time that answers spend on their way; clocks of
-/// two incarnations differ by at least the uptime of the first.
-pub(crate) const MAX_OWN_CLOCK_DEVIATION: time::Duration = time::Duration::from_millis(500);
-/// Difference from which a reading counts as another incarnation's: orders time out sooner, so that only a
-/// leader that has stood still reads an answer so late.
-pub(crate) const MIN_OTHER_CLOCK_DEVIATION: time::Duration = time::Duration::from_secs(5);
 
 /// One incarnation of a worker, as the leader sees it.
 #[derive(Debug)]
@@ -120,7 +113,7 @@
     /// When the worker confirmed the run to this leader; `None` before that.
     pub(crate) confirmed_at: Option<time::Instant>,
     /// Whether this incarnation is known to have executed a start order of the run: it has listed the
-    /// run, or confirmed it with a reading of its own clock.
+    /// run, or answered the order on a connection of its own.
     pub(crate) is_proven: bool,
     /// Whether a start order may have been received without an answer.
     pub(crate) unanswered: bool,
@@ -409,25 +402,6 @@
         self.clock = Some((clock_ms, now));
     }
 
-    /// Returns by how much a reading of a worker's clock differs from what this incarnation's clock can
-    /// show; zero if it may be its own, `None` if its clock is not known.
-    pub(crate) fn clock_deviation(
-        &self,
-        reading: worker_api::ClockReading,
-        settings: &settings::Settings,
-        now: time::Instant,
-    ) -> Option<time::Duration> {
-        let (clock_ms, read_at) = self.clock?;
-        // An answer may be older than the last reading, which came on another connection.
-        let passed_ms = signed_ms(now.saturating_duration_since(read_at)) - signed_ms(reading.age);
-        let slowest_ms = (passed_ms as f64 * (1.0 - settings.clock_drift)) as i64;
-        let earliest_ms = clock_ms + passed_ms.min(slowest_ms);
-        let latest_ms = clock_ms + passed_ms.max(slowest_ms);
-        let nearest_ms = reading.clock_ms.clamp(earliest_ms, latest_ms);
-        let deviation_ms = reading.clock_ms.abs_diff(nearest_ms);
-        Some(time::Duration::from_millis(deviation_ms))
-    }
-
     /// Returns when it last sent a listing.
     pub(crate) fn heard_at(&self) -> Option<time::Instant> {
         self.clock.map(|(_, read_at)| read_at)
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -100,20 +100,15 @@
     pub wait: time::Duration,
 }
 
-/// A reading of a worker's monotonic clock, which starts anew in each incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClockReading {
-    /// The reading, in milliseconds.
-    pub clock_ms: i64,
-    /// How long ago it was received by the instance that made the call.
-    pub age: time::Duration,
-}
-
 /// Result of a start order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartOutcome {
-    /// The worker has the run; with its clock, if the answer contains a reading.
-    Started(Option<ClockReading>),
+    /// The worker has the run; with the start of the incarnation that has executed the order, as shown on
+    /// the connection on which the order was answered, and `None` if that is not known.
+    ///
+    /// A connection ends with the process that has accepted it, so that an answer is of the incarnation that
+    /// was shown there. Orders and clocks tell no two incarnations of a worker apart.
+    Started(Option<model::BornMs>),
     /// This copy of the order has not been executed and never will be.
     Rejected(StartRejection),
     /// No usable answer: the order may have been executed, or may still be.
@@ -185,8 +180,8 @@
 /// Runs that a worker lists as running or ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
-    /// Start of the worker's incarnation, in milliseconds since 1970, if reported.
-    pub born_ms: Option<u64>,
+    /// Start of the worker's incarnation, if reported.
+    pub born_ms: Option<model::BornMs>,
     /// The worker's monotonic clock, in milliseconds.
     pub clock_ms: i64,
     /// How long ago the listing was received by the instance that made the call.
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -237,6 +237,15 @@
         self.stuck_report = Some((report, listed_at_ms));
     }
 
+    /// Restarts like `restart_unlisted`, with a clock that is behind the one of the earlier incarnation by
+    /// `behind_ms` on that clock.
+    pub(crate) fn restart_unlisted_with_clock(&mut self, listed_at_ms: u64, behind_ms: u64) {
+        let zero_ms = self.clock_zero_ms.expect("the clock has been read");
+        self.restart_unlisted(listed_at_ms);
+        let behind_ms = (behind_ms as f64 / self.clock_rate).round() as u64;
+        self.clock_zero_ms = Some(zero_ms + behind_ms);
+    }
+
     fn clock_ms(&mut self, now_ms: u64) -> i64 {
         let zero_ms = *self.clock_zero_ms.get_or_insert(now_ms);
         ((now_ms - zero_ms) as f64 * self.clock_rate) as i64
@@ -452,10 +461,7 @@
             return rejected(jobs::StartRejection::Late);
         }
         self.extend_lease(order.lease_end_ms, now_ms);
-        let started = jobs::StartOutcome::Started(Some(jobs::ClockReading {
-            clock_ms: self.clock_ms(now_ms),
-            age: Duration::ZERO,
-        }));
+        let started = jobs::StartOutcome::Started(Some(self.incarnation.born_ms));
         if self.has_run(order.run) {
             return started;
         }
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -9,6 +9,9 @@
 /// Time after which the clock of a worker is ahead of its successor's by more than the longest lease, in
 /// milliseconds.
 const LONG_UPTIME_MS: u64 = 20_000;
+/// By how much the clock of an incarnation may differ by chance from that of the one before, in
+/// milliseconds on their clocks.
+const CLOCK_DIFFERENCE_MS: u64 = 450;
 /// Run time of a task that does not end before the longest lease, in milliseconds.
 const LONG_RUN_MS: u32 = 30_000;
 
@@ -88,6 +91,24 @@
     }
 }
 
+/// Two runs of a task at the same time: the next incarnation, whose clock shows by chance nearly the time of
+/// the earlier one's, confirms a start order, which counts as proof that the earlier one has executed it.
+#[test]
+fn start_confirmed_by_the_next_incarnation_with_a_similar_clock_proves_nothing_of_the_earlier_one()
+{
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        let listed_at_ms = LONG_UPTIME_MS + 60_000;
+        simulation.workers[1].restart_unlisted_with_clock(listed_at_ms, CLOCK_DIFFERENCE_MS);
+        simulation.faults.late_renewals = 1.0;
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation, 1);
+        simulation.faults.late_renewals = 0.0;
+        check_start_after_cut(&mut simulation);
+    }
+}
+
 /// Two runs of a task at the same time: a worker is given up after its lease, and a renewal for it is
 /// executed late by the next incarnation, which the leader takes for a new worker.
 #[test]
@@ -207,3 +228,65 @@
     simulation.run_ms(200);
     assert_eq!(simulation.start_count, 2);
 }
+
+/// Runs kept for long that `run.kept_beyond_lease` does not show, or shows twice: runs that the next incarnation may have are
+/// counted once when the lease of their silent worker has expired, and others are not.
+#[test]
+fn runs_kept_beyond_the_lease_are_counted() {
+    let faults = simulation::Faults {
+        late_renewals: 1.0,
+        ..simulation::Faults::default()
+    };
+    let mut simulation = started_on_unnoticed_incarnation(1, faults);
+    simulation.workers[1].is_partitioned = true;
+    simulation.run_ms(5_000);
+    assert_eq!(simulation.summary().runs_kept_beyond_lease, 0);
+    simulation.run_ms(1_000);
+    assert_eq!(simulation.summary().runs_kept_beyond_lease, 1);
+    simulation.run_ms(24_000);
+    assert_eq!(simulation.summary().runs_kept_beyond_lease, 1);
+}
+
+/// A task is not started again for 11.7 s, and counts in `run.kept_beyond_lease`: the incarnation that was
+/// addressed has confirmed its start, so that the run ends with the ordinary lease.
+#[test]
+fn run_confirmed_by_the_addressed_incarnation_is_not_kept_beyond_its_lease() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.faults.late_renewals = 1.0;
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation, 1);
+        simulation.run_ms(10);
+        simulation.workers[1].is_partitioned = true;
+        simulation.workers[0].draining = false;
+        simulation.run_ms(6_000);
+        let summary = simulation.summary();
+        assert_eq!(summary.runs_kept_beyond_lease, 0);
+        assert_eq!(summary.starts_on_other_incarnations, 0);
+        assert_eq!(simulation.start_count, 2, "the task was not started again");
+    }
+}
+
+/// Starts on a worker that has restarted unnoticed, which `start.other_incarnation` does not show: one that
+/// another incarnation confirms is counted, and the worker gets no more before a listing names that one.
+#[test]
+fn start_on_another_incarnation_is_counted_and_the_last_one_before_a_listing() {
+    let faults = simulation::Faults {
+        lost_renewals: 1.0,
+        ..simulation::Faults::default()
+    };
+    let mut simulation = started_on_unnoticed_incarnation(1, faults);
+    assert_eq!(simulation.summary().starts_on_other_incarnations, 0);
+    simulation.run_ms(10);
+    assert_eq!(simulation.summary().starts_on_other_incarnations, 1);
+    let short = simulation::step(1, 1_000, 100);
+    simulation.submit(simulation::job(2, "short", short));
+    simulation.run_ms(1_500);
+    assert_eq!(simulation.start_count, 1, "a start before a listing");
+    simulation.faults.lost_renewals = 0.0;
+    simulation.workers[0].draining = false;
+    simulation.run_ms(2_000);
+    assert_eq!(simulation.start_count, 2);
+    assert_eq!(simulation.summary().starts_on_other_incarnations, 1);
+}
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -20,6 +20,9 @@
 pub type RunNumber = u32;
 /// Version of the manifest; never decreases.
 pub type ManifestVersion = u64;
+
+/// Wall-clock time at which an incarnation of a worker has started, in milliseconds since 1970.
+pub type BornMs = u64;
 /// Numbers the terms of leaders and fences orders of earlier leaders; the revision of the store
 /// entry by which the leader was elected.
 pub type Term = ids::Revision;
@@ -182,8 +185,8 @@
 pub struct WorkerIncarnation {
     /// The worker.
     pub worker_id: ids::WorkerId,
-    /// Wall-clock time of its start, in milliseconds since 1970.
-    pub born_ms: u64,
+    /// Its start.
+    pub born_ms: BornMs,
 }
 
 /// Permission to run a step on a worker, given by a recommendation service.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -44,6 +44,7 @@
 pub use job::AdviceFailure;
 pub use job::AdviceReply;
 pub use job::AdviceRequest;
+pub use job::BornMs;
 pub use job::ControllerHeartbeat;
 pub use job::ControllerReply;
 pub use job::ControllerRequest;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -9,7 +9,7 @@
 /// Layout of the messages on a channel; to be raised with each change of them.
 ///
 /// Builds with different layouts must not relay for each other, as they could misread the messages.
-pub const LAYOUT: u32 = 3;
+pub const LAYOUT: u32 = 4;
 
 /// First message of a relay on a channel.
 ///
@@ -167,10 +167,8 @@
     /// Adds the time that the result has waited at the relay to the age of what it says.
     #[must_use]
     pub fn aged_by(mut self, waited: time::Duration) -> Self {
-        match &mut self {
-            Self::Renewal(jobs::RenewalOutcome::Listing(listing)) => listing.age += waited,
-            Self::Start(jobs::StartOutcome::Started(Some(reading))) => reading.age += waited,
-            _ => {}
+        if let Self::Renewal(jobs::RenewalOutcome::Listing(listing)) = &mut self {
+            listing.age += waited;
         }
         self
     }
