jobs: an answer to a renewal counts as one to that renewal only

An incarnation that no longer answers nor is listed is forgotten when its lease has ended, also while a renewal is under way. If the worker is listed again and reachable before that one is answered, the new record's renewal gets its answer, and from then on each answer counts as one to the renewal after it. A run that starts between the two is missing in the listing, which seems to have been asked for later: it is given up at once ("not in the worker's listing"), and its task starts again while it goes on.

Change: an incarnation is kept while a renewal of it is under way. Its runs are lost at the same time as before.

Measured: the test, a worker that comes back when a new leader gives its runs up, fails without the change: a run is given up within two seconds of its start and "starts on 1 and runs on [(1, ...)]"; with it, each task starts once. cargo test -p jobs: 170 + 14 + 9 pass.

--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -163,7 +163,10 @@
             .map(|(incarnation, worker)| {
                 let has_pending_orders = worker.runs.values().any(|run| run.unanswered)
                     || worker.removed_unanswered(sent_after).next().is_some();
+                // An answer after the worker is listed again would count as one to a later renewal.
+                let awaits_listing = worker.renewal.sent_at.is_some();
                 let is_kept = worker.is_listed
+                    || awaits_listing
                     || has_pending_orders
                     || !worker.are_orders_over(&self.settings, clock.now);
                 (incarnation.clone(), is_kept)
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -15,6 +15,10 @@
 /// Run time of a task that does not end before the longest lease, in milliseconds.
 const LONG_RUN_MS: u32 = 30_000;
 
+/// How long a new leader keeps runs on a silent worker, in milliseconds: the longest lease, which an
+/// incarnation that nobody has noticed may have granted, and the time until a call is executed.
+const INHERITED_HORIZON_MS: u64 = 11_700;
+
 /// Returns a simulation of two workers, the first of which is draining, so that everything starts on
 /// the second.
 fn two_workers(seed: u64) -> Simulation {
@@ -290,3 +294,40 @@
     assert_eq!(simulation.start_count, 2);
     assert_eq!(simulation.summary().starts_on_other_incarnations, 1);
 }
+
+/// Two runs of a task at the same time: a worker answers after its record was dropped and taken up again, so
+/// that two renewals of it are under way. The answer to the first counts as one to the second, and the answer to
+/// the second, in which a run that has started since is missing, as one to the third.
+#[test]
+fn run_is_not_given_up_by_the_answer_to_a_renewal_before_its_start() {
+    for first_call_ms in (0..900).step_by(50) {
+        let mut simulation = two_workers(1);
+        simulation.run_ms(1_000);
+        submit_long(&mut simulation);
+        run_until_started(&mut simulation, 1);
+        simulation.run_ms(1_000);
+        simulation.kill_leader();
+        simulation.workers[1].is_partitioned = true;
+        simulation.elect_leader();
+        simulation.is_directory_unreadable = true;
+        simulation.run_ms(first_call_ms);
+        simulation.is_directory_unreadable = false;
+        simulation.run_ms(100);
+        // Its entry has expired, and is back later than the worker is reachable.
+        simulation.workers[1].is_up = false;
+        simulation.run_ms(INHERITED_HORIZON_MS - 400 - first_call_ms);
+        simulation.is_directory_unreadable = true;
+        simulation.workers[1].is_up = true;
+        simulation.workers[1].is_partitioned = false;
+        simulation.relay_wait_ms = 500;
+        simulation.run_ms(450);
+        simulation.is_directory_unreadable = false;
+        for id in 2..62 {
+            let step = simulation::step(1, 100, 3_000);
+            simulation.submit(simulation::job(id, "short", step));
+            simulation.run_ms(50);
+        }
+        simulation.run_ms(5_000);
+        assert_eq!(simulation.start_count, 62, "first call after {first_call_ms} ms");
+    }
+}
