jobs: more orders of runs that were given up are counted on the next incarnation

Runs that were given up with an unanswered start order are kept in mind, as the worker's next incarnation may execute a delayed copy; it is stopped there once the restart is noticed. Of each worker at most 64 were kept. More fit on one: with 80, the next incarnation executes the orders of the oldest 16 while their tasks run elsewhere.

Change: 256 are kept.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -18,8 +18,9 @@
 /// Start orders sent for one run before the run is abandoned and stopped.
 const MAX_START_ATTEMPTS: u32 = 3;
 
-/// Most removed runs with an unanswered start order that are kept for a worker.
-const MAX_REMOVED_UNANSWERED: usize = 64;
+/// Most removed runs with an unanswered start order that are kept for a worker. Of further ones, the next
+/// incarnation may execute a delayed order.
+const MAX_REMOVED_UNANSWERED: usize = 256;
 /// Age of a worker's last answer from which it may have restarted since.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(200);
 
--- a/crates/jobs/tests/scheduler/leases.rs
+++ b/crates/jobs/tests/scheduler/leases.rs
@@ -177,3 +177,26 @@
         simulation.run_ms(20_000);
     }
 }
+
+/// Two runs of a task at the same time: more start orders of runs that have been given up are under way to a
+/// worker that restarts than the leader keeps in mind.
+#[test]
+fn many_delayed_starts_are_not_executed_by_the_next_incarnation_of_a_worker() {
+    for seed in 0..10 {
+        let mut simulation = Simulation::new(seed, 2, None);
+        simulation.workers[0].draining = true;
+        simulation.run_ms(1_000);
+        simulation.faults.late_orders = 1.0;
+        submit(&mut simulation, 1, 80, 100, 30_000);
+        simulation.run_ms(100);
+        simulation.faults.late_orders = 0.0;
+        simulation.workers[1].drops_starts = true;
+        simulation.workers[0].draining = false;
+        // Three attempts, the stop order and the next listing take 3.1 s.
+        simulation.run_ms(3_200);
+        assert_eq!(simulation.start_count, 80);
+        simulation.workers[1].restart();
+        simulation.run_ms(12_000);
+        assert_eq!(simulation.start_count, 80, "a task was started again");
+    }
+}
