--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -328,6 +328,9 @@
             simulation.run_ms(50);
         }
         simulation.run_ms(5_000);
-        assert_eq!(simulation.start_count, 62, "first call after {first_call_ms} ms");
+        assert_eq!(
+            simulation.start_count, 62,
+            "first call after {first_call_ms} ms"
+        );
     }
 }
