jobs: count runs that are given up by the reason

Change: the reasons are an enum, counted as run.lost.REASON; the log lines stay, but for "other_life", which is written out.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -190,6 +190,9 @@
         for (obstacle, count) in scheduler.take_withheld_starts() {
             metrics.count_by(&format!("start.withheld.{}", obstacle.as_str()), count);
         }
+        for (reason, count) in scheduler.take_lost_runs() {
+            metrics.count_by(&format!("run.lost.{}", reason.as_str()), count);
+        }
         for (outcome, count) in scheduler.take_drain_outcomes() {
             metrics.count_by(&format!("drain.{}", outcome.as_str()), count);
         }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -133,6 +133,7 @@
             tenancy: tenancy::Tenancy::default(),
             block_reports: blocked::BlockReports::default(),
             withheld_starts: maps::IndexMap::default(),
+            lost_runs: maps::IndexMap::default(),
             speeds: speed_tracking::SpeedTracking::default(),
             quarantines: quarantine::Quarantines::default(),
         };
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -9,6 +9,7 @@
 
 use crate::event;
 use crate::job;
+use crate::loss_reason;
 use crate::scheduler;
 use crate::settings;
 use crate::worker;
@@ -29,7 +30,7 @@
         successor: &model::WorkerIncarnation,
         clock: event::Clock,
     ) {
-        const EVIDENCE: &str = "worker restarted";
+        const EVIDENCE: loss_reason::LossReason = loss_reason::LossReason::WorkerRestarted;
         if let Some(worker) = self.workers.get(incarnation) {
             // A renewal in flight may reach the successor.
             let pending = &worker.renewal;
@@ -47,7 +48,7 @@
         self.record_losses(incarnation, clock);
         self.move_runs(incarnation, successor, clock);
         self.end_incarnation(incarnation, EVIDENCE, clock);
-        self.attribute_crash(incarnation, EVIDENCE, clock);
+        self.attribute_crash(incarnation, EVIDENCE.describe(), clock);
     }
 
     /// Moves the runs that a later incarnation may have, or may still start, to that one.
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -6,6 +6,7 @@
 use crate::draining;
 use crate::event;
 use crate::job;
+use crate::loss_reason;
 use crate::scheduler;
 use crate::worker;
 use crate::worker_api;
@@ -44,7 +45,12 @@
             worker_api::StopOutcome::Fenced => self.actions.push(event::Action::StepDown),
             worker_api::StopOutcome::OtherIncarnation => {
                 self.record_losses(incarnation, clock);
-                self.lose_run(incarnation, key, "other_life", clock)
+                self.lose_run(
+                    incarnation,
+                    key,
+                    loss_reason::LossReason::StopMisdirected,
+                    clock,
+                )
             }
         }
     }
@@ -220,10 +226,11 @@
         &mut self,
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
-        why: &str,
+        why: loss_reason::LossReason,
         clock: event::Clock,
     ) {
         self.log_loss(incarnation, key, why, clock);
+        *self.lost_runs.entry(why).or_default() += 1;
         self.note_drained(incarnation, key, draining::DrainOutcome::Lost);
         if let Some(worker) = self.workers.get_mut(incarnation) {
             worker.remove_run(&key, &mut self.tenancy.usage);
@@ -234,13 +241,18 @@
         self.journal.mark_dirty(key.task.job_id);
     }
 
+    /// Returns how many runs were given up since the last call, by the reason.
+    pub fn take_lost_runs(&mut self) -> impl Iterator<Item = (loss_reason::LossReason, u64)> {
+        std::mem::take(&mut self.lost_runs).into_iter()
+    }
+
     /// Logs a loss with what is known of the run and its worker: how long ago it was ordered, whether the
     /// worker has listed it, and how long ago the worker was last heard of.
     fn log_loss(
         &self,
         incarnation: &model::WorkerIncarnation,
         key: model::RunKey,
-        why: &str,
+        why: loss_reason::LossReason,
         clock: event::Clock,
     ) {
         let worker = self.workers.get(incarnation);
@@ -253,7 +265,7 @@
             is_unanswered = run.is_some_and(|run| run.unanswered),
             ordered_ms_ago = run.and_then(|run| run.ordered_at).map(|at| clock.ms_since(at)),
             heard_ms_ago = worker.and_then(worker::Worker::heard_at).map(|at| clock.ms_since(at)),
-            why;
+            why = why.describe();
             "run lost"
         );
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::event;
 use crate::job;
 use crate::journal;
+use crate::loss_reason;
 use crate::manifest;
 use crate::maps;
 use crate::orders;
@@ -91,6 +92,8 @@
     pub(crate) block_reports: blocked::BlockReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
+    /// Runs given up since they were last taken for metrics.
+    pub(crate) lost_runs: maps::IndexMap<loss_reason::LossReason, u64>,
     pub(crate) speeds: speed_tracking::SpeedTracking,
     pub(crate) quarantines: quarantine::Quarantines,
 }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -6,6 +6,7 @@
 use crate::draining;
 use crate::event;
 use crate::job;
+use crate::loss_reason;
 use crate::maps;
 use crate::restarts;
 use crate::runs;
@@ -28,8 +29,6 @@
 const RENEWAL_TRANSFER: time::Duration = time::Duration::from_millis(500);
 /// Age of the last reading of a worker's clock from which it is read again.
 const MAX_CLOCK_READING_AGE: time::Duration = time::Duration::from_secs(30);
-/// Why runs on a worker that does not answer are lost.
-const LEASE_EXPIRED: &str = "no answer until the lease expired";
 /// Longest time between two checks of which calls to a worker are due.
 const MAX_CALL_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -117,18 +116,18 @@
     fn end_crashed_incarnation(
         &mut self,
         incarnation: &model::WorkerIncarnation,
-        evidence: &'static str,
+        evidence: loss_reason::LossReason,
         clock: event::Clock,
     ) {
         self.end_incarnation(incarnation, evidence, clock);
-        self.attribute_crash(incarnation, evidence, clock);
+        self.attribute_crash(incarnation, evidence.describe(), clock);
     }
 
     /// Removes an incarnation that has certainly ended.
     pub(crate) fn end_incarnation(
         &mut self,
         incarnation: &model::WorkerIncarnation,
-        why: &str,
+        why: loss_reason::LossReason,
         clock: event::Clock,
     ) {
         if !self.workers.contains_key(incarnation) {
@@ -137,7 +136,7 @@
         log::info!(
             worker:% = incarnation.worker_id,
             born_ms = incarnation.born_ms,
-            why;
+            why = why.describe();
             "worker incarnation ended"
         );
         self.lose_all_runs(incarnation, why, clock);
@@ -176,7 +175,7 @@
             if is_kept {
                 self.lose_expired_runs(&incarnation, clock);
             } else {
-                self.end_incarnation(&incarnation, LEASE_EXPIRED, clock);
+                self.end_incarnation(&incarnation, loss_reason::LossReason::LeaseExpired, clock);
             }
         }
     }
@@ -211,14 +210,19 @@
         }
         self.record_losses_of(incarnation, &lost, clock);
         for key in lost {
-            self.lose_run(incarnation, key, LEASE_EXPIRED, clock);
+            self.lose_run(
+                incarnation,
+                key,
+                loss_reason::LossReason::LeaseExpired,
+                clock,
+            );
         }
     }
 
     fn lose_all_runs(
         &mut self,
         incarnation: &model::WorkerIncarnation,
-        why: &str,
+        why: loss_reason::LossReason,
         clock: event::Clock,
     ) {
         self.record_losses(incarnation, clock);
@@ -356,7 +360,7 @@
             }
             worker_api::RenewalOutcome::OtherIncarnation => self.end_crashed_incarnation(
                 incarnation,
-                "another incarnation answered at the address",
+                loss_reason::LossReason::AddressTaken,
                 clock,
             ),
             worker_api::RenewalOutcome::Fenced => self.actions.push(event::Action::StepDown),
@@ -539,7 +543,7 @@
             is_settled && !running.contains(*key)
         });
         for key in lost.map(|(key, _)| *key).collect::<Vec<_>>() {
-            self.lose_run(incarnation, key, "not in the worker's listing", clock);
+            self.lose_run(incarnation, key, loss_reason::LossReason::NotListed, clock);
         }
     }
 }
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -1141,6 +1141,12 @@
         scheduler.map_or_else(jobs::Summary::default, jobs::Scheduler::summary)
     }
 
+    /// Returns how many runs the leader has given up since the last call, by the reason.
+    pub(crate) fn take_lost_runs(&mut self) -> Vec<(jobs::LossReason, u64)> {
+        let scheduler = self.scheduler.as_mut();
+        scheduler.map_or_else(Vec::new, |one| one.take_lost_runs().collect())
+    }
+
     /// Returns how many start orders the leader has withheld since the last call, by the reason.
     pub(crate) fn take_withheld_starts(&mut self) -> Vec<(jobs::StartObstacle, u64)> {
         let scheduler = self.scheduler.as_mut();
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -334,3 +334,24 @@
         );
     }
 }
+
+/// Runs given up for a reason that no counter shows: a run on a worker that is cut off, and then one on a worker that
+/// has restarted, count once each, by their reason.
+#[test]
+fn lost_runs_are_counted_by_their_reason() {
+    let mut simulation = two_workers(1);
+    simulation.run_ms(1_000);
+    submit_long(&mut simulation);
+    simulation.run_ms(3_000);
+    check_start_after_cut(&mut simulation);
+    assert_eq!(
+        simulation.take_lost_runs(),
+        [(jobs::LossReason::LeaseExpired, 1)]
+    );
+    simulation.workers[0].restart();
+    simulation.run_ms(3_000);
+    assert_eq!(
+        simulation.take_lost_runs(),
+        [(jobs::LossReason::WorkerRestarted, 1)]
+    );
+}
