jobs: an entry of another writer under the id of a worker is no restart

Such an entry under the id of a live worker, with a later start, counted as a restart: the listed runs of the worker were given up at once.

Change: an entry is ignored, with a log line, if it shows another incarnation of a known worker in a pool that neither the manifest names nor the worker was in. A worker of a pool that was removed from the manifest stays known, and its jobs go on.

--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -36,10 +36,11 @@
     /// Applies a complete listing of the directory, the read of which began at `read_at`.
     pub(crate) fn apply_directory(
         &mut self,
-        reports: Vec<worker_api::WorkerReport>,
+        mut reports: Vec<worker_api::WorkerReport>,
         read_at: time::Instant,
         clock: event::Clock,
     ) {
+        reports.retain(|report| !self.is_foreign(report));
         let listed: maps::HashSet<_> = reports
             .iter()
             .map(|report| report.incarnation.clone())
@@ -63,6 +64,26 @@
         self.placement_needed = true;
     }
 
+    /// Returns whether another writer has put an entry under the id of a worker: it shows another
+    /// incarnation, in a pool that neither the manifest names nor the worker was in.
+    fn is_foreign(&self, report: &worker_api::WorkerReport) -> bool {
+        let known = self.newest_incarnations.get(&report.incarnation.worker_id);
+        let known = known.filter(|known| **known != report.incarnation);
+        let known = known.and_then(|known| self.workers.get(known));
+        let known = known.and_then(|worker| worker.report.as_ref());
+        let is_foreign = known.is_some_and(|known| known.pool != report.pool)
+            && !self.manifest.pools.contains_key(&report.pool);
+        if is_foreign {
+            log::warn!(
+                worker:% = report.incarnation.worker_id,
+                born_ms = report.incarnation.born_ms,
+                pool:% = report.pool;
+                "entry under the id of a worker ignored, as its pool is not known"
+            );
+        }
+        is_foreign
+    }
+
     fn apply_report(
         &mut self,
         report: worker_api::WorkerReport,
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -237,6 +237,15 @@
         self.stuck_report = Some((report, listed_at_ms));
     }
 
+    /// Makes the directory show an entry of another writer under its id until `until_ms`: in a pool that the
+    /// manifest does not name, with a later start.
+    pub(crate) fn show_foreign_entry(&mut self, until_ms: u64) {
+        let mut report = self.report();
+        report.pool = "foreign".into();
+        report.incarnation.born_ms += 1_000;
+        self.stuck_report = Some((report, until_ms));
+    }
+
     /// Restarts like `restart_unlisted`, with a clock that is behind the one of the earlier incarnation by
     /// `behind_ms` on that clock.
     pub(crate) fn restart_unlisted_with_clock(&mut self, listed_at_ms: u64, behind_ms: u64) {
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -355,3 +355,17 @@
         [(jobs::LossReason::WorkerRestarted, 1)]
     );
 }
+
+/// Two runs of a task at the same time: an entry of another writer under the id of a worker at work, with a later
+/// start, counts as a restart of the worker.
+#[test]
+fn foreign_entry_with_a_later_start_gives_no_run_up() {
+    let mut simulation = two_workers(1);
+    simulation.run_ms(1_000);
+    submit_long(&mut simulation);
+    simulation.run_ms(2_000);
+    simulation.workers[1].show_foreign_entry(6_000);
+    simulation.workers[0].draining = false;
+    simulation.run_ms(10_000);
+    assert_eq!(simulation.start_count, 1, "the task was started again");
+}
