jobs: a run that is being stopped ends with a listing that proves it absent

What callers would see: a task that never starts again while its run holds capacity on a worker that answers every renewal. Its start orders and then its stop orders are lost on their way.

Cause: a listing gives up a run only if the worker has confirmed the run or its stop. A run whose stop order is not answered is left out, and its stop order is sent again for ever.

Change: a complete listing that was asked for more than MAX_ORDER_DELAY after the last start order, and does not have the run, gives it up, also while it is being stopped. A run without an order of this leader was inherited or found there; the time at which this leader took it over counts instead, as the worker that has answered rejects orders of earlier leaders. A run whose start order still awaits its answer is kept. Ends in the same listing are handled before, as for other runs.

Why it works: no copy of the start order is executed after that time, and one that was executed before is listed, as running or as ended.

--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -660,6 +660,16 @@
         self.awaits_answer && !self.unanswered && self.confirmed_at.is_none()
     }
 
+    /// Returns whether no start order of the run can be executed after `at`, by a worker that has
+    /// answered this leader.
+    ///
+    /// Without an order of this leader, the run was found after all orders of this leader for it, or
+    /// inherited: the worker then rejects the orders that may be on their way.
+    pub(crate) fn are_starts_over(&self, at: time::Instant) -> bool {
+        let last = self.ordered_at.unwrap_or(self.planned_at);
+        !self.awaits_answer && last + restarts::MAX_ORDER_DELAY < at
+    }
+
     /// Returns whether another start order may be sent.
     pub(crate) fn may_retry_start(&self) -> bool {
         self.attempts < MAX_START_ATTEMPTS
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -557,7 +557,9 @@
         };
         let lost = worker.runs.iter().filter(|(key, run)| {
             let is_settled = match run.phase {
-                worker::RunPhase::Running | worker::RunPhase::Stopped => run.since < sent_at,
+                worker::RunPhase::Running => run.since < sent_at,
+                worker::RunPhase::Stopping(_) => run.are_starts_over(sent_at),
+                worker::RunPhase::Stopped => run.since < sent_at || run.are_starts_over(sent_at),
                 worker::RunPhase::Inherited => true,
                 _ => false,
             };
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -369,3 +369,64 @@
     simulation.run_ms(10_000);
     assert_eq!(simulation.start_count, 1, "the task was started again");
 }
+
+/// A task that waits for ever while its run holds capacity: neither start nor stop orders reach the worker, which
+/// answers renewals, so that no answer tells that the run is not there.
+#[test]
+fn run_whose_orders_never_arrive_is_given_up_once_a_listing_proves_it_absent() {
+    for seed in 0..10 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(1_000);
+        simulation.workers[1].drops_starts = true;
+        simulation.workers[1].drops_stops = true;
+        submit_long(&mut simulation);
+        simulation.run_ms(3_000);
+        simulation.workers[0].draining = false;
+        simulation.run_ms(8_000);
+        assert_eq!(simulation.start_count, 0, "a late start may still come");
+        simulation.run_ms(5_000);
+        assert_eq!(simulation.start_count, 1, "the task was not started again");
+        assert_eq!(
+            simulation.take_lost_runs(),
+            [(jobs::LossReason::NotListed, 1)]
+        );
+    }
+}
+
+/// Two runs of a task at the same time: a listing shows that a run is not there while a copy of its start order may
+/// still be executed, and the run counts as ended.
+#[test]
+fn run_whose_stops_never_arrive_is_kept_while_its_start_may_be_late() {
+    let mut late_starts = 0;
+    for seed in 0..40 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(1_000);
+        simulation.workers[1].drops_stops = true;
+        simulation.faults.late_orders = 1.0;
+        submit_long(&mut simulation);
+        simulation.run_ms(3_000);
+        simulation.faults.late_orders = 0.0;
+        simulation.workers[0].draining = false;
+        simulation.run_ms(20_000);
+        assert_eq!(simulation.start_count, 1, "the task was started again");
+        late_starts += u32::from(simulation.starts[0].0 > 6_000);
+    }
+    assert!(late_starts > 0, "no start was late");
+}
+
+/// A gang that waits for ever: one member is never started nor stopped, while its worker answers renewals.
+#[test]
+fn gang_starts_again_once_a_listing_proves_a_member_absent() {
+    let mut simulation = Simulation::new(1, 3, None);
+    simulation.run_ms(1_000);
+    simulation.workers[0].drops_starts = true;
+    simulation.workers[0].drops_stops = true;
+    let mut gang = simulation::step(3, 8_000, LONG_RUN_MS);
+    gang.gang = true;
+    simulation.submit(simulation::job(1, "long", gang));
+    simulation.run_ms(3_000);
+    simulation.workers[0].drops_starts = false;
+    simulation.run_ms(14_000);
+    let second_runs = simulation.starts.iter().filter(|(_, run, _)| run.run == 2);
+    assert_eq!(second_runs.count(), 3, "the gang was not started again");
+}
