jobs: the restarts of a worker do not extend how long its runs are kept

What callers would see: a task that waits for as long as its worker restarts in a loop, without a start elsewhere.

Cause: each restart moves a run whose start order was not answered to the next incarnation, and counts anew, from the restart on, how long that one may have it (22.5 s). An incarnation that answers is asked to stop the run, and has restarted before the listing that ends the stopped run; one that does not answer is never silent for that long.

Change: the next incarnation keeps the runs until the leases of all orders so far have ended, each counted from when it was sent; a restart grants none. Runs of this leader whose leases have ended when a restart is noticed are not moved, but end with it. Orders of earlier leaders are counted as before, at most until those have ended; inherited runs stay as they were.

Why it works: an order for an incarnation is executed within 12 s and grants at most the longest lease, whichever incarnation executes it. What was sent to the one before is in its expires_at, and passed on.

A run whose order is merely older than 12 s must not be dropped: the next incarnation may have executed it late, before the restart was noticed. With that rule instead, late_start_is_counted_if_the_restart_is_noticed_after_the_longest_delay fails with two runs of the task ("starts on 0 and runs on [(1, ...)]").

--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -66,22 +66,30 @@
             .runs
             .iter()
             .chain(worker.removed_unanswered(sent_after));
+        // All runs on a worker have one lease, which a late renewal for the earlier incarnation extends
+        // on the next one.
+        let leases_end_at = worker.leases_end_at(&self.settings);
+        let are_leases_over = leases_end_at <= clock.now;
+        // A run of this leader may have got a lease by an order of an earlier one.
+        let are_all_leases_over = are_leases_over && self.earlier_orders_end_at <= clock.now;
         let moved = runs.filter_map(|(key, run)| {
+            // When an earlier leader last ordered a run is not known.
+            if are_all_leases_over && run.ordered_at.is_some() {
+                return None;
+            }
             let phase = phase_after_restart(run, clock)?;
             Some((*key, run.clone().moved(phase, clock.now)))
         });
         let moved: Vec<_> = moved.collect();
-        // All runs on a worker have one lease, which a late renewal for the earlier incarnation extends
-        // on the next one.
-        let has_recent_lease = !worker.are_orders_over(&self.settings, clock.now);
-        let may_have_lease = !moved.is_empty() || has_recent_lease || worker.expires_at > clock.now;
+        let may_have_lease = !moved.is_empty() || !are_leases_over;
         if !may_have_lease && !self.workers.contains_key(successor) {
             return;
         }
+        let has_earlier_orders = moved.iter().any(|(_, run)| run.ordered_at.is_none());
+        let horizon_end_at = clock.now + successor_horizon(&self.settings);
         let expires_at = match may_have_lease {
-            true => worker
-                .expires_at
-                .max(clock.now + successor_horizon(&self.settings)),
+            true if has_earlier_orders => leases_end_at.max(horizon_end_at),
+            true => leases_end_at.max(horizon_end_at.min(self.earlier_orders_end_at)),
             false => clock.now,
         };
         let unlisted = worker.unlisted_successor(successor, expires_at);
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -482,6 +482,19 @@
         last.is_none_or(|at| at + restarts::successor_horizon(settings) < now)
     }
 
+    /// Returns when every run has certainly ended, on this incarnation or on the next one, unless an order
+    /// of an earlier leader or a later order grants a lease.
+    ///
+    /// Restarts do not extend it: each order for an earlier incarnation was counted there, as of when it
+    /// was sent.
+    pub(crate) fn leases_end_at(&self, settings: &settings::Settings) -> time::Instant {
+        let last = self.last_lease_at;
+        last.map_or(self.expires_at, |at| {
+            self.expires_at
+                .max(at + restarts::successor_horizon(settings))
+        })
+    }
+
     /// Records whether it has answered a start order.
     pub(crate) fn record_start_answer(&mut self, is_answered: bool) {
         self.has_unanswered_start = !is_answered;
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -430,3 +430,91 @@
     let second_runs = simulation.starts.iter().filter(|(_, run, _)| run.run == 2);
     assert_eq!(second_runs.count(), 3, "the gang was not started again");
 }
+
+/// Returns how long it takes until a task starts on another worker, in milliseconds, while its own worker restarts
+/// at this interval; no start or stop order is executed there, nor any renewal if the worker is cut off.
+fn start_elsewhere_ms(seed: u64, interval_ms: u64, is_cut_off: bool) -> Option<u64> {
+    let mut simulation = two_workers(seed);
+    simulation.run_ms(1_000);
+    simulation.workers[1].drops_starts = true;
+    submit_long(&mut simulation);
+    simulation.run_ms(300);
+    simulation.workers[0].draining = false;
+    let began_at_ms = simulation.now_ms;
+    while simulation.start_count == 0 && simulation.now_ms < began_at_ms + 60_000 {
+        simulation.workers[1].restart();
+        simulation.workers[1].drops_starts = true;
+        simulation.workers[1].drops_stops = true;
+        simulation.workers[1].is_partitioned = is_cut_off;
+        simulation.run_ms(interval_ms);
+    }
+    let start = simulation.starts.first();
+    start.map(|(at_ms, _, _)| at_ms - began_at_ms)
+}
+
+/// A task that waits for ever: its worker restarts in a loop, and each restart makes the next incarnation one that
+/// may still start the run, however old the order is.
+#[test]
+fn task_starts_elsewhere_while_its_worker_restarts_in_a_loop() {
+    for (seed, interval_ms) in (0..5).flat_map(|seed| [100, 700, 1_500].map(|one| (seed, one))) {
+        let waited_ms = start_elsewhere_ms(seed, interval_ms, false);
+        assert!(
+            waited_ms.is_some_and(|waited_ms| waited_ms <= 12_000 + 2 * interval_ms),
+            "started after {waited_ms:?} ms with restarts each {interval_ms} ms"
+        );
+    }
+}
+
+/// A task that waits for ever: its worker restarts in a loop and answers nothing, and each restart extends the time
+/// for which its run is kept.
+#[test]
+fn task_starts_elsewhere_while_its_silent_worker_restarts_in_a_loop() {
+    for (seed, interval_ms) in (0..5).flat_map(|seed| [200, 700, 3_000].map(|one| (seed, one))) {
+        let waited_ms = start_elsewhere_ms(seed, interval_ms, true);
+        assert!(
+            waited_ms.is_some_and(|waited_ms| waited_ms <= 22_500 + 2 * interval_ms),
+            "started after {waited_ms:?} ms with restarts each {interval_ms} ms"
+        );
+    }
+}
+
+/// Two runs of a task at the same time: the next incarnation executes a start order late, and the restart is noticed
+/// more than 12 s after that was sent, so that it cannot be executed later, but the run is at work.
+#[test]
+fn late_start_is_counted_if_the_restart_is_noticed_after_the_longest_delay() {
+    let mut late_starts = 0;
+    for seed in 0..100 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        let listed_at_ms = LONG_UPTIME_MS + 13_500;
+        simulation.workers[1].restart_unlisted(listed_at_ms);
+        simulation.workers[1].drops_stops = true;
+        // Of the orders at the same time, the one for the short task shows the term to the next incarnation.
+        simulation.faults.late_orders = 0.5;
+        simulation.faults.lost_answers = 1.0;
+        simulation.faults.lost_renewals = 1.0;
+        submit_long(&mut simulation);
+        let short = simulation::step(1, 1_000, 100);
+        simulation.submit(simulation::job(2, "short", short));
+        simulation.run_ms(13_000);
+        let starts = simulation.starts.iter();
+        let mut long_starts = starts.filter(|(_, run, _)| run.task.job_id == 1);
+        if long_starts.all(|(at_ms, ..)| *at_ms < LONG_UPTIME_MS + 4_500) {
+            continue;
+        }
+        late_starts += 1;
+        simulation.workers[1].is_partitioned = true;
+        simulation.run_ms(1_000);
+        simulation.faults = simulation::Faults::default();
+        simulation.workers[0].draining = false;
+        simulation.run_ms(30_000);
+        let starts = simulation.starts.iter();
+        let long_starts = starts.filter(|(_, run, _)| run.task.job_id == 1);
+        assert_eq!(
+            long_starts.count(),
+            2,
+            "the long task was not started again"
+        );
+    }
+    assert!(late_starts > 0, "no start was late");
+}
