jobs, relay, platform: an answer counts only as one to the renewal that it belongs to

What callers would see: a task that starts a second time while its run goes on, as the answer to an earlier renewal, in which the run is missing, counts as one to a renewal after its start.

Cause: answers were matched to renewals by the incarnation only.

Change: each renewal of a term has a number. The leader keeps it with the order in flight and hands it back with the result; an answer with another number than the renewal under way is ignored. The record need not be kept for that any more.

Why it works: every order in flight ends with exactly one event, so that the answer to the renewal under way still comes.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -87,6 +87,8 @@
     Renewal {
         /// The worker.
         incarnation: model::WorkerIncarnation,
+        /// The renewal.
+        number: worker_api::RenewalNumber,
         /// The result.
         outcome: worker_api::RenewalOutcome,
     },
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -79,6 +79,7 @@
 pub use tenancy::TenantReport;
 pub use worker_api::EndedRow;
 pub use worker_api::Listing;
+pub use worker_api::RenewalNumber;
 pub use worker_api::RenewalOrder;
 pub use worker_api::RenewalOutcome;
 pub use worker_api::RunEnd;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -118,6 +118,7 @@
                 ..=FIRST_TERM => clock.now,
                 _ => clock.now + leadership_timeout + successor_horizon,
             },
+            last_renewal: 0,
             runs_kept_beyond_lease: 0,
             starts_on_other_incarnations: 0,
             ends_after_next_start: 0,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::speed_tracking;
 use crate::tenancy;
 use crate::worker;
+use crate::worker_api;
 
 /// Shortest time between two placement passes.
 const MIN_PLACEMENT_INTERVAL: time::Duration = time::Duration::from_millis(4);
@@ -66,6 +67,8 @@
     pub(crate) moved_runs: u64,
     /// Until when leases may last that workers grant by orders of earlier leaders.
     pub(crate) earlier_orders_end_at: time::Instant,
+    /// Number of the last renewal.
+    pub(crate) last_renewal: worker_api::RenewalNumber,
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
     /// began.
     pub(crate) runs_kept_beyond_lease: u64,
@@ -257,8 +260,9 @@
             } => self.on_throttled(&incarnation, run, percent, outcome),
             event::Event::Renewal {
                 incarnation,
+                number,
                 outcome,
-            } => self.on_renewal(&incarnation, outcome, clock),
+            } => self.on_renewal(&incarnation, number, outcome, clock),
             event::Event::Advice {
                 call,
                 outcome,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -83,6 +83,8 @@
 pub(crate) struct RenewalState {
     /// When the call in flight was sent.
     pub(crate) sent_at: Option<time::Instant>,
+    /// Number of the call in flight.
+    pub(crate) number: worker_api::RenewalNumber,
     /// Earliest time of the next call.
     pub(crate) not_before: Option<time::Instant>,
     /// Up to which sequence number the call in flight makes the worker forget ends.
--- a/crates/jobs/src/worker_api.rs
+++ b/crates/jobs/src/worker_api.rs
@@ -83,9 +83,14 @@
     pub term: model::Term,
 }
 
+/// Numbers the renewals of a term.
+pub type RenewalNumber = u64;
+
 /// Renews a worker's lease and fetches its listing of runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewalOrder {
+    /// Identifies the renewal; its result is handed back with the same number.
+    pub number: RenewalNumber,
     /// The addressed incarnation.
     pub incarnation: model::WorkerIncarnation,
     /// Address of the worker.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -183,10 +183,7 @@
             .map(|(incarnation, worker)| {
                 let has_pending_orders = worker.runs.values().any(|run| run.unanswered)
                     || worker.removed_unanswered(sent_after).next().is_some();
-                // An answer after the worker is listed again would count as one to a later renewal.
-                let awaits_listing = worker.renewal.sent_at.is_some();
                 let is_kept = worker.is_listed
-                    || awaits_listing
                     || has_pending_orders
                     || !worker.are_orders_over(&self.settings, clock.now);
                 (incarnation.clone(), is_kept)
@@ -312,7 +309,9 @@
             && worker.was_heard_within(settings.max_renewal_wait + RENEWAL_TRANSFER, clock.now)
             && !worker.runs.is_empty()
             && !worker.has_pending_ends();
+        self.last_renewal += 1;
         let order = worker_api::RenewalOrder {
+            number: self.last_renewal,
             incarnation: incarnation.clone(),
             address,
             lease_end_ms,
@@ -331,18 +330,25 @@
         };
         worker.renewal.forgets_up_to = order.forget_up_to;
         worker.renewal.sent_at = Some(clock.now);
+        worker.renewal.number = order.number;
         self.actions.push(event::Action::Renew(order));
     }
 
     pub(crate) fn on_renewal(
         &mut self,
         incarnation: &model::WorkerIncarnation,
+        number: worker_api::RenewalNumber,
         outcome: worker_api::RenewalOutcome,
         clock: event::Clock,
     ) {
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
         };
+        // The incarnation may have been forgotten and listed again since an earlier one was sent, which
+        // says nothing about runs that have started since.
+        if worker.renewal.number != number {
+            return;
+        }
         let Some(sent_at) = worker.renewal.sent_at.take() else {
             return;
         };
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -480,6 +480,7 @@
             jobs::Action::Renew(order) if self.rng.random_bool(self.faults.lost_renewals) => {
                 let event = jobs::Event::Renewal {
                     incarnation: order.incarnation,
+                    number: order.number,
                     outcome: jobs::RenewalOutcome::Lost,
                 };
                 self.push(RELAY_LOSS_MS, Event::Deliver(term, event));
@@ -950,6 +951,7 @@
             if !self.workers[index].accept_renewal(&order, now_ms) {
                 let event = jobs::Event::Renewal {
                     incarnation: order.incarnation,
+                    number: order.number,
                     outcome: jobs::RenewalOutcome::Fenced,
                 };
                 self.push(ONE_WAY_MS, Event::Deliver(order.term, event));
@@ -963,6 +965,7 @@
         if self.is_replaced(&order.incarnation, &order.address) {
             let event = jobs::Event::Renewal {
                 incarnation: order.incarnation,
+                number: order.number,
                 outcome: jobs::RenewalOutcome::OtherIncarnation,
             };
             self.push(ONE_WAY_MS, Event::Deliver(order.term, event));
@@ -975,6 +978,7 @@
         let delay_ms = order.wait.as_millis() as u64 + 600;
         let event = jobs::Event::Renewal {
             incarnation: order.incarnation,
+            number: order.number,
             outcome: jobs::RenewalOutcome::NoAnswer,
         };
         self.push(delay_ms, Event::Deliver(order.term, event));
@@ -1012,6 +1016,7 @@
         }
         let event = jobs::Event::Renewal {
             incarnation: order.incarnation,
+            number: order.number,
             outcome: jobs::RenewalOutcome::Listing(listing),
         };
         let delay_ms = ONE_WAY_MS + self.relay_wait_ms;
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -43,7 +43,7 @@
     Start(model::WorkerIncarnation, model::RunKey),
     Stop(model::WorkerIncarnation, model::RunKey),
     Throttle(model::WorkerIncarnation, model::RunKey, u32),
-    Renewal(model::WorkerIncarnation),
+    Renewal(model::WorkerIncarnation, jobs::RenewalNumber),
     Advice(jobs::CallId),
 }
 
@@ -71,7 +71,7 @@
                 message::Request::Throttle(order),
             ),
             jobs::Action::Renew(order) => (
-                Subject::Renewal(order.incarnation.clone()),
+                Subject::Renewal(order.incarnation.clone(), order.number),
                 message::Request::Renew(order),
             ),
             jobs::Action::Advise(call) => (
@@ -133,9 +133,10 @@
                 percent,
                 outcome,
             },
-            (Subject::Renewal(incarnation), message::Response::Renewal(outcome)) => {
+            (Subject::Renewal(incarnation, number), message::Response::Renewal(outcome)) => {
                 jobs::Event::Renewal {
                     incarnation,
+                    number,
                     outcome,
                 }
             }
@@ -215,8 +216,9 @@
                 percent,
                 outcome: jobs::ThrottleOutcome::Failed,
             },
-            Self::Renewal(incarnation) => jobs::Event::Renewal {
+            Self::Renewal(incarnation, number) => jobs::Event::Renewal {
                 incarnation,
+                number,
                 outcome: jobs::RenewalOutcome::Lost,
             },
             Self::Advice(call) => jobs::Event::Advice {
--- a/crates/relay/tests/relays/in_flight.rs
+++ b/crates/relay/tests/relays/in_flight.rs
@@ -48,6 +48,7 @@
 
 fn renewal(number: u64) -> jobs::Action {
     jobs::Action::Renew(jobs::RenewalOrder {
+        number,
         incarnation: incarnation(number),
         address: "address".into(),
         lease_end_ms: None,
@@ -102,6 +103,7 @@
     assert!(matches!(
         &events[1],
         jobs::Event::Renewal {
+            number: 2,
             outcome: jobs::RenewalOutcome::Lost,
             ..
         }
@@ -186,3 +188,22 @@
         prop_assert!(in_flight.is_empty());
     }
 }
+
+/// An answer to a renewal that counts as one to another: the result carries the number of its order.
+#[test]
+fn result_of_a_renewal_carries_its_number() {
+    let now = time::Instant::now();
+    let mut in_flight = relay::InFlight::default();
+    let orders = [7, 8].map(|number| in_flight.begin(&"a".into(), renewal(number), limits(now)));
+    for (order, expected) in orders.into_iter().zip([7, 8]).rev() {
+        let report = relay::Report {
+            id: order.expect("an order").id,
+            response: relay::Response::Renewal(jobs::RenewalOutcome::NoAnswer),
+        };
+        let event = in_flight.complete(&"a".into(), report);
+        let Some(jobs::Event::Renewal { number, .. }) = event else {
+            panic!("{event:?} is no result of a renewal");
+        };
+        assert_eq!(number, expected);
+    }
+}
