--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -1,9 +1,9 @@
 //! Workers that restart under the id that they had.
 //!
-//! Orders name a worker by its id only. The next incarnation therefore executes the orders that were
-//! sent before the restart was noticed, and those that are delayed on their way: it has seen no
-//! term and no stop order, and its clock has started anew, so that it rejects none of them. Runs
-//! that such orders may start belong to the next incarnation until it shows that they are not there.
+//! Orders name a worker by its id. They are sent on connections that lead to the incarnation that they
+//! are for, but a worker may execute an order late, after it has restarted: the next incarnation has seen
+//! no term and no stop order, and its clock has started anew, so that it rejects none. Runs that such
+//! orders may start belong to the next incarnation until it shows that they are not there.
 
 use std::time;
 
@@ -16,9 +16,10 @@
 
 /// Longest delay with which a worker executes an order that was not answered.
 pub(crate) const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
-/// Longest time from the decision of an order to its execution if the network does not delay it:
-/// instances begin a call within 900 ms (`SILENCE_LIMIT` of the controller's relays), and connect within
-/// 300 ms.
+/// Longest time from the decision of an order to its execution if it is not executed late: instances begin
+/// a call within 900 ms (`SILENCE_LIMIT` of the controller's relays), and send the order within 300 ms, or
+/// 400 ms on a new connection. Those then lead to the incarnation that the order is for, so that this time
+/// does not count for the next one.
 pub(crate) const MAX_UNDELAYED_CALL: time::Duration = time::Duration::from_millis(1_200);
 
 impl scheduler::Scheduler {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -442,8 +442,8 @@
 
     /// Returns when a run counts as ended if the worker does not answer any more.
     ///
-    /// Orders name a worker by its id only. What this incarnation is not known to have executed may have
-    /// been executed by the next one, whose clock starts anew, so that it grants the longest lease.
+    /// What this incarnation is not known to have executed may have been executed late by the next one,
+    /// whose clock starts anew, so that it grants the longest lease.
     /// Orders that the network delays beyond `restarts::MAX_UNDELAYED_CALL` are not counted before the next
     /// incarnation is noticed: waiting for these would keep each lost task for 22 s.
     pub(crate) fn run_expires_at(
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -347,6 +347,13 @@
         // The incarnation may have been forgotten and listed again since an earlier one was sent, which
         // says nothing about runs that have started since.
         if worker.renewal.number != number {
+            log::info!(
+                worker:% = incarnation.worker_id,
+                born_ms = incarnation.born_ms,
+                number,
+                under_way = worker.renewal.number;
+                "answer to an earlier renewal ignored"
+            );
             return;
         }
         let Some(sent_at) = worker.renewal.sent_at.take() else {
