jobs: an answer of one incarnation ends all that were heard of before its call

Cause: while the directory shows an incarnation that has ended, the leader takes that one up anew and calls it. An answer of another incarnation ended only the one that was called. If the worker had restarted again, the record of the incarnation in between stayed: without runs and not listed, it is not called, and the start orders that the next one may still execute are kept with it, so that the third incarnation was sent no stop orders.

Change: such an answer also ends every other incarnation of the worker that was last heard of before the call was sent, as a restart, which moves what may still be executed to the incarnation that has answered.

Why it works: one process has the id at a time. An incarnation heard of before the call was sent was there before the one that has answered it, whatever their starts say; one heard of since is left alone.

Not run with real processes.

--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -52,6 +52,28 @@
         self.attribute_crash(incarnation, EVIDENCE.describe(), clock);
     }
 
+    /// Ends the incarnations of a worker that were last heard of before a call was sent that `successor` has
+    /// answered.
+    ///
+    /// The call need not have named them: while the directory shows an incarnation that has ended, that one is
+    /// called.
+    pub(crate) fn end_incarnations_before(
+        &mut self,
+        successor: &model::WorkerIncarnation,
+        sent_at: time::Instant,
+        clock: event::Clock,
+    ) {
+        let before = self.workers.iter().filter(|(one, worker)| {
+            one.worker_id == successor.worker_id
+                && *one != successor
+                && worker.heard_at().is_some_and(|at| at < sent_at)
+        });
+        let before: Vec<_> = before.map(|(one, _)| one.clone()).collect();
+        for old in before {
+            self.end_restarted_incarnation(&old, successor, clock);
+        }
+    }
+
     /// Moves the runs that a later incarnation may have, or may still start, to that one.
     fn move_runs(
         &mut self,
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -370,6 +370,7 @@
                         ..incarnation.clone()
                     };
                     self.end_restarted_incarnation(incarnation, &successor, clock);
+                    self.end_incarnations_before(&successor, sent_at, clock);
                     return;
                 }
                 self.apply_listing(incarnation, listing, sent_at, clock);
--- a/crates/jobs/tests/scheduler/unnoticed_restarts.rs
+++ b/crates/jobs/tests/scheduler/unnoticed_restarts.rs
@@ -560,3 +560,39 @@
     }
     assert!(removed > 0, "no run was removed before its answer");
 }
+
+/// A task that is done runs again: its worker restarts twice while the directory shows the first incarnation, a call to
+/// which tells of the third one, and that one executes a start order late, as only the second one was sent the stop
+/// order.
+#[test]
+fn late_start_is_not_executed_by_the_incarnation_after_the_next_one() {
+    let mut called = 0;
+    for seed in 0..40 {
+        let mut simulation = two_workers(seed);
+        simulation.run_ms(LONG_UPTIME_MS);
+        simulation.faults.late_orders = 1.0;
+        let step = simulation::step(1, 1_000, 300);
+        simulation.submit(simulation::job(1, "long", step));
+        simulation.run_ms(1_200);
+        simulation.faults.late_orders = 0.0;
+        simulation.workers[0].draining = false;
+        simulation.run_ms(2_500);
+        let starts = simulation.starts.iter().map(|(_, _, index)| *index);
+        assert_eq!(starts.collect::<Vec<_>>(), [0], "not started elsewhere");
+        simulation.workers[0].draining = true;
+        simulation.run_ms(100);
+        // Its order makes the leader call the worker.
+        let step = simulation::step(1, 1_000, 50);
+        simulation.submit(simulation::job(2, "short", step));
+        for until_noticed_ms in [3_200, 1_000] {
+            simulation.workers[1].restart_unlisted(LONG_UPTIME_MS + 60_000);
+            // Nobody can keep a late start from an incarnation that is not noticed yet.
+            simulation.workers[1].drops_starts = true;
+            simulation.run_ms(until_noticed_ms);
+            simulation.workers[1].drops_starts = false;
+        }
+        called += u32::from(simulation.workers[1].has_seen(simulation.term));
+        simulation.run_ms(13_000);
+    }
+    assert!(called > 0, "no third incarnation was called");
+}
