--- a/review/rig-2.rs
+++ b/review/rig-2.rs
@@ -48,7 +48,9 @@
 const PREFIX: &str = "/jobs/";
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 fn unix_ms() -> i64 {
@@ -235,21 +237,6 @@
     text
 }
 
-fn decode_base64(text: &str) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let (mut bits, mut count) = (0_u32, 0);
-    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte)) {
-        bits = bits << 6 | digit as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            bytes.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    bytes
-}
-
 fn base64_len(text: &str) -> usize {
     let padding = text.bytes().rev().take_while(|byte| *byte == b'=').count();
     text.len() / 4 * 3 - padding
@@ -310,7 +297,9 @@
         let (name, value) = line.split_once(':')?;
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
     Some((first.trim_end().to_owned(), headers, body))
@@ -390,7 +379,9 @@
     stream.set_write_timeout(Some(wait)).ok()?;
     stream.write_all(message.as_bytes()).ok()?;
     let left = until.saturating_duration_since(Instant::now());
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()?;
     let (first, _, body) = read_message(&mut BufReader::new(stream))?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
     Some((status, String::from_utf8_lossy(&body).into_owned()))
@@ -448,7 +439,12 @@
 
     fn put(&mut self, key: &str, value: String, lease: i64, revision: i64) {
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item);
         if let Some(row) = self.row(key) {
             self.events.push((revision, key.to_owned(), row));
@@ -464,7 +460,12 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let ended: Vec<_> = self.leases.iter().filter(|(_, lease)| lease.0 <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<_> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.0 <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in ended {
             self.end_lease(id);
         }
@@ -472,7 +473,12 @@
 
     fn end_lease(&mut self, id: i64) {
         self.leases.remove(&id);
-        let keys: Vec<_> = self.items.iter().filter(|(_, item)| item.lease == id).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in keys {
             self.revision += 1;
             let revision = self.revision;
@@ -502,8 +508,13 @@
 
     fn segment_bytes(&self) -> (usize, usize) {
         let state = lock(&self.state);
-        let sizes = state.items.iter().filter(|(key, _)| key.starts_with("ferry/segment/"));
-        sizes.fold((0, 0), |(count, bytes), (_, item)| (count + 1, bytes + base64_len(&item.value)))
+        let sizes = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with("ferry/segment/"));
+        sizes.fold((0, 0), |(count, bytes), (_, item)| {
+            (count + 1, bytes + base64_len(&item.value))
+        })
     }
 
     fn handle(&self, request: &Request) -> Reply {
@@ -514,7 +525,9 @@
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let path = request.path.as_str();
         match (request.method.as_str(), path) {
-            ("GET", "/kv-key") => state.row(&query("key")).map_or(empty(404), |row| (200, row)),
+            ("GET", "/kv-key") => state
+                .row(&query("key"))
+                .map_or(empty(404), |row| (200, row)),
             ("GET", "/kv-range") => {
                 let (prefix, after) = (query("prefix"), query("after"));
                 let keys = state.items.keys();
@@ -586,13 +599,18 @@
                 for row in &expect {
                     let current = state.items.get(row.get("key").text());
                     if row.get("revision").int() != Some(current.map_or(0, |item| item.revision)) {
-                        let rows = expect.iter().filter_map(|row| state.row(row.get("key").text()));
+                        let rows = expect
+                            .iter()
+                            .filter_map(|row| state.row(row.get("key").text()));
                         let rows: Vec<_> = rows.collect();
                         return (412, format!(r#"{{"items":[{}]}}"#, rows.join(",")));
                     }
                 }
                 let lease = |row: &Json| row.get("lease").int().unwrap_or(0);
-                if writes.iter().any(|row| lease(row) != 0 && !state.leases.contains_key(&lease(row))) {
+                if writes
+                    .iter()
+                    .any(|row| lease(row) != 0 && !state.leases.contains_key(&lease(row)))
+                {
                     return empty(404);
                 }
                 state.revision += 1;
@@ -608,7 +626,11 @@
                 (200, format!(r#"{{"revision":{revision}}}"#))
             }
             ("POST", "/kv-lease") => {
-                let ttl_ms = body.get("ttl_ms").int().unwrap_or(1_000).clamp(1_000, 600_000);
+                let ttl_ms = body
+                    .get("ttl_ms")
+                    .int()
+                    .unwrap_or(1_000)
+                    .clamp(1_000, 600_000);
                 let ttl = Duration::from_millis(ttl_ms as u64);
                 state.next_lease += 1;
                 let id = state.next_lease;
@@ -660,19 +682,29 @@
 impl Judge {
     fn start(&self, task: &str, run: i64, worker: &str) {
         let mut tasks = lock(&self.tasks);
-        tasks.entry(task.to_owned()).or_default().starts.push((run, Instant::now(), worker.to_owned()));
+        tasks.entry(task.to_owned()).or_default().starts.push((
+            run,
+            Instant::now(),
+            worker.to_owned(),
+        ));
     }
 
     fn done(&self, task: &str, run: i64, worker: &str) {
         let mut tasks = lock(&self.tasks);
-        tasks.entry(task.to_owned()).or_default().done.push((run, Instant::now(), worker.to_owned(), false));
+        tasks.entry(task.to_owned()).or_default().done.push((
+            run,
+            Instant::now(),
+            worker.to_owned(),
+            false,
+        ));
     }
 
     /// Records that `last_seen` has reached an end.
     fn note(&self, task: &str, run: i64, worker: &str) {
         if let Some(task) = lock(&self.tasks).get_mut(task) {
             let ends = task.done.iter_mut();
-            ends.filter(|end| end.0 == run && end.2 == worker).for_each(|end| end.3 = true);
+            ends.filter(|end| end.0 == run && end.2 == worker)
+                .for_each(|end| end.3 = true);
         }
     }
 
@@ -681,7 +713,10 @@
         let mut lines = Vec::new();
         for (name, task) in &*lock(&self.tasks) {
             for (run, ended_at, worker, _) in task.done.iter().filter(|end| end.3) {
-                let later = task.starts.iter().filter(|start| start.0 != *run && start.1 > *ended_at);
+                let later = task
+                    .starts
+                    .iter()
+                    .filter(|start| start.0 != *run && start.1 > *ended_at);
                 for (later_run, started_at, other) in later {
                     lines.push(format!(
                         "{name}: run {run} has ended done on {worker} at {} ms and was taken note of, and run {later_run} has started on {other} at {} ms",
@@ -753,7 +788,10 @@
 
     fn runs_job(&self, job: &str) -> bool {
         let state = lock(&self.state);
-        state.runs.keys().any(|(task, _)| task.split('.').next() == Some(job))
+        state
+            .runs
+            .keys()
+            .any(|(task, _)| task.split('.').next() == Some(job))
     }
 
     fn entry(&self) -> String {
@@ -791,7 +829,8 @@
                 *lock(&self.done).entry(job).or_default() += 1;
             }
             if (self.noted)(&task) {
-                self.record.line(&format!("{} ends {task} run {run}: {how}", self.id));
+                self.record
+                    .line(&format!("{} ends {task} run {run}: {how}", self.id));
             }
             if how == "done" {
                 self.judge.done(&task, run, &self.id);
@@ -814,7 +853,8 @@
             format!(r#"["{task}",{run},"",{percent},100]"#)
         });
         let ends = state.ends.iter().take(500);
-        let ends = ends.map(|(number, task, run, how)| format!(r#"[{number},"{task}",{run},"{how}",""]"#));
+        let ends =
+            ends.map(|(number, task, run, how)| format!(r#"[{number},"{task}",{run},"{how}",""]"#));
         format!(
             r#"{{"clock_ms":{},"born":{},"running":[{}],"finished":[{}]}}"#,
             clock_ms,
@@ -841,7 +881,10 @@
         if last_seen == 0 || !self.is_late_next.swap(false, SeqCst) {
             return false;
         }
-        self.record.line(&format!("{} leaves a call unanswered: last_seen {last_seen}", self.id));
+        self.record.line(&format!(
+            "{} leaves a call unanswered: last_seen {last_seen}",
+            self.id
+        ));
         let (worker, request) = (Arc::clone(self), request.body.clone());
         thread::spawn(move || {
             thread::sleep(delay);
@@ -849,7 +892,9 @@
             let mut state = lock(&worker.state);
             let fence = body.get("fencing_token").int().unwrap_or(0);
             if fence < state.fence || worker.is_down.load(SeqCst) {
-                worker.record.line(&format!("{} rejects the late call", worker.id));
+                worker
+                    .record
+                    .line(&format!("{} rejects the late call", worker.id));
                 return;
             }
             state.fence = fence;
@@ -883,7 +928,14 @@
         self.is_down.store(true, SeqCst);
         {
             let mut state = lock(&self.state);
-            *state = WorkerState { fence: 0, lease_end_ms: 0, runs: BTreeMap::new(), ends: Vec::new(), end_count: 0, tombstones: HashMap::new() };
+            *state = WorkerState {
+                fence: 0,
+                lease_end_ms: 0,
+                runs: BTreeMap::new(),
+                ends: Vec::new(),
+                end_count: 0,
+                tombstones: HashMap::new(),
+            };
             for stream in lock(&self.connections).drain(..) {
                 // It may be closed already.
                 let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -895,7 +947,9 @@
             thread::sleep(down);
             *lock(&worker.born) = (unix_ms(), Instant::now());
             worker.is_down.store(false, SeqCst);
-            worker.record.line(&format!("{} is back under its id", worker.id));
+            worker
+                .record
+                .line(&format!("{} is back under its id", worker.id));
         });
     }
 
@@ -913,7 +967,12 @@
         let mut state = lock(&self.state);
         self.end_due(&mut state);
         let clock_ms = self.clock_ms();
-        let refuse = |reason: &str| (409, format!(r#"{{"clock_ms":{clock_ms},"reason":"{reason}"}}"#));
+        let refuse = |reason: &str| {
+            (
+                409,
+                format!(r#"{{"clock_ms":{clock_ms},"reason":"{reason}"}}"#),
+            )
+        };
         let fence = body.get("fencing_token").int().unwrap_or(0);
         if fence < state.fence {
             return refuse("fence");
@@ -926,20 +985,43 @@
         if let Some(end) = deadline_ms {
             state.lease_end_ms = state.lease_end_ms.max(end.min(clock_ms + MAX_HOLD_MS));
         }
-        let (task, run) = (body.get("task").text().to_owned(), body.get("run").int().unwrap_or(0));
+        let (task, run) = (
+            body.get("task").text().to_owned(),
+            body.get("run").int().unwrap_or(0),
+        );
         let ok = (200, format!(r#"{{"clock_ms":{clock_ms}}}"#));
         match request.path.as_str() {
             "/run-start" if state.runs.contains_key(&(task.clone(), run)) => ok,
-            "/run-start" if state.tombstones.get(&task).is_some_and(|highest| run <= *highest) => refuse("old"),
+            "/run-start"
+                if state
+                    .tombstones
+                    .get(&task)
+                    .is_some_and(|highest| run <= *highest) =>
+            {
+                refuse("old")
+            }
             "/run-start" => {
                 if (self.noted)(&task) {
-                    self.record.line(&format!("{} starts {task} run {run}", self.id));
+                    self.record
+                        .line(&format!("{} starts {task} run {run}", self.id));
                 }
                 self.judge.start(&task, run, &self.id);
-                let took_ms = body.get("spec").text().split(' ').next().and_then(|text| text.parse().ok());
+                let took_ms = body
+                    .get("spec")
+                    .text()
+                    .split(' ')
+                    .next()
+                    .and_then(|text| text.parse().ok());
                 let began = Instant::now();
                 let ends_at = began + Duration::from_millis(took_ms.unwrap_or(200));
-                state.runs.insert((task, run), Run { began, ends_at, is_stopped: false });
+                state.runs.insert(
+                    (task, run),
+                    Run {
+                        began,
+                        ends_at,
+                        is_stopped: false,
+                    },
+                );
                 ok
             }
             "/run-stop" => {
@@ -1000,7 +1082,10 @@
     }
 
     fn start(&self) -> std::io::Result<()> {
-        let log = fs::File::options().create(true).append(true).open(&self.log)?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let errors = log.try_clone()?;
         // As the deploy file runs it.
         let child = process::Command::new("target/release/ferry-platform")
@@ -1021,14 +1106,6 @@
         }
     }
 
-    /// Ends the process; the platform starts it again.
-    fn kill_process(&self) {
-        if let Some(child) = lock(&self.child).as_mut() {
-            // It may have ended already.
-            let _ = child.kill();
-        }
-    }
-
     fn memory_mb(&self) -> Option<u64> {
         let pid = lock(&self.child).as_ref()?.id();
         let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
@@ -1039,7 +1116,9 @@
 
     fn has_ended(&self) -> bool {
         let mut child = lock(&self.child);
-        child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
     fn pid(&self) -> u32 {
@@ -1067,7 +1146,9 @@
 fn is_free(subnet: &str) -> bool {
     (0..INSTANCES).all(|number| {
         let ports = [8_161, 8_167, 9_464, 7_720];
-        ports.iter().all(|port| TcpListener::bind(format!("{subnet}.{}:{port}", 10 + number)).is_ok())
+        ports
+            .iter()
+            .all(|port| TcpListener::bind(format!("{subnet}.{}:{port}", 10 + number)).is_ok())
     })
 }
 
@@ -1108,7 +1189,10 @@
             let number = pid.wrapping_add(try_ * 97);
             format!("127.{}.{}", 16 + number / 250 % 200, 1 + number % 250)
         });
-        let subnet = subnets.into_iter().find(|subnet| is_free(subnet)).ok_or("no free addresses")?;
+        let subnet = subnets
+            .into_iter()
+            .find(|subnet| is_free(subnet))
+            .ok_or("no free addresses")?;
         let store = Arc::new(Store {
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -1218,7 +1302,10 @@
         let (beating, registry, stopped) = (workers.clone(), Arc::clone(&store), Arc::clone(&stop));
         thread::spawn(move || {
             while !stopped.load(SeqCst) {
-                for worker in beating.iter().filter(|worker| !worker.is_lost.load(SeqCst) && !worker.is_down.load(SeqCst)) {
+                for worker in beating
+                    .iter()
+                    .filter(|worker| !worker.is_lost.load(SeqCst) && !worker.is_down.load(SeqCst))
+                {
                     registry.put(&format!("servers/{}", worker.id), &worker.entry());
                 }
                 thread::sleep(BEAT);
@@ -1258,7 +1345,11 @@
         };
         for instance in &rig.instances {
             instance.start()?;
-            rig.record.line(&format!("{} starts, process {}", instance.name, instance.pid()));
+            rig.record.line(&format!(
+                "{} starts, process {}",
+                instance.name,
+                instance.pid()
+            ));
         }
         let (instances, record) = (rig.instances.clone(), Arc::clone(&rig.record));
         thread::spawn(move || {
@@ -1279,7 +1370,9 @@
         let until = Instant::now() + wait;
         for instance in &self.instances {
             let address: SocketAddr = format!("{}:8167", instance.ip).parse()?;
-            while call(address, "GET", "/ready", "", Duration::from_secs(1)).is_none_or(|reply| reply.0 != 200) {
+            while call(address, "GET", "/ready", "", Duration::from_secs(1))
+                .is_none_or(|reply| reply.0 != 200)
+            {
                 if Instant::now() > until {
                     return Err(format!("{} is not ready", instance.name).into());
                 }
@@ -1302,7 +1395,10 @@
                     if is_over || instance.has_ended() {
                         if is_over {
                             instance.memory_kills.fetch_add(1, SeqCst);
-                            record.line(&format!("{} has {memory_mb} MB of {MEMORY_MB}: the platform kills it", instance.name));
+                            record.line(&format!(
+                                "{} has {memory_mb} MB of {MEMORY_MB}: the platform kills it",
+                                instance.name
+                            ));
                         } else {
                             instance.exits.fetch_add(1, SeqCst);
                             record.line(&format!("{} has ended by itself", instance.name));
@@ -1326,10 +1422,23 @@
     fn ask(&self, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let next = self.next.fetch_add(1, SeqCst) as usize;
         let instance = &self.instances[next % self.instances.len()];
-        let reply = call(instance.front(), method, &format!("{PREFIX}{id}"), body, Duration::from_secs(3));
-        let shown = reply.as_ref().map_or("no answer".to_owned(), |(status, body)| format!("{status} {body}"));
+        let reply = call(
+            instance.front(),
+            method,
+            &format!("{PREFIX}{id}"),
+            body,
+            Duration::from_secs(3),
+        );
+        let shown = reply
+            .as_ref()
+            .map_or("no answer".to_owned(), |(status, body)| {
+                format!("{status} {body}")
+            });
         let sent = body.len();
-        self.record.line(&format!("{method} {id} ({sent} bytes) at {}: {shown}", instance.name));
+        self.record.line(&format!(
+            "{method} {id} ({sent} bytes) at {}: {shown}",
+            instance.name
+        ));
         reply
     }
 
@@ -1356,24 +1465,15 @@
         None
     }
 
-    /// Kills the process that last wrote to the store under a condition, which starts again a second later.
-    fn kill_leader(&self) -> Result<(), Failure> {
-        let text = lock(&self.store.state).items.get("ferry/cell/leader").map(|item| item.value.clone());
-        let text = text.ok_or("no leader")?;
-        let entry = String::from_utf8_lossy(&decode_base64(&text)).into_owned();
-        let leader = self.instances.iter().find(|instance| entry.contains(&format!("{}:7720", instance.ip)));
-        let leader = leader.ok_or("the leader is not known")?;
-        self.record.line(&format!("{} is killed", leader.name));
-        leader.kill_process();
-        Ok(())
-    }
-
     fn end(&self) {
         self.stop.store(true, SeqCst);
         thread::sleep(Duration::from_millis(1_300));
         for instance in &self.instances {
             instance.kill();
-            let (kills, exits) = (instance.memory_kills.load(SeqCst), instance.exits.load(SeqCst));
+            let (kills, exits) = (
+                instance.memory_kills.load(SeqCst),
+                instance.exits.load(SeqCst),
+            );
             let peak = instance.peak_mb.load(SeqCst);
             self.record.line(&format!(
                 "{}: peak {peak} MB, killed for its memory {kills} times, ended by itself {exits} times",
@@ -1425,19 +1525,23 @@
 /// Plays a case; returns whether the rule held.
 fn play(case: &str, folder: &str, is_troubled: bool) -> Result<bool, Failure> {
     let rig = Rig::start(folder, is_noted)?;
-    rig.record.line(&format!("case {case}, with its disruption: {is_troubled}"));
+    rig.record
+        .line(&format!("case {case}, with its disruption: {is_troubled}"));
     let held = match case {
         "memory" => memory(&rig, is_troubled),
         "large" => large(&rig, is_troubled),
         "timed" => timed(&rig, is_troubled),
         "forgotten" => forgotten(&rig, is_troubled),
-        "lost" => lost(&rig, is_troubled, false),
-        "leader" => lost(&rig, is_troubled, true),
+        "lost" => lost(&rig, is_troubled),
         _ => Err(format!("no case {case}").into()),
     };
     rig.end();
     let verdict = held.as_ref().map_or("could not run", |held| {
-        if *held { "the rule held" } else { "the rule was broken" }
+        if *held {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        }
     });
     rig.record.line(verdict);
     held
@@ -1484,7 +1588,11 @@
         open.retain(|id| !rig.workers.iter().any(|worker| worker.runs_job(id)));
         thread::sleep(Duration::from_millis(20));
     }
-    let running: usize = rig.workers.iter().map(|worker| lock(&worker.state).runs.len()).sum();
+    let running: usize = rig
+        .workers
+        .iter()
+        .map(|worker| lock(&worker.state).runs.len())
+        .sum();
     for id in &open {
         let done = lock(&rig.done).get(id).copied().unwrap_or(0);
         rig.record.line(&format!(
@@ -1505,14 +1613,22 @@
     let chain = (1..steps).map(|step| format!(r#",{{"count":1,"after":[{}]}}"#, step - 1));
     let chain: String = chain.collect();
     let body = format!(r#"{{"spec":"3000 ms","steps":[{{"count":1}}{chain}]}}"#);
-    rig.record.line(&format!("{JOBS} bodies of {} bytes each are sent at once", body.len()));
+    rig.record.line(&format!(
+        "{JOBS} bodies of {} bytes each are sent at once",
+        body.len()
+    ));
     thread::scope(|scope| {
         for number in 0..JOBS {
             let body = &body;
             scope.spawn(move || rig.submit(&job_id(TROUBLE_SERIES, number), body));
         }
     });
-    ids.extend(ordinary_traffic(rig, 2, Duration::from_secs(20), &plain_job(700, 2, 2_000)));
+    ids.extend(ordinary_traffic(
+        rig,
+        2,
+        Duration::from_secs(20),
+        &plain_job(700, 2, 2_000),
+    ));
     let (unanswered, _) = ask_for(rig, &ids, 2);
     let ended = |instance: &&Arc<Instance>| {
         instance.memory_kills.load(SeqCst) + instance.exits.load(SeqCst) >= 3
@@ -1542,10 +1658,13 @@
     let job = format!(r#"{{"spec":"500 ms","steps":[{step}}},{step},"after":[0]}}]}}"#);
     let ids = ordinary_traffic(rig, 1, Duration::from_secs(15), &job);
     let (segments, bytes) = rig.store.segment_bytes();
-    rig.record.line(&format!("the store has {segments} segments of {bytes} bytes"));
+    rig.record.line(&format!(
+        "the store has {segments} segments of {bytes} bytes"
+    ));
     let (unanswered, standing) = ask_for(rig, &ids, 2);
     let refused = lock(&rig.store.state).refused_values;
-    rig.record.line(&format!("the store refused {refused} values as too large"));
+    rig.record
+        .line(&format!("the store refused {refused} values as too large"));
     Ok(unanswered + standing == 0)
 }
 
@@ -1573,7 +1692,12 @@
     if !rig.submit(&job_id(TROUBLE_SERIES, 0), &body) {
         return Err("the timed job was not accepted".into());
     }
-    ids.extend(ordinary_traffic(rig, 3, Duration::from_secs(1), &plain_job(700, 2, 2_000)));
+    ids.extend(ordinary_traffic(
+        rig,
+        3,
+        Duration::from_secs(1),
+        &plain_job(700, 2, 2_000),
+    ));
     let (unanswered, standing) = ask_for(rig, &ids, 2);
     let lapsed = rig.lapsed.load(SeqCst);
     rig.record.line(&format!(
@@ -1582,56 +1706,52 @@
     Ok(unanswered + standing == 0 && lapsed <= MAY_MISS)
 }
 
-/// Workers are lost for good, and the leader's process is killed 3 s later; or only the former, 2 s before tasks
-/// that last are handed in.
+/// Workers are lost for good, 2 s before tasks that last are handed in.
 ///
 /// LOST: a task that lasts has nothing running for 3 s, from 6 s after its last run, while there is room; the
 /// 3 s and the 4 s before them are calm.
-fn lost(rig: &Rig, is_troubled: bool, kills_leader: bool) -> Result<bool, Failure> {
+fn lost(rig: &Rig, is_troubled: bool) -> Result<bool, Failure> {
     const TASKS: usize = 96;
     const LOST_WORKERS: usize = 7;
     let ids = ordinary_traffic(rig, 1, Duration::from_secs(3), &plain_job(300, 48, 16_000));
-    rig.record.line(&format!("{} ordinary jobs have used the workers", ids.len()));
+    rig.record.line(&format!(
+        "{} ordinary jobs have used the workers",
+        ids.len()
+    ));
     thread::sleep(Duration::from_secs(2));
     let body = format!(
         r#"{{"spec":"600000 ms","steps":[{{"count":{TASKS},"cpu":500,"mem_mb":256,"est_runtime_ms":600000,"anti_affinity":3,"long_running":true}}]}}"#
     );
     let job = job_id(2, 0);
     rig.record.line(&body);
-    let hand_in = || match rig.submit(&job, &body) {
-        true => Ok(()),
-        false => Err("the job was not accepted"),
-    };
-    if kills_leader {
-        hand_in()?;
-        thread::sleep(Duration::from_secs(4));
-    }
     let lost = rig.workers.iter().step_by(WORKERS / LOST_WORKERS + 1);
-    let lost: Vec<_> = lost.take(if is_troubled { LOST_WORKERS } else { 0 }).collect();
+    let lost: Vec<_> = lost
+        .take(if is_troubled { LOST_WORKERS } else { 0 })
+        .collect();
     let lost_at = Instant::now();
     lost.iter().for_each(|worker| worker.lose());
-    // From then on all is calm, and the last runs of all tasks are long ago.
-    let calm_at = if kills_leader {
-        thread::sleep(Duration::from_secs(3));
-        if is_troubled {
-            rig.kill_leader()?;
-        }
-        // The process is back a second later.
-        Instant::now() + Duration::from_secs(6)
-    } else {
-        thread::sleep(Duration::from_secs(2));
-        hand_in()?;
-        Instant::now() + Duration::from_secs(6)
-    };
-    let mut standing: Vec<String> = (0..TASKS).map(|index| format!("{job}.0.0.{index}")).collect();
-    thread::sleep(calm_at.saturating_duration_since(Instant::now()));
-    while calm_at.elapsed() < Duration::from_secs(3) {
+    thread::sleep(Duration::from_secs(2));
+    if !rig.submit(&job, &body) {
+        return Err("the job was not accepted".into());
+    }
+    // All has been calm for 8 s by then.
+    let judged_at = Instant::now() + Duration::from_secs(6);
+    let mut standing: Vec<String> = (0..TASKS)
+        .map(|index| format!("{job}.0.0.{index}"))
+        .collect();
+    thread::sleep(judged_at.saturating_duration_since(Instant::now()));
+    while judged_at.elapsed() < Duration::from_secs(3) {
         standing.retain(|task| !rig.workers.iter().any(|worker| worker.runs_task(task)));
         thread::sleep(Duration::from_millis(20));
     }
-    let running: usize = rig.workers.iter().map(|worker| lock(&worker.state).runs.len()).sum();
+    let running: usize = rig
+        .workers
+        .iter()
+        .map(|worker| lock(&worker.state).runs.len())
+        .sum();
     for task in &standing {
-        rig.record.line(&format!("{task}: nothing of it has run for the last 3 s"));
+        rig.record
+            .line(&format!("{task}: nothing of it has run for the last 3 s"));
     }
     rig.record.line(&format!(
         "{} of {TASKS} tasks that last stand still; {running} tasks of 0.5 cores run on {} workers of 64 cores",
@@ -1662,10 +1782,18 @@
     let body = plain_job(100, 240, 4_000);
     thread::scope(|scope| {
         for set in 0..if is_troubled { SETS } else { 0 } {
-            let workers: Vec<_> = rig.workers.iter().skip(set).step_by(SHARE).take(SHARE).collect();
+            let workers: Vec<_> = rig
+                .workers
+                .iter()
+                .skip(set)
+                .step_by(SHARE)
+                .take(SHARE)
+                .collect();
             scope.spawn(move || {
                 thread::sleep(Duration::from_millis(4_000 + 1_200 * set as u64));
-                workers.iter().for_each(|worker| worker.is_late_next.store(true, SeqCst));
+                workers
+                    .iter()
+                    .for_each(|worker| worker.is_late_next.store(true, SeqCst));
                 thread::sleep(Duration::from_secs(2));
                 for worker in workers {
                     worker.is_late_next.store(false, SeqCst);
