--- a/review/rig-3.rs
+++ b/review/rig-3.rs
@@ -1354,9 +1354,9 @@
                 if let Some((worker, _, run)) = at_work.first() {
                     found.get_or_insert(format!("run {} starts on {} while run {run} is at work on {worker}", event.run, event.worker));
                 }
-                if let Some((at, worker)) = done.first() {
+                if let Some((at, worker, run)) = done.first() {
                     let after: Duration = event.at - *at;
-                    let was_noted = events.iter().any(|one| one.what == "noted" && one.worker == *worker);
+                    let was_noted = events.iter().any(|one| one.what == "noted" && one.worker == *worker && one.run == *run);
                     if was_noted {
                         let after_ms = after.as_millis();
                         found.get_or_insert(format!("run {} starts on {} {after_ms} ms after a run had ended done on {worker}", event.run, event.worker));
@@ -1365,7 +1365,7 @@
                 at_work.push(key);
             }
             "done" => {
-                done.push((event.at, event.worker.clone()));
+                done.push((event.at, event.worker.clone(), event.run));
                 at_work.retain(|one| *one != key);
             }
             "noted" => {}
