--- a/crates/entry/src/api/answer.rs
+++ b/crates/entry/src/api/answer.rs
@@ -59,6 +59,9 @@
 /// Delay after which a caller should retry that was refused for lack of memory, in seconds: stalled
 /// bodies give way within 300 ms, requests in flight within a few seconds.
 const OVERLOAD_RETRY_S: u64 = 1;
+/// Delay after which a caller should retry whose request may have waited while the instance stood still,
+/// in seconds: the instance serves again, and others have all along.
+const AGE_UNKNOWN_RETRY_S: u64 = 1;
 
 /// Returns the answer to a lookup or a cancellation.
 #[must_use]
@@ -109,6 +112,15 @@
     response
 }
 
+/// Returns the answer to a request that may have waited while the instance stood still.
+#[must_use]
+pub fn age_unknown() -> axum::response::Response {
+    let mut response = error(StatusCode::SERVICE_UNAVAILABLE, "age_unknown");
+    let headers = response.headers_mut();
+    headers.insert(header::RETRY_AFTER, AGE_UNKNOWN_RETRY_S.into());
+    response
+}
+
 /// Returns the answer to an invalid request, with every finding.
 #[must_use]
 pub fn findings(errors: &[request::FieldError]) -> axum::response::Response {
--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -142,6 +142,12 @@
         answer::findings(errors)
     }
 
+    /// Refuses a request whose deadline would count from too late.
+    fn age_unknown(&self) -> response::Response {
+        self.shared.metrics.count("refused.age_unknown");
+        answer::age_unknown()
+    }
+
     fn body_timeout(&self) -> response::Response {
         self.shared.metrics.count("refused.body_timeout");
         answer::error(StatusCode::REQUEST_TIMEOUT, "body_timeout")
@@ -179,6 +185,9 @@
     let Some(customer) = gateway.customer(request.headers()) else {
         return gateway.unauthorized("customer");
     };
+    if request.extensions().get::<serve::AgeUnknown>().is_some() {
+        return gateway.age_unknown();
+    }
     let body = serve::read_body(request, gateway.shared.max_body_bytes, BODY_TIMEOUT);
     let body = match body.await {
         Ok(body) => body,
--- a/crates/entry/src/drive/instance.rs
+++ b/crates/entry/src/drive/instance.rs
@@ -165,6 +165,7 @@
         let handler = api::PeerGateway::new(control_handle.clone());
         tracker.spawn(async move { peer_server.serve(peers, handler, stop).await });
         let budget_metrics = metrics.clone();
+        let monitor = stall::Monitor::new(metrics.clone());
         let max_request_bytes = api::IN_FLIGHT_COPIES * settings.callers.max_body_bytes;
         let limits = serve::ServerLimits {
             max_header_bytes: settings.callers.max_header_bytes,
@@ -172,7 +173,9 @@
                 .max_caller_connections()
                 .min(settings.callers.max_connections),
             budget: serve::Budget::new(&machine, max_request_bytes, budget_metrics),
+            monitor: monitor.clone(),
         };
+        tracker.spawn(monitor.run(stop_servers.clone()));
         let stop = stop_servers.clone();
         tracker.spawn(serve::serve(callers, gateway.router(), limits, stop));
         Ok(Self {
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -225,6 +225,8 @@
     ExceedsTenantCap,
     /// The tenant submits more jobs than it is owed, and the workers are busy.
     TenantRate,
+    /// The request may have waited while the instance stood still, and its caller may have given up.
+    AgeUnknown,
 }
 
 impl RefusalReason {
@@ -242,6 +244,7 @@
         Self::ManifestUnconfirmed,
         Self::ExceedsTenantCap,
         Self::TenantRate,
+        Self::AgeUnknown,
     ];
 
     /// Returns the name used in answers, logs and counters.
@@ -260,6 +263,7 @@
             Self::ManifestUnconfirmed => "manifest_unconfirmed",
             Self::ExceedsTenantCap => "exceeds_tenant_cap",
             Self::TenantRate => "tenant_rate",
+            Self::AgeUnknown => "age_unknown",
         }
     }
 }
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -70,6 +70,9 @@
     received_bytes: u64,
     /// Since when the client has taken nothing of what waits to be sent.
     write_blocked_since: Option<time::Instant>,
+    /// Whether a part of the head being received, or of the request being handled, may have waited
+    /// in the socket while the process stood still.
+    is_age_unknown: bool,
     /// Requests begun since bytes were last read.
     requests_since_read: u32,
     /// Whether the client sends requests before it has the response to the one before.
@@ -156,6 +159,7 @@
                 since: now,
                 received_bytes: 0,
                 write_blocked_since: None,
+                is_age_unknown: false,
                 requests_since_read: 0,
                 is_pipelining: false,
                 charge,
@@ -255,6 +259,11 @@
         state.enter(Phase::Handling, now);
     }
 
+    /// Returns whether the request that has begun may have waited while the process stood still.
+    pub(crate) fn is_age_unknown(&self) -> bool {
+        self.lock().is_age_unknown
+    }
+
     pub(crate) fn end_request(&self) {
         self.enter(Phase::Idle);
     }
@@ -267,10 +276,15 @@
         self.enter(Phase::Handling);
     }
 
-    /// Records bytes read from the socket; returns whether the budget has room for them.
-    pub(crate) fn record_read(&self, bytes: usize) -> bool {
+    /// Records bytes read from the socket, and whether their age is known; returns whether the budget
+    /// has room for them.
+    pub(crate) fn record_read(&self, bytes: usize, is_age_known: bool) -> bool {
         let now = time::Instant::now();
         let mut state = self.lock();
+        if matches!(state.phase, Phase::New | Phase::Idle) {
+            state.is_age_unknown = false;
+        }
+        state.is_age_unknown |= !is_age_known;
         if state.requests_since_read > 0 {
             state.is_pipelining = state.requests_since_read > 1;
             state.requests_since_read = 0;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -18,6 +18,7 @@
 pub use body::read_body;
 pub use budget::Budget;
 pub use budget::Charge;
+pub use server::AgeUnknown;
 pub use server::ServerLimits;
 pub use server::serve;
 pub use sizes::DEFAULT_MEMORY_MB;
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -1,6 +1,8 @@
 //! Accepts and serves connections.
 
 use std::convert;
+use std::future;
+use std::io;
 use std::time;
 
 use hyper::body::Body as _;
@@ -38,8 +40,17 @@
     pub max_connections: usize,
     /// Memory that clients may fill.
     pub budget: budget::Budget,
+    /// Detects stalls, after which requests carry [`AgeUnknown`].
+    pub monitor: stall::Monitor,
 }
 
+/// Extension of a request of which a part may have waited in a socket while the process stood still.
+///
+/// The caller may have given up since and cancelled elsewhere, so that a request that changes something
+/// must be refused; it has not been passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct AgeUnknown;
+
 /// Serves `router` until `shutdown` is cancelled, then completes the requests in flight.
 pub async fn serve(
     listener: net::TcpListener,
@@ -50,9 +61,10 @@
     let open = connections::Connections::new(limits.budget.clone(), limits.max_connections);
     let tracker = task::TaskTracker::new();
     let mut overdue_check = OverdueCheck::new(open.clone());
+    let mut waiting = stall::Input::empty_at(limits.monitor.clone(), stall::uptime());
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &mut waiting) => accepted,
             () = overdue_check.wait() => {
                 overdue_check.run();
                 continue;
@@ -71,8 +83,11 @@
             continue;
         };
         let open = open.clone();
+        let _ = stream.set_nodelay(true);
+        // What the client has sent may be as old as the connection, which has waited for the accept.
+        let socket = socket::Socket::new(stream, handle.clone(), waiting.clone());
         let connection = serve_connection(
-            stream,
+            socket,
             router.clone(),
             limits.max_header_bytes,
             handle.clone(),
@@ -95,6 +110,21 @@
     }
 }
 
+/// Accepts a connection; records in `waiting` when none waits.
+async fn accept(
+    listener: &net::TcpListener,
+    waiting: &mut stall::Input,
+) -> io::Result<(net::TcpStream, std::net::SocketAddr)> {
+    future::poll_fn(|context| {
+        let accepted = listener.poll_accept(context);
+        if accepted.is_pending() {
+            waiting.record_nothing(stall::uptime());
+        }
+        accepted
+    })
+    .await
+}
+
 /// Closes connections that take too long.
 struct OverdueCheck {
     open: connections::Connections,
@@ -135,14 +165,13 @@
 }
 
 async fn serve_connection(
-    stream: net::TcpStream,
+    socket: socket::Socket,
     router: axum::Router,
     max_header_bytes: usize,
     handle: connections::Handle,
     shutdown: tokio_util_sync::CancellationToken,
 ) {
-    let _ = stream.set_nodelay(true);
-    let io = rt::TokioIo::new(socket::Socket::new(stream, handle.clone()));
+    let io = rt::TokioIo::new(socket);
     let service = hyper::service::service_fn(|request| {
         handle_request(router.clone(), handle.clone(), request)
     });
@@ -165,7 +194,7 @@
 
 /// Passes a request to the router, and tells the connection when it begins and ends.
 ///
-/// Only a request with a body carries the handle of its connection, since each extension allocates.
+/// Only a request that needs an extension carries one, since each allocates.
 async fn handle_request(
     mut router: axum::Router,
     connection: connections::Handle,
@@ -175,6 +204,9 @@
     if !request.body().is_end_stream() {
         request.extensions_mut().insert(connection.clone());
     }
+    if connection.is_age_unknown() {
+        request.extensions_mut().insert(AgeUnknown);
+    }
     let handled = router.call(request).await;
     connection.end_request();
     handled.map(|handled| response::charge(handled, &connection))
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -15,15 +15,21 @@
 pub(crate) struct Socket {
     stream: net::TcpStream,
     connection: connections::Handle,
+    input: stall::Input,
     /// Whether the last write could not be completed.
     is_blocked: bool,
 }
 
 impl Socket {
-    pub(crate) fn new(stream: net::TcpStream, connection: connections::Handle) -> Self {
+    pub(crate) fn new(
+        stream: net::TcpStream,
+        connection: connections::Handle,
+        input: stall::Input,
+    ) -> Self {
         Self {
             stream,
             connection,
+            input,
             is_blocked: false,
         }
     }
@@ -50,7 +56,17 @@
         let before = buffer.filled().len();
         let read = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         let received = buffer.filled().len() - before;
-        if received > 0 && !self.connection.record_read(received) {
+        // The clock is read after the socket: a stall between the two counts.
+        let now = stall::uptime();
+        if received == 0 {
+            if read.is_pending() {
+                self.input.record_nothing(now);
+            }
+            return read;
+        }
+        let is_empty = buffer.remaining() > 0;
+        let is_age_known = self.input.record_read(is_empty, now);
+        if !self.connection.record_read(received, is_age_known) {
             let error = io::Error::new(io::ErrorKind::OutOfMemory, "no memory for large input");
             return task::Poll::Ready(Err(error));
         }
--- a/crates/serve/tests/limits/server.rs
+++ b/crates/serve/tests/limits/server.rs
@@ -47,11 +47,14 @@
                     let _ = slow_requests.acquire().await;
                 }),
             );
+        let monitor = stall::Monitor::new(metrics.clone());
         let limits = serve::ServerLimits {
             max_header_bytes: 16 * 1024,
             max_connections,
             budget: budget.clone(),
+            monitor: monitor.clone(),
         };
+        tokio::spawn(monitor.run(tokio_util::sync::CancellationToken::new()));
         tokio::spawn(serve::serve(
             listener,
             router,
