--- a/crates/controller/src/caller_request.rs
+++ b/crates/controller/src/caller_request.rs
@@ -12,6 +12,42 @@
 }
 
 impl CallerRequest {
+    /// Returns the id of the job for logs; empty for a request about a queue.
+    pub(crate) fn job_id_text(&self) -> String {
+        match &self.request {
+            model::JobRequest::Submit(job) => format!("{:016x}", job.id),
+            model::JobRequest::Status { job_id } | model::JobRequest::Cancel { job_id } => {
+                format!("{job_id:016x}")
+            }
+            model::JobRequest::Pending { .. } => String::new(),
+        }
+    }
+
+    /// Returns whether the request changes jobs, rather than asking about them.
+    pub(crate) fn changes_jobs(&self) -> bool {
+        matches!(
+            self.request,
+            model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. }
+        )
+    }
+
+    /// Returns the message to the leader of `term`, which must handle it before its clock shows
+    /// `handle_by`.
+    pub(crate) fn to_timed_message(
+        &self,
+        manifest_version: model::ManifestVersion,
+        term: model::Term,
+        handle_by: stall::Reading,
+    ) -> model::ControllerRequest {
+        model::ControllerRequest::TimedJob {
+            term,
+            handle_by_ms: handle_by.as_millis() as u64,
+            tenant: self.tenant.clone(),
+            manifest_version,
+            request: self.request.clone(),
+        }
+    }
+
     /// Returns the message to the leader. Without a tenant its layout is that of builds without tenants.
     pub(crate) fn to_message(
         &self,
--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -45,18 +45,17 @@
         self.mailbox.push_event(event);
     }
 
-    /// Sends a caller's request and waits for the reply; `None` if the term ends before that, or if
-    /// too many requests wait or take too much memory.
+    /// Sends a caller's request, which is not handled from `handle_by` on, and waits for the reply;
+    /// `None` if the term ends before that, or if too many requests wait or take too much memory.
     pub(crate) async fn request(
         &self,
         manifest_version: model::ManifestVersion,
         request: caller_request::CallerRequest,
+        handle_by: stall::Uptime,
     ) -> Option<model::JobReply> {
-        let rank = match &request.request {
-            model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. } => admit::Rank::Change,
-            model::JobRequest::Status { .. } | model::JobRequest::Pending { .. } => {
-                admit::Rank::Read
-            }
+        let rank = match request.changes_jobs() {
+            true => admit::Rank::Change,
+            false => admit::Rank::Read,
         };
         let (reply, receiver) = oneshot::channel();
         let request = mailbox::Request {
@@ -64,6 +63,7 @@
             memory: self.mailbox.reserve(&request.request)?,
             request,
             reply,
+            handle_by,
         };
         self.mailbox.push_request(rank, request)?;
         receiver.await.ok()
@@ -153,9 +153,16 @@
             manifest_version,
             request,
             reply,
+            handle_by,
             memory,
         } in round.requests
         {
+            if stall::uptime() >= handle_by {
+                metrics.count("control.too_late");
+                // The caller may have stopped waiting.
+                let _ = reply.send(model::JobReply::NotLeading);
+                continue;
+            }
             let event = jobs::Event::Request {
                 token: pending.insert(reply),
                 manifest_version,
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -20,6 +20,14 @@
 const STORE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// How long the channel of a relay waits for this instance to lead.
 const RECOVERY_WAIT: time::Duration = time::Duration::from_secs(2);
+/// Time after which a question for the leader's clock counts as unanswered.
+const CLOCK_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Age of a reading of the leader's clock from which it is read anew; a clock that is 2% slow is 0.2 s
+/// behind by then.
+const MAX_CLOCK_AGE: time::Duration = time::Duration::from_secs(10);
+/// How an instance of an earlier build answers the question for its clock.
+const REFUSED_AS_MALFORMED: peer::ErrorKind =
+    peer::ErrorKind::Refused(peer::RefusalReason::Malformed);
 /// Longest timeout of a request that changes nothing.
 const MAX_READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -89,33 +97,29 @@
         request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
-        let started = time::Instant::now();
-        let is_mutation = matches!(
-            request.request,
-            model::JobRequest::Submit(_) | model::JobRequest::Cancel { .. }
-        );
-        let timeout = if is_mutation {
+        let timeout = if request.changes_jobs() {
             timeout
         } else {
             timeout.min(MAX_READ_TIMEOUT)
         };
+        let started_at = stall::uptime();
         let mut pending = PendingRequest {
             shared: &self.shared,
-            started,
+            started_at,
+            handle_by: started_at + timeout,
             attempts: admit::Attempts::new(&request.request),
             forwarded_term: None,
             failed_attempts: 0,
         };
         loop {
-            let remaining = timeout.saturating_sub(started.elapsed());
-            if remaining.is_zero() {
+            if pending.remaining().is_zero() {
                 return pending.attempts.timeout_reply();
             }
-            if let Some(reply) = pending.attempt(&request, remaining).await {
+            if let Some(reply) = pending.attempt(&request).await {
                 return reply;
             }
-            let elapsed = started.elapsed();
-            if !pending.attempts.is_in_doubt() && elapsed >= self.shared.settings.leader_wait {
+            let leader_wait = self.shared.settings.leader_wait;
+            if !pending.attempts.is_in_doubt() && pending.elapsed() >= leader_wait {
                 return pending.attempts.timeout_reply();
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -126,7 +130,9 @@
 /// A caller's request during the attempts to get a reply from the leader.
 struct PendingRequest<'a, P: platform::Platform> {
     shared: &'a sync::Arc<instance::Shared<P>>,
-    started: time::Instant,
+    started_at: stall::Uptime,
+    /// Time from which no instance may handle the request any more: the caller has been answered.
+    handle_by: stall::Uptime,
     attempts: admit::Attempts,
     /// Term of the leader to which the request was last sent.
     forwarded_term: Option<model::Term>,
@@ -135,20 +141,27 @@
 }
 
 impl<P: platform::Platform> PendingRequest<'_, P> {
+    fn elapsed(&self) -> time::Duration {
+        stall::uptime().saturating_sub(self.started_at)
+    }
+
+    fn remaining(&self) -> time::Duration {
+        self.handle_by.saturating_sub(stall::uptime())
+    }
+
     /// Sends the request to the leader once; `None` if it should be retried.
     async fn attempt(
         &mut self,
         request: &caller_request::CallerRequest,
-        remaining: time::Duration,
     ) -> Option<model::JobReply> {
         let leading = self.shared.leading.borrow().clone();
         let Some(leading) = leading else {
-            return self.forward(request, remaining).await;
+            return self.forward(request).await;
         };
         let version = self.shared.manifest_version();
+        let request = request.clone();
         let reply =
-            send_to_control_thread(self.shared, &leading, version, request.clone(), remaining)
-                .await;
+            send_to_control_thread(self.shared, &leading, version, request, self.handle_by).await;
         self.attempts.accept(reply, leading.term)
     }
 
@@ -156,15 +169,12 @@
     async fn forward(
         &mut self,
         request: &caller_request::CallerRequest,
-        remaining: time::Duration,
     ) -> Option<model::JobReply> {
-        let started = time::Instant::now();
         let slot = self.shared.forward_slots.acquire();
-        let Ok(Ok(_slot)) = tokio::time::timeout(remaining, slot).await else {
+        let Ok(Ok(_slot)) = tokio::time::timeout(self.remaining(), slot).await else {
             self.shared.metrics.count("forward.no_slot");
             return None;
         };
-        let remaining = remaining.saturating_sub(started.elapsed());
         let mut cluster = self.shared.cluster.subscribe();
         let leader = cluster.borrow_and_update().leader().cloned()?;
         if leader.member.instance_id == self.shared.member.instance_id {
@@ -173,7 +183,11 @@
         if !self.may_send(leader.term) {
             return None;
         }
-        let message = request.to_message(self.shared.manifest_version(), remaining);
+        let message = self.message(request, &leader).await?;
+        let remaining = self.remaining();
+        if remaining.is_zero() {
+            return None;
+        }
         let link = self.shared.links.to(&leader.member.address);
         let is_replaced = |view: &elect::ClusterView| {
             view.leader()
@@ -218,6 +232,32 @@
         }
     }
 
+    /// Returns the message that passes the request to `leader`; `None` if the leader does not tell its
+    /// clock, so that the request has to wait.
+    async fn message(
+        &mut self,
+        request: &caller_request::CallerRequest,
+        leader: &elect::Leader,
+    ) -> Option<model::ControllerRequest> {
+        let manifest_version = self.shared.manifest_version();
+        if !request.changes_jobs() {
+            return Some(request.to_message(manifest_version, self.remaining()));
+        }
+        let asking = read_leader_clock(self.shared, leader);
+        let clock = tokio::time::timeout(self.remaining(), asking).await.ok()?;
+        match clock {
+            Ok(Some(clock)) => {
+                let handle_by = clock.reading_at(self.handle_by);
+                Some(request.to_timed_message(manifest_version, leader.term, handle_by))
+            }
+            Ok(None) => Some(request.to_message(manifest_version, self.remaining())),
+            Err(cause) => {
+                self.record_failure(leader, &cause);
+                None
+            }
+        }
+    }
+
     /// Waits for a successor if `reply` is a refusal that it may lift; returns whether there is one.
     async fn wait_for_successor(
         &self,
@@ -226,7 +266,7 @@
         term: model::Term,
     ) -> bool {
         let settings = &self.shared.settings;
-        let remaining = settings.leader_wait.saturating_sub(self.started.elapsed());
+        let remaining = settings.leader_wait.saturating_sub(self.elapsed());
         let is_store_reachable = self.shared.is_store_reachable();
         let Some(wait) = admit::successor_wait(reply, is_store_reachable, remaining) else {
             return false;
@@ -288,6 +328,34 @@
     }
 }
 
+/// Returns the clock of the leader, which is asked for it at times; `None` if it is of an earlier build.
+async fn read_leader_clock<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    leader: &elect::Leader,
+) -> Result<Option<stall::PeerClock>, peer::Error> {
+    let leader_id = &leader.member.instance_id;
+    let mut known = shared.leader_clock.lock().await;
+    if let Some((instance_id, clock)) = &*known
+        && instance_id == leader_id
+        && clock.age(stall::uptime()) < MAX_CLOCK_AGE
+    {
+        return Ok(Some(*clock));
+    }
+    let link = shared.links.to(&leader.member.address);
+    let reply = link.request(&model::ControllerRequest::Clock, CLOCK_TIMEOUT);
+    match reply.await {
+        Ok(model::ControllerReply::Clock { reading_ms }) => {
+            let reading = time::Duration::from_millis(reading_ms);
+            let clock = stall::PeerClock::new(reading, stall::uptime());
+            *known = Some((sync::Arc::clone(leader_id), clock));
+            Ok(Some(clock))
+        }
+        Ok(_) => Ok(None),
+        Err(cause) if cause.kind() == REFUSED_AS_MALFORMED => Ok(None),
+        Err(cause) => Err(cause),
+    }
+}
+
 /// Handles requests of other instances.
 pub(crate) struct PeerHandler<P: platform::Platform> {
     shared: sync::Arc<instance::Shared<P>>,
@@ -317,14 +385,41 @@
     async fn handle_job(
         &self,
         manifest_version: model::ManifestVersion,
-        remaining: time::Duration,
         request: caller_request::CallerRequest,
+        handle_by: stall::Uptime,
     ) -> model::JobReply {
         let leading = self.shared.leading.borrow().clone();
         let Some(leading) = leading else {
             return model::JobReply::NotLeading;
         };
-        send_to_control_thread(&self.shared, &leading, manifest_version, request, remaining).await
+        send_to_control_thread(&self.shared, &leading, manifest_version, request, handle_by).await
+    }
+
+    /// Handles a request that changes jobs, unless it is for another term or has come too late.
+    async fn handle_timed_job(
+        &self,
+        term: model::Term,
+        manifest_version: model::ManifestVersion,
+        request: caller_request::CallerRequest,
+        handle_by: stall::Reading,
+    ) -> model::JobReply {
+        let leads = |leading: &instance::Leading| leading.term == term;
+        if !self.shared.leading.borrow().as_ref().is_some_and(leads) {
+            return model::JobReply::NotLeading;
+        }
+        let handle_by = self.shared.started_at.saturating_add(handle_by);
+        let late_by = stall::uptime().saturating_sub(handle_by);
+        if !late_by.is_zero() {
+            self.shared.metrics.count("forward.too_late");
+            log::info!(
+                job:% = request.job_id_text(),
+                term,
+                late_ms = late_by.as_millis() as u64;
+                "forwarded request dropped, as its caller has been answered by now"
+            );
+            return model::JobReply::NotLeading;
+        }
+        self.handle_job(manifest_version, request, handle_by).await
     }
 }
 
@@ -337,9 +432,12 @@
     leading: &instance::Leading,
     manifest_version: model::ManifestVersion,
     request: caller_request::CallerRequest,
-    timeout: time::Duration,
+    handle_by: stall::Uptime,
 ) -> model::JobReply {
-    let reply = leading.control.request(manifest_version, request);
+    let timeout = handle_by.saturating_sub(stall::uptime());
+    let reply = leading
+        .control
+        .request(manifest_version, request, handle_by);
     match tokio::time::timeout(timeout, reply).await {
         Ok(Some(model::JobReply::Unknown)) if !shared.has_confirmed_lease() => {
             model::JobReply::Undecided
@@ -371,14 +469,14 @@
                 remaining_ms,
                 request,
             } => {
-                let remaining = time::Duration::from_millis(remaining_ms);
+                let handle_by = stall::uptime() + time::Duration::from_millis(remaining_ms);
                 let request = caller_request::CallerRequest {
                     request,
                     tenant: None,
                 };
                 confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
-                    self.handle_job(manifest_version, remaining, request).await,
+                    self.handle_job(manifest_version, request, handle_by).await,
                 )
             }
             model::ControllerRequest::TenantJob {
@@ -387,16 +485,35 @@
                 remaining_ms,
                 request,
             } => {
-                let remaining = time::Duration::from_millis(remaining_ms);
+                let handle_by = stall::uptime() + time::Duration::from_millis(remaining_ms);
                 let request = caller_request::CallerRequest {
                     request,
                     tenant: Some(tenant),
                 };
                 confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
-                    self.handle_job(manifest_version, remaining, request).await,
+                    self.handle_job(manifest_version, request, handle_by).await,
                 )
             }
+            model::ControllerRequest::Clock => {
+                let reading = stall::uptime().saturating_sub(self.shared.started_at);
+                model::ControllerReply::Clock {
+                    reading_ms: reading.as_millis() as u64,
+                }
+            }
+            model::ControllerRequest::TimedJob {
+                term,
+                handle_by_ms,
+                tenant,
+                manifest_version,
+                request,
+            } => {
+                let handle_by = time::Duration::from_millis(handle_by_ms);
+                let request = caller_request::CallerRequest { request, tenant };
+                confirmation::record_sender_version(&self.shared, &from, manifest_version);
+                let handling = self.handle_timed_job(term, manifest_version, request, handle_by);
+                model::ControllerReply::Job(handling.await)
+            }
             model::ControllerRequest::ManifestState => confirmation::state(&self.shared),
             model::ControllerRequest::Manifest => {
                 let manifest = self.shared.manifest.borrow();
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -43,6 +43,10 @@
     pub(crate) metrics: telemetry::Metrics,
     pub(crate) links: links::Links,
     pub(crate) call_lanes: call_lanes::CallLanes,
+    /// When this process started, by which its clock is read; see [`stall::PeerClock`].
+    pub(crate) started_at: stall::Uptime,
+    /// Clock of the instance that leads. Locked while it is asked for.
+    pub(crate) leader_clock: tokio::sync::Mutex<Option<(model::InstanceId, stall::PeerClock)>>,
     /// Permits for requests at another instance that leads.
     pub(crate) forward_slots: tokio::sync::Semaphore,
     pub(crate) retry_budget: sync::Mutex<admit::RetryBudget>,
@@ -175,6 +179,8 @@
             metrics,
             links: links::Links::new(identity.clone()),
             call_lanes: call_lanes::CallLanes::default(),
+            started_at: stall::uptime(),
+            leader_clock: tokio::sync::Mutex::default(),
             forward_slots: tokio::sync::Semaphore::new(MAX_FORWARDED_REQUESTS),
             retry_budget: sync::Mutex::new(admit::RetryBudget::new(time::Instant::now())),
             pending_counts: pending_counts::PendingCounts::default(),
--- a/crates/controller/src/mailbox.rs
+++ b/crates/controller/src/mailbox.rs
@@ -19,6 +19,8 @@
     pub(crate) manifest_version: model::ManifestVersion,
     pub(crate) request: caller_request::CallerRequest,
     pub(crate) reply: oneshot::Sender<model::JobReply>,
+    /// Time from which the request must not be handled any more.
+    pub(crate) handle_by: stall::Uptime,
     /// From [`Mailbox::reserve`].
     pub(crate) memory: WaitingMemory,
 }
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -308,8 +308,8 @@
         /// Delay before a retry, in milliseconds; 0 if a retry is pointless.
         retry_after_ms: u64,
     },
-    /// The instance is not the leader, or has an older manifest than the sender; the request has
-    /// to be sent again.
+    /// The instance is not the leader, has an older manifest than the sender, or has got the request
+    /// too late; the request has had no effect and has to be sent again.
     NotLeading,
     /// The outcome of the request is not known: it may have taken effect.
     Undecided,
@@ -350,6 +350,27 @@
     /// Sent only if the manifest has tenants. An instance of a build without tenants refuses it as
     /// malformed.
     ManifestState,
+    /// Asks for the reading of the clock by which [`ControllerRequest::TimedJob`] limits its time;
+    /// answered by [`ControllerReply::Clock`].
+    ///
+    /// An instance of an earlier build refuses it as malformed, and gets requests of callers without a
+    /// time limit.
+    Clock,
+    /// Passes a request of a caller that changes jobs to the leader; answered by
+    /// [`ControllerReply::Job`].
+    TimedJob {
+        /// Term in which the receiver leads.
+        term: Term,
+        /// Reading of the receiver's clock from which the request must not be handled any more, in
+        /// milliseconds.
+        handle_by_ms: u64,
+        /// The tenant; `None` without one.
+        tenant: Option<TenantName>,
+        /// Version of the newest manifest that the sender has.
+        manifest_version: ManifestVersion,
+        /// The request.
+        request: JobRequest,
+    },
 }
 
 /// Answer to a [`ControllerRequest`].
@@ -369,6 +390,11 @@
         /// Time since it was the newest for certain, in milliseconds; `None` if it never was.
         confirmed_age_ms: Option<u64>,
     },
+    /// Reading of the clock of the answering instance.
+    Clock {
+        /// Time since its process started, in milliseconds.
+        reading_ms: u64,
+    },
 }
 
 /// State that instances exchange at a fixed interval.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -36,7 +36,7 @@
     fn is_control(&self) -> bool {
         matches!(
             self,
-            Self::Heartbeat(_) | Self::Manifest | Self::ManifestState
+            Self::Heartbeat(_) | Self::Manifest | Self::ManifestState | Self::Clock
         )
     }
 
--- a/crates/peer/tests/links/former_build.rs
+++ b/crates/peer/tests/links/former_build.rs
@@ -1,4 +1,4 @@
-//! Requests of tenants to an instance of the build without tenants.
+//! Requests of tenants, and requests with a time limit, to an instance of the build without tenants.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -55,7 +55,7 @@
 }
 
 /// Guards against requests without a tenant that the former build misreads, and against requests of
-/// tenants that leave their callers in doubt.
+/// tenants, or with a time limit, that leave their callers in doubt.
 #[tokio::test]
 async fn former_build_refuses_requests_of_tenants_as_not_handled() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
@@ -81,7 +81,20 @@
         remaining_ms: 2,
         request,
     };
-    for request in [of_tenant, model::ControllerRequest::ManifestState] {
+    let timed = model::ControllerRequest::TimedJob {
+        term: 1,
+        handle_by_ms: 2,
+        tenant: None,
+        manifest_version: 1,
+        request: model::JobRequest::Cancel { job_id: 3 },
+    };
+    let unknown = [
+        of_tenant,
+        timed,
+        model::ControllerRequest::ManifestState,
+        model::ControllerRequest::Clock,
+    ];
+    for request in unknown {
         let reply = link.request(&request, common::LONG_TIMEOUT).await;
         let cause = reply.expect_err("the former build does not know it");
         let refused = peer::ErrorKind::Refused(peer::RefusalReason::Malformed);
