--- a/crates/controller/src/caller_request.rs
+++ b/crates/controller/src/caller_request.rs
@@ -9,6 +9,8 @@
     pub request: model::JobRequest,
     /// Tenant whose API key the caller has shown.
     pub tenant: Option<model::TenantName>,
+    /// When an instance received the request from the caller, by the clock of this one.
+    pub received_at: stall::Uptime,
 }
 
 impl CallerRequest {
@@ -31,17 +33,19 @@
         )
     }
 
-    /// Returns the message to the leader of `term`, which must handle it before its clock shows
-    /// `handle_by`.
+    /// Returns the message to the leader of `term`, which must handle it before `handle_by`; both times
+    /// are given by its clock.
     pub(crate) fn to_timed_message(
         &self,
         manifest_version: model::ManifestVersion,
         term: model::Term,
-        handle_by: stall::Reading,
+        clock: stall::PeerClock,
+        handle_by: stall::Uptime,
     ) -> model::ControllerRequest {
         model::ControllerRequest::TimedJob {
             term,
-            handle_by_ms: handle_by.as_millis() as u64,
+            received_ms: clock.reading_at(self.received_at).as_millis() as u64,
+            handle_by_ms: clock.reading_at(handle_by).as_millis() as u64,
             tenant: self.tenant.clone(),
             manifest_version,
             request: self.request.clone(),
--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -231,6 +231,9 @@
         if let Some((key, value)) = &batch.outcomes {
             puts.push(put(key, value));
         }
+        if let Some((key, value)) = &batch.cancels {
+            puts.push(put(key, value));
+        }
         store::Txn {
             compares: vec![leader, segment],
             puts,
--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -157,7 +157,8 @@
             memory,
         } in round.requests
         {
-            if stall::uptime() >= handle_by {
+            let now = stall::uptime();
+            if now >= handle_by {
                 metrics.count("control.too_late");
                 // The caller may have stopped waiting.
                 let _ = reply.send(model::JobReply::NotLeading);
@@ -165,6 +166,7 @@
             }
             let event = jobs::Event::Request {
                 token: pending.insert(reply),
+                age: now.saturating_sub(request.received_at),
                 manifest_version,
                 request: request.request,
                 tenant: request.tenant,
--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -25,6 +25,10 @@
 /// Age of a reading of the leader's clock from which it is read anew; a clock that is 2% slow is 0.2 s
 /// behind by then.
 const MAX_CLOCK_AGE: time::Duration = time::Duration::from_secs(10);
+/// Longest timeout of a request that changes jobs. The leader remembers cancels of unknown jobs for longer,
+/// so that no submission that was sent before one outlives it.
+const MAX_CHANGE_TIMEOUT: time::Duration =
+    jobs::CANCEL_MARK_TIME.saturating_sub(time::Duration::from_secs(5));
 /// How an instance of an earlier build answers the question for its clock.
 const REFUSED_AS_MALFORMED: peer::ErrorKind =
     peer::ErrorKind::Refused(peer::RefusalReason::Malformed);
@@ -97,11 +101,10 @@
         request: caller_request::CallerRequest,
         timeout: time::Duration,
     ) -> model::JobReply {
-        let timeout = if request.changes_jobs() {
-            timeout
-        } else {
-            timeout.min(MAX_READ_TIMEOUT)
-        };
+        let timeout = timeout.min(match request.changes_jobs() {
+            true => MAX_CHANGE_TIMEOUT,
+            false => MAX_READ_TIMEOUT,
+        });
         let started_at = stall::uptime();
         let mut pending = PendingRequest {
             shared: &self.shared,
@@ -247,8 +250,8 @@
         let clock = tokio::time::timeout(self.remaining(), asking).await.ok()?;
         match clock {
             Ok(Some(clock)) => {
-                let handle_by = clock.reading_at(self.handle_by);
-                Some(request.to_timed_message(manifest_version, leader.term, handle_by))
+                let handle_by = self.handle_by;
+                Some(request.to_timed_message(manifest_version, leader.term, clock, handle_by))
             }
             Ok(None) => Some(request.to_message(manifest_version, self.remaining())),
             Err(cause) => {
@@ -401,13 +404,12 @@
         term: model::Term,
         manifest_version: model::ManifestVersion,
         request: caller_request::CallerRequest,
-        handle_by: stall::Reading,
+        handle_by: stall::Uptime,
     ) -> model::JobReply {
         let leads = |leading: &instance::Leading| leading.term == term;
         if !self.shared.leading.borrow().as_ref().is_some_and(leads) {
             return model::JobReply::NotLeading;
         }
-        let handle_by = self.shared.started_at.saturating_add(handle_by);
         let late_by = stall::uptime().saturating_sub(handle_by);
         if !late_by.is_zero() {
             self.shared.metrics.count("forward.too_late");
@@ -473,6 +475,7 @@
                 let request = caller_request::CallerRequest {
                     request,
                     tenant: None,
+                    received_at: stall::uptime(),
                 };
                 confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
@@ -489,6 +492,7 @@
                 let request = caller_request::CallerRequest {
                     request,
                     tenant: Some(tenant),
+                    received_at: stall::uptime(),
                 };
                 confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 model::ControllerReply::Job(
@@ -503,13 +507,22 @@
             }
             model::ControllerRequest::TimedJob {
                 term,
+                received_ms,
                 handle_by_ms,
                 tenant,
                 manifest_version,
                 request,
             } => {
-                let handle_by = time::Duration::from_millis(handle_by_ms);
-                let request = caller_request::CallerRequest { request, tenant };
+                let at = |reading_ms| {
+                    let reading = time::Duration::from_millis(reading_ms);
+                    self.shared.started_at.saturating_add(reading)
+                };
+                let handle_by = at(handle_by_ms);
+                let request = caller_request::CallerRequest {
+                    request,
+                    tenant,
+                    received_at: at(received_ms),
+                };
                 confirmation::record_sender_version(&self.shared, &from, manifest_version);
                 let handling = self.handle_timed_job(term, manifest_version, request, handle_by);
                 model::ControllerReply::Job(handling.await)
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -88,16 +88,18 @@
     let store = shared.platform.store();
     // The reads are consistent: batches of earlier leaders fail, as they depend on the leader's
     // entry.
-    let (segments, outcomes) = tokio::try_join!(
+    let (segments, outcomes, cancels) = tokio::try_join!(
         store::read_all(store, jobs::SEGMENT_PREFIX, PAGE_ENTRIES),
         store::read_all(store, jobs::OUTCOME_PREFIX, PAGE_ENTRIES),
+        store.get(jobs::CANCELS_KEY),
     )?;
     let settings = shared.settings.jobs.clone();
     let leadership_timeout = shared.settings.leadership_timeout;
     // Megabytes take a weak machine longer to decode than its peers wait for a heartbeat.
     let built = task::spawn_blocking(move || {
         let mut recovery = jobs::Recovery::default();
-        for entry in segments.entries.into_iter().chain(outcomes.entries) {
+        let entries = segments.entries.into_iter().chain(outcomes.entries);
+        for entry in entries.chain(cancels) {
             if let Err(cause) = recovery.add(&entry.key, &entry.value) {
                 log::error!(
                     key:% = entry.key,
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -34,6 +34,8 @@
     Request {
         /// Returned with the reply.
         token: job::RequestToken,
+        /// Time since an instance received the request from the caller.
+        age: time::Duration,
         /// Newest manifest version that the requesting instance has.
         manifest_version: model::ManifestVersion,
         /// The request.
@@ -157,6 +159,8 @@
     pub segment: Vec<u8>,
     /// Archived outcomes, with their key.
     pub outcomes: Option<(String, Vec<u8>)>,
+    /// Cancels of unknown jobs, with their key; they replace those stored before.
+    pub cancels: Option<(String, Vec<u8>)>,
     /// Keys to delete.
     pub deletes: Vec<String>,
 }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -159,7 +159,9 @@
         }
         self.compact_oldest_segments();
         let is_idle = self.journal.dirty.is_empty();
-        if is_idle && self.store_reachable && self.journal.segments.garbage.len() < MAX_DELETES {
+        let has_little_garbage = self.journal.segments.garbage.len() < MAX_DELETES;
+        let has_cancels = self.cancel_marks.needs_batch();
+        if is_idle && self.store_reachable && has_little_garbage && !has_cancels {
             return;
         }
         let id = record::SegmentId {
@@ -204,6 +206,7 @@
             segment_key: id.key(record::SEGMENT_PREFIX),
             segment: record::encode_segment(&segment),
             outcomes: None,
+            cancels: self.cancel_marks.begin_batch(id.batch, clock.now),
             deletes: Vec::new(),
         };
         in_flight.bytes = batch.segment.len();
@@ -313,6 +316,10 @@
             batch,
         };
         self.journal.segments.add(id, in_flight.bytes);
+        for token in self.cancel_marks.on_committed(batch, clock.now) {
+            let reply = model::JobReply::Unknown;
+            self.actions.push(event::Action::Reply(token, reply));
+        }
         let mut effects = Vec::new();
         for mut stored in in_flight.jobs {
             effects.append(&mut stored.effects);
@@ -350,6 +357,7 @@
             jobs = in_flight.jobs.len();
             "batch rejected by the store; its jobs wait for another"
         );
+        self.cancel_marks.on_rejected(batch);
         self.journal.segments.garbage.extend(in_flight.deletes);
         self.journal.segments.unarchived.extend(in_flight.archived);
         for stored in in_flight.jobs {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod advice_planner;
 mod advisors;
 mod blocked;
+mod cancel_marks;
 mod candidate;
 mod caps;
 mod crashes;
@@ -53,6 +54,8 @@
 mod workers;
 
 pub use blocked::BlockReason;
+pub use cancel_marks::CANCEL_MARK_TIME;
+pub use cancel_marks::CANCELS_KEY;
 pub use draining::DrainOutcome;
 pub use event::Action;
 pub use event::AdviceCall;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -9,6 +9,7 @@
 
 use crate::advisors;
 use crate::blocked;
+use crate::cancel_marks;
 use crate::crashes;
 use crate::draining;
 use crate::ended;
@@ -48,6 +49,8 @@
     /// Size of each segment in bytes.
     sizes: collections::BTreeMap<record::SegmentId, usize>,
     archives: Vec<Archive>,
+    /// Cancels of unknown jobs, as stored.
+    cancels: Option<Vec<u8>>,
 }
 
 /// Archived outcomes with their key.
@@ -79,6 +82,8 @@
                 outcomes,
                 owners,
             });
+        } else if key == cancel_marks::CANCELS_KEY {
+            self.cancels = Some(value.to_vec());
         }
         Ok(())
     }
@@ -123,6 +128,7 @@
             starts_on_other_incarnations: 0,
             ends_after_next_start: 0,
             journal: journal::Journal::default(),
+            cancel_marks: cancel_marks::CancelMarks::default(),
             ended_job_effects: Vec::new(),
             actions: Vec::new(),
             store_reachable: true,
@@ -201,6 +207,11 @@
             .ended
             .sort_by_key(|job_id, ended| (ended.ending.ended_at_ms, *job_id));
         scheduler.journal.segments.collect_garbage();
+        if let Some(cancels) = &self.cancels
+            && let Err(cause) = scheduler.cancel_marks.restore(cancels, clock)
+        {
+            log::error!(cause; "stored cancels of unknown jobs cannot be decoded");
+        }
         scheduler.inherit_runs(leadership_timeout, clock);
         scheduler
     }
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -12,12 +12,17 @@
 const MIN_STORE_RETRY_MS: u64 = 1_000;
 /// Longest delay before callers should retry while the store is unreachable, in milliseconds.
 const MAX_STORE_RETRY_MS: u64 = 5_000;
+/// Delay before callers should hand in a job again that was cancelled meanwhile, in milliseconds: what
+/// they send after the answer is taken for new.
+const CANCELLED_RETRY_MS: u64 = 1_000;
 /// Delay before callers should retry while too many steps wait, in milliseconds.
 const OVERLOAD_RETRY_MS: u64 = 2_000;
 
 /// What is known of a request besides its content.
 pub(crate) struct Arrived {
     pub(crate) token: job::RequestToken,
+    /// Time since an instance received it from the caller.
+    pub(crate) age: time::Duration,
     /// Newest manifest version that the requesting instance has.
     pub(crate) manifest_version: model::ManifestVersion,
     /// Tenant whose API key the request has.
@@ -110,6 +115,17 @@
             Err(reply) => return Some(reply),
         };
         let queue = sync::Arc::clone(queue);
+        let received_at = clock.now.checked_sub(arrived.age).unwrap_or(clock.now);
+        let caller = arrived.tenant.as_ref();
+        if self.cancel_marks.is_cancelled(job_id, caller, received_at) {
+            log::info!(
+                job:% = journal::job_id_hex(job_id),
+                age_ms = arrived.age.as_millis() as u64,
+                term = self.term;
+                "submission refused: the job was cancelled after it had been received"
+            );
+            return Some(refused(model::RefusalReason::Cancelled, CANCELLED_RETRY_MS));
+        }
         let mut state =
             job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms).with_tenant(tenant);
         self.tenancy.enter(state.tenant.as_ref());
@@ -232,7 +248,7 @@
             return Some(model::JobReply::Status(ended.ending.outcome));
         }
         if !self.jobs.contains_key(&job_id) {
-            return Some(model::JobReply::Unknown);
+            return self.cancel_unknown(arrived, job_id, clock);
         }
         self.decide_outcome(job_id, model::JobStatus::Cancelled, clock);
         let state = self.jobs.get_mut(&job_id)?;
@@ -246,6 +262,28 @@
         None
     }
 
+    /// Handles the cancel of a job that is not known. Its submission may be on its way, so that it is
+    /// answered once the cancel is stored: a leader that has been replaced stores nothing.
+    fn cancel_unknown(
+        &mut self,
+        arrived: &Arrived,
+        job_id: model::JobId,
+        clock: event::Clock,
+    ) -> Option<model::JobReply> {
+        if !self.store_reachable {
+            let reason = model::RefusalReason::StoreUnavailable;
+            return Some(refused(reason, self.store_retry_ms(clock)));
+        }
+        log::info!(
+            job:% = journal::job_id_hex(job_id),
+            term = self.term;
+            "cancel of an unknown job; submissions received before are refused"
+        );
+        let tenant = arrived.tenant.clone();
+        self.cancel_marks.add(arrived.token, job_id, tenant, clock);
+        None
+    }
+
     fn pending(&self, queue: &model::QueueName) -> model::JobReply {
         let waiting = self.jobs.values().filter(|state| {
             state.job.queue == *queue
@@ -280,8 +318,13 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Drops jobs that are neither stored nor in a batch in flight, and replies to their callers.
+    /// Drops jobs and cancels that are neither stored nor in a batch in flight, and replies to their
+    /// callers.
     fn drop_unstored(&mut self, reply: &model::JobReply) {
+        for token in self.cancel_marks.take_waiting() {
+            let action = event::Action::Reply(token, reply.clone());
+            self.actions.push(action);
+        }
         let waiting: Vec<_> = self.journal.dirty_jobs().collect();
         for job_id in waiting {
             let is_new = self.jobs.get(&job_id).is_some_and(|state| !state.is_stored);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -5,6 +5,7 @@
 
 use crate::advisors;
 use crate::blocked;
+use crate::cancel_marks;
 use crate::crashes;
 use crate::draining;
 use crate::ended;
@@ -77,6 +78,7 @@
     /// Ends listed of runs whose task had been started again, since the term began.
     pub(crate) ends_after_next_start: u64,
     pub(crate) journal: journal::Journal,
+    pub(crate) cancel_marks: cancel_marks::CancelMarks,
     pub(crate) ended_job_effects: Vec<job::Effect>,
     pub(crate) actions: Vec<event::Action>,
     pub(crate) store_reachable: bool,
@@ -220,6 +222,7 @@
         match event {
             event::Event::Request {
                 token,
+                age,
                 manifest_version,
                 request,
                 tenant,
@@ -227,6 +230,7 @@
             } => {
                 let arrived = requests::Arrived {
                     token,
+                    age,
                     manifest_version,
                     tenant,
                     overload_retry_ms,
@@ -307,7 +311,7 @@
     #[must_use]
     pub fn needs_finish(&self) -> bool {
         let placement_needed = self.placement_needed && !self.waiting.is_empty();
-        placement_needed || self.journal.has_dirty_jobs()
+        placement_needed || self.journal.has_dirty_jobs() || self.cancel_marks.needs_batch()
     }
 
     /// Returns values for metrics.
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -18,4 +18,5 @@
 mod tenant_limits;
 mod tenants;
 mod uneven_workers;
+mod unknown_cancels;
 mod unnoticed_restarts;
--- a/crates/jobs/tests/scheduler/simulation/callers.rs
+++ b/crates/jobs/tests/scheduler/simulation/callers.rs
@@ -34,6 +34,7 @@
             self.accepted.insert(job.id, (**job).clone());
         }
         let event = jobs::Event::Request {
+            age: std::time::Duration::ZERO,
             token,
             manifest_version,
             request,
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -100,6 +100,8 @@
     manifest: jobs::Manifest,
     pub(crate) replies: collections::HashMap<jobs::RequestToken, model::JobReply>,
     next_token: jobs::RequestToken,
+    /// Time since an instance received the requests, in milliseconds.
+    pub(crate) request_age_ms: u64,
     /// Given to the leader with each request; set while it is overloaded.
     pub(crate) overload_retry_ms: Option<u64>,
     pub(crate) accepted: collections::HashMap<model::JobId, model::Job>,
@@ -284,6 +286,7 @@
             inbox: Vec::new(),
             ticket_rejections: 0,
             max_round_ms: 0,
+            request_age_ms: 0,
             tenants_of_jobs: collections::HashMap::new(),
             earlier_tenants: Vec::new(),
             omits_checks: false,
@@ -650,7 +653,7 @@
                     self.store.remove(key);
                 }
                 self.store.insert(batch.segment_key, batch.segment);
-                if let Some((key, value)) = batch.outcomes {
+                for (key, value) in batch.outcomes.into_iter().chain(batch.cancels) {
                     self.store.insert(key, value);
                 }
                 let delay_ms = if is_confirmed_late { 300 } else { ONE_WAY_MS };
@@ -1107,6 +1110,7 @@
         let tenant = job_id.and_then(|job_id| self.tenants_of_jobs.get(&job_id).cloned());
         let event = jobs::Event::Request {
             token,
+            age: time::Duration::from_millis(self.request_age_ms),
             manifest_version: self.manifest.version,
             request,
             tenant,
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -227,6 +227,8 @@
     TenantRate,
     /// The request may have waited while the instance stood still, and its caller may have given up.
     AgeUnknown,
+    /// A cancel of the job was acknowledged shortly before, when the job was not known.
+    Cancelled,
 }
 
 impl RefusalReason {
@@ -245,6 +247,7 @@
         Self::ExceedsTenantCap,
         Self::TenantRate,
         Self::AgeUnknown,
+        Self::Cancelled,
     ];
 
     /// Returns the name used in answers, logs and counters.
@@ -264,6 +267,7 @@
             Self::ExceedsTenantCap => "exceeds_tenant_cap",
             Self::TenantRate => "tenant_rate",
             Self::AgeUnknown => "age_unknown",
+            Self::Cancelled => "cancelled",
         }
     }
 }
@@ -361,6 +365,9 @@
     TimedJob {
         /// Term in which the receiver leads.
         term: Term,
+        /// Reading of the receiver's clock when the sender received the request from the caller, or
+        /// shortly before, in milliseconds.
+        received_ms: u64,
         /// Reading of the receiver's clock from which the request must not be handled any more, in
         /// milliseconds.
         handle_by_ms: u64,
--- a/crates/peer/tests/links/former_build.rs
+++ b/crates/peer/tests/links/former_build.rs
@@ -83,6 +83,7 @@
     };
     let timed = model::ControllerRequest::TimedJob {
         term: 1,
+        received_ms: 1,
         handle_by_ms: 2,
         tenant: None,
         manifest_version: 1,
--- a/crates/stall/src/peer_clock.rs
+++ b/crates/stall/src/peer_clock.rs
@@ -32,7 +32,8 @@
     #[must_use]
     pub fn reading_at(&self, at: uptime::Uptime) -> Reading {
         let since = at.saturating_sub(self.received_at);
-        self.reading.saturating_add(since)
+        let before = self.received_at.saturating_sub(at);
+        (self.reading + since).saturating_sub(before)
     }
 
     /// Returns how long ago the reading was received; both clocks may have drifted apart since.
--- a/crates/stall/tests/peer_clock.rs
+++ b/crates/stall/tests/peer_clock.rs
@@ -21,6 +21,10 @@
             assert!(reached_at <= limit);
             // Only the transit of the reading is lost.
             assert_eq!(limit - reached_at, ms(transit_ms));
+            // The same for a time before the reading.
+            let earlier = received_at - ms(5_000);
+            let reached_at = peer_started + clock.reading_at(earlier);
+            assert_eq!(earlier - reached_at, ms(transit_ms));
             assert_eq!(clock.age(received_at + ms(age_ms)), ms(age_ms));
         }
     }
