--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`Store`] is the interface that the scheduler uses; [`Etcd`] implements it over the JSON gateway
 //! of etcd v3. [`Hedged`] makes several attempts at a call at once, and [`read_put_outcome`] determines the outcome of a write whose response was lost.
+//! [`Silence`] finds connections that have gone silent by calls that were answered on others.
 
 mod calls;
 mod entry;
@@ -10,6 +11,7 @@
 mod hedged;
 mod pages;
 mod put_outcome;
+mod silence;
 mod store;
 mod transport;
 mod watch;
@@ -34,6 +36,9 @@
 pub use pages::read_all;
 pub use put_outcome::PutOutcome;
 pub use put_outcome::read_put_outcome;
+pub use silence::Call;
+pub use silence::Generation;
+pub use silence::Silence;
 pub use store::Store;
 pub use store::Watch;
 pub use watch::EtcdWatch;
