--- a/crates/store/src/silence.rs
+++ b/crates/store/src/silence.rs
@@ -10,15 +10,19 @@
 /// milliseconds, and in 200 ms when it is slow; shorter than the delays after which calls are repeated,
 /// so that a repetition uses a new one.
 const SUSPICION_TIME: time::Duration = time::Duration::from_millis(250);
+/// Time after the answer to a later call for which the earlier one may still be answered. An overloaded
+/// process reads answers late, and in any order.
+const CONFIRMATION_TIME: time::Duration = time::Duration::from_millis(60);
 
-/// Number of a set of connections; those opened after a suspicion have a higher one.
+/// Number of a set of connections; those opened later have a higher one.
 pub type Generation = u64;
 
 /// Calls to a service, and what they tell of its connections; clones share the state.
 ///
-/// An unanswered call alone may mean that the service is down or slow. If a call on connections of a later
-/// generation is answered meanwhile, those of the earlier one are taken to be silent, and whoever waits on
-/// them for something that may take long asks anew.
+/// An unanswered call alone may mean that the service is down or slow, or that this process is. While there
+/// is one, calls use connections of a new generation. If one of them is answered and the earlier call still
+/// is not, the connections of the earlier generation are taken to be silent: they are not used any more,
+/// and whoever waits on them for something that may take long asks anew.
 #[derive(Clone, Debug)]
 pub struct Silence {
     shared: sync::Arc<Shared>,
@@ -27,18 +31,26 @@
 #[derive(Debug)]
 struct Shared {
     state: sync::Mutex<State>,
-    /// Connections of lower generations are silent.
-    oldest_sound: watch::Sender<Generation>,
+    /// Told when a call on newer connections was answered.
+    answered: tokio::sync::Notify,
+    /// The generation in use. Connections of lower ones are silent.
+    current: watch::Sender<Generation>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    generation: Generation,
+    /// Generation of the connections in use.
+    current: Generation,
+    /// The newest generation, at least `current`; used while that one is under suspicion.
+    newest: Generation,
+    is_suspected: bool,
     next_call: u64,
-    /// Generation and start of each call in flight, the oldest first.
+    /// Generation and start of each call in flight, by its number.
     in_flight: collections::BTreeMap<u64, (Generation, time::Instant)>,
-    /// Generation of the latest call that was given up without an answer.
+    /// The newest generation of which a call was given up without an answer.
     given_up: Option<Generation>,
+    /// Generation of an answered call that is newer than `current`, and when it was answered.
+    answered: Option<(Generation, time::Instant)>,
 }
 
 /// A call in flight; dropping it means that it was given up without an answer.
@@ -53,7 +65,8 @@
     fn default() -> Self {
         let shared = Shared {
             state: sync::Mutex::default(),
-            oldest_sound: watch::Sender::new(0),
+            answered: tokio::sync::Notify::new(),
+            current: watch::Sender::new(0),
         };
         Self {
             shared: sync::Arc::new(shared),
@@ -65,17 +78,20 @@
     /// Begins a call at `now`, which has to use a connection of its generation.
     #[must_use]
     pub fn begin(&self, now: time::Instant) -> Call {
+        self.shared.confirm(now);
         let mut state = self.shared.lock();
-        let generation = state.generation;
-        let is_late = |(of, since): &(Generation, time::Instant)| {
-            *of == generation && now.saturating_duration_since(*since) >= SUSPICION_TIME
-        };
-        if state.given_up == Some(generation) || state.in_flight.values().any(is_late) {
-            state.generation += 1;
+        let is_suspected = state.has_unanswered(state.current, now);
+        let is_new = is_suspected && !state.is_suspected;
+        if is_new || is_suspected && state.has_unanswered(state.newest, now) {
+            state.newest += 1;
         }
+        state.is_suspected = is_suspected;
+        let generation = match is_suspected {
+            true => state.newest,
+            false => state.current,
+        };
         let id = state.next_call;
         state.next_call += 1;
-        let generation = state.generation;
         state.in_flight.insert(id, (generation, now));
         Call {
             id,
@@ -84,18 +100,38 @@
         }
     }
 
-    /// Returns the generation of a connection that is opened for something else than a call, for example
-    /// to wait for changes.
+    /// Returns the generation of the connections in use.
     #[must_use]
     pub fn generation(&self) -> Generation {
-        self.shared.lock().generation
+        self.shared.lock().current
     }
 
     /// Waits until connections of `generation` are known to be silent.
     pub async fn wait_for_silence(&self, generation: Generation) {
-        let mut oldest_sound = self.shared.oldest_sound.subscribe();
-        // The sender lives as long as this.
-        let _ = oldest_sound.wait_for(|sound| generation < *sound).await;
+        let mut current = self.shared.current.subscribe();
+        let answers = async {
+            loop {
+                self.shared.answered.notified().await;
+                tokio::time::sleep(CONFIRMATION_TIME).await;
+                self.shared.confirm(time::Instant::now());
+            }
+        };
+        tokio::select! {
+            // The sender lives as long as this.
+            _ = current.wait_for(|current| generation < *current) => {}
+            () = answers => {}
+        }
+    }
+}
+
+impl State {
+    /// Returns whether a call on connections of `generation` has had no answer for long, or was given up.
+    fn has_unanswered(&self, generation: Generation, now: time::Instant) -> bool {
+        let mut in_flight = self.in_flight.values();
+        self.given_up == Some(generation)
+            || in_flight.any(|(of, since)| {
+                *of == generation && now.saturating_duration_since(*since) >= SUSPICION_TIME
+            })
     }
 }
 
@@ -106,18 +142,13 @@
         self.generation
     }
 
-    /// Records that the call was answered.
-    pub fn record_answer(self) {
+    /// Records that the call was answered at `now`.
+    pub fn record_answer(self, now: time::Instant) {
         let mut state = self.shared.lock();
         state.in_flight.remove(&self.id);
-        let is_older = |of: &Generation| *of < self.generation;
-        let waits = |(of, _): &(Generation, time::Instant)| is_older(of);
-        let is_silent =
-            state.in_flight.values().any(waits) || state.given_up.as_ref().is_some_and(is_older);
-        state.given_up = state.given_up.filter(|of| !is_older(of));
-        drop(state);
-        if is_silent {
-            self.shared.report_silence(self.generation);
+        if self.generation > state.current && state.answered.is_none() {
+            state.answered = Some((self.generation, now));
+            self.shared.answered.notify_waiters();
         }
     }
 
@@ -133,25 +164,35 @@
         let Some((generation, since)) = state.in_flight.remove(&self.id) else {
             return;
         };
-        if since.elapsed() >= SUSPICION_TIME {
+        if since.elapsed() >= SUSPICION_TIME && generation >= state.current {
             state.given_up = state.given_up.max(Some(generation));
         }
     }
 }
 
 impl Shared {
-    fn report_silence(&self, oldest_sound: Generation) {
-        let is_new = self.oldest_sound.send_if_modified(|current| {
-            let is_new = *current < oldest_sound;
-            *current = oldest_sound.max(*current);
-            is_new
-        });
-        if is_new {
-            log::info!(
-                generation = oldest_sound;
-                "a later call was answered first; earlier connections are taken to be silent"
-            );
+    /// Uses the connections on which a call was answered, if an earlier call still has no answer.
+    fn confirm(&self, now: time::Instant) {
+        let mut state = self.lock();
+        let Some((generation, answered_at)) = state.answered else {
+            return;
+        };
+        if now.saturating_duration_since(answered_at) < CONFIRMATION_TIME {
+            return;
         }
+        state.answered = None;
+        if generation <= state.current || !state.has_unanswered(state.current, now) {
+            return;
+        }
+        state.current = generation;
+        state.is_suspected = false;
+        state.given_up = state.given_up.filter(|of| *of >= generation);
+        drop(state);
+        self.current.send_replace(generation);
+        log::info!(
+            generation;
+            "a later call was answered, an earlier one is not; earlier connections are taken to be silent"
+        );
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
