Do not wait for the clock of a leader that has been replaced

Found by reading the diff: requests that change jobs ask the leader for its clock one after the other. If it had failed, each waited for up to 0.5 s, also once a successor was known. The wait now ends with the change of leader, as that for the reply does.

--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -186,16 +186,20 @@
         if !self.may_send(leader.term) {
             return None;
         }
-        let message = self.message(request, &leader).await?;
+        let is_replaced = |view: &elect::ClusterView| {
+            view.leader()
+                .is_none_or(|current| current.term != leader.term)
+        };
+        // A leader that has failed does not tell its clock, and its successor is not waited for in vain.
+        let message = tokio::select! {
+            message = self.message(request, &leader) => message?,
+            _ = cluster.wait_for(is_replaced) => return None,
+        };
         let remaining = self.remaining();
         if remaining.is_zero() {
             return None;
         }
         let link = self.shared.links.to(&leader.member.address);
-        let is_replaced = |view: &elect::ClusterView| {
-            view.leader()
-                .is_none_or(|current| current.term != leader.term)
-        };
         let reply = tokio::select! {
             reply = link.request(&message, remaining) => reply,
             _ = cluster.wait_for(is_replaced) => {
