--- a/crates/ctl/tests/docs.rs
+++ b/crates/ctl/tests/docs.rs
@@ -239,3 +239,37 @@
     assert!(within(limits.memory_mb, request.memory_mb * members));
     assert!(within(limits.accelerators, request.accelerators * members));
 }
+
+/// Guards against a table of silent connections that no longer says what the constants do.
+#[test]
+fn times_of_silent_connections_are_those_of_the_sources() {
+    let design = read("docs/DESIGN.md");
+    let section = design.split("## Silent connections").nth(1);
+    let section = section.and_then(|text| text.split("\n## ").next());
+    let rows = section.expect("the section").lines();
+    let rows = rows.filter(|line| line.contains(".rs`"));
+    let mut count = 0;
+    for row in rows {
+        let cells: Vec<_> = row.trim_matches('|').split('|').map(str::trim).collect();
+        let [_, _, constants, longest_ms] = cells[..] else {
+            panic!("four columns expected: {row}");
+        };
+        let times_ms = constants.split(", ").map(|constant| {
+            let words: Vec<_> = constant.split(' ').collect();
+            let [file, name, ms] = words[..] else {
+                panic!("a file, a name and a time expected: {constant}");
+            };
+            let source = read(file.trim_matches('`')).replace('_', "");
+            let name = name.replace('_', "");
+            let is_constant = source.contains(&format!(
+                "const {name}: time::Duration = time::Duration::frommillis({ms});"
+            ));
+            let is_default = source.contains(&format!("{name}: ms({ms}),"));
+            assert!(is_constant || is_default, "{constant} is not in the source");
+            ms.parse::<u64>().expect("a number")
+        });
+        assert_eq!(times_ms.sum::<u64>().to_string(), longest_ms, "{row}");
+        count += 1;
+    }
+    assert!(count >= 8, "rows are missing");
+}
