serve: test that unused connections give way once all can be closed

Cause: a race in the test. A connection can be closed for a new one after 300 ms without progress. The idle one is older than the unused ones by the time in which these connect and send; a new connection that arrives within that time finds only the idle one, and closes it, as it is meant to. With 40 ms between the idle connection's request and the unused ones the test failed in 1 of 1 runs.

Change: the test waits until all of them can be closed, with the idle one still the oldest, so that only the order of the ranks decides. With Idle ranked before Unused it fails; it passed in 8 of 8 runs, and all seven tests of connections in 10 of 10 beside twelve busy processes on eight cores.

Not changed: idle connections older than 300 ms are still closed while the unused ones are younger than that.

--- a/crates/serve/tests/limits/connections.rs
+++ b/crates/serve/tests/limits/connections.rs
@@ -8,6 +8,8 @@
 
 const TOTAL_BYTES: u64 = 5_000_000;
 const MAX_CONNECTIONS: usize = 4;
+/// Longer than the time without progress after which any connection may be closed for a new one.
+const CLOSABLE_AFTER: std::time::Duration = std::time::Duration::from_millis(600);
 
 async fn start() -> Server {
     Server::start(TOTAL_BYTES, 0, MAX_CONNECTIONS).await
@@ -41,6 +43,8 @@
         stream.write_all(b"POST / HTT").await.unwrap();
         unused.push(stream);
     }
+    // The idle connection is older: at an earlier time it may be the only one that can be closed.
+    tokio::time::sleep(CLOSABLE_AFTER).await;
     wait_for_answer(&server).await;
     assert!(server.count("shed.connection") > 0);
     assert_eq!(call(&mut idle).await, Some(200), "idle connection lives");
