--- a/crates/controller/src/gateway.rs
+++ b/crates/controller/src/gateway.rs
@@ -190,7 +190,7 @@
             view.leader()
                 .is_none_or(|current| current.term != leader.term)
         };
-        // A leader that has failed does not tell its clock, and its successor is not waited for in vain.
+        // A failed leader never answers the question for its clock.
         let message = tokio::select! {
             message = self.message(request, &leader) => message?,
             _ = cluster.wait_for(is_replaced) => return None,
