Drop requests that are too late for the leader in its mailbox

Requests that had waited for the control thread until their callers were answered were found in two places: the mailbox dropped those whose callers were gone, the control thread then those whose time was over. The mailbox now does both (control.caller_gone), and the thread's counter control.too_late is gone. A request that passes the mailbox and becomes too late within the same round is handled; a cancel that its caller sends after the answer comes after it.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -153,20 +153,13 @@
             manifest_version,
             request,
             reply,
-            handle_by,
             memory,
+            ..
         } in round.requests
         {
-            let now = stall::uptime();
-            if now >= handle_by {
-                metrics.count("control.too_late");
-                // The caller may have stopped waiting.
-                let _ = reply.send(model::JobReply::NotLeading);
-                continue;
-            }
             let event = jobs::Event::Request {
                 token: pending.insert(reply),
-                age: now.saturating_sub(request.received_at),
+                age: stall::uptime().saturating_sub(request.received_at),
                 manifest_version,
                 request: request.request,
                 tenant: request.tenant,
--- a/crates/controller/src/mailbox.rs
+++ b/crates/controller/src/mailbox.rs
@@ -25,6 +25,13 @@
     pub(crate) memory: WaitingMemory,
 }
 
+impl Request {
+    /// Returns whether the caller has been answered, or will have been, without the reply.
+    fn is_gone(&self, now: stall::Uptime) -> bool {
+        self.reply.is_closed() || now >= self.handle_by
+    }
+}
+
 /// Memory of a waiting request; counts until it is dropped.
 pub(crate) struct WaitingMemory {
     bytes: u64,
@@ -103,9 +110,10 @@
             thread::sleep(early_by);
             state = instance::lock(&self.state);
         }
+        let uptime = stall::uptime();
         let round = state
             .inbox
-            .take(time::Instant::now(), |request| request.reply.is_closed());
+            .take(time::Instant::now(), |request| request.is_gone(uptime));
         Work {
             round,
             is_stopping: state.is_stopping,
