stall: no reading of zero without CLOCK_BOOTTIME

Where the clock can't be read, the uptime was zero for good, so that no stall was found and no request was ever too late. It is now the time since the first reading by the monotonic clock, without suspensions.

--- a/crates/stall/src/monitor.rs
+++ b/crates/stall/src/monitor.rs
@@ -9,9 +9,8 @@
 
 /// Time between two ticks.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(200);
-/// Longest time without a tick that does not count as a stall. An overloaded event loop takes a few
-/// tenths of a second for a turn; requests are rejected only for what exceeds the time that calls
-/// between instances may take anyway.
+/// Longest time without a tick that does not count as a stall. A turn of an overloaded event loop takes a
+/// few tenths of a second, which is no reason to refuse requests.
 pub const MAX_UNDETECTED_STALL: time::Duration = time::Duration::from_millis(1_000);
 /// Ticks after a stall by which the event loop has asked the system for the state of each socket: the
 /// first may belong to the turn that has detected the stall.
--- a/crates/stall/src/uptime.rs
+++ b/crates/stall/src/uptime.rs
@@ -1,5 +1,6 @@
 //! A steady clock that also counts the time for which the machine is suspended.
 
+use std::sync;
 use std::time;
 
 use nix::time as system_time;
@@ -7,15 +8,14 @@
 /// Time since the start of the machine, including the time for which it was suspended.
 pub type Uptime = time::Duration;
 
+/// When this process first read the clock.
+static FIRST_READ: sync::LazyLock<time::Instant> = sync::LazyLock::new(time::Instant::now);
+
 /// Returns the time since the start of the machine.
 ///
-/// A system without such a clock gives the time of [`time::Instant`], which stands still during a
-/// suspension.
+/// On a system without such a clock it is the time since the first call, without suspensions.
 #[must_use]
 pub fn uptime() -> Uptime {
-    let clock = system_time::ClockId::CLOCK_BOOTTIME;
-    let reading = system_time::clock_gettime(clock)
-        .or_else(|_| system_time::clock_gettime(system_time::ClockId::CLOCK_MONOTONIC));
-    // Each Linux has the monotonic clock.
-    reading.map_or(Uptime::ZERO, Uptime::from)
+    let reading = system_time::clock_gettime(system_time::ClockId::CLOCK_BOOTTIME);
+    reading.map_or_else(|_| FIRST_READ.elapsed(), Uptime::from)
 }
