Count cancels of unknown jobs that gave way to later ones

The leader keeps 1,024 of them. One that gives way no longer protects its caller, and nothing told operators so: counter cancel.forgotten. The simulation's test of 5,000 cancels expects the exact number.

--- a/crates/jobs/src/cancel_marks.rs
+++ b/crates/jobs/src/cancel_marks.rs
@@ -10,6 +10,7 @@
 
 use crate::event;
 use crate::job;
+use crate::journal;
 use crate::maps;
 use crate::record;
 
@@ -59,6 +60,8 @@
     /// Batch with the marks, and the callers that wait for it. There is one at a time, as a later one may
     /// be written first.
     in_flight: Option<(event::BatchId, Vec<WaitingCaller>)>,
+    /// Marks that gave way to others since the term began.
+    forgotten: u64,
 }
 
 impl CancelMarks {
@@ -95,8 +98,9 @@
         };
         let evicted = evicted.and_then(|index| self.marks.shift_remove_index(index));
         if let Some(((job_id, _), _)) = evicted {
+            self.forgotten += 1;
             log::warn!(
-                job:% = format!("{job_id:016x}"),
+                job:% = journal::job_id_hex(job_id),
                 marks = self.marks.len(),
                 tenant = tenant.as_deref().unwrap_or_default();
                 "cancel of an unknown job forgotten early, as there are too many"
@@ -127,6 +131,10 @@
         acknowledged_at.is_some_and(|at| at.is_none_or(|at| received_at < at))
     }
 
+    pub(crate) fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
     /// Returns whether a batch is needed for callers that wait.
     pub(crate) fn needs_batch(&self) -> bool {
         !self.waiting.is_empty() && self.in_flight.is_none()
@@ -195,7 +203,7 @@
         let (stored, _): (Vec<StoredMark>, usize) = decoded.map_err(|error| error.to_string())?;
         let kept_ms = CANCEL_MARK_TIME.as_millis() as u64 + CLOCK_SLACK_MS;
         for mark in stored {
-            if mark.cancelled_at_ms + kept_ms < clock.wall_ms {
+            if mark.cancelled_at_ms.saturating_add(kept_ms) < clock.wall_ms {
                 continue;
             }
             let key = (mark.job_id, mark.tenant);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -186,6 +186,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Cancels of unknown jobs that gave way to later ones, since the term began.
+    pub forgotten_cancels: u64,
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
     /// began.
     pub runs_kept_beyond_lease: u64,
@@ -329,6 +331,7 @@
             placement_visits: self.placement_visits,
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
+            forgotten_cancels: self.cancel_marks.forgotten(),
             moved_runs: self.moved_runs,
             runs_kept_beyond_lease: self.runs_kept_beyond_lease,
             starts_on_other_incarnations: self.starts_on_other_incarnations,
--- a/crates/jobs/tests/scheduler/unknown_cancels.rs
+++ b/crates/jobs/tests/scheduler/unknown_cancels.rs
@@ -164,6 +164,7 @@
     let bytes = simulation.store[jobs::CANCELS_KEY].len();
     // Up to 1,024 marks of 8 to 20 bytes.
     assert!(bytes < 32 * 1024, "{bytes} bytes");
+    assert_eq!(simulation.summary().forgotten_cancels, 5_000 - 1_024);
     assert_eq!(submit(&mut simulation, 1), Some(model::JobReply::Accepted));
     let reply = submit(&mut simulation, 5_000);
     assert!(
