store: an answer in time proves the silence of earlier connections

Cause: the detector waited for 60 ms after an answer on a later connection, with a timer of its own, to tell a silent connection from a process that reads answers late. Such a process is known at once: its answers are late too. And of calls that were given up only the newest generation was kept, so that the evidence of an earlier one was lost when two were given up in a row.

Change: Silence is SilenceDetector; an answer counts only if it came within the time after which a call is suspected (250 ms), and then at once. Generations of calls given up are kept until they are left. Counter store.silent_connections. The table in DESIGN.md says 800 ms for watches (860 before), and has rows for renewals at workers (2,100 ms) and for calls to the advice service; the test of the table knows settings that aren't written with ms().

--- a/crates/ctl/tests/docs.rs
+++ b/crates/ctl/tests/docs.rs
@@ -264,12 +264,13 @@
             let is_constant = source.contains(&format!(
                 "const {name}: time::Duration = time::Duration::frommillis({ms});"
             ));
-            let is_default = source.contains(&format!("{name}: ms({ms}),"));
+            let is_default = source.contains(&format!("{name}: ms({ms}),"))
+                || source.contains(&format!("{name}: time::Duration::frommillis({ms}),"));
             assert!(is_constant || is_default, "{constant} is not in the source");
             ms.parse::<u64>().expect("a number")
         });
         assert_eq!(times_ms.sum::<u64>().to_string(), longest_ms, "{row}");
         count += 1;
     }
-    assert!(count >= 8, "rows are missing");
+    assert!(count >= 10, "rows are missing");
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Store`] is the interface that the scheduler uses; [`Etcd`] implements it over the JSON gateway
 //! of etcd v3. [`Hedged`] makes several attempts at a call at once, and [`read_put_outcome`] determines the outcome of a write whose response was lost.
-//! [`Silence`] finds connections that have gone silent by calls that were answered on others.
+//! [`SilenceDetector`] finds connections that have gone silent by calls that were answered on others.
 
 mod calls;
 mod entry;
@@ -38,7 +38,7 @@
 pub use put_outcome::read_put_outcome;
 pub use silence::Call;
 pub use silence::Generation;
-pub use silence::Silence;
+pub use silence::SilenceDetector;
 pub use store::Store;
 pub use store::Watch;
 pub use watch::EtcdWatch;
--- a/crates/store/tests/silence.rs
+++ b/crates/store/tests/silence.rs
@@ -8,7 +8,7 @@
 }
 
 /// Returns whether connections of a generation are known to be silent.
-async fn is_silent(silence: &store::Silence, generation: store::Generation) -> bool {
+async fn is_silent(silence: &store::SilenceDetector, generation: store::Generation) -> bool {
     let waiting = silence.wait_for_silence(generation);
     tokio::time::timeout(time::Duration::ZERO, waiting)
         .await
@@ -19,23 +19,23 @@
 /// answered on a new one.
 #[tokio::test]
 async fn a_later_answer_on_a_new_connection_proves_the_silence_of_older_ones() {
-    let silence = store::Silence::default();
+    let silence = store::SilenceDetector::new(telemetry::Metrics::without_exporter());
     let now = time::Instant::now();
     let waits_on = silence.generation();
     let _unanswered = silence.begin(now);
     let repeated = silence.begin(now + ms(300));
     assert!(repeated.generation() > waits_on);
-    repeated.record_answer(now + ms(304));
     assert!(!is_silent(&silence, waits_on).await);
-    let next = silence.begin(now + ms(400));
+    repeated.record_answer(now + ms(304));
     assert!(is_silent(&silence, waits_on).await);
+    let next = silence.begin(now + ms(400));
     assert!(!is_silent(&silence, next.generation()).await);
 }
 
 /// Guards against a wait that only the next call would end.
 #[tokio::test]
 async fn a_wait_ends_without_another_call() {
-    let silence = store::Silence::default();
+    let silence = store::SilenceDetector::new(telemetry::Metrics::without_exporter());
     let now = time::Instant::now();
     let _unanswered = silence.begin(now.checked_sub(ms(300)).unwrap());
     let waiting = silence.wait_for_silence(0);
@@ -50,7 +50,7 @@
 /// arrive late and in any order, and no connection is silent.
 #[tokio::test]
 async fn unanswered_and_slow_calls_prove_nothing() {
-    let silence = store::Silence::default();
+    let silence = store::SilenceDetector::new(telemetry::Metrics::without_exporter());
     let now = time::Instant::now();
     let slow = silence.begin(now);
     // In time, on the same connections.
@@ -67,7 +67,7 @@
 /// Guards against evidence that is lost with a call that has timed out or was abandoned.
 #[tokio::test]
 async fn a_call_that_was_given_up_counts() {
-    let silence = store::Silence::default();
+    let silence = store::SilenceDetector::new(telemetry::Metrics::without_exporter());
     let now = time::Instant::now();
     drop(silence.begin(now.checked_sub(ms(1_000)).unwrap()));
     silence.begin(now).record_answer(now);
@@ -82,7 +82,7 @@
 /// Guards against a second silence that hits the connections by which the first one is being found.
 #[tokio::test]
 async fn a_second_silence_is_found_like_the_first() {
-    let silence = store::Silence::default();
+    let silence = store::SilenceDetector::new(telemetry::Metrics::without_exporter());
     let now = time::Instant::now();
     let _first = silence.begin(now);
     let second = silence.begin(now + ms(300));
