ferry-entry: refuse drains that waited while the instance stood still

Cancels are not: the task's id came from this service, so that a late one does what its caller wants.

Test: submissions_and_drains_that_waited_in_a_frozen_instance_are_refused (instance process, SIGSTOP for 1.5 s); without the check it failed with 202 for the drain (1 of 1).

--- a/crates/entry/src/api/gateway.rs
+++ b/crates/entry/src/api/gateway.rs
@@ -142,8 +142,8 @@
         answer::findings(errors)
     }
 
-    /// Refuses a request whose deadline would count from too late.
-    fn age_unknown(&self) -> response::Response {
+    /// Refuses a request that its sender may have given up.
+    pub(super) fn age_unknown(&self) -> response::Response {
         self.shared.metrics.count("refused.age_unknown");
         answer::age_unknown()
     }
--- a/crates/entry/src/api/operators.rs
+++ b/crates/entry/src/api/operators.rs
@@ -42,11 +42,14 @@
 /// Starts draining the instance.
 pub(super) async fn drain(
     extract::State(gateway): extract::State<gateway::Gateway>,
-    headers: http::HeaderMap,
+    request: extract::Request,
 ) -> response::Response {
-    if !gateway.is_operator(&headers) {
+    if !gateway.is_operator(request.headers()) {
         return gateway.unauthorized("operator");
     }
+    if request.extensions().get::<serve::AgeUnknown>().is_some() {
+        return gateway.age_unknown();
+    }
     gateway.send(control::Input::Drain);
     StatusCode::ACCEPTED.into_response()
 }
