--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -153,6 +153,11 @@
                     Err(cause) if cause.kind() == error::ErrorKind::LeadershipLost => {
                         return Err(cause);
                     }
+                    Err(cause) if cause.kind() == error::ErrorKind::StoreRefused => {
+                        // So it does, or will, with every other attempt, as they are equal.
+                        self.report_refusal(&write.batch, &cause);
+                        return Ok(());
+                    }
                     Err(cause) => {
                         write.in_doubt |= cause.is_in_doubt();
                         let is_unreachable =
@@ -183,6 +188,22 @@
         }
     }
 
+    /// Reports a batch that the store refuses for its content. A store that refuses single records, too,
+    /// counts as failing.
+    fn report_refusal(&self, batch: &jobs::Batch, cause: &error::Error) {
+        if batch.record_count > 1 {
+            log::warn!(
+                batch = batch.id,
+                term = self.term,
+                cause:% = cause;
+                "batch refused by the store"
+            );
+        } else {
+            self.record_failed_attempt(batch, REFUSAL_LIMIT, cause);
+        }
+        self.control.send_event(jobs::Event::BatchRefused(batch.id));
+    }
+
     /// Records an attempt that has failed or is late; returns whether the store counts as
     /// unreachable.
     fn record_failed_attempt(
--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -215,6 +215,7 @@
     given_up_jobs: u64,
     moved_runs: u64,
     forgotten_cancels: u64,
+    unwritable_jobs: u64,
     runs_kept_beyond_lease: u64,
     starts_on_other_incarnations: u64,
     ends_after_next_start: u64,
@@ -231,6 +232,8 @@
         metrics.count_by("run.moved", summary.moved_runs - self.moved_runs);
         let forgotten = summary.forgotten_cancels - self.forgotten_cancels;
         metrics.count_by("cancel.forgotten", forgotten);
+        let unwritable = summary.unwritable_jobs - self.unwritable_jobs;
+        metrics.count_by("job.unwritable", unwritable);
         let kept = summary.runs_kept_beyond_lease - self.runs_kept_beyond_lease;
         metrics.count_by("run.kept_beyond_lease", kept);
         let on_others = summary.starts_on_other_incarnations - self.starts_on_other_incarnations;
@@ -245,6 +248,7 @@
         self.given_up_jobs = summary.given_up_jobs;
         self.moved_runs = summary.moved_runs;
         self.forgotten_cancels = summary.forgotten_cancels;
+        self.unwritable_jobs = summary.unwritable_jobs;
         self.runs_kept_beyond_lease = summary.runs_kept_beyond_lease;
         self.starts_on_other_incarnations = summary.starts_on_other_incarnations;
         self.ends_after_next_start = summary.ends_after_next_start;
--- a/crates/controller/src/error.rs
+++ b/crates/controller/src/error.rs
@@ -12,6 +12,8 @@
     Thread,
     /// A call to the store failed.
     Store,
+    /// The store refuses the content of a request, which had no effect.
+    StoreRefused,
     /// The instance is no longer the leader.
     LeadershipLost,
 }
@@ -22,6 +24,7 @@
             Self::Listen => "cannot set up the peer listener",
             Self::Thread => "control thread or commit task failed",
             Self::Store => "store call failed",
+            Self::StoreRefused => "store refuses the request",
             Self::LeadershipLost => "leadership lost",
         })
     }
@@ -61,10 +64,16 @@
 
 impl From<store::Error> for Error {
     fn from(cause: store::Error) -> Self {
-        let in_doubt = cause.kind() != store::ErrorKind::Unavailable;
+        let (kind, in_doubt) = match cause.kind() {
+            store::ErrorKind::Refused | store::ErrorKind::TooLarge => {
+                (ErrorKind::StoreRefused, false)
+            }
+            store::ErrorKind::Unavailable => (ErrorKind::Store, false),
+            _ => (ErrorKind::Store, true),
+        };
         Self {
             in_doubt,
-            ..Self::new(ErrorKind::Store, cause)
+            ..Self::new(kind, cause)
         }
     }
 }
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -110,6 +110,9 @@
     BatchUnconfirmed,
     /// The store has refused every attempt to write a batch: it is not committed and never will be.
     BatchRejected(BatchId),
+    /// The store has refused a batch for its content, whatever its own state: it is not committed and never
+    /// will be.
+    BatchRefused(BatchId),
     /// The store has become unreachable, or reachable again.
     StoreReachable(bool),
     /// Periodic timer.
@@ -155,6 +158,8 @@
     pub id: BatchId,
     /// Key of the segment; no earlier batch has written it.
     pub segment_key: String,
+    /// Number of jobs with a record in the segment.
+    pub record_count: usize,
     /// The segment.
     pub segment: Vec<u8>,
     /// Archived outcomes, with their key.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -36,6 +36,12 @@
     pub(crate) is_stored: bool,
     /// Whether the next segment must contain the definition again.
     pub(crate) needs_definition: bool,
+    /// Whether the store has refused its record, so that only its end is written.
+    pub(crate) is_unwritable: bool,
+    /// Encoded size of the definition.
+    pub(crate) definition_bytes: usize,
+    /// Encoded size of the definition and the newest progress that was written.
+    pub(crate) record_bytes: usize,
     /// The outcome that is in the store; callers see only this one.
     pub(crate) stored_outcome: Option<model::JobStatus>,
     /// Whether a task has ever started.
@@ -124,7 +130,7 @@
     ) -> Self {
         let occurrences = occurrences_of(&job);
         let objective_ms = objective_ms(&job, &queue);
-        Self {
+        let mut state = Self {
             job,
             accepted_queue: queue,
             accepted_at_ms,
@@ -135,10 +141,16 @@
             outcome: None,
             is_stored: false,
             needs_definition: false,
+            is_unwritable: false,
+            definition_bytes: 0,
+            record_bytes: 0,
             stored_outcome: None,
             started: false,
             effects: Vec::new(),
-        }
+        };
+        state.definition_bytes = record::encode(&state.definition()).len();
+        state.record_bytes = state.definition_bytes + record::encode(&state.progress()).len();
+        state
     }
 
     /// Sets the tenant that submitted the job.
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -1,5 +1,6 @@
 //! Tracks which jobs have changed since they were last stored, and writes them in batches.
 
+use std::collections;
 use std::time;
 
 use crate::ended;
@@ -7,14 +8,18 @@
 use crate::job;
 use crate::maps;
 use crate::record;
+use crate::requests;
 use crate::scheduler;
 use crate::segments;
 
 /// Most keys that a batch deletes: a transaction of the store is limited to 32 entries, a few of
 /// which are the segment, its conditions and archived outcomes.
 const MAX_DELETES: usize = 24;
-/// Most bytes of records in a batch, well below the size limit of a value in the store.
-const MAX_BATCH_BYTES: usize = 256 * 1024;
+/// A segment is filled up to one part in this many of the largest value that the store accepts; the last
+/// record may take the rest.
+const BATCH_BYTES_DIVISOR: usize = 4;
+/// Most ended jobs whose outcomes are archived into one value, which takes some 40 bytes for each.
+const MAX_ARCHIVED_JOBS: usize = 4_096;
 /// Most batches in flight; more than one only while the store is slow.
 const MAX_IN_FLIGHT: usize = 16;
 /// Shortest time between two batches: each is a call that the platform counts, and a job waits for
@@ -43,16 +48,6 @@
 /// Bytes of segments above which the oldest are compacted, as a multiple of the bytes of the open
 /// jobs' records; `SEGMENT_BYTES_ALLOWANCE` is added.
 const SEGMENT_BYTES_FACTOR: usize = 3;
-/// Approximate size of a record without definition and progress.
-const RECORD_HEADER_BYTES: usize = 64;
-/// Approximate size of a step in a definition.
-const STEP_BYTES: usize = 100;
-/// Approximate size of a task's progress.
-const TASK_BYTES: usize = 30;
-/// Approximate size of a worker incarnation that tasks refer to.
-const INCARNATION_BYTES: usize = 30;
-/// Approximate size of a lost run.
-const LOSS_BYTES: usize = 60;
 /// Number of the oldest segments that are compacted at once.
 const COMPACTED_SEGMENTS: usize = 16;
 
@@ -60,6 +55,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
     dirty: maps::IndexSet<model::JobId>,
+    /// Jobs of batches that the store has refused, in halves, each of which becomes a batch; none of them
+    /// is in `dirty`.
+    halves: collections::VecDeque<maps::IndexSet<model::JobId>>,
+    /// Whether the last batch was a half, so that the next one takes `dirty` jobs.
+    was_half: bool,
+    /// Jobs that failed because the store refuses their records.
+    pub(crate) unwritable_jobs: u64,
     pub(crate) segments: segments::Segments,
     /// Batches in flight, oldest first.
     in_flight: Vec<InFlightBatch>,
@@ -98,12 +100,18 @@
 
 impl Journal {
     pub(crate) fn mark_dirty(&mut self, job_id: model::JobId) {
-        self.dirty.insert(job_id);
+        if !self.halves.iter().any(|half| half.contains(&job_id)) {
+            self.dirty.insert(job_id);
+        }
     }
 
     /// Removes a job from those that wait for a batch.
     pub(crate) fn clear_dirty(&mut self, job_id: model::JobId) {
         self.dirty.shift_remove(&job_id);
+        for half in &mut self.halves {
+            half.shift_remove(&job_id);
+        }
+        self.halves.retain(|half| !half.is_empty());
     }
 
     /// Returns whether a job is part of a batch in flight.
@@ -114,12 +122,45 @@
 
     /// Returns the jobs that wait for a batch.
     pub(crate) fn dirty_jobs(&self) -> impl Iterator<Item = model::JobId> {
-        self.dirty.iter().copied()
+        let halves = self.halves.iter().flatten();
+        self.dirty.iter().chain(halves).copied()
     }
 
     /// Returns whether jobs wait for a batch.
     pub(crate) fn has_dirty_jobs(&self) -> bool {
-        !self.dirty.is_empty()
+        !self.dirty.is_empty() || !self.halves.is_empty()
+    }
+
+    /// Adds the jobs of a refused batch, to be written again in two halves.
+    fn add_halves(&mut self, jobs: &[model::JobId]) {
+        for job_id in jobs {
+            self.dirty.shift_remove(job_id);
+        }
+        let (first, second) = jobs.split_at(jobs.len() / 2);
+        let halves = [first, second].into_iter().filter(|half| !half.is_empty());
+        self.halves
+            .extend(halves.map(|half| half.iter().copied().collect()));
+    }
+
+    /// Takes the jobs of the next batch: a half of a refused one, or those that have changed. They take
+    /// turns, so that neither waits behind the other.
+    fn take_jobs(&mut self) -> maps::IndexSet<model::JobId> {
+        let is_half = !self.was_half || self.dirty.is_empty();
+        let half = match is_half {
+            true => self.halves.pop_front(),
+            false => None,
+        };
+        self.was_half = half.is_some();
+        half.unwrap_or_else(|| std::mem::take(&mut self.dirty))
+    }
+
+    /// Puts back jobs for which the batch had no room.
+    fn put_back(&mut self, jobs: maps::IndexSet<model::JobId>) {
+        match self.was_half {
+            _ if jobs.is_empty() => {}
+            true => self.halves.push_front(jobs),
+            false => self.dirty = jobs,
+        }
     }
 
     /// Returns whether a batch may be sent now.
@@ -158,7 +199,7 @@
             return;
         }
         self.compact_oldest_segments();
-        let is_idle = self.journal.dirty.is_empty();
+        let is_idle = !self.journal.has_dirty_jobs();
         let has_little_garbage = self.journal.segments.garbage.len() < MAX_DELETES;
         let has_cancels = self.cancel_marks.needs_batch();
         if is_idle && self.store_reachable && has_little_garbage && !has_cancels {
@@ -177,40 +218,31 @@
             deletes: Vec::new(),
             archive: None,
         };
-        let mut segment = record::Segment::default();
-        let mut owners = Vec::new();
-        let mut bytes = 0;
-        while bytes < MAX_BATCH_BYTES
-            && let Some(job_id) = self.journal.dirty.shift_remove_index(0)
+        let mut segment = record::SegmentWriter::default();
+        let mut jobs = self.journal.take_jobs();
+        let mut taken = 0;
+        while segment.bytes() < self.max_batch_bytes()
+            && let Some(job_id) = jobs.get_index(taken).copied()
         {
-            if let Some(record) = self.record_of(job_id, &mut in_flight, clock) {
-                bytes += record_size(&record);
-                let is_open = matches!(record.progress, record::Progress::Open { .. });
-                if let Some(lost) = self.losses_of(job_id).filter(|_| is_open) {
-                    bytes += losses_size(&lost);
-                    segment.losses.push(lost);
-                }
-                let state = self.jobs.get(&job_id);
-                if record.definition.is_some() || !is_open {
-                    let owner = state.and_then(job::JobState::owner);
-                    owners.extend(owner.map(|owner| (job_id, owner)));
-                }
-                let copies = state.filter(|_| is_open).and_then(job::JobState::copies);
-                segment.copies.extend(copies);
-                segment.records.push(record);
-            }
+            taken += 1;
+            self.write_record(job_id, &mut segment, &mut in_flight, clock);
         }
-        segment.owners = record::group_by_owner(owners);
+        jobs.drain(..taken);
+        self.journal.put_back(jobs);
         let mut batch = event::Batch {
             id: id.batch,
             segment_key: id.key(record::SEGMENT_PREFIX),
-            segment: record::encode_segment(&segment),
+            record_count: segment.record_count(),
+            segment: segment.finish(),
             outcomes: None,
-            cancels: self.cancel_marks.begin_batch(id.batch, clock.now),
+            cancels: None,
             deletes: Vec::new(),
         };
         in_flight.bytes = batch.segment.len();
-        self.archive_outcomes(id, &mut batch, &mut in_flight);
+        if !self.journal.was_half {
+            batch.cancels = self.cancel_marks.begin_batch(id.batch, clock.now);
+            self.archive_outcomes(id, &mut batch, &mut in_flight);
+        }
         let garbage = &mut self.journal.segments.garbage;
         let deleted = garbage.len().min(MAX_DELETES);
         batch.deletes.extend(garbage.drain(..deleted));
@@ -235,17 +267,60 @@
         }
     }
 
+    /// Returns the size in bytes from which a segment gets no further record.
+    fn max_batch_bytes(&self) -> usize {
+        self.settings.max_value_bytes / BATCH_BYTES_DIVISOR
+    }
+
+    /// Returns the size in bytes of the largest record that fits into a segment with others.
+    pub(crate) fn max_record_bytes(&self) -> usize {
+        self.settings.max_value_bytes - self.max_batch_bytes()
+    }
+
     fn needs_compaction(&self) -> bool {
         let segments = &self.journal.segments;
         if segments.len() > SEGMENT_ALLOWANCE + 2 * self.jobs.len() {
             return true;
         }
         segments.bytes() > SEGMENT_BYTES_ALLOWANCE && {
-            let open: usize = self.jobs.values().map(job::JobState::record_size).sum();
+            let open: usize = self.jobs.values().map(|state| state.record_bytes).sum();
             segments.bytes() > SEGMENT_BYTES_ALLOWANCE + SEGMENT_BYTES_FACTOR * open
         }
     }
 
+    /// Adds the record of a job, and what belongs to it, to a segment.
+    fn write_record(
+        &mut self,
+        job_id: model::JobId,
+        segment: &mut record::SegmentWriter,
+        in_flight: &mut InFlightBatch,
+        clock: event::Clock,
+    ) {
+        let Some(record) = self.record_of(job_id, in_flight, clock) else {
+            return;
+        };
+        let is_open = matches!(record.progress, record::Progress::Open { .. });
+        if let Some(lost) = self.losses_of(job_id).filter(|_| is_open) {
+            segment.add_losses(&lost);
+        }
+        let record_bytes = segment.add_record(&record);
+        let Some(state) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        state.record_bytes = match record.definition {
+            Some(_) => record_bytes,
+            None => state.definition_bytes + record_bytes,
+        };
+        if (record.definition.is_some() || !is_open)
+            && let Some(owner) = state.owner()
+        {
+            segment.add_owner(job_id, owner);
+        }
+        if is_open && let Some(copies) = state.copies() {
+            segment.add_copies(&copies);
+        }
+    }
+
     fn record_of(
         &mut self,
         job_id: model::JobId,
@@ -254,6 +329,10 @@
     ) -> Option<record::JobRecord> {
         let state = self.jobs.get_mut(&job_id)?;
         let ended = state.outcome.filter(|_| !state.has_runs());
+        if state.is_unwritable && ended.is_none() {
+            // Written once its runs have ended.
+            return None;
+        }
         let ending = ended.map(|outcome| record::Ending {
             outcome,
             ended_at_ms: clock.wall_ms,
@@ -285,7 +364,9 @@
         if self.journal.segments.unarchived.len() < MIN_ARCHIVED_JOBS {
             return;
         }
-        let archived = std::mem::take(&mut self.journal.segments.unarchived);
+        let unarchived = &mut self.journal.segments.unarchived;
+        let later = unarchived.split_off(unarchived.len().min(MAX_ARCHIVED_JOBS));
+        let archived = std::mem::replace(unarchived, later);
         let outcomes: Vec<_> = archived
             .iter()
             .filter_map(|job_id| Some((*job_id, self.ended.get(job_id)?.ending)))
@@ -357,9 +438,44 @@
             jobs = in_flight.jobs.len();
             "batch rejected by the store; its jobs wait for another"
         );
-        self.cancel_marks.on_rejected(batch);
+        for job_id in self.take_back(in_flight) {
+            self.journal.mark_dirty(job_id);
+        }
+        if !self.store_reachable {
+            self.refuse_unstored();
+        }
+    }
+
+    /// Handles the refusal of a batch for its content: it is written again in two halves, and a job that
+    /// is refused by itself fails if its record is too large.
+    pub(crate) fn on_refused(&mut self, batch: event::BatchId, clock: event::Clock) {
+        let Some(in_flight) = self.journal.remove_in_flight(batch) else {
+            return;
+        };
+        let bytes = in_flight.bytes;
+        let jobs = self.take_back(in_flight);
+        log::error!(
+            batch,
+            term = self.term,
+            jobs = jobs.len(),
+            bytes,
+            limit_bytes = self.settings.max_value_bytes;
+            "batch refused by the store"
+        );
+        match jobs[..] {
+            [job_id] if bytes > self.max_batch_bytes() => {
+                self.fail_unwritable(job_id, bytes, clock)
+            }
+            _ => self.journal.add_halves(&jobs),
+        }
+    }
+
+    /// Takes back what a batch would have changed; returns its jobs, which have to be written again.
+    fn take_back(&mut self, in_flight: InFlightBatch) -> Vec<model::JobId> {
+        self.cancel_marks.on_rejected(in_flight.batch);
         self.journal.segments.garbage.extend(in_flight.deletes);
         self.journal.segments.unarchived.extend(in_flight.archived);
+        let mut jobs = Vec::new();
         for stored in in_flight.jobs {
             let Some(state) = self.jobs.get_mut(&stored.job_id) else {
                 // A later batch has stored the end of the job: its effects wait for no other.
@@ -368,10 +484,33 @@
             };
             state.needs_definition |= stored.has_definition;
             state.effects.splice(0..0, stored.effects);
-            self.journal.mark_dirty(stored.job_id);
+            jobs.push(stored.job_id);
         }
-        if !self.store_reachable {
-            self.refuse_unstored();
+        jobs
+    }
+
+    /// Ends a job whose record the store refuses: one that is not stored yet is refused, any other fails.
+    fn fail_unwritable(&mut self, job_id: model::JobId, bytes: usize, clock: event::Clock) {
+        let Some(state) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        self.journal.unwritable_jobs += 1;
+        log::error!(
+            job:% = job_id_hex(job_id),
+            is_stored = state.is_stored,
+            bytes,
+            limit_bytes = self.settings.max_value_bytes;
+            "job ended, as the store refuses its record"
+        );
+        if !state.is_stored {
+            let reason = model::RefusalReason::TooLarge;
+            self.drop_job(job_id, &requests::refused(reason, 0));
+            return;
+        }
+        state.is_unwritable = true;
+        match state.outcome {
+            Some(_) => self.journal.mark_dirty(job_id),
+            None => self.decide_outcome(job_id, model::JobStatus::Failed, clock),
         }
     }
 
@@ -428,43 +567,6 @@
     }
 }
 
-/// Returns the approximate size of a record in bytes.
-fn record_size(record: &record::JobRecord) -> usize {
-    let definition = record.definition.as_ref();
-    let definition = definition.map_or(0, |definition| definition_size(&definition.job));
-    let progress = match &record.progress {
-        record::Progress::Open {
-            tasks,
-            incarnations,
-            ..
-        } => progress_size(tasks.len(), incarnations.len()),
-        record::Progress::Ended(_) => 0,
-    };
-    RECORD_HEADER_BYTES + definition + progress
-}
-
-fn losses_size(losses: &record::JobLosses) -> usize {
-    let runs = losses.tasks.iter().map(|(_, runs)| runs.len());
-    LOSS_BYTES * runs.sum::<usize>()
-}
-
-impl job::JobState {
-    /// Returns the approximate size of the definition and the progress in bytes.
-    fn record_size(&self) -> usize {
-        let steps = self.occurrences.iter().flat_map(|one| &one.steps);
-        let tasks: usize = steps.map(|step| step.tasks.len()).sum();
-        RECORD_HEADER_BYTES + definition_size(&self.job) + progress_size(tasks, tasks)
-    }
-}
-
-fn definition_size(job: &model::Job) -> usize {
-    job.spec.len() + STEP_BYTES * job.steps.len()
-}
-
-fn progress_size(tasks: usize, incarnations: usize) -> usize {
-    TASK_BYTES * tasks + INCARNATION_BYTES * incarnations
-}
-
 /// Formats a job id as in callers' requests.
 pub(crate) fn job_id_hex(job_id: model::JobId) -> String {
     format!("{job_id:016x}")
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -18,6 +18,8 @@
 pub const SEGMENT_PREFIX: &str = "ferry/segment/";
 /// Prefix of the keys of archived outcomes.
 pub const OUTCOME_PREFIX: &str = "ferry/outcome/";
+/// Most bytes of an encoded integer.
+const MAX_INTEGER_BYTES: usize = 9;
 
 /// Identifies a segment; a later one is larger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -223,28 +225,94 @@
     bincode::serde::encode_to_vec(value, bincode::config::standard()).unwrap_or_default()
 }
 
-/// Encodes a segment.
+/// Encodes a segment item by item, so that its size is known while it is filled.
 ///
 /// The lost runs, the tenants and the copies follow the records in this order, and are left out from
 /// where the rest is empty: builds that do not know them ignore what follows what they know.
-pub(crate) fn encode_segment(segment: &Segment) -> Vec<u8> {
-    let Segment {
-        records,
-        losses,
-        owners,
-        copies,
-    } = segment;
-    let optional = [
-        (losses.is_empty(), encode(losses)),
-        (owners.is_empty(), encode(owners)),
-        (copies.is_empty(), encode(copies)),
-    ];
-    let last = optional.iter().rposition(|(is_empty, _)| !is_empty);
-    let mut bytes = encode(records);
-    for (_, part) in optional.iter().take(last.map_or(0, |last| last + 1)) {
-        bytes.extend(part);
+#[derive(Debug, Default)]
+pub(crate) struct SegmentWriter {
+    records: SequenceWriter,
+    losses: SequenceWriter,
+    copies: SequenceWriter,
+    owners: Vec<(model::JobId, Owner)>,
+    /// Upper bound of the encoded size of `owners`.
+    owners_bytes: usize,
+}
+
+impl SegmentWriter {
+    /// Adds a record; returns its encoded size in bytes.
+    pub(crate) fn add_record(&mut self, record: &JobRecord) -> usize {
+        self.records.add(record)
+    }
+
+    /// Adds the lost runs of a job.
+    pub(crate) fn add_losses(&mut self, losses: &JobLosses) {
+        self.losses.add(losses);
+    }
+
+    /// Adds the copies of the tasks of a job.
+    pub(crate) fn add_copies(&mut self, copies: &JobCopies) {
+        self.copies.add(copies);
+    }
+
+    /// Adds the tenant of a job.
+    pub(crate) fn add_owner(&mut self, job_id: model::JobId, owner: Owner) {
+        // At most a group of its own: two strings, a list and their lengths.
+        self.owners_bytes += owner.tenant.len() + owner.queue.len() + 4 * MAX_INTEGER_BYTES;
+        self.owners.push((job_id, owner));
+    }
+
+    /// Returns the number of records.
+    pub(crate) fn record_count(&self) -> usize {
+        self.records.count
+    }
+
+    /// Returns an upper bound of the encoded size in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        let sequences = [&self.records, &self.losses, &self.copies];
+        let sequences = sequences.map(|one| one.bytes.len());
+        let counts = 4 * MAX_INTEGER_BYTES;
+        sequences.iter().sum::<usize>() + self.owners_bytes + counts
+    }
+
+    /// Returns the encoded segment.
+    pub(crate) fn finish(self) -> Vec<u8> {
+        let mut owners = SequenceWriter::default();
+        for group in group_by_owner(self.owners) {
+            owners.add(&group);
+        }
+        let optional = [self.losses, owners, self.copies];
+        let last = optional.iter().rposition(|part| part.count > 0);
+        let mut bytes = self.records.finish();
+        for part in optional.into_iter().take(last.map_or(0, |last| last + 1)) {
+            bytes.extend(part.finish());
+        }
+        bytes
+    }
+}
+
+/// Encodes a sequence item by item.
+#[derive(Debug, Default)]
+struct SequenceWriter {
+    count: usize,
+    /// The encoded items, without the count that precedes them.
+    bytes: Vec<u8>,
+}
+
+impl SequenceWriter {
+    /// Adds an item; returns its encoded size in bytes.
+    fn add<T: Serialize>(&mut self, item: &T) -> usize {
+        let item = encode(item);
+        self.count += 1;
+        self.bytes.extend_from_slice(&item);
+        item.len()
+    }
+
+    fn finish(self) -> Vec<u8> {
+        let mut bytes = encode(&self.count);
+        bytes.extend(self.bytes);
+        bytes
     }
-    bytes
 }
 
 /// Decodes a segment; the error is the decoder's message.
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -128,6 +128,15 @@
         }
         let mut state =
             job::JobState::new(sync::Arc::new(job), queue, clock.wall_ms).with_tenant(tenant);
+        if state.record_bytes > self.max_record_bytes() {
+            log::info!(
+                job:% = journal::job_id_hex(job_id),
+                bytes = state.record_bytes,
+                limit_bytes = self.max_record_bytes();
+                "submission refused: its record is too large for the store"
+            );
+            return Some(refused(model::RefusalReason::TooLarge, 0));
+        }
         self.tenancy.enter(state.tenant.as_ref());
         if let Some(refusal) = self.refuse_beyond_cap(&state, clock) {
             // A newer manifest may have a higher cap.
@@ -331,28 +340,33 @@
             if !is_new || self.journal.is_in_flight(job_id) {
                 continue;
             }
-            self.dequeue(job_id);
-            let Some(state) = self.remove_job(job_id) else {
-                continue;
-            };
-            log::info!(
-                job:% = journal::job_id_hex(job_id),
-                store_reachable = self.store_reachable,
-                planned_runs = state.placed_runs().len(),
-                reply:? = reply;
-                "job dropped before it was stored"
-            );
-            for effect in state.effects {
-                if let job::Effect::Reply(token, _) = effect {
-                    self.actions
-                        .push(event::Action::Reply(token, reply.clone()));
-                }
+            self.drop_job(job_id, reply);
+        }
+    }
+
+    /// Drops a job that is not stored, and replies to its callers.
+    pub(crate) fn drop_job(&mut self, job_id: model::JobId, reply: &model::JobReply) {
+        self.dequeue(job_id);
+        let Some(state) = self.remove_job(job_id) else {
+            return;
+        };
+        log::info!(
+            job:% = journal::job_id_hex(job_id),
+            store_reachable = self.store_reachable,
+            planned_runs = state.placed_runs().len(),
+            reply:? = reply;
+            "job dropped before it was stored"
+        );
+        for effect in state.effects {
+            if let job::Effect::Reply(token, _) = effect {
+                self.actions
+                    .push(event::Action::Reply(token, reply.clone()));
             }
         }
     }
 }
 
-fn refused(reason: model::RefusalReason, retry_after_ms: u64) -> model::JobReply {
+pub(crate) fn refused(reason: model::RefusalReason, retry_after_ms: u64) -> model::JobReply {
     model::JobReply::Refused {
         reason,
         retry_after_ms,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -186,6 +186,8 @@
     /// Runs that may be on the next incarnation of a worker that restarted under its id, since the
     /// term began.
     pub moved_runs: u64,
+    /// Jobs that failed because the store refuses their records, since the term began.
+    pub unwritable_jobs: u64,
     /// Cancels of unknown jobs that gave way to later ones, since the term began.
     pub forgotten_cancels: u64,
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
@@ -277,6 +279,7 @@
             event::Event::BatchCommitted(batch) => self.on_committed(batch, clock),
             event::Event::BatchUnconfirmed => self.on_unconfirmed(),
             event::Event::BatchRejected(batch) => self.on_rejected(batch),
+            event::Event::BatchRefused(batch) => self.on_refused(batch, clock),
             event::Event::StoreReachable(reachable) => self.on_store_reachable(reachable, clock),
             event::Event::Tick => self.on_tick(clock),
         }
@@ -331,6 +334,7 @@
             placement_visits: self.placement_visits,
             crashed_workers: self.crashes.crashed_workers,
             given_up_jobs: self.crashes.given_up_jobs,
+            unwritable_jobs: self.journal.unwritable_jobs,
             forgotten_cancels: self.cancel_marks.forgotten(),
             moved_runs: self.moved_runs,
             runs_kept_beyond_lease: self.runs_kept_beyond_lease,
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -7,6 +7,7 @@
 mod draining_workers;
 mod gangs;
 mod invariants;
+mod large_records;
 mod leases;
 mod long_running;
 mod peak_load;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -140,6 +140,10 @@
     directory_read_ms: Option<u64>,
     /// Whether reads of the worker directory fail.
     pub(crate) is_directory_unreadable: bool,
+    /// Largest value that the store takes, in bytes.
+    pub(crate) store_value_bytes: usize,
+    /// Batches refused for their size.
+    pub(crate) refused_batches: u64,
     /// Whether the store refuses every batch.
     pub(crate) store_refuses: bool,
     /// Whether the store resets the connections of all calls, which then may have taken effect.
@@ -253,6 +257,8 @@
             first_directory_read_ms: 0,
             directory_read_ms: None,
             is_directory_unreadable: false,
+            store_value_bytes: 1_048_576,
+            refused_batches: 0,
             store_refuses: false,
             store_resets: false,
             store_resets_since_ms: None,
@@ -648,6 +654,11 @@
                     return;
                 }
                 self.store_resets_since_ms = None;
+                if batch.segment.len() > self.store_value_bytes {
+                    self.refused_batches += 1;
+                    self.deliver(term, jobs::Event::BatchRefused(batch.id));
+                    return;
+                }
                 self.deliver(term, jobs::Event::StoreReachable(true));
                 for key in &batch.deletes {
                     self.store.remove(key);
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -229,6 +229,8 @@
     AgeUnknown,
     /// A cancel of the job was acknowledged shortly before, when the job was not known.
     Cancelled,
+    /// The store takes no record of this size.
+    TooLarge,
 }
 
 impl RefusalReason {
@@ -248,6 +250,7 @@
         Self::TenantRate,
         Self::AgeUnknown,
         Self::Cancelled,
+        Self::TooLarge,
     ];
 
     /// Returns the name used in answers, logs and counters.
@@ -268,6 +271,7 @@
             Self::TenantRate => "tenant_rate",
             Self::AgeUnknown => "age_unknown",
             Self::Cancelled => "cancelled",
+            Self::TooLarge => "too_large",
         }
     }
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -16,6 +16,8 @@
     Protocol,
     /// A value is larger than the service accepts; the request was not sent.
     TooLarge,
+    /// The service refused the content of the request, which had no effect and never will.
+    Refused,
     /// The start revision of a watch has been compacted: read the keys again.
     Compacted,
     /// The lease that a write names has ended; nothing was written.
@@ -29,6 +31,7 @@
             Self::OutcomeUnknown => "outcome of the store call unknown",
             Self::Protocol => "store protocol error",
             Self::TooLarge => "value too large for the store",
+            Self::Refused => "store refuses the content of the request",
             Self::Compacted => "store has compacted the revision",
             Self::LeaseEnded => "store lease has ended",
         })
