--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -418,7 +418,7 @@
         }
         step.end_latest_run(key.task.index);
         self.journal.mark_dirty(job_id);
-        self.enqueue(job_id, clock);
+        self.enqueue_occurrence(job_id, key.task.occurrence, clock);
     }
 
     pub(crate) fn mark_job_started(&mut self, key: model::RunKey) {
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -151,7 +151,7 @@
             step_state.end_copy(incarnation, key);
         }
         if is_long_running {
-            self.enqueue(job_id, clock);
+            self.enqueue_occurrence(job_id, key.task.occurrence, clock);
             return;
         }
         match ended.end {
@@ -170,7 +170,7 @@
                 if !is_latest {
                     self.stop_superfluous_runs(key, clock);
                 }
-                self.on_task_done(job_id, clock);
+                self.on_task_done(key.task, clock);
             }
             worker_api::RunEnd::Failed => {
                 let failures = step_state.record_failure(key, is_gang);
@@ -182,10 +182,10 @@
                 if failures >= max_failures {
                     self.decide_outcome(job_id, model::JobStatus::Failed, clock);
                 } else {
-                    self.enqueue(job_id, clock);
+                    self.enqueue_occurrence(job_id, key.task.occurrence, clock);
                 }
             }
-            _ => self.enqueue(job_id, clock),
+            _ => self.enqueue_occurrence(job_id, key.task.occurrence, clock),
         }
     }
 
@@ -215,12 +215,13 @@
             .is_some_and(|task| task.phase == job::Phase::Done)
     }
 
-    fn on_task_done(&mut self, job_id: model::JobId, clock: event::Clock) {
+    fn on_task_done(&mut self, task: model::TaskKey, clock: event::Clock) {
+        let job_id = task.job_id;
         self.journal.mark_dirty(job_id);
         if self.jobs.get(&job_id).is_some_and(job::JobState::is_done) {
             self.decide_outcome(job_id, model::JobStatus::Completed, clock);
         } else {
-            self.enqueue(job_id, clock);
+            self.enqueue_occurrence(job_id, task.occurrence, clock);
         }
     }
 
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -459,16 +459,42 @@
         if state.outcome.is_some() {
             return;
         }
+        let count = u32::try_from(state.occurrences.len()).unwrap_or(u32::MAX);
+        for occurrence in 0..count {
+            self.enqueue_occurrence(job_id, occurrence, clock);
+        }
+    }
+
+    /// Enqueues the steps of an occurrence that are ready and have waiting tasks, once it is due.
+    pub(crate) fn enqueue_occurrence(
+        &mut self,
+        job_id: model::JobId,
+        occurrence: u32,
+        clock: event::Clock,
+    ) {
+        let Some(state) = self.jobs.get(&job_id) else {
+            return;
+        };
+        let Some(of) = state.occurrences.get(occurrence as usize) else {
+            return;
+        };
+        if state.outcome.is_some() {
+            return;
+        }
+        if let Some(due_at_ms) = of.due_at_ms
+            && due_at_ms > clock.wall_ms
+        {
+            self.scheduled.insert((due_at_ms, job_id, occurrence));
+            return;
+        }
         let priority = Self::queue_of(&self.manifest, state).priority;
-        for key in state.step_keys() {
-            let occurrence = &state.occurrences[key.occurrence as usize];
-            if let Some(due_at_ms) = occurrence.due_at_ms
-                && due_at_ms > clock.wall_ms
-            {
-                self.scheduled.insert((due_at_ms, job_id, key.occurrence));
-                continue;
-            }
-            if occurrence.steps[usize::from(key.step)].waiting_count > 0 && state.is_ready(key) {
+        for (step, step_state) in (0..).zip(&of.steps) {
+            let key = model::StepKey {
+                job_id,
+                occurrence,
+                step,
+            };
+            if step_state.waiting_count > 0 && state.is_ready(key) {
                 let tenant = self.tenancy.number_of(state);
                 self.waiting
                     .insert(WaitingStep::new(state, key, priority, tenant));
@@ -556,12 +582,12 @@
 
     /// Enqueues occurrences that have become due.
     fn enqueue_due_occurrences(&mut self, clock: event::Clock) {
-        while let Some((due_at_ms, job_id, _)) = self.scheduled.first().copied() {
+        while let Some((due_at_ms, job_id, occurrence)) = self.scheduled.first().copied() {
             if due_at_ms > clock.wall_ms {
                 break;
             }
             self.scheduled.pop_first();
-            self.enqueue(job_id, clock);
+            self.enqueue_occurrence(job_id, occurrence, clock);
         }
     }
 
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -10,6 +10,7 @@
 mod large_records;
 mod leases;
 mod long_running;
+mod occurrences;
 mod peak_load;
 mod priority_preemption;
 mod relay_loss;
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -302,6 +302,11 @@
         simulation
     }
 
+    /// Returns the wall-clock time in milliseconds since 1970.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        self.clock().wall_ms
+    }
+
     fn clock(&self) -> jobs::Clock {
         jobs::Clock {
             now: self.base + time::Duration::from_millis(self.now_ms),
