--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod losses;
 mod manifest;
 mod maps;
+mod memory;
 mod orders;
 mod pass;
 mod placement;
