--- a/crates/jobs/src/memory.rs
+++ b/crates/jobs/src/memory.rs
@@ -17,7 +17,7 @@
 const ALLOCATION_BYTES: usize = 24;
 /// Maps and sets are half full at worst.
 const MAP_FACTOR: usize = 2;
-/// Open jobs larger than one part in this many of the limit are large.
+/// A job is small if it takes at most one part in this many of the limit.
 const SMALL_JOB_DIVISOR: usize = 512;
 /// One part in this many of the limit is for small jobs only.
 const SMALL_JOBS_SHARE_DIVISOR: usize = 4;
@@ -29,8 +29,8 @@
 const MAX_RETRY_MS: u64 = 30_000;
 
 impl job::JobState {
-    /// Returns the memory that the job may take, in bytes: its state with each task placed, and the orders
-    /// and entries of the queue for it. Checkpoints and failed runs are not counted.
+    /// Returns the memory that the job may take, in bytes: its state, with each task placed, and its entries
+    /// in the queue and at the workers. Checkpoints, failed runs and tickets are not counted.
     pub(crate) fn count_memory(&self) -> usize {
         let per_job = MAP_FACTOR * size_of::<(model::JobId, Self)>() + self.job.memory_bytes();
         let occurrences: usize = self.occurrences.iter().map(occurrence_bytes).sum();
