--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -216,7 +216,6 @@
     moved_runs: u64,
     forgotten_cancels: u64,
     unwritable_jobs: u64,
-    refused_for_memory: u64,
     runs_kept_beyond_lease: u64,
     starts_on_other_incarnations: u64,
     ends_after_next_start: u64,
@@ -235,8 +234,6 @@
         metrics.count_by("cancel.forgotten", forgotten);
         let unwritable = summary.unwritable_jobs - self.unwritable_jobs;
         metrics.count_by("job.unwritable", unwritable);
-        let refused = summary.refused_for_memory - self.refused_for_memory;
-        metrics.count_by("job.refused_for_memory", refused);
         let kept = summary.runs_kept_beyond_lease - self.runs_kept_beyond_lease;
         metrics.count_by("run.kept_beyond_lease", kept);
         let on_others = summary.starts_on_other_incarnations - self.starts_on_other_incarnations;
@@ -252,7 +249,6 @@
         self.moved_runs = summary.moved_runs;
         self.forgotten_cancels = summary.forgotten_cancels;
         self.unwritable_jobs = summary.unwritable_jobs;
-        self.refused_for_memory = summary.refused_for_memory;
         self.runs_kept_beyond_lease = summary.runs_kept_beyond_lease;
         self.starts_on_other_incarnations = summary.starts_on_other_incarnations;
         self.ends_after_next_start = summary.ends_after_next_start;
@@ -273,8 +269,6 @@
 impl SpeedCounters {
     fn set_gauges(summary: &jobs::Summary, metrics: &telemetry::Metrics) {
         let gauges = [
-            ("job.open", summary.open_jobs),
-            ("job.open_bytes", summary.open_bytes),
             ("worker.fast", summary.fast_workers),
             ("worker.slow", summary.slow_workers),
             ("worker.quarantined", summary.quarantined_workers),
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -98,10 +98,7 @@
     // Megabytes take a weak machine longer to decode than its peers wait for a heartbeat.
     let built = task::spawn_blocking(move || {
         let mut recovery = jobs::Recovery::default();
-        let mut segments = segments.entries;
-        // The service does not promise an order within a page.
-        segments.sort_by(|one, other| one.key.cmp(&other.key));
-        let entries = segments.into_iter().chain(outcomes.entries);
+        let entries = segments.entries.into_iter().chain(outcomes.entries);
         for entry in entries.chain(cancels) {
             if let Err(cause) = recovery.add(&entry.key, &entry.value) {
                 log::error!(
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -42,8 +42,6 @@
     pub(crate) definition_bytes: usize,
     /// Encoded size of the definition and the newest progress that was written.
     pub(crate) record_bytes: usize,
-    /// Memory that it may take, in bytes, as counted when it was accepted or recovered.
-    pub(crate) memory_bytes: usize,
     /// The outcome that is in the store; callers see only this one.
     pub(crate) stored_outcome: Option<model::JobStatus>,
     /// Whether a task has ever started.
@@ -146,12 +144,10 @@
             is_unwritable: false,
             definition_bytes: 0,
             record_bytes: 0,
-            memory_bytes: 0,
             stored_outcome: None,
             started: false,
             effects: Vec::new(),
         };
-        state.memory_bytes = state.count_memory();
         state.definition_bytes = record::encode(&state.definition()).len();
         state.record_bytes = state.definition_bytes + record::encode(&state.progress()).len();
         state
@@ -347,15 +343,6 @@
         task.phase = phase;
     }
 
-    /// Frees what serves only to place and to compare runs of the step, if it is done.
-    pub(crate) fn release_if_done(&mut self) {
-        if self.is_done() {
-            self.tickets.release();
-            self.rates = speed::StepRates::default();
-            self.done_ms = Vec::new();
-        }
-    }
-
     fn count_phases(&mut self) {
         let count = |wanted: &Phase| {
             let tasks = self.tasks.iter();
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -99,14 +99,6 @@
 }
 
 impl Journal {
-    /// Creates the journal of a leader that has recovered the jobs in `segments`.
-    pub(crate) fn new(segments: segments::Segments) -> Self {
-        Self {
-            segments,
-            ..Self::default()
-        }
-    }
-
     pub(crate) fn mark_dirty(&mut self, job_id: model::JobId) {
         if !self.halves.iter().any(|half| half.contains(&job_id)) {
             self.dirty.insert(job_id);
@@ -412,7 +404,7 @@
         let mut effects = Vec::new();
         for mut stored in in_flight.jobs {
             effects.append(&mut stored.effects);
-            self.apply_stored(id, &stored, clock);
+            self.apply_stored(id, &stored);
         }
         for job_id in in_flight.archived {
             self.journal.segments.remove_job(job_id);
@@ -522,7 +514,7 @@
         }
     }
 
-    fn apply_stored(&mut self, id: record::SegmentId, stored: &StoredJob, clock: event::Clock) {
+    fn apply_stored(&mut self, id: record::SegmentId, stored: &StoredJob) {
         let is_ended = stored.ending.is_some();
         let segments = &mut self.journal.segments;
         segments.add_record(id, stored.job_id, stored.has_definition, is_ended);
@@ -553,9 +545,7 @@
         // Effects added meanwhile need no further commit of this job.
         self.ended_job_effects.append(&mut state.effects);
         let owner = state.owner();
-        let memory_bytes = state.memory_bytes;
         self.remove_job(stored.job_id);
-        self.open_memory.record_end(memory_bytes, clock.now);
         let ended = ended::EndedJob { ending, owner };
         self.ended.insert(stored.job_id, ended);
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,7 +25,6 @@
 mod losses;
 mod manifest;
 mod maps;
-mod memory;
 mod orders;
 mod pass;
 mod placement;
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -18,7 +18,6 @@
 use crate::journal;
 use crate::manifest;
 use crate::maps;
-use crate::memory;
 use crate::pass;
 use crate::priority_preemption;
 use crate::quarantine;
@@ -26,7 +25,6 @@
 use crate::reservations;
 use crate::restarts;
 use crate::scheduler;
-use crate::segments;
 use crate::settings;
 use crate::speculation;
 use crate::speed_tracking;
@@ -38,19 +36,18 @@
 const FIRST_TERM: model::Term = 1;
 
 /// Collects the stored records, then builds the scheduler of a new term.
-///
-/// Of each job only the newest definition and progress are kept, so that the records that a later segment has
-/// replaced take no memory.
 #[derive(Debug, Default)]
 pub struct Recovery {
-    segments: segments::Segments,
-    /// Segment that was added last; those added after it are later ones.
-    last_segment: Option<record::SegmentId>,
-    definitions: maps::IndexMap<model::JobId, record::Definition>,
-    progress: maps::IndexMap<model::JobId, record::Progress>,
-    losses: maps::IndexMap<model::JobId, record::JobLosses>,
-    copies: maps::IndexMap<model::JobId, record::JobCopies>,
-    owners: maps::IndexMap<model::JobId, record::Owner>,
+    /// Records of each segment, in the order of the ids.
+    segments: collections::BTreeMap<record::SegmentId, Vec<record::JobRecord>>,
+    /// Lost runs in each segment, by job.
+    losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
+    /// Copies of tasks in each segment, by job.
+    copies: collections::BTreeMap<record::SegmentId, Vec<record::JobCopies>>,
+    /// Tenants of the jobs in each segment.
+    owners: collections::BTreeMap<record::SegmentId, Vec<record::OwnedJobs>>,
+    /// Size of each segment in bytes.
+    sizes: collections::BTreeMap<record::SegmentId, usize>,
     archives: Vec<Archive>,
     /// Cancels of unknown jobs, as stored.
     cancels: Option<Vec<u8>>,
@@ -65,18 +62,19 @@
 }
 
 impl Recovery {
-    /// Adds a key and value of the store, in the order of the keys; keys of other kinds are ignored.
+    /// Adds a key and value of the store; keys of other kinds are ignored.
     ///
     /// # Errors
     ///
-    /// Returns the decoder's message if the value cannot be decoded, or the key of a segment that precedes the
-    /// last one.
+    /// Returns the decoder's message if the value cannot be decoded.
     pub fn add(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
         if let Some(id) = record::SegmentId::from_key(key, record::SEGMENT_PREFIX) {
-            if self.last_segment >= Some(id) {
-                return Err(format!("{key} is not in the order of the keys"));
-            }
-            self.add_segment(id, record::decode_segment(value)?, value.len());
+            let segment = record::decode_segment(value)?;
+            self.segments.insert(id, segment.records);
+            self.losses.insert(id, segment.losses);
+            self.copies.insert(id, segment.copies);
+            self.owners.insert(id, segment.owners);
+            self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
             let (outcomes, owners) = record::decode_outcomes(value)?;
             self.archives.push(Archive {
@@ -90,41 +88,13 @@
         Ok(())
     }
 
-    fn add_segment(&mut self, id: record::SegmentId, segment: record::Segment, bytes: usize) {
-        self.last_segment = Some(id);
-        self.segments.add(id, bytes);
-        for record in segment.records {
-            let job_id = record.job_id;
-            let is_ended = matches!(record.progress, record::Progress::Ended(_));
-            let has_definition = record.definition.is_some();
-            self.segments
-                .add_record(id, job_id, has_definition, is_ended);
-            if let Some(definition) = record.definition {
-                // An earlier job with this id may have had a tenant.
-                self.owners.swap_remove(&job_id);
-                self.definitions.insert(job_id, definition);
-            }
-            if is_ended {
-                self.definitions.swap_remove(&job_id);
-            }
-            self.progress.insert(job_id, record.progress);
-            self.losses.swap_remove(&job_id);
-            self.copies.swap_remove(&job_id);
-        }
-        let losses = segment.losses.into_iter();
-        self.losses.extend(losses.map(|one| (one.job_id, one)));
-        let copies = segment.copies.into_iter();
-        self.copies.extend(copies.map(|one| (one.job_id, one)));
-        self.owners.extend(record::owners_by_job(segment.owners));
-    }
-
     /// Builds the scheduler of `term`.
     ///
     /// An earlier leader may have led until `clock`; `leadership_timeout` is the longest time for
     /// which it may continue to send orders before it notices that it has lost the leadership.
     #[must_use]
     pub fn build(
-        self,
+        mut self,
         settings: settings::Settings,
         term: model::Term,
         leadership_timeout: time::Duration,
@@ -136,7 +106,6 @@
             term,
             manifest: manifest::Manifest::default(),
             jobs: maps::IndexMap::default(),
-            open_memory: memory::OpenMemory::default(),
             ended: maps::IndexMap::default(),
             workers: maps::IndexMap::default(),
             newest_incarnations: maps::HashMap::default(),
@@ -158,7 +127,7 @@
             runs_kept_beyond_lease: 0,
             starts_on_other_incarnations: 0,
             ends_after_next_start: 0,
-            journal: journal::Journal::new(self.segments),
+            journal: journal::Journal::default(),
             cancel_marks: cancel_marks::CancelMarks::default(),
             ended_job_effects: Vec::new(),
             actions: Vec::new(),
@@ -175,17 +144,36 @@
             speeds: speed_tracking::SpeedTracking::default(),
             quarantines: quarantine::Quarantines::default(),
         };
-        let Self {
-            mut definitions,
-            mut progress,
-            mut losses,
-            mut copies,
-            mut owners,
-            archives,
-            cancels,
-            ..
-        } = self;
-        scheduler.restore_outcomes(archives, &mut progress, &mut owners);
+        let mut definitions = maps::IndexMap::default();
+        let mut progress = maps::IndexMap::default();
+        let mut losses = maps::IndexMap::default();
+        let mut copies = maps::IndexMap::default();
+        let mut owners = maps::IndexMap::default();
+        for (id, records) in self.segments {
+            let bytes = self.sizes.get(&id).copied().unwrap_or_default();
+            scheduler.journal.segments.add(id, bytes);
+            for record in records {
+                let is_ended = matches!(record.progress, record::Progress::Ended(_));
+                let has_definition = record.definition.is_some();
+                let segments = &mut scheduler.journal.segments;
+                segments.add_record(id, record.job_id, has_definition, is_ended);
+                if let Some(definition) = record.definition {
+                    // An earlier job with this id may have had a tenant.
+                    owners.swap_remove(&record.job_id);
+                    definitions.insert(record.job_id, definition);
+                }
+                progress.insert(record.job_id, record.progress);
+                losses.swap_remove(&record.job_id);
+                copies.swap_remove(&record.job_id);
+            }
+            let stored = self.losses.remove(&id).unwrap_or_default();
+            losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.copies.remove(&id).unwrap_or_default();
+            copies.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.owners.remove(&id).unwrap_or_default();
+            owners.extend(record::owners_by_job(stored));
+        }
+        scheduler.restore_outcomes(self.archives, &mut progress, &mut owners);
         for (job_id, progress) in progress {
             match progress {
                 record::Progress::Ended(ending) => {
@@ -208,7 +196,6 @@
                     if let Some(stored) = copies.swap_remove(&job_id) {
                         state.restore_copies(stored);
                     }
-                    scheduler.open_memory.add(&state);
                     scheduler.jobs.insert(job_id, state);
                     if let Some(losses) = losses.swap_remove(&job_id) {
                         scheduler.crashes.restore(losses, clock.now);
@@ -220,7 +207,7 @@
             .ended
             .sort_by_key(|job_id, ended| (ended.ending.ended_at_ms, *job_id));
         scheduler.journal.segments.collect_garbage();
-        if let Some(cancels) = &cancels
+        if let Some(cancels) = &self.cancels
             && let Err(cause) = scheduler.cancel_marks.restore(cancels, clock)
         {
             log::error!(cause; "stored cancels of unknown jobs cannot be decoded");
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -153,9 +153,6 @@
                 retry_after_ms,
             ));
         }
-        if let Some(refusal) = self.refuse_without_memory(&state, clock) {
-            return Some(refusal);
-        }
         if self.waiting.len() > self.settings.max_waiting_steps {
             return Some(refused(model::RefusalReason::Overloaded, OVERLOAD_RETRY_MS));
         }
@@ -174,7 +171,6 @@
             term = self.term;
             "job received, not stored yet"
         );
-        self.open_memory.add(&state);
         self.jobs.insert(job_id, state);
         self.journal.mark_dirty(job_id);
         self.enqueue(job_id, clock);
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -161,7 +161,6 @@
                 } else {
                     step_state.set_phase(key.task.index, job::Phase::Done);
                 }
-                step_state.release_if_done();
                 let index = if is_gang { 0 } else { key.task.index };
                 self.crashes
                     .remove_task(model::TaskKey { index, ..key.task });
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -15,7 +15,6 @@
 use crate::loss_reason;
 use crate::manifest;
 use crate::maps;
-use crate::memory;
 use crate::orders;
 use crate::pass;
 use crate::placement;
@@ -46,8 +45,6 @@
     pub(crate) term: model::Term,
     pub(crate) manifest: manifest::Manifest,
     pub(crate) jobs: maps::IndexMap<model::JobId, job::JobState>,
-    /// Memory of `jobs`.
-    pub(crate) open_memory: memory::OpenMemory,
     /// Outcomes of ended jobs, in the order of their ends.
     pub(crate) ended: maps::IndexMap<model::JobId, ended::EndedJob>,
     pub(crate) workers: maps::IndexMap<model::WorkerIncarnation, worker::Worker>,
@@ -174,10 +171,6 @@
 pub struct Summary {
     /// Jobs that have not ended.
     pub open_jobs: usize,
-    /// Memory counted for them, in bytes.
-    pub open_bytes: usize,
-    /// Jobs refused as there was no memory for them, since the term began.
-    pub refused_for_memory: u64,
     /// Steps that have waiting tasks and are ready: all steps that they depend on are done.
     pub waiting_steps: usize,
     /// Runs that may exist on a worker.
@@ -331,8 +324,6 @@
     pub fn summary(&self) -> Summary {
         Summary {
             open_jobs: self.jobs.len(),
-            open_bytes: self.open_memory.bytes(),
-            refused_for_memory: self.open_memory.refused_jobs,
             waiting_steps: self.waiting.len(),
             runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
             usable_workers: self
@@ -431,9 +422,7 @@
             memory_used_mb = used.memory_mb,
             memory_mb = capacity.memory_mb,
             gangs_waiting = waiting(true),
-            other_steps_waiting = waiting(false),
-            open_jobs = self.jobs.len(),
-            open_bytes = self.open_memory.bytes();
+            other_steps_waiting = waiting(false);
             "utilisation of the workers"
         );
     }
@@ -576,7 +565,6 @@
     /// Removes a job that has left the queue, and frees the capacity that its planned runs occupy.
     pub(crate) fn remove_job(&mut self, job_id: model::JobId) -> Option<job::JobState> {
         let state = self.jobs.swap_remove(&job_id)?;
-        self.open_memory.remove(&state);
         self.journal.clear_dirty(job_id);
         self.crashes.remove_job(job_id);
         for (incarnation, key) in state.placed_runs() {
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -27,8 +27,6 @@
     pub stop_grace: time::Duration,
     /// Number of waiting steps above which further jobs are refused.
     pub max_waiting_steps: usize,
-    /// Memory of all open jobs together, as counted, above which further jobs are refused, in bytes.
-    pub max_open_bytes: usize,
     /// Largest value that the store accepts, in bytes.
     pub max_value_bytes: usize,
     /// Whether the estimated speeds of the workers decide where work starts.
@@ -51,7 +49,6 @@
             capacity_notice: time::Duration::from_millis(4_000),
             stop_grace: time::Duration::from_millis(900),
             max_waiting_steps: 20_000,
-            max_open_bytes: 40_000_000,
             max_value_bytes: 1_048_576,
             uses_speeds: true,
             uses_quarantines: true,
--- a/crates/jobs/src/tickets.rs
+++ b/crates/jobs/src/tickets.rs
@@ -70,11 +70,6 @@
         (new_asked, new_allowed)
     }
 
-    /// Frees the tickets and verdicts of a step that is done.
-    pub(crate) fn release(&mut self) {
-        self.verdicts = maps::IndexMap::default();
-    }
-
     /// Marks the ticket of a worker that rejected it as expired.
     pub(crate) fn expire(&mut self, worker_id: &model::WorkerId, now: time::Instant) {
         if let Some(Verdict::Allowed { valid_until, .. }) = self.verdicts.get_mut(worker_id) {
--- a/crates/serve/src/sizes.rs
+++ b/crates/serve/src/sizes.rs
@@ -31,8 +31,6 @@
 const MAX_SIDE_CONNECTIONS: usize = 64;
 /// Soft limit assumed if the system doesn't report one; the usual default of Linux.
 const FALLBACK_DESCRIPTORS: usize = 1_024;
-/// Share of the memory that open jobs may take on a leader, in percent.
-const OPEN_JOBS_SHARE_PERCENT: u64 = 25;
 const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Memory and descriptors that a process may use.
@@ -63,14 +61,6 @@
         spare_mb.max(MIN_SPARE_MB) * BYTES_PER_MB * BUDGET_SHARE_PERCENT / 100
     }
 
-    /// Returns the most memory that the open jobs of a leader may take, in bytes: no more than the smallest
-    /// usual machine has for them, as the next leader may be one.
-    #[must_use]
-    pub fn open_jobs_bytes(&self) -> u64 {
-        let memory_mb = self.memory_mb.min(DEFAULT_MEMORY_MB);
-        memory_mb * BYTES_PER_MB * OPEN_JOBS_SHARE_PERCENT / 100
-    }
-
     /// Returns the part of the budget that only small calls may use, in bytes.
     #[must_use]
     pub fn reserved_bytes(&self) -> u64 {
