Report tasks that wait for a verdict on lost workers

Cause: a task at its limit of starts waits up to 20 s for the fate of the workers that held its lost runs (`awaits_verdict`).

Change: the reason `awaits_verdict` of `step still not started`, with the tasks that wait and for how long still, and the counter `blocked.awaits_verdict`. The time is kept apart from `Wait`, which decides when a gang calls ahead and when room under a cap is kept for it, so that placement is as before. Tasks that wait for a verdict no longer hide `behind_suspects` of the others (by reading; no test). OPERATIONS.md has a table of what a visit of a step ends with, and which line says so; the wait for a verdict was the one end without any. Left: the reason of a step whose suspect finds no isolated worker does not say so.

Measured: `task_that_awaits_a_verdict_is_reported` failed before: left [], right ["awaits_verdict"] (gang of 3, three runs lost), and passes. It takes three lost runs for a gang that loses three workers in each, and five for a single task.

--- a/crates/jobs/src/blocked.rs
+++ b/crates/jobs/src/blocked.rs
@@ -5,6 +5,7 @@
 use crate::candidate;
 use crate::crashes;
 use crate::event;
+use crate::isolation;
 use crate::job;
 use crate::journal;
 use crate::maps;
@@ -32,6 +33,9 @@
 pub enum BlockReason {
     /// Members of an earlier run of the gang have not ended.
     EarlierRunNotEnded,
+    /// Its tasks are at their limit of starts after crashes, and the fate of workers is not known that held
+    /// lost runs of them.
+    AwaitsVerdict,
     /// Its tasks are suspects, and as many workers have suspects as may crash at once.
     BehindSuspects,
     /// No worker of the queue's pool with the required label accepts runs.
@@ -63,6 +67,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::EarlierRunNotEnded => "earlier_run_not_ended",
+            Self::AwaitsVerdict => "awaits_verdict",
             Self::BehindSuspects => "behind_suspects",
             Self::NoUsableWorker => "no_usable_worker",
             Self::NoCapacity => "no_capacity",
@@ -78,50 +83,64 @@
     }
 }
 
+/// Since when a step waits, and when that was last reported.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReportTimes {
+    since: time::Instant,
+    reported_at: Option<time::Instant>,
+}
+
+impl ReportTimes {
+    fn new(now: time::Instant) -> Self {
+        Self {
+            since: now,
+            reported_at: None,
+        }
+    }
+
+    fn is_due(&self, now: time::Instant) -> bool {
+        let has_waited = now.saturating_duration_since(self.since) >= REPORT_AFTER;
+        has_waited
+            && self
+                .reported_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL)
+    }
+
+    fn waited_ms(&self, now: time::Instant) -> u64 {
+        now.saturating_duration_since(self.since).as_millis() as u64
+    }
+}
+
 /// The time that tasks of a step have waited without any run of the step being started.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Wait {
-    since: time::Instant,
+    times: ReportTimes,
     /// How often runs were planned meanwhile; none of them started.
     pub(crate) plans: u32,
     /// When the service was last called although earlier gangs wait for all free capacity.
     called_ahead_at: Option<time::Instant>,
-    reported_at: Option<time::Instant>,
 }
 
 impl Wait {
     pub(crate) fn new(now: time::Instant) -> Self {
         Self {
-            since: now,
+            times: ReportTimes::new(now),
             plans: 0,
             called_ahead_at: None,
-            reported_at: None,
         }
     }
 
     /// Returns whether a gang has waited for so long that it need not leave the free capacity to earlier
     /// gangs, which may be unable to use it; `call_duration` is that of its call for advice.
     pub(crate) fn may_call_ahead(&self, call_duration: time::Duration, now: time::Instant) -> bool {
-        let since = self.called_ahead_at.unwrap_or(self.since);
+        let since = self.called_ahead_at.unwrap_or(self.times.since);
         let pause = CALL_AHEAD_PAUSE.max(call_duration * CALL_AHEAD_PAUSE_FACTOR);
         now.saturating_duration_since(since) >= pause
     }
 
-    fn is_report_due(&self, now: time::Instant) -> bool {
-        let has_waited = now.saturating_duration_since(self.since) >= REPORT_AFTER;
-        has_waited
-            && self
-                .reported_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL)
-    }
-
     /// Returns how long the step has waited.
     pub(crate) fn waited(&self, now: time::Instant) -> time::Duration {
-        now.saturating_duration_since(self.since)
-    }
-
-    fn waited_ms(&self, now: time::Instant) -> u64 {
-        self.waited(now).as_millis() as u64
+        now.saturating_duration_since(self.times.since)
     }
 }
 
@@ -209,6 +228,49 @@
         }
     }
 
+    /// Notes how many tasks of a step that is being visited wait for the fate of a worker, and reports
+    /// them if they have waited for long.
+    pub(crate) fn note_awaited_verdicts(
+        &mut self,
+        key: model::StepKey,
+        withheld: &isolation::WithheldTasks,
+        clock: event::Clock,
+    ) {
+        let state = self.jobs.get_mut(&key.job_id);
+        let Some((step, step_state)) = state.and_then(|state| state.step_mut(key)) else {
+            return;
+        };
+        if withheld.awaiting_verdict == 0 {
+            step_state.awaits_verdict = None;
+            return;
+        }
+        let times = step_state
+            .awaits_verdict
+            .get_or_insert(ReportTimes::new(clock.now));
+        if !times.is_due(clock.now) || !self.block_reports.may_report(clock.now) {
+            return;
+        }
+        times.reported_at = Some(clock.now);
+        self.block_reports.record(BlockReason::AwaitsVerdict);
+        // The losses of a gang are those of its first task.
+        let awaiting_verdict = match step.gang {
+            true => step_state.waiting_count,
+            false => withheld.awaiting_verdict,
+        };
+        log::info!(
+            job:% = journal::job_id_hex(key.job_id),
+            occurrence = key.occurrence,
+            step = key.step,
+            reason = BlockReason::AwaitsVerdict.as_str(),
+            waited_ms = times.waited_ms(clock.now),
+            waiting = step_state.waiting_count,
+            gang = step.gang,
+            awaiting_verdict,
+            left_ms = withheld.verdict_wait_left.as_millis() as u64;
+            "step still not started"
+        );
+    }
+
     /// Reports why a step that has just been visited is not placed, if it has waited for long.
     pub(crate) fn report_blocked(
         &mut self,
@@ -234,7 +296,7 @@
             _ => self.advisors.can_take_call(clock.now),
         };
         let tickets = &step_state.tickets;
-        let reason = if self.is_behind_suspects(&context, pass) {
+        let reason = if self.is_behind_suspects(&context, pass, clock) {
             BlockReason::BehindSuspects
         } else if fit.usable_workers == 0 {
             BlockReason::NoUsableWorker
@@ -262,7 +324,7 @@
             occurrence = key.occurrence,
             step = key.step,
             reason = reason.as_str(),
-            waited_ms = wait.waited_ms(clock.now),
+            waited_ms = wait.times.waited_ms(clock.now),
             waiting = step_state.waiting_count,
             gang = step.gang,
             plans = wait.plans,
@@ -278,15 +340,23 @@
         self.record_report(key, reason, clock);
     }
 
-    /// Returns whether each waiting task of a step is a suspect that has to wait for others.
-    fn is_behind_suspects(&self, context: &placement::StepContext<'_>, pass: &pass::Pass) -> bool {
+    /// Returns whether each waiting task of a step is a suspect that has to wait for others, without those
+    /// that wait for a verdict.
+    fn is_behind_suspects(
+        &self,
+        context: &placement::StepContext<'_>,
+        pass: &pass::Pass,
+        clock: event::Clock,
+    ) -> bool {
         let tasks = (0..).zip(&context.step_state.tasks);
         let mut waiting = tasks.filter(|(_, task)| task.phase == job::Phase::Waiting);
         waiting.all(|(index, _)| {
             let index = if context.step.gang { 0 } else { index };
             let task = crashes::task_of(context.key, index);
+            let losses = self.crashes.task(task);
             let suspicion = self.crashes.suspicion_of(task);
-            pass.suspects.is_full(&context.queue.pool, task, suspicion)
+            losses.is_some_and(|losses| losses.awaits_verdict(clock.now))
+                || pass.suspects.is_full(&context.queue.pool, task, suspicion)
         })
     }
 
@@ -363,7 +433,7 @@
             occurrence = key.occurrence,
             step = key.step,
             reason = BlockReason::EarlierRunNotEnded.as_str(),
-            waited_ms = wait.waited_ms(clock.now),
+            waited_ms = wait.times.waited_ms(clock.now),
             waiting = step_state.waiting_count,
             not_ended = 1 + left.count(),
             run:% = run_name(*run),
@@ -379,7 +449,7 @@
     pub(crate) fn is_report_due(&mut self, key: model::StepKey, clock: event::Clock) -> bool {
         let state = self.jobs.get(&key.job_id);
         let wait = state.and_then(|state| state.step(key)?.1.wait);
-        wait.is_some_and(|wait| wait.is_report_due(clock.now))
+        wait.is_some_and(|wait| wait.times.is_due(clock.now))
             && self.block_reports.may_report(clock.now)
     }
 
@@ -393,7 +463,7 @@
         let state = self.jobs.get_mut(&key.job_id);
         let step = state.and_then(|state| state.step_mut(key));
         if let Some(wait) = step.and_then(|(_, step_state)| step_state.wait.as_mut()) {
-            wait.reported_at = Some(clock.now);
+            wait.times.reported_at = Some(clock.now);
         }
     }
 }
--- a/crates/jobs/src/isolation.rs
+++ b/crates/jobs/src/isolation.rs
@@ -46,6 +46,8 @@
     indexes: maps::HashSet<u32>,
     /// How many of them wait for the fate of a worker.
     pub(crate) awaiting_verdict: u32,
+    /// How long the last of these waits if the fate remains unknown.
+    pub(crate) verdict_wait_left: time::Duration,
     /// How many of them are suspects that wait for others.
     pub(crate) behind_suspects: u32,
 }
@@ -347,9 +349,10 @@
             let suspicion = losses.suspicion();
             let is_limited = suspect_workers.is_full(pool, *task, suspicion);
             losses.update_isolation(is_limited, clock.now);
-            if losses.awaits_verdict(clock.now) {
+            if let Some(left) = losses.verdict_wait_left(clock.now) {
                 withheld.insert(task.index);
                 withheld.awaiting_verdict += 1;
+                withheld.verdict_wait_left = withheld.verdict_wait_left.max(left);
             } else if is_limited {
                 withheld.insert(task.index);
                 withheld.behind_suspects += 1;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -89,6 +89,9 @@
     pub(crate) done_ms: Vec<u64>,
     /// Set while tasks wait and no run of the step has started since.
     pub(crate) wait: Option<blocked::Wait>,
+    /// Set while tasks wait for the fate of a worker, whatever other tasks of the step do; decides only
+    /// what is reported.
+    pub(crate) awaits_verdict: Option<blocked::ReportTimes>,
     /// Rates of its runs, with which the workers are compared.
     pub(crate) rates: speed::StepRates,
     /// Failures of its runs that may yet turn out to be their workers'.
--- a/crates/jobs/src/losses.rs
+++ b/crates/jobs/src/losses.rs
@@ -200,10 +200,19 @@
 
     /// Returns whether a start must wait until the fate of a worker is known.
     pub(crate) fn awaits_verdict(&self, now: time::Instant) -> bool {
-        let is_pending = |loss: &Loss| {
-            !loss.record.is_crash && now.saturating_duration_since(loss.lost_at) < VERDICT_TIMEOUT
+        self.verdict_wait_left(now).is_some()
+    }
+
+    /// Returns for how long a start must still wait if the fate of the workers remains unknown; `None` if
+    /// it need not.
+    pub(crate) fn verdict_wait_left(&self, now: time::Instant) -> Option<time::Duration> {
+        let left = |loss: &Loss| {
+            let waited = now.saturating_duration_since(loss.lost_at);
+            let is_pending = !loss.record.is_crash && waited < VERDICT_TIMEOUT;
+            is_pending.then(|| VERDICT_TIMEOUT - waited)
         };
-        self.is_at_limit(true) && self.losses.iter().any(is_pending)
+        let longest = self.losses.iter().filter_map(left).max();
+        longest.filter(|_| self.is_at_limit(true))
     }
 
     /// Sets what the next run of a suspect must not share a worker with.
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -240,6 +240,7 @@
         clock: event::Clock,
     ) -> bool {
         let (withheld, suspects) = self.withheld_tasks(key, &pass.suspects, clock);
+        self.note_awaited_verdicts(key, &withheld, clock);
         for suspect in suspects {
             self.place_suspect(suspect, pass, clock);
         }
@@ -327,6 +328,7 @@
         clock: event::Clock,
     ) -> bool {
         let (withheld, suspects) = self.withheld_tasks(key, &pass.suspects, clock);
+        self.note_awaited_verdicts(key, &withheld, clock);
         if withheld.awaiting_verdict > 0 {
             return false;
         }
--- a/crates/jobs/tests/scheduler/blocked.rs
+++ b/crates/jobs/tests/scheduler/blocked.rs
@@ -58,3 +58,47 @@
     let reasons = reasons(&mut simulation);
     assert_eq!(reasons, [jobs::BlockReason::NoCapacity]);
 }
+
+fn names(simulation: &mut Simulation) -> Vec<&'static str> {
+    let reasons = reasons(simulation);
+    reasons.into_iter().map(jobs::BlockReason::as_str).collect()
+}
+
+/// Cuts off the workers that run `job_id`, for ever, and returns how many these are.
+fn cut_workers_of(simulation: &mut Simulation, job_id: model::JobId) -> usize {
+    let mut cut = 0;
+    for worker in &mut simulation.workers {
+        let runs = !worker.is_partitioned && worker.run_keys().any(|run| run.task.job_id == job_id);
+        worker.is_partitioned |= runs;
+        cut += usize::from(runs);
+    }
+    cut
+}
+
+/// Guards against a task that is held back for the fate of lost workers without any report: a gang of
+/// three that loses all of its workers in three runs, and a task that does so in five.
+#[test]
+fn task_that_awaits_a_verdict_is_reported() {
+    for (step, lost_runs) in [(gang(3, 7_000), 3), (simulation::step(1, 7_000, 60_000), 5)] {
+        let mut simulation = Simulation::new(1, 16, None);
+        simulation.run_ms(200);
+        let members = step.task_count as usize;
+        simulation.submit(simulation::job(1, "long", step));
+        for run in 1..=lost_runs {
+            simulation.run_ms(1_000);
+            assert_eq!(cut_workers_of(&mut simulation, 1), members, "run {run}");
+            simulation.run_ms(6_000);
+        }
+        let starts = simulation.start_count;
+        simulation.run_ms(2_000);
+        names(&mut simulation);
+        simulation.run_ms(6_000);
+        assert_eq!(simulation.start_count, starts, "{members} members");
+        assert_eq!(names(&mut simulation), ["awaits_verdict"], "{members}");
+        simulation.run_ms(14_000);
+        assert!(simulation.start_count > starts, "{members} members");
+        names(&mut simulation);
+        simulation.run_ms(6_000);
+        assert!(names(&mut simulation).is_empty(), "{members} members");
+    }
+}
