--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -108,7 +108,14 @@
                 );
             }
         }
-        recovery.build(settings, term, leadership_timeout, control_thread::clock())
+        let clock = control_thread::clock();
+        let takeover = jobs::Takeover {
+            term,
+            claimed_at: clock.now,
+            authority_until: clock.now,
+            leadership_timeout,
+        };
+        recovery.build(settings, takeover, clock)
     });
     built
         .await
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -115,6 +115,16 @@
     BatchRefused(BatchId),
     /// The store has become unreachable, or reachable again.
     StoreReachable(bool),
+    /// This leader may grant leases until then; each event replaces the one before.
+    LeaseAuthority {
+        /// End of its authority.
+        until: time::Instant,
+    },
+    /// No earlier leader grants a lease later than this.
+    EarlierAuthorityEnded {
+        /// End of the authority of all earlier leaders.
+        at: time::Instant,
+    },
     /// Periodic timer.
     Tick,
 }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -28,6 +28,7 @@
 use crate::settings;
 use crate::speculation;
 use crate::speed_tracking;
+use crate::takeover;
 use crate::tenancy;
 use crate::worker;
 use crate::workers;
@@ -88,18 +89,19 @@
         Ok(())
     }
 
-    /// Builds the scheduler of `term`.
-    ///
-    /// An earlier leader may have led until `clock`; `leadership_timeout` is the longest time for
-    /// which it may continue to send orders before it notices that it has lost the leadership.
+    /// Builds the scheduler of the term that `takeover` describes.
     #[must_use]
     pub fn build(
         mut self,
         settings: settings::Settings,
-        term: model::Term,
-        leadership_timeout: time::Duration,
+        takeover: takeover::Takeover,
         clock: event::Clock,
     ) -> scheduler::Scheduler {
+        let takeover::Takeover {
+            term,
+            leadership_timeout,
+            ..
+        } = takeover;
         let successor_horizon = restarts::successor_horizon(&settings);
         let mut scheduler = scheduler::Scheduler {
             settings,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -281,6 +281,7 @@
             event::Event::BatchRejected(batch) => self.on_rejected(batch),
             event::Event::BatchRefused(batch) => self.on_refused(batch, clock),
             event::Event::StoreReachable(reachable) => self.on_store_reachable(reachable, clock),
+            event::Event::LeaseAuthority { .. } | event::Event::EarlierAuthorityEnded { .. } => {}
             event::Event::Tick => self.on_tick(clock),
         }
     }
--- a/crates/jobs/tests/scheduler/simulation/mod.rs
+++ b/crates/jobs/tests/scheduler/simulation/mod.rs
@@ -390,7 +390,14 @@
                 .expect("stored values can be decoded");
         }
         let settings = self.settings.clone();
-        let scheduler = recovery.build(settings, self.term, self.leadership_timeout, self.clock());
+        let clock = self.clock();
+        let takeover = jobs::Takeover {
+            term: self.term,
+            claimed_at: clock.now,
+            authority_until: clock.now + time::Duration::from_secs(1),
+            leadership_timeout: self.leadership_timeout,
+        };
+        let scheduler = recovery.build(settings, takeover, clock);
         self.scheduler = Some(scheduler);
         self.inbox.clear();
         self.has_next_round = false;
