relay, controller: keep up and report the authority to grant leases

An instance acknowledges a term before its hello and with its own claim, and serves no earlier leader after that. The list of voters is kept in ferry/voters.

--- a/crates/controller/src/cluster_entries.rs
+++ b/crates/controller/src/cluster_entries.rs
@@ -12,6 +12,8 @@
 /// core. It outlives the instances' entries, so that a weak machine that starts first delays its
 /// claim.
 pub(crate) const STRONGEST_KEY: &str = "ferry/cell/strongest";
+/// Key of the list of voters. It lies outside the prefix, as only a leader reads it, and outlives the leader.
+pub(crate) const VOTERS_KEY: &str = "ferry/voters";
 /// Key of the secret with which instances authenticate each other.
 pub(crate) const SECRET_KEY: &str = "ferry/cell/secret";
 
--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -13,6 +13,7 @@
 use crate::control_thread;
 use crate::error;
 use crate::instance;
+use crate::lease_authority;
 
 /// Pause before the first retry of a batch; doubles with each retry.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -44,6 +45,7 @@
     store: S,
     term: model::Term,
     control: control_thread::Handle,
+    evidence: lease_authority::Evidence,
     health: sync::Arc<sync::Mutex<StoreHealth>>,
     /// Wakes attempts on connections that may be dead once the store is back.
     store_regained: sync::Arc<tokio::sync::Notify>,
@@ -63,10 +65,17 @@
     reported_unreachable: bool,
 }
 
+/// A batch that was found to be stored.
+#[derive(Clone, Copy, Debug)]
+struct Committed {
+    /// When the attempt was sent that has stored it; `None` if it was an earlier one.
+    sent_at: Option<time::Instant>,
+}
+
 /// The attempts to write a batch.
 struct BatchWrite {
     batch: sync::Arc<jobs::Batch>,
-    attempts: store::Hedged<Result<(), error::Error>>,
+    attempts: store::Hedged<Result<Committed, error::Error>>,
     /// Whether an attempt that is no longer in flight may have taken effect, or still may.
     in_doubt: bool,
     /// Pause before the next retry.
@@ -115,6 +124,7 @@
         store: S,
         term: model::Term,
         control: control_thread::Handle,
+        evidence: lease_authority::Evidence,
         store_regained: sync::Arc<tokio::sync::Notify>,
         store_rejects_batches: sync::Arc<atomic::AtomicBool>,
     ) -> Self {
@@ -125,6 +135,7 @@
             store,
             term,
             control,
+            evidence,
             health: sync::Arc::default(),
         }
     }
@@ -144,8 +155,11 @@
         loop {
             tokio::select! {
                 reply = write.attempts.next_reply() => match reply {
-                    Ok(()) => {
+                    Ok(committed) => {
                         self.record_success();
+                        if let Some(sent_at) = committed.sent_at {
+                            self.evidence.record_store(sent_at);
+                        }
                         self.control
                             .send_event(jobs::Event::BatchCommitted(write.batch.id));
                         return Ok(());
@@ -222,16 +236,18 @@
         self.record_failure(limit)
     }
 
-    async fn attempt(self, batch: sync::Arc<jobs::Batch>) -> Result<(), error::Error> {
+    async fn attempt(self, batch: sync::Arc<jobs::Batch>) -> Result<Committed, error::Error> {
         let sent_at = time::Instant::now();
         let committed = self.store.commit(self.transaction(&batch)).await?;
         self.record_reply_latency(sent_at.elapsed());
         if committed.succeeded {
-            return Ok(());
+            return Ok(Committed {
+                sent_at: Some(sent_at),
+            });
         }
         // An earlier attempt has taken effect, or the term has ended.
         if self.store.get(&batch.segment_key).await?.is_some() {
-            return Ok(());
+            return Ok(Committed { sent_at: None });
         }
         let context = format!(
             "store refused batch {}: the leader entry has changed",
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -22,6 +22,18 @@
 /// Pause after a failed claim or term.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// A claim that has succeeded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Claimed {
+    pub(crate) term: model::Term,
+    /// Whether there was no leader's entry before.
+    pub(crate) was_vacant: bool,
+    /// When the claim was sent; the store has confirmed the term since.
+    pub(crate) sent_at: time::Instant,
+    /// When its success was known.
+    pub(crate) claimed_at: time::Instant,
+}
+
 /// Claims the leadership whenever there is a reason to, and leads until the term ends.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut cluster = shared.cluster.subscribe();
@@ -37,12 +49,12 @@
         let Some(due) = due_claim(&shared).await else {
             continue;
         };
-        let Some(term) = claim(&shared, due.expected).await else {
+        let Some(claimed) = claim(&shared, due.expected).await else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        if let Err(cause) = leadership::lead(&shared, term).await {
-            log::warn!(term, cause:% = cause; "leadership ended with an error");
+        if let Err(cause) = leadership::lead(&shared, claimed).await {
+            log::warn!(term = claimed.term, cause:% = cause; "leadership ended with an error");
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -92,10 +104,29 @@
     })
 }
 
-/// Replaces the leader's entry; returns the new term on success.
+/// Replaces the leader's entry and acknowledges the new term, which is returned on success.
 async fn claim<P: platform::Platform>(
     shared: &instance::Shared<P>,
     expected: Option<model::Term>,
+) -> Option<Claimed> {
+    let sent_at = time::Instant::now();
+    let term = replace_leader(shared, expected, sent_at).await?;
+    // This instance is known to have acknowledged the term from `claimed_at` on.
+    shared.acknowledge(term);
+    Some(Claimed {
+        term,
+        was_vacant: expected.is_none(),
+        sent_at,
+        claimed_at: time::Instant::now(),
+    })
+}
+
+/// Replaces the leader's entry by a transaction that is sent after `sent_at`; returns the new term on
+/// success.
+async fn replace_leader<P: platform::Platform>(
+    shared: &instance::Shared<P>,
+    expected: Option<model::Term>,
+    sent_at: time::Instant,
 ) -> Option<model::Term> {
     let key = cluster_entries::LEADER_KEY.to_owned();
     let compare = match expected {
@@ -115,7 +146,6 @@
         }],
         deletes: Vec::new(),
     };
-    let sent_at = time::Instant::now();
     let committed = match shared.platform.store().commit(txn).await {
         Ok(committed) => committed,
         Err(cause) if cause.kind() == store::ErrorKind::LeaseEnded => {
--- a/crates/controller/src/instance.rs
+++ b/crates/controller/src/instance.rs
@@ -64,6 +64,9 @@
     pub(crate) leader_health: sync::Mutex<elect::LeaderHealth>,
     /// Wakes the heartbeat after the relay channel to the leader has been lost.
     pub(crate) leader_lost: tokio::sync::Notify,
+    /// Latest term that this instance has acknowledged, by its own claim or as a relay; it never falls.
+    /// The instance confirms no earlier term to that term's leader.
+    acknowledged_term: atomic::AtomicI64,
     /// Id of the store lease that keeps this instance's entries; 0 if there is none.
     pub(crate) store_lease_id: atomic::AtomicI64,
     /// Smoothed time until the store replies to a call of the registration.
@@ -95,6 +98,18 @@
         self.is_draining.load(atomic::Ordering::Relaxed)
     }
 
+    /// Acknowledges a term; returns whether it is not earlier than the latest acknowledged one.
+    pub(crate) fn acknowledge(&self, term: model::Term) -> bool {
+        self.acknowledged_term
+            .fetch_max(term, atomic::Ordering::SeqCst)
+            <= term
+    }
+
+    /// Returns whether no later term was acknowledged.
+    pub(crate) fn confirms(&self, term: model::Term) -> bool {
+        self.acknowledged_term.load(atomic::Ordering::SeqCst) <= term
+    }
+
     pub(crate) fn is_store_reachable(&self) -> bool {
         lock(&self.store_reachable_since).is_some()
     }
@@ -190,6 +205,7 @@
             leading: watch::Sender::default(),
             lease_confirmed_at: sync::Mutex::default(),
             leader_health: sync::Mutex::default(),
+            acknowledged_term: atomic::AtomicI64::new(0),
             store_lease_id: atomic::AtomicI64::new(0),
             lease_ended: tokio::sync::Notify::new(),
             store_latency: sync::Mutex::default(),
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -13,8 +13,10 @@
 use crate::committer;
 use crate::control_thread;
 use crate::directory;
+use crate::election;
 use crate::error;
 use crate::instance;
+use crate::lease_authority;
 use crate::orders;
 use crate::platform;
 use crate::relays;
@@ -48,27 +50,57 @@
 /// did not resign.
 pub(crate) async fn lead<P: platform::Platform>(
     shared: &sync::Arc<instance::Shared<P>>,
-    term: model::Term,
+    claimed: election::Claimed,
 ) -> Result<(), error::Error> {
-    let scheduler = recover(shared, term).await?;
+    let term = claimed.term;
+    let settings = &shared.settings;
+    let mut authority = elect::LeaseAuthority::new(
+        term,
+        settings.lease_authority,
+        settings.leadership_timeout,
+        claimed.sent_at,
+    );
+    let takeover = jobs::Takeover {
+        term,
+        claimed_at: claimed.claimed_at,
+        authority_until: authority.until(),
+        leadership_timeout: settings.leadership_timeout,
+    };
+    let recovered = recover(shared, takeover).await?;
     let (decisions, decisions_receiver) = mpsc::unbounded_channel();
     let control = control_thread::ControlThread::start(
-        scheduler,
+        recovered.scheduler,
         shared.metrics.clone(),
         decisions,
         shared.settings.max_peer_bytes,
     )?;
     let term_ended = CancellationToken::new();
-    let relays = relays::Relays::new(shared, term, control.handle(), term_ended.clone());
+    let evidence = lease_authority::Evidence::new(authority, control.handle());
+    let relays = sync::Arc::new(relays::Relays::new(
+        shared,
+        term,
+        control.handle(),
+        evidence.clone(),
+        term_ended.clone(),
+    ));
+    let keeper = lease_authority::Keeper::new(
+        shared,
+        claimed,
+        recovered.voters,
+        claimed.was_vacant && recovered.is_first,
+        evidence.clone(),
+        sync::Arc::clone(&relays),
+    );
     let leadership = Leadership {
         shared: sync::Arc::clone(shared),
         term,
         control: control.handle(),
-        relays: sync::Arc::new(relays),
+        evidence,
+        relays,
         term_ended,
         tasks: tokio_util::task::TaskTracker::new(),
     };
-    let result = leadership.run(decisions_receiver).await;
+    let result = leadership.run(decisions_receiver, keeper).await;
     shared.leading.send_replace(None);
     leadership.term_ended.cancel();
     if let Err(cause) = task::spawn_blocking(|| control.stop()).await {
@@ -80,21 +112,34 @@
     result
 }
 
-/// Reads the stored jobs and builds the scheduler from them.
+/// What a new leader has read from the store.
+struct Recovered {
+    scheduler: jobs::Scheduler,
+    voters: lease_authority::VotersEntry,
+    /// Whether the store has nothing of an earlier leader.
+    is_first: bool,
+}
+
+/// Reads the stored jobs, and builds the scheduler from them, and the list of voters.
 async fn recover<P: platform::Platform>(
     shared: &instance::Shared<P>,
-    term: model::Term,
-) -> Result<jobs::Scheduler, error::Error> {
+    takeover: jobs::Takeover,
+) -> Result<Recovered, error::Error> {
     let store = shared.platform.store();
     // The reads are consistent: batches of earlier leaders fail, as they depend on the leader's
     // entry.
-    let (segments, outcomes, cancels) = tokio::try_join!(
+    let (segments, outcomes, cancels, voters) = tokio::try_join!(
         store::read_all(store, jobs::SEGMENT_PREFIX, PAGE_ENTRIES),
         store::read_all(store, jobs::OUTCOME_PREFIX, PAGE_ENTRIES),
         store.get(jobs::CANCELS_KEY),
+        store.get(cluster_entries::VOTERS_KEY),
     )?;
+    let voters = lease_authority::VotersEntry::decode(voters.as_ref());
+    let is_first = voters.is_absent()
+        && segments.entries.is_empty()
+        && outcomes.entries.is_empty()
+        && cancels.is_none();
     let settings = shared.settings.jobs.clone();
-    let leadership_timeout = shared.settings.leadership_timeout;
     // Megabytes take a weak machine longer to decode than its peers wait for a heartbeat.
     let built = task::spawn_blocking(move || {
         let mut recovery = jobs::Recovery::default();
@@ -108,18 +153,16 @@
                 );
             }
         }
-        let clock = control_thread::clock();
-        let takeover = jobs::Takeover {
-            term,
-            claimed_at: clock.now,
-            authority_until: clock.now,
-            leadership_timeout,
-        };
-        recovery.build(settings, takeover, clock)
+        recovery.build(settings, takeover, control_thread::clock())
     });
-    built
+    let scheduler = built
         .await
-        .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))
+        .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))?;
+    Ok(Recovered {
+        scheduler,
+        voters,
+        is_first,
+    })
 }
 
 /// State shared by the tasks of a term.
@@ -127,6 +170,7 @@
     shared: sync::Arc<instance::Shared<P>>,
     term: model::Term,
     control: control_thread::Handle,
+    evidence: lease_authority::Evidence,
     relays: sync::Arc<relays::Relays>,
     /// Cancelled when the term ends.
     term_ended: CancellationToken,
@@ -137,6 +181,7 @@
     async fn run(
         &self,
         mut decisions_receiver: mpsc::UnboundedReceiver<control_thread::Decisions>,
+        keeper: lease_authority::Keeper<P>,
     ) -> Result<(), error::Error> {
         let (batches, batch_receiver) = mpsc::unbounded_channel();
         let (commit_result, mut commits_ended) = oneshot::channel();
@@ -145,6 +190,7 @@
             store,
             self.term,
             self.control.clone(),
+            self.evidence.clone(),
             sync::Arc::clone(&self.shared.store_regained),
             sync::Arc::clone(&self.shared.store_rejects_batches),
         );
@@ -172,6 +218,7 @@
         let mut cluster = self.shared.cluster.subscribe();
         let mut check = tokio::time::interval(TERM_CHECK_INTERVAL);
         let started_at = time::Instant::now();
+        let mut authority_kept = std::pin::pin!(keeper.run());
         let mut draining_since = None;
         let result = loop {
             tokio::select! {
@@ -186,6 +233,7 @@
                 ended = &mut commits_ended => {
                     break ended.unwrap_or_else(|_| Err(leadership_lost("commit task ended")));
                 }
+                cause = &mut authority_kept => break Err(cause),
                 _ = manifest.changed() => self.send_manifest(),
                 _ = cluster.changed() => {
                     if let Err(cause) = self.check_replaced() {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -18,6 +18,7 @@
 mod heartbeat;
 mod instance;
 mod leadership;
+mod lease_authority;
 mod links;
 mod mailbox;
 mod orders;
--- a/crates/controller/src/relay_worker.rs
+++ b/crates/controller/src/relay_worker.rs
@@ -30,6 +30,30 @@
     received_at: time::Instant,
 }
 
+/// The leader's questions on a channel whether its term still holds.
+#[derive(Debug, Default)]
+struct Questions {
+    /// When the latest was asked, by the leader's clock.
+    latest: sync::Mutex<Option<relay::OrderTime>>,
+    /// Wakes the reports after a question that came without orders.
+    asked: tokio::sync::Notify,
+}
+
+impl Questions {
+    fn record(&self, batch: &relay::OrderBatch) {
+        let mut latest = instance::lock(&self.latest);
+        *latest = (*latest).max(Some(batch.asked_at));
+        drop(latest);
+        if batch.is_question() {
+            self.asked.notify_one();
+        }
+    }
+
+    fn latest(&self) -> Option<relay::OrderTime> {
+        *instance::lock(&self.latest)
+    }
+}
+
 /// Relays for whichever instance leads, until this instance stops.
 pub(crate) async fn run<P: platform::Platform>(shared: sync::Arc<instance::Shared<P>>) {
     let mut cluster = shared.cluster.subscribe();
@@ -37,6 +61,8 @@
     loop {
         let leader = cluster.borrow_and_update().leader().cloned();
         let leader = leader.filter(|one| one.member.instance_id != shared.member.instance_id);
+        // A term is acknowledged before the hello to its leader, and no earlier leader is served after.
+        let leader = leader.filter(|one| shared.acknowledge(one.term));
         if let Some(leader) = leader {
             let serving = serve_leader(&shared, &leader, &calls);
             let is_other_leader = |view: &elect::ClusterView| {
@@ -107,8 +133,10 @@
     sender.send(&hello).await?;
     log::info!(leader:% = leader.member.instance_id, term = leader.term; "relaying for the leader");
     let (reports, mut reports_receiver) = mpsc::unbounded_channel();
+    let questions = Questions::default();
     let receive = async {
         while let Some(batch) = receiver.receive::<relay::OrderBatch>().await? {
+            questions.record(&batch);
             heartbeat::record_leader_state(shared, leader.term, batch.leader);
             for order in batch.into_orders() {
                 let shared = sync::Arc::clone(shared);
@@ -119,7 +147,11 @@
     };
     let send = async {
         loop {
-            let batch = next_batch(&mut reports_receiver, clock).await;
+            let mut batch = next_batch(&mut reports_receiver, &questions, clock).await;
+            // The question is taken before the term is compared: what was asked later, a successor
+            // may already rely on.
+            let asked_at = questions.latest();
+            batch.confirmed = asked_at.filter(|_| shared.confirms(leader.term));
             sender.send(&batch).await?;
         }
     };
@@ -152,14 +184,22 @@
 /// Collects the results that are reported together; returns without any once the next message is due.
 async fn next_batch(
     reports: &mut mpsc::UnboundedReceiver<TimedReport>,
+    questions: &Questions,
     clock: relay::OrderClock,
 ) -> relay::ReportBatch {
     let mut collected = Vec::new();
     let mut send_at = time::Instant::now() + MAX_REPORT_INTERVAL;
     loop {
-        let received = tokio::time::timeout_at(send_at.into(), reports.recv()).await;
-        // The channel's receiving side holds a sender, so there are results while it lives.
-        let Ok(Some(report)) = received else {
+        let received = tokio::select! {
+            // The channel's receiving side holds a sender, so there are results while it lives.
+            received = reports.recv() => received,
+            () = questions.asked.notified() => {
+                send_at = send_at.min(time::Instant::now() + REPORT_DELAY);
+                continue;
+            }
+            () = tokio::time::sleep_until(send_at.into()) => break,
+        };
+        let Some(report) = received else {
             break;
         };
         let delay = match report.report.response.is_urgent() {
@@ -179,6 +219,7 @@
     });
     relay::ReportBatch {
         sent_at: clock.reading(now),
+        confirmed: None,
         reports: reports.collect(),
     }
 }
--- a/crates/controller/src/relays.rs
+++ b/crates/controller/src/relays.rs
@@ -11,6 +11,7 @@
 
 use crate::control_thread;
 use crate::instance;
+use crate::lease_authority;
 use crate::orders;
 use crate::platform;
 
@@ -32,6 +33,7 @@
     term: model::Term,
     own_id: model::InstanceId,
     control: control_thread::Handle,
+    evidence: lease_authority::Evidence,
     /// Cancelled when the term ends.
     term_ended: CancellationToken,
     is_draining: sync::Arc<atomic::AtomicBool>,
@@ -48,6 +50,8 @@
     /// Relays with an open channel.
     channels: IndexMap<model::InstanceId, RelayChannel>,
     last_channel: u64,
+    /// Instances that have said hello for this term or a later one, until they are taken.
+    joined: Vec<model::InstanceId>,
     /// When the orders in flight were last checked.
     checked_at: time::Instant,
 }
@@ -57,7 +61,8 @@
     /// Distinguishes the channels that a relay opens one after the other.
     number: u64,
     info: relay::RelayInfo,
-    outbox: mpsc::UnboundedSender<relay::Order>,
+    /// Orders to send; `None` asks whether the term still holds.
+    outbox: mpsc::UnboundedSender<Option<relay::Order>>,
     /// Latest reading of its clock.
     relay_time: relay::RelayTime,
     /// When its last message was received, on this channel or as a heartbeat.
@@ -72,6 +77,7 @@
         shared: &instance::Shared<P>,
         term: model::Term,
         control: control_thread::Handle,
+        evidence: lease_authority::Evidence,
         term_ended: CancellationToken,
     ) -> Self {
         let own = relay::RelayInfo {
@@ -82,6 +88,7 @@
             term,
             own_id: sync::Arc::clone(&shared.member.instance_id),
             control,
+            evidence,
             term_ended,
             is_draining: sync::Arc::clone(&shared.is_draining),
             store_rejects_batches: sync::Arc::clone(&shared.store_rejects_batches),
@@ -91,6 +98,7 @@
                 in_flight: relay::InFlight::default(),
                 channels: IndexMap::new(),
                 last_channel: 0,
+                joined: Vec::new(),
                 checked_at: time::Instant::now(),
             }),
         }
@@ -152,7 +160,7 @@
         };
         let order = state.in_flight.begin(&relay_id, action, limits)?;
         let channel = state.channels.get(&relay_id);
-        let is_sent = channel.is_some_and(|channel| channel.outbox.send(order).is_ok());
+        let is_sent = channel.is_some_and(|channel| channel.outbox.send(Some(order)).is_ok());
         let lost = if is_sent {
             Vec::new()
         } else {
@@ -189,6 +197,28 @@
         self.send_events(event.into_iter().collect());
     }
 
+    /// Asks every relay with an open channel whether the term still holds.
+    pub(crate) fn ask(&self) {
+        for channel in instance::lock(&self.state).channels.values() {
+            // A closed channel is removed by the task that serves it.
+            let _ = channel.outbox.send(None);
+        }
+    }
+
+    /// Returns the instances with an open channel that are not stopping.
+    pub(crate) fn voters(&self) -> collections::HashSet<model::InstanceId> {
+        let state = instance::lock(&self.state);
+        let channels = state.channels.iter();
+        let live = channels.filter(|(_, channel)| !channel.is_draining);
+        live.map(|(relay_id, _)| sync::Arc::clone(relay_id))
+            .collect()
+    }
+
+    /// Returns the instances that have said hello for this term or a later one since the last call.
+    pub(crate) fn take_joined(&self) -> Vec<model::InstanceId> {
+        std::mem::take(&mut instance::lock(&self.state).joined)
+    }
+
     /// Returns the number of relays with an open channel.
     pub(crate) fn channel_count(&self) -> usize {
         instance::lock(&self.state).channels.len()
@@ -227,6 +257,10 @@
             log::warn!(relay:% = from; "relay has not said hello");
             return;
         };
+        if hello.term >= self.term {
+            let joined = sync::Arc::clone(&from);
+            instance::lock(&self.state).joined.push(joined);
+        }
         if hello.term != self.term {
             log::info!(relay:% = from, term = self.term, relay_term = hello.term; "relay of another term refused");
             return;
@@ -239,7 +273,9 @@
         let send = async {
             let mut orders = Vec::new();
             while outbox.recv_many(&mut orders, MAX_BATCH_ORDERS).await > 0 {
-                let batch = relay::OrderBatch::new(self.leader_state(), orders.drain(..));
+                let asked_at = self.own_clock.reading(time::Instant::now());
+                let orders = orders.drain(..).flatten();
+                let batch = relay::OrderBatch::new(self.leader_state(), asked_at, orders);
                 if let Err(cause) = sender.send(&batch).await {
                     return cause.to_string();
                 }
@@ -274,7 +310,7 @@
         &self,
         from: &model::InstanceId,
         hello: relay::Hello,
-    ) -> (u64, mpsc::UnboundedReceiver<relay::Order>) {
+    ) -> (u64, mpsc::UnboundedReceiver<Option<relay::Order>>) {
         let (outbox, receiver) = mpsc::unbounded_channel();
         let mut state = instance::lock(&self.state);
         state.last_channel += 1;
@@ -324,6 +360,11 @@
 
     /// Handles the results in a message that a relay has sent on the channel with this number.
     fn complete(&self, from: &model::InstanceId, number: u64, batch: relay::ReportBatch) {
+        let now = time::Instant::now();
+        let confirmed = batch.confirmed;
+        if let Some(asked_at) = confirmed.and_then(|at| self.own_clock.time_of(at, now)) {
+            self.evidence.record_peer(from, asked_at);
+        }
         let mut state = instance::lock(&self.state);
         if let Some(channel) = state.channels.get_mut(from)
             && channel.number == number
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -27,6 +27,10 @@
     pub store_renewal_interval: time::Duration,
     /// How long a leader continues after the last confirmation of its lease by the store.
     pub leadership_timeout: time::Duration,
+    /// How long a leader may grant leases after it has sent a question whose answer proves that it
+    /// leads. Leases last 5 s and are renewed with 3.5 s left, so that a gap of a second or two in the
+    /// evidence ends none.
+    pub lease_authority: time::Duration,
     /// Time between heartbeats to the leader.
     pub heartbeat_interval: time::Duration,
     /// Time without a reply after which the leader is suspected to have failed.
@@ -71,6 +75,7 @@
             store_lease_ttl: ms(2_000),
             store_renewal_interval: ms(500),
             leadership_timeout: ms(9_000),
+            lease_authority: ms(1_000),
             heartbeat_interval: ms(300),
             leader_silence_limit: ms(600),
             directory_interval: ms(700),
--- a/crates/elect/src/authority.rs
+++ b/crates/elect/src/authority.rs
@@ -56,7 +56,6 @@
     /// Records that the store has confirmed the term in answer to a question sent at `asked_at`.
     pub fn record_store(&mut self, asked_at: time::Instant) {
         self.store_asked_at = self.store_asked_at.max(asked_at);
-        self.prolong();
     }
 
     /// Records that an instance has confirmed the term in answer to a question sent at `asked_at`.
@@ -66,20 +65,20 @@
             .entry(instance_id.clone())
             .or_insert(asked_at);
         *latest = (*latest).max(asked_at);
-        self.prolong();
     }
 
     /// Records the lists one of which is stored, before a write of another one is begun and after its
     /// outcome is known. Without a list of this term for certain, the voters prove nothing.
     pub fn set_lists(&mut self, lists: Vec<voters::Voters>) {
+        // What a quorum has proven before the write is begun, the write does not change.
+        self.prolong();
         let is_own = lists.iter().all(|list| list.term == self.term);
         self.lists = if is_own { lists } else { Vec::new() };
-        self.prolong();
     }
 
-    /// Returns until when leases may be granted.
-    #[must_use]
-    pub fn until(&self) -> time::Instant {
+    /// Returns until when leases may be granted; takes time proportional to the number of voters.
+    pub fn until(&mut self) -> time::Instant {
+        self.prolong();
         self.until
     }
 
--- a/crates/elect/tests/terms/mod.rs
+++ b/crates/elect/tests/terms/mod.rs
@@ -296,9 +296,10 @@
     }
 
     /// Returns whether the instance leads and may grant leases now.
-    pub(crate) fn has_authority(&self, index: usize) -> bool {
-        let leader = self.processes[index].leader.as_ref();
-        leader.is_some_and(|leader| leader.authority.until() > self.now())
+    pub(crate) fn has_authority(&mut self, index: usize) -> bool {
+        let now = self.now();
+        let leader = self.processes[index].leader.as_mut();
+        leader.is_some_and(|leader| leader.authority.until() > now)
     }
 
     /// Returns the time from the claim of the last leader to when it knows that no earlier one grants a
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -9,7 +9,7 @@
 /// Layout of the messages on a channel; to be raised with each change of them.
 ///
 /// Builds with different layouts must not relay for each other, as they could misread the messages.
-pub const LAYOUT: u32 = 4;
+pub const LAYOUT: u32 = 5;
 
 /// First message of a relay on a channel.
 ///
@@ -63,24 +63,31 @@
     pub is_draining: bool,
 }
 
-/// Orders that are sent together.
+/// Orders that are sent together; none if the leader only asks whether its term still holds.
 ///
 /// The specification of a job is sent once for all tasks of the job that start together.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OrderBatch {
     /// State of the leader; a batch shows that it is alive, as the reply to a heartbeat does.
     pub leader: LeaderState,
+    /// When the batch was made, by the leader's clock.
+    pub asked_at: crate::OrderTime,
     specs: Vec<sync::Arc<str>>,
     /// Orders, each with the index of its specification if it is a start.
     orders: Vec<(Order, Option<u32>)>,
 }
 
 impl OrderBatch {
-    /// Creates a batch of `orders`.
+    /// Creates a batch of `orders` at `asked_at` by the leader's clock.
     #[must_use]
-    pub fn new(leader: LeaderState, orders: impl IntoIterator<Item = Order>) -> Self {
+    pub fn new(
+        leader: LeaderState,
+        asked_at: crate::OrderTime,
+        orders: impl IntoIterator<Item = Order>,
+    ) -> Self {
         let mut batch = Self {
             leader,
+            asked_at,
             ..Self::default()
         };
         for mut order in orders {
@@ -94,6 +101,12 @@
         batch
     }
 
+    /// Returns whether the batch has no orders.
+    #[must_use]
+    pub fn is_question(&self) -> bool {
+        self.orders.is_empty()
+    }
+
     /// Returns the orders; a start whose specification is missing is left out.
     pub fn into_orders(self) -> impl Iterator<Item = Order> {
         let specs = self.specs;
@@ -179,6 +192,9 @@
 pub struct ReportBatch {
     /// When it was sent, by the relay's clock.
     pub sent_at: crate::OrderTime,
+    /// Latest [`OrderBatch::asked_at`] on the channel, by the leader's clock, if the relay had not
+    /// acknowledged a later term after it received that batch.
+    pub confirmed: Option<crate::OrderTime>,
     /// The results.
     pub reports: Vec<Report>,
 }
--- a/crates/relay/src/order_clock.rs
+++ b/crates/relay/src/order_clock.rs
@@ -29,6 +29,13 @@
         now.saturating_duration_since(self.opened_at)
     }
 
+    /// Returns when the clock had this reading; `None` if it has not had it at `now`.
+    #[must_use]
+    pub fn time_of(&self, reading: OrderTime, now: time::Instant) -> Option<time::Instant> {
+        let time = self.opened_at.checked_add(reading)?;
+        (time <= now).then_some(time)
+    }
+
     /// Returns whether an order that must be begun by `begin_by` must not be begun at `now`.
     #[must_use]
     pub fn is_past(&self, begin_by: OrderTime, now: time::Instant) -> bool {
--- a/crates/relay/tests/relays/message.rs
+++ b/crates/relay/tests/relays/message.rs
@@ -73,10 +73,13 @@
         has_lost_store: false,
         is_draining: true,
     };
-    let encoded = encode(&relay::OrderBatch::new(state, orders.clone()));
+    let asked_at = time::Duration::from_millis(70);
+    let encoded = encode(&relay::OrderBatch::new(state, asked_at, orders.clone()));
     assert!(encoded.len() < 4_000 + 26 * 60, "{} bytes", encoded.len());
     let decoded: relay::OrderBatch = decode(&encoded);
     assert_eq!(decoded.leader, state);
+    assert_eq!(decoded.asked_at, asked_at);
+    assert!(!decoded.is_question());
     assert_eq!(decoded.into_orders().collect::<Vec<_>>(), orders);
 }
 
@@ -94,3 +97,22 @@
     };
     assert_eq!(listing.age, time::Duration::from_millis(7));
 }
+
+/// Guards against authority that nobody has confirmed: a batch without orders is a question, and an
+/// answer without a confirmation is none.
+#[test]
+fn batch_without_orders_is_a_question_whose_answer_may_confirm_nothing() {
+    let asked_at = time::Duration::from_millis(70);
+    let question = relay::OrderBatch::new(relay::LeaderState::default(), asked_at, []);
+    let decoded: relay::OrderBatch = decode(&encode(&question));
+    assert!(decoded.is_question());
+    assert_eq!(decoded.asked_at, asked_at);
+    for confirmed in [None, Some(asked_at)] {
+        let answer = relay::ReportBatch {
+            confirmed,
+            ..relay::ReportBatch::default()
+        };
+        let decoded: relay::ReportBatch = decode(&encode(&answer));
+        assert_eq!(decoded.confirmed, confirmed);
+    }
+}
--- a/crates/relay/tests/relays/order_clock.rs
+++ b/crates/relay/tests/relays/order_clock.rs
@@ -79,3 +79,16 @@
         prop_assert!(!is_given_up || clock.is_past(begin_by, opened_at + ms(begins_ms)));
     }
 }
+
+/// Guards against authority from the future: a reading that the clock has not had yet proves nothing.
+#[test]
+fn reading_that_the_clock_has_not_had_has_no_time() {
+    let opened_at = time::Instant::now();
+    let clock = relay::OrderClock::new(opened_at);
+    let ms = time::Duration::from_millis;
+    let now = opened_at + ms(500);
+    assert_eq!(clock.time_of(ms(500), now), Some(now));
+    assert_eq!(clock.time_of(ms(20), now), Some(opened_at + ms(20)));
+    assert_eq!(clock.time_of(ms(501), now), None);
+    assert_eq!(clock.time_of(time::Duration::MAX, now), None);
+}
