jobs: a new leader gives runs on silent workers up by the authority of earlier leaders

Cause: a successor kept runs on silent workers for as long as an earlier leader may lead (9 s) and a lease (5.4 s), from its claim on. The right to lead, which outlives outages of the store, was also the right to renew leases.

Change: a leader grants leases, by renewals or with starts, only while it has the authority to (Event::LeaseAuthority); EarlierAuthorityEnded tells the scheduler when no earlier leader can grant any more, from where on one lease counts. Runs that their worker has confirmed are stored as such with the next batch: only of the others a run may be on an incarnation that nobody has noticed, and these are kept for the longest lease as before.

Tests: takeover.rs; the simulation has leaders that were cut off and go on.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -45,6 +45,16 @@
         /// Delay before callers should retry, in milliseconds, if the leader takes in no new jobs.
         overload_retry_ms: Option<u64>,
     },
+    /// This leader may grant leases until then; each event replaces the one before.
+    LeaseAuthority {
+        /// End of the authority, unless it is extended.
+        until: time::Instant,
+    },
+    /// No earlier leader has granted a lease after `at`, or will.
+    EarlierAuthorityEnded {
+        /// The latest time at which one may have.
+        at: time::Instant,
+    },
     /// A manifest to put in force.
     Manifest(manifest::Manifest),
     /// The directory has been read.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -105,6 +105,9 @@
     pub(crate) failed_runs: Vec<model::RunNumber>,
     /// Latest checkpoint; that of a gang is recorded at its first task.
     pub(crate) checkpoint: Option<sync::Arc<str>>,
+    /// Whether the incarnation of its phase is known to have executed the start order of the latest run, and
+    /// no copy of the order is pending: no other incarnation can have the run.
+    pub(crate) is_confirmed: bool,
     /// A second run, beside the latest one; `None` unless the task is placed.
     pub(crate) copy: Option<Box<speculation::Copy>>,
 }
@@ -304,6 +307,55 @@
         runs
     }
 
+    /// Returns whether a run is the latest one of its task and confirmed.
+    pub(crate) fn is_confirmed(&self, run: model::RunKey) -> bool {
+        let step = self.step(run.task.step_key());
+        let task = step.and_then(|(_, step)| step.tasks.get(run.task.index as usize));
+        task.is_some_and(|task| task.last_run == run.run && task.is_confirmed)
+    }
+
+    /// Marks a run as confirmed if it is the latest one of its task, on `incarnation`; returns whether that
+    /// is new.
+    pub(crate) fn confirm_run(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        run: model::RunKey,
+    ) -> bool {
+        let step = self.step_mut(run.task.step_key());
+        let task = step.and_then(|(_, step)| step.tasks.get_mut(run.task.index as usize));
+        let Some(task) = task else {
+            return false;
+        };
+        let is_placed = matches!(&task.phase, Phase::Placed(on) if on == incarnation);
+        let is_new = is_placed && task.last_run == run.run && !task.is_confirmed;
+        task.is_confirmed |= is_new;
+        is_new
+    }
+
+    /// Returns the confirmed runs to store; `None` if there are none.
+    pub(crate) fn confirmations(&self) -> Option<record::JobConfirmations> {
+        let steps = self.occurrences.iter().flat_map(|one| &one.steps);
+        let tasks = (0..).zip(steps.flat_map(|step| &step.tasks));
+        let tasks = tasks.filter(|(_, task)| task.is_confirmed);
+        let tasks: Vec<u32> = tasks.map(|(position, _)| position).collect();
+        (!tasks.is_empty()).then_some(record::JobConfirmations {
+            job_id: self.job.id,
+            tasks,
+        })
+    }
+
+    /// Restores the stored confirmed runs.
+    pub(crate) fn restore_confirmations(&mut self, stored: &record::JobConfirmations) {
+        let steps = self.occurrences.iter_mut().flat_map(|one| &mut one.steps);
+        let tasks = (0..).zip(steps.flat_map(|step| &mut step.tasks));
+        let mut positions = stored.tasks.iter().peekable();
+        for (position, task) in tasks {
+            if positions.next_if_eq(&&position).is_some() {
+                task.is_confirmed = matches!(task.phase, Phase::Placed(_));
+            }
+        }
+    }
+
     /// Returns the keys of all steps.
     pub(crate) fn step_keys(&self) -> Vec<model::StepKey> {
         let job_id = self.job.id;
@@ -341,6 +393,7 @@
             Phase::Placed(_) => {}
         }
         task.phase = phase;
+        task.is_confirmed = false;
     }
 
     fn count_phases(&mut self) {
@@ -422,6 +475,7 @@
         last_run: record.last_run,
         failed_runs: record.failed_runs,
         checkpoint: record.checkpoint,
+        is_confirmed: false,
         copy: None,
     }
 }
--- a/crates/jobs/src/journal.rs
+++ b/crates/jobs/src/journal.rs
@@ -27,6 +27,8 @@
 const MIN_BATCH_INTERVAL: time::Duration = time::Duration::from_millis(12);
 /// Time after which the next batch is sent although the one before is not confirmed.
 const MIN_PIPELINE_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// Longest time for which a change waits for the next batch that is sent for others.
+const MAX_DEFERRAL: time::Duration = time::Duration::from_millis(2_000);
 /// Time between batches while the store is unreachable; each only probes whether it is back.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// Shortest age of an unconfirmed batch from which no more batches are sent; a slow store still
@@ -55,6 +57,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Journal {
     dirty: maps::IndexSet<model::JobId>,
+    /// Jobs whose change is of use to a successor only: the next batch takes them, and they cause one of
+    /// their own only after `MAX_DEFERRAL`.
+    deferred: maps::IndexSet<model::JobId>,
+    /// When the first of `deferred` was added.
+    deferred_since: Option<time::Instant>,
     /// Jobs of batches that the store has refused, in halves, each of which becomes a batch; none of them
     /// is in `dirty`.
     halves: collections::VecDeque<maps::IndexSet<model::JobId>>,
@@ -105,8 +112,28 @@
         }
     }
 
+    /// Marks a job whose change may wait for the next batch of others.
+    pub(crate) fn mark_deferred(&mut self, job_id: model::JobId, now: time::Instant) {
+        self.deferred.insert(job_id);
+        self.deferred_since.get_or_insert(now);
+    }
+
+    /// Makes deferred jobs wait for a batch if there is one to be sent or they have waited for long.
+    fn release_deferred(&mut self, now: time::Instant) {
+        let is_due = self
+            .deferred_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= MAX_DEFERRAL);
+        if is_due || self.has_dirty_jobs() {
+            self.deferred_since = None;
+            for job_id in std::mem::take(&mut self.deferred) {
+                self.mark_dirty(job_id);
+            }
+        }
+    }
+
     /// Removes a job from those that wait for a batch.
     pub(crate) fn clear_dirty(&mut self, job_id: model::JobId) {
+        self.deferred.swap_remove(&job_id);
         self.dirty.shift_remove(&job_id);
         for half in &mut self.halves {
             half.shift_remove(&job_id);
@@ -199,6 +226,7 @@
             return;
         }
         self.compact_oldest_segments();
+        self.journal.release_deferred(clock.now);
         let is_idle = !self.journal.has_dirty_jobs();
         let has_little_garbage = self.journal.segments.garbage.len() < MAX_DELETES;
         let has_cancels = self.cancel_marks.needs_batch();
@@ -319,6 +347,9 @@
         if is_open && let Some(copies) = state.copies() {
             segment.add_copies(&copies);
         }
+        if is_open && let Some(confirmations) = state.confirmations() {
+            segment.add_confirmations(&confirmations);
+        }
     }
 
     fn record_of(
--- a/crates/jobs/src/orders.rs
+++ b/crates/jobs/src/orders.rs
@@ -32,6 +32,8 @@
     NoCapacity,
     /// The cap of the job's tenant has been lowered since the run was planned.
     TenantCap,
+    /// The leader has not been confirmed of late, and must not grant the lease that the start needs.
+    NoLeaseAuthority,
 }
 
 impl StartObstacle {
@@ -45,6 +47,7 @@
             Self::TicketExpired => "ticket_expired",
             Self::NoCapacity => "no_capacity",
             Self::TenantCap => "tenant_cap",
+            Self::NoLeaseAuthority => "no_lease_authority",
         }
     }
 }
@@ -136,6 +139,9 @@
         key: model::RunKey,
         clock: event::Clock,
     ) -> Option<StartObstacle> {
+        if !self.has_lease_authority(clock) {
+            return Some(StartObstacle::NoLeaseAuthority);
+        }
         let Some(state) = self.jobs.get(&key.task.job_id) else {
             return Some(StartObstacle::JobEnded);
         };
@@ -313,9 +319,7 @@
         };
         if executed_by == incarnation.born_ms {
             worker.record_start_answer(true);
-            if let Some(run) = worker.runs.get_mut(&key) {
-                run.is_proven = true;
-            }
+            self.prove_run(incarnation, key, clock);
             return;
         }
         worker.silent_since.get_or_insert(clock.now);
@@ -421,6 +425,30 @@
         self.enqueue_occurrence(job_id, key.task.occurrence, clock);
     }
 
+    /// Records that the addressed incarnation has executed a start order of a run.
+    ///
+    /// A successor gives up a run that is stored as confirmed sooner once its worker is silent.
+    pub(crate) fn prove_run(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) {
+        let worker = self.workers.get_mut(incarnation);
+        let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&key)) else {
+            return;
+        };
+        run.is_proven = true;
+        if run.unanswered {
+            return;
+        }
+        let job_id = key.task.job_id;
+        let state = self.jobs.get_mut(&job_id);
+        if state.is_some_and(|state| state.confirm_run(incarnation, key)) {
+            self.journal.mark_deferred(job_id, clock.now);
+        }
+    }
+
     pub(crate) fn mark_job_started(&mut self, key: model::RunKey) {
         let job_id = key.task.job_id;
         if let Some(state) = self.jobs.get_mut(&job_id)
@@ -452,6 +480,10 @@
         for (key, phase) in due {
             if matches!(phase, worker::RunPhase::Retrying(_)) {
                 if let Err(obstacle) = self.send_start(incarnation, key, clock) {
+                    if obstacle == StartObstacle::NoLeaseAuthority {
+                        self.defer_start(incarnation, key, clock);
+                        continue;
+                    }
                     log::info!(
                         run:% = run_name(key),
                         worker:% = incarnation.worker_id,
@@ -467,6 +499,19 @@
         }
     }
 
+    /// Repeats a start order later, once the authority to grant a lease is back.
+    fn defer_start(
+        &mut self,
+        incarnation: &model::WorkerIncarnation,
+        key: model::RunKey,
+        clock: event::Clock,
+    ) {
+        if let Some(run) = self.run_mut(incarnation, key) {
+            let next = worker::RunPhase::Retrying(clock.now + START_RETRY_PAUSE);
+            run.set_phase(next, clock.now);
+        }
+    }
+
     fn send_stop(
         &mut self,
         incarnation: &model::WorkerIncarnation,
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -84,7 +84,8 @@
     /// Starts a pass over the waiting steps.
     pub(crate) fn new_pass(&self, clock: event::Clock) -> pass::Pass {
         let workers = self.workers.values().enumerate();
-        let usable = workers.filter(|(_, worker)| worker.accepts_plans(clock.now));
+        let has_authority = self.has_lease_authority(clock);
+        let usable = workers.filter(|(_, worker)| has_authority && worker.accepts_plans(clock.now));
         let pass = pass::Pass::new(
             usable.map(|(index, _)| index).collect(),
             self.suspect_workers(clock),
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -128,6 +128,8 @@
     pub(crate) owners: Vec<OwnedJobs>,
     /// Copies of the tasks of open jobs.
     pub(crate) copies: Vec<JobCopies>,
+    /// Confirmed runs of open jobs.
+    pub(crate) confirmations: Vec<JobConfirmations>,
 }
 
 /// Progress of a task.
@@ -164,6 +166,15 @@
     pub(crate) copies: Vec<(model::TaskKey, CopyRecord)>,
 }
 
+/// Tasks of a job whose latest run is confirmed; see [`crate::job::TaskState::is_confirmed`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct JobConfirmations {
+    /// The job.
+    pub(crate) job_id: model::JobId,
+    /// Positions of the tasks among the task records of the job, in ascending order.
+    pub(crate) tasks: Vec<u32>,
+}
+
 /// A copy of a task.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct CopyRecord {
@@ -227,13 +238,14 @@
 
 /// Encodes a segment item by item, so that its size is known while it is filled.
 ///
-/// The lost runs, the tenants and the copies follow the records in this order, and are left out from
-/// where the rest is empty: builds that do not know them ignore what follows what they know.
+/// The lost runs, the tenants, the copies and the confirmed runs follow the records in this order, and are
+/// left out from where the rest is empty: builds that do not know them ignore what follows what they know.
 #[derive(Debug, Default)]
 pub(crate) struct SegmentWriter {
     records: SequenceWriter,
     losses: SequenceWriter,
     copies: SequenceWriter,
+    confirmations: SequenceWriter,
     owners: Vec<(model::JobId, Owner)>,
     /// Upper bound of the encoded size of `owners`.
     owners_bytes: usize,
@@ -255,6 +267,11 @@
         self.copies.add(copies);
     }
 
+    /// Adds the confirmed runs of a job.
+    pub(crate) fn add_confirmations(&mut self, confirmations: &JobConfirmations) {
+        self.confirmations.add(confirmations);
+    }
+
     /// Adds the tenant of a job.
     pub(crate) fn add_owner(&mut self, job_id: model::JobId, owner: Owner) {
         // At most a group of its own: two strings, a list and their lengths.
@@ -269,9 +286,14 @@
 
     /// Returns an upper bound of the encoded size in bytes.
     pub(crate) fn bytes(&self) -> usize {
-        let sequences = [&self.records, &self.losses, &self.copies];
+        let sequences = [
+            &self.records,
+            &self.losses,
+            &self.copies,
+            &self.confirmations,
+        ];
         let sequences = sequences.map(|one| one.bytes.len());
-        let counts = 4 * MAX_INTEGER_BYTES;
+        let counts = 5 * MAX_INTEGER_BYTES;
         sequences.iter().sum::<usize>() + self.owners_bytes + counts
     }
 
@@ -281,7 +303,7 @@
         for group in group_by_owner(self.owners) {
             owners.add(&group);
         }
-        let optional = [self.losses, owners, self.copies];
+        let optional = [self.losses, owners, self.copies, self.confirmations];
         let last = optional.iter().rposition(|part| part.count > 0);
         let mut bytes = self.records.finish();
         for part in optional.into_iter().take(last.map_or(0, |last| last + 1)) {
@@ -320,12 +342,14 @@
     let (records, rest) = decode_part(bytes)?;
     let (losses, rest) = decode_optional_part(rest)?;
     let (owners, rest) = decode_optional_part(rest)?;
-    let (copies, _) = decode_optional_part(rest)?;
+    let (copies, rest) = decode_optional_part(rest)?;
+    let (confirmations, _) = decode_optional_part(rest)?;
     Ok(Segment {
         records,
         losses,
         owners,
         copies,
+        confirmations,
     })
 }
 
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -28,13 +28,11 @@
 use crate::settings;
 use crate::speculation;
 use crate::speed_tracking;
+use crate::takeover;
 use crate::tenancy;
 use crate::worker;
 use crate::workers;
 
-/// Term of the first leader, which no other has led before.
-const FIRST_TERM: model::Term = 1;
-
 /// Collects the stored records, then builds the scheduler of a new term.
 #[derive(Debug, Default)]
 pub struct Recovery {
@@ -44,6 +42,8 @@
     losses: collections::BTreeMap<record::SegmentId, Vec<record::JobLosses>>,
     /// Copies of tasks in each segment, by job.
     copies: collections::BTreeMap<record::SegmentId, Vec<record::JobCopies>>,
+    /// Confirmed runs in each segment, by job.
+    confirmations: collections::BTreeMap<record::SegmentId, Vec<record::JobConfirmations>>,
     /// Tenants of the jobs in each segment.
     owners: collections::BTreeMap<record::SegmentId, Vec<record::OwnedJobs>>,
     /// Size of each segment in bytes.
@@ -73,6 +73,7 @@
             self.segments.insert(id, segment.records);
             self.losses.insert(id, segment.losses);
             self.copies.insert(id, segment.copies);
+            self.confirmations.insert(id, segment.confirmations);
             self.owners.insert(id, segment.owners);
             self.sizes.insert(id, value.len());
         } else if key.starts_with(record::OUTCOME_PREFIX) {
@@ -88,22 +89,21 @@
         Ok(())
     }
 
-    /// Builds the scheduler of `term`.
-    ///
-    /// An earlier leader may have led until `clock`; `leadership_timeout` is the longest time for
-    /// which it may continue to send orders before it notices that it has lost the leadership.
+    /// Builds the scheduler of a term.
     #[must_use]
     pub fn build(
         mut self,
         settings: settings::Settings,
-        term: model::Term,
-        leadership_timeout: time::Duration,
+        takeover: takeover::Takeover,
         clock: event::Clock,
     ) -> scheduler::Scheduler {
         let successor_horizon = restarts::successor_horizon(&settings);
+        let earlier_authority_ends_at = takeover.earlier_authority_ends_at();
         let mut scheduler = scheduler::Scheduler {
             settings,
-            term,
+            term: takeover.term,
+            takeover,
+            authority_until: takeover.authority_until,
             manifest: manifest::Manifest::default(),
             jobs: maps::IndexMap::default(),
             ended: maps::IndexMap::default(),
@@ -119,9 +119,9 @@
             drains: draining::Drains::default(),
             copies: speculation::Copies::default(),
             moved_runs: 0,
-            earlier_orders_end_at: match term {
-                ..=FIRST_TERM => clock.now,
-                _ => clock.now + leadership_timeout + successor_horizon,
+            earlier_orders_end_at: match takeover.is_first_term() {
+                true => clock.now,
+                false => earlier_authority_ends_at + successor_horizon,
             },
             last_renewal: 0,
             runs_kept_beyond_lease: 0,
@@ -148,6 +148,7 @@
         let mut progress = maps::IndexMap::default();
         let mut losses = maps::IndexMap::default();
         let mut copies = maps::IndexMap::default();
+        let mut confirmations = maps::IndexMap::default();
         let mut owners = maps::IndexMap::default();
         for (id, records) in self.segments {
             let bytes = self.sizes.get(&id).copied().unwrap_or_default();
@@ -165,11 +166,14 @@
                 progress.insert(record.job_id, record.progress);
                 losses.swap_remove(&record.job_id);
                 copies.swap_remove(&record.job_id);
+                confirmations.swap_remove(&record.job_id);
             }
             let stored = self.losses.remove(&id).unwrap_or_default();
             losses.extend(stored.into_iter().map(|one| (one.job_id, one)));
             let stored = self.copies.remove(&id).unwrap_or_default();
             copies.extend(stored.into_iter().map(|one| (one.job_id, one)));
+            let stored = self.confirmations.remove(&id).unwrap_or_default();
+            confirmations.extend(stored.into_iter().map(|one| (one.job_id, one)));
             let stored = self.owners.remove(&id).unwrap_or_default();
             owners.extend(record::owners_by_job(stored));
         }
@@ -196,6 +200,9 @@
                     if let Some(stored) = copies.swap_remove(&job_id) {
                         state.restore_copies(stored);
                     }
+                    if let Some(stored) = confirmations.swap_remove(&job_id) {
+                        state.restore_confirmations(&stored);
+                    }
                     scheduler.jobs.insert(job_id, state);
                     if let Some(losses) = losses.swap_remove(&job_id) {
                         scheduler.crashes.restore(losses, clock.now);
@@ -212,7 +219,7 @@
         {
             log::error!(cause; "stored cancels of unknown jobs cannot be decoded");
         }
-        scheduler.inherit_runs(leadership_timeout, clock);
+        scheduler.inherit_runs(earlier_authority_ends_at, clock);
         scheduler
     }
 }
@@ -246,11 +253,9 @@
     }
 
     /// Adds every run that an earlier leader may have started.
-    fn inherit_runs(&mut self, leadership_timeout: time::Duration, clock: event::Clock) {
-        // A run may be on an incarnation of its worker that the earlier leader had not noticed, either.
-        let undelayed_horizon = restarts::undelayed_horizon(&self.settings);
-        let horizon = leadership_timeout + self.settings.lease_horizon();
-        let expires_at = clock.now + horizon.max(undelayed_horizon);
+    fn inherit_runs(&mut self, authority_ends_at: time::Instant, clock: event::Clock) {
+        let lease =
+            takeover::InheritedLease::new(&self.takeover, authority_ends_at, &self.settings);
         let mut inherited = Vec::new();
         for state in self.jobs.values() {
             let tenant = self.tenancy.enter(state.tenant.as_ref());
@@ -265,7 +270,8 @@
                 };
                 let mut inherited_run =
                     worker::WorkerRun::new(demand.unwrap_or_default(), phase, clock.now)
-                        .with_tenant(tenant);
+                        .with_tenant(tenant)
+                        .with_proof(state.is_confirmed(run));
                 if let Some((step, _)) = step {
                     inherited_run = inherited_run.with_sharing_of(step);
                 }
@@ -286,7 +292,8 @@
             let worker = self
                 .workers
                 .entry(incarnation)
-                .or_insert_with(|| worker::Worker::new(expires_at));
+                .or_insert_with(|| worker::Worker::new(clock.now));
+            worker.inherited = Some(lease);
             if run.fills_idle {
                 worker.throttling.reset_to_inherited();
             }
--- a/crates/jobs/src/restarts.rs
+++ b/crates/jobs/src/restarts.rs
@@ -118,7 +118,7 @@
         let unlisted = worker.unlisted_successor(successor, expires_at);
         let report = unlisted.report.clone();
         let target = self.workers.entry(successor.clone()).or_insert(unlisted);
-        target.expires_at = target.expires_at.max(expires_at);
+        target.own_expires_at = target.own_expires_at.max(expires_at);
         // An incarnation that is known from stored tasks only cannot be called without an address.
         if target.report.is_none() {
             target.report = report;
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
 use crate::settings;
 use crate::speculation;
 use crate::speed_tracking;
+use crate::takeover;
 use crate::tenancy;
 use crate::worker;
 use crate::worker_api;
@@ -66,6 +67,10 @@
     pub(crate) copies: speculation::Copies,
     /// Runs moved to the next incarnation of their worker, since the term began.
     pub(crate) moved_runs: u64,
+    /// How the term began.
+    pub(crate) takeover: takeover::Takeover,
+    /// Until when leases may be granted.
+    pub(crate) authority_until: time::Instant,
     /// Until when leases may last that workers grant by orders of earlier leaders.
     pub(crate) earlier_orders_end_at: time::Instant,
     /// Number of the last renewal.
@@ -241,6 +246,10 @@
                 };
                 self.on_request(arrived, request, clock);
             }
+            event::Event::LeaseAuthority { until } => self.set_lease_authority(until, clock),
+            event::Event::EarlierAuthorityEnded { at } => {
+                self.on_earlier_authority_ended(at, clock)
+            }
             event::Event::Manifest(manifest) => self.apply_manifest(manifest, clock),
             event::Event::Directory { reports, read_at } => {
                 self.apply_directory(reports, read_at, clock)
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::settings;
 use crate::speed;
 use crate::speed_tracking;
+use crate::takeover;
 use crate::tenancy;
 use crate::throttling;
 use crate::worker_api;
@@ -57,8 +58,11 @@
     pub(crate) renewal: RenewalState,
     /// When its orders and its renewal are to be checked next; `None` for as soon as possible.
     call_check_at: Option<time::Instant>,
-    /// When every run there has certainly ended, unless the lease is renewed again.
-    pub(crate) expires_at: time::Instant,
+    /// When every run there has certainly ended that orders of this leader may keep, unless the lease is
+    /// renewed again; see `expires_at`.
+    pub(crate) own_expires_at: time::Instant,
+    /// Leases that earlier leaders may have granted; `None` if the runs there are not inherited.
+    pub(crate) inherited: Option<takeover::InheritedLease>,
     /// When this leader last sent an order that grants a lease.
     last_lease_at: Option<time::Instant>,
     /// Whether it has not answered a start order, nor anything after that.
@@ -66,7 +70,7 @@
     /// Whether runs were kept beyond `expires_at` since the worker last answered.
     pub(crate) keeps_runs_beyond_lease: bool,
     /// When the lease that this leader has granted last expires; runs of an earlier leader or of an
-    /// earlier incarnation may go on until `expires_at`.
+    /// earlier incarnation may go on until `expires_at()`.
     pub(crate) lease_expires_at: Option<time::Instant>,
     /// Since when it has not answered.
     pub(crate) silent_since: Option<time::Instant>,
@@ -210,7 +214,8 @@
             answered_at: None,
             renewal: RenewalState::default(),
             call_check_at: None,
-            expires_at,
+            own_expires_at: expires_at,
+            inherited: None,
             last_lease_at: None,
             has_unanswered_start: false,
             keeps_runs_beyond_lease: false,
@@ -448,10 +453,16 @@
     pub(crate) fn record_lease(&mut self, settings: &settings::Settings, now: time::Instant) {
         let expires_at = now + settings.lease_horizon();
         self.lease_expires_at = Some(expires_at);
-        self.expires_at = self.expires_at.max(expires_at);
+        self.own_expires_at = self.own_expires_at.max(expires_at);
         self.last_lease_at = Some(now);
     }
 
+    /// Returns when every run there has certainly ended, unless the lease is renewed again.
+    pub(crate) fn expires_at(&self) -> time::Instant {
+        let inherited = self.inherited.map(|lease| lease.expires_at);
+        inherited.map_or(self.own_expires_at, |at| self.own_expires_at.max(at))
+    }
+
     /// Returns when a run counts as ended if the worker does not answer any more.
     ///
     /// What this incarnation is not known to have executed may have been executed late by the next one,
@@ -463,11 +474,14 @@
         run: &WorkerRun,
         settings: &settings::Settings,
     ) -> time::Instant {
-        let last_lease_at = self.last_lease_at.filter(|_| self.may_be_on_successor(run));
-        last_lease_at.map_or(self.expires_at, |at| {
-            let successor_expires_at = at + restarts::undelayed_horizon(settings);
-            self.expires_at.max(successor_expires_at)
-        })
+        let expires_at = self.expires_at();
+        if !self.may_be_on_successor(run) {
+            return expires_at;
+        }
+        let by_own = self.last_lease_at;
+        let by_own = by_own.map(|at| at + restarts::undelayed_horizon(settings));
+        let by_earlier = self.inherited.map(|lease| lease.unproven_expire_at);
+        expires_at.max(by_own.max(by_earlier).unwrap_or(expires_at))
     }
 
     /// Returns whether a later incarnation may have executed a start order of the run.
@@ -503,8 +517,8 @@
     /// was sent.
     pub(crate) fn leases_end_at(&self, settings: &settings::Settings) -> time::Instant {
         let last = self.last_lease_at;
-        last.map_or(self.expires_at, |at| {
-            self.expires_at
+        last.map_or(self.expires_at(), |at| {
+            self.expires_at()
                 .max(at + restarts::successor_horizon(settings))
         })
     }
@@ -630,6 +644,12 @@
         }
     }
 
+    /// Sets whether its incarnation is known to have executed its start order, and no copy of that is pending.
+    pub(crate) fn with_proof(mut self, is_proven: bool) -> Self {
+        self.is_proven = is_proven;
+        self
+    }
+
     /// Sets the tenant whose use includes the run.
     pub(crate) fn with_tenant(mut self, tenant: tenants::TenantNumber) -> Self {
         self.tenant = tenant;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -176,13 +176,16 @@
     pub(crate) fn lose_runs_on_expired(&mut self, clock: event::Clock) {
         let expired = self.workers.iter().filter(|(_, worker)| {
             let is_silent = worker.silent_since.is_some() || worker.report.is_none();
-            is_silent && worker.expires_at < clock.now
+            is_silent && worker.expires_at() < clock.now
         });
         let sent_after = restarts::oldest_pending_order(clock);
         let expired: Vec<_> = expired
             .map(|(incarnation, worker)| {
-                let has_pending_orders = worker.runs.values().any(|run| run.unanswered)
-                    || worker.removed_unanswered(sent_after).next().is_some();
+                let may_have_runs = worker.runs.values().any(|run| {
+                    run.unanswered || worker.run_expires_at(run, &self.settings) >= clock.now
+                });
+                let has_pending_orders =
+                    may_have_runs || worker.removed_unanswered(sent_after).next().is_some();
                 let is_kept = worker.is_listed
                     || has_pending_orders
                     || !worker.are_orders_over(&self.settings, clock.now);
@@ -277,6 +280,7 @@
     /// Renews a worker's lease if that is due.
     fn renew(&mut self, incarnation: &model::WorkerIncarnation, clock: event::Clock) {
         let settings = &self.settings;
+        let has_authority = self.has_lease_authority(clock);
         let is_leaving = self.drains.is_leaving(incarnation);
         let Some(worker) = self.workers.get_mut(incarnation) else {
             return;
@@ -290,7 +294,8 @@
         }
         // The runs of a worker that leaves count as lost once its lease has expired: its listings, which
         // are frequent, do not all extend it.
-        let may_extend = worker.silent_since.is_none()
+        let may_extend = has_authority
+            && worker.silent_since.is_none()
             && !worker.runs.is_empty()
             && (!is_leaving || is_lease_short(worker, settings.renew_before, clock.now));
         let lease_end_ms = match may_extend {
@@ -379,7 +384,7 @@
                 worker.renewal.not_before = Some(clock.now + UNANSWERED_RENEWAL_PAUSE);
                 if worker.silent_since.is_none() {
                     worker.silent_since = Some(clock.now);
-                    let lease_left = worker.expires_at.saturating_duration_since(clock.now);
+                    let lease_left = worker.expires_at().saturating_duration_since(clock.now);
                     log::info!(
                         worker:% = incarnation.worker_id,
                         born_ms = incarnation.born_ms,
@@ -434,7 +439,7 @@
                 // An order of an earlier leader for the incarnation before may have granted the longest
                 // lease here; from now on this incarnation rejects such orders.
                 let expires_at = clock.now + self.settings.max_lease_horizon();
-                worker.expires_at = worker.expires_at.max(expires_at);
+                worker.own_expires_at = worker.own_expires_at.max(expires_at);
             }
             self.placement_needed = true;
         }
@@ -488,10 +493,10 @@
             self.stop_unknown_run(incarnation, key, clock);
             return;
         }
+        self.prove_run(incarnation, key, clock);
         let Some(run) = self.run_mut(incarnation, key) else {
             return;
         };
-        run.is_proven = true;
         let is_confirmed = matches!(
             run.phase,
             worker::RunPhase::Starting
--- a/crates/jobs/tests/scheduler/main.rs
+++ b/crates/jobs/tests/scheduler/main.rs
@@ -17,6 +17,7 @@
 mod simulation;
 mod speculation;
 mod stored_losses;
+mod takeover;
 mod tenant_limits;
 mod tenants;
 mod uneven_workers;
--- a/crates/jobs/tests/scheduler/simulation/worker.rs
+++ b/crates/jobs/tests/scheduler/simulation/worker.rs
@@ -120,6 +120,8 @@
     pub(crate) address: String,
     pub(crate) is_up: bool,
     /// Whether it is unreachable while its runs continue.
+    /// Whether only a leader that was cut off reaches it, and no other one does.
+    pub(crate) hears_only_former: bool,
     pub(crate) is_partitioned: bool,
     pub(crate) draining: bool,
     /// When it leaves, in milliseconds; `None` if that is not known.
@@ -187,6 +189,7 @@
             address: format!("address-{worker_id}"),
             incarnation: model::WorkerIncarnation { worker_id, born_ms },
             is_up: true,
+            hears_only_former: false,
             is_partitioned: false,
             draining: false,
             departs_at_ms: None,
