--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -45,6 +45,16 @@
         /// Delay before callers should retry, in milliseconds, if the leader takes in no new jobs.
         overload_retry_ms: Option<u64>,
     },
+    /// This leader may grant leases until then; each event replaces the one before.
+    LeaseAuthority {
+        /// End of the authority, unless it is extended.
+        until: time::Instant,
+    },
+    /// No earlier leader has granted a lease after `at`, or will.
+    EarlierAuthorityEnded {
+        /// The latest time at which one may have.
+        at: time::Instant,
+    },
     /// A manifest to put in force.
     Manifest(manifest::Manifest),
     /// The directory has been read.
@@ -115,16 +125,6 @@
     BatchRefused(BatchId),
     /// The store has become unreachable, or reachable again.
     StoreReachable(bool),
-    /// This leader may grant leases until then; each event replaces the one before.
-    LeaseAuthority {
-        /// End of its authority.
-        until: time::Instant,
-    },
-    /// No earlier leader grants a lease later than this.
-    EarlierAuthorityEnded {
-        /// End of the authority of all earlier leaders.
-        at: time::Instant,
-    },
     /// Periodic timer.
     Tick,
 }
