Report runs that are kept on workers that do not answer

Change: the line `runs kept on a worker that does not answer`, from 3 s of silence on, at most once in 2 s for a worker and 20 times for all, with the runs, the time left and what decides it: `earlier_leader`, `lease` or `unproven`; the same three as gauges `run.on_silent.REASON`. No decision depends on it.

Measured: the two new tests do not compile before, as there is no such value. With the longest lease left out of the reason, `unproven_run_on_silent_worker_is_counted_as_such` fails; with runs of earlier leaders counted as those of a lease, `runs_on_silent_workers_are_counted_by_what_keeps_them` does. The lines have no test.

--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -99,7 +99,9 @@
             .spawn(move || {
                 run(scheduler, &metrics, &inputs.0, &actions);
                 // Only the leader knows these numbers.
-                SpeedCounters::set_gauges(&jobs::Summary::default(), &metrics);
+                let summary = jobs::Summary::default();
+                SpeedCounters::set_gauges(&summary, &metrics);
+                set_kept_run_gauges(&summary.kept_runs, &metrics);
             })
             .map_err(|cause| error::Error::new(error::ErrorKind::Thread, cause))?;
         Ok(Self { mailbox, thread })
@@ -182,6 +184,7 @@
             let summary = scheduler.summary();
             crashes.update(&summary, metrics);
             speeds.update(&summary, metrics);
+            set_kept_run_gauges(&summary.kept_runs, metrics);
             tenants.publish(&scheduler, clock.now);
         }
         let (other_actions, refused) = pending.send_replies(scheduler.finish(clock));
@@ -208,6 +211,18 @@
     }
 }
 
+/// Sets the gauges of the runs on workers that do not answer.
+fn set_kept_run_gauges(kept: &jobs::KeptRuns, metrics: &telemetry::Metrics) {
+    let gauges = [
+        ("run.on_silent.earlier_leader", kept.earlier_leader),
+        ("run.on_silent.lease", kept.lease),
+        ("run.on_silent.unproven", kept.unproven),
+    ];
+    for (name, value) in gauges {
+        metrics.gauge(name, value as u64);
+    }
+}
+
 /// What was counted so far of the crashes and restarts of workers in this term.
 #[derive(Default)]
 struct CrashCounters {
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -16,6 +16,7 @@
 use crate::event;
 use crate::job;
 use crate::journal;
+use crate::kept_runs;
 use crate::manifest;
 use crate::maps;
 use crate::pass;
@@ -139,6 +140,7 @@
             placement_visits: 0,
             tenancy: tenancy::Tenancy::default(),
             block_reports: blocked::BlockReports::default(),
+            kept_run_reports: kept_runs::KeptRunReports::default(),
             withheld_starts: maps::IndexMap::default(),
             lost_runs: maps::IndexMap::default(),
             speeds: speed_tracking::SpeedTracking::default(),
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::event;
 use crate::job;
 use crate::journal;
+use crate::kept_runs;
 use crate::loss_reason;
 use crate::manifest;
 use crate::maps;
@@ -100,6 +101,7 @@
     /// The tenants, and what each has running.
     pub(crate) tenancy: tenancy::Tenancy,
     pub(crate) block_reports: blocked::BlockReports,
+    pub(crate) kept_run_reports: kept_runs::KeptRunReports,
     /// Start orders that were due and not sent, since they were last taken for metrics.
     pub(crate) withheld_starts: maps::IndexMap<orders::StartObstacle, u64>,
     /// Runs given up since they were last taken for metrics.
@@ -198,6 +200,8 @@
     /// Runs kept beyond the lease of their worker, as its next incarnation may have them, since the term
     /// began.
     pub runs_kept_beyond_lease: u64,
+    /// Runs that may exist on workers that do not answer.
+    pub kept_runs: kept_runs::KeptRuns,
     /// Start orders that another incarnation executed than they were addressed to, as its connection
     /// shows, since the term began.
     pub starts_on_other_incarnations: u64,
@@ -347,6 +351,7 @@
             forgotten_cancels: self.cancel_marks.forgotten(),
             moved_runs: self.moved_runs,
             runs_kept_beyond_lease: self.runs_kept_beyond_lease,
+            kept_runs: self.count_kept_runs(),
             starts_on_other_incarnations: self.starts_on_other_incarnations,
             ends_after_next_start: self.ends_after_next_start,
             planned_copies: self.copies.planned,
@@ -399,6 +404,7 @@
 
     fn on_tick(&mut self, clock: event::Clock) {
         self.lose_runs_on_expired(clock);
+        self.report_kept_runs(clock);
         self.expire_losses(clock);
         self.expire_outcomes(clock);
         self.report_incomplete_gangs(clock);
--- a/crates/jobs/tests/scheduler/blocked.rs
+++ b/crates/jobs/tests/scheduler/blocked.rs
@@ -102,3 +102,55 @@
         assert!(names(&mut simulation).is_empty(), "{members} members");
     }
 }
+
+/// Guards against runs on silent workers that no value counts, or under another reason than the one that
+/// decides how long their tasks are not started elsewhere.
+#[test]
+fn runs_on_silent_workers_are_counted_by_what_keeps_them() {
+    let mut simulation = Simulation::new(1, 4, None);
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(
+        1,
+        "long",
+        simulation::step(4, 7_000, 60_000),
+    ));
+    simulation.run_ms(1_000);
+    let none = jobs::KeptRuns::default();
+    assert_eq!(simulation.summary().kept_runs, none, "all workers answer");
+    simulation.workers[0].is_partitioned = true;
+    simulation.run_ms(3_000);
+    let by_lease = jobs::KeptRuns { lease: 1, ..none };
+    assert_eq!(simulation.summary().kept_runs, by_lease);
+    simulation.kill_leader();
+    simulation.elect_leader();
+    simulation.run_ms(3_000);
+    let by_earlier_leader = jobs::KeptRuns {
+        earlier_leader: 1,
+        ..none
+    };
+    assert_eq!(simulation.summary().kept_runs, by_earlier_leader);
+    simulation.run_ms(20_000);
+    assert_eq!(simulation.summary().kept_runs, none, "it is given up");
+}
+
+/// Guards against a run that is kept for the longest lease and counted as kept for its own: its worker is
+/// cut off before it answers the start order.
+#[test]
+fn unproven_run_on_silent_worker_is_counted_as_such() {
+    let mut simulation = Simulation::new(1, 1, None);
+    simulation.run_ms(200);
+    simulation.workers[0].drops_starts = true;
+    simulation.submit(simulation::job(
+        1,
+        "long",
+        simulation::step(1, 7_000, 60_000),
+    ));
+    simulation.run_ms(100);
+    simulation.workers[0].is_partitioned = true;
+    simulation.run_ms(4_000);
+    let expected = jobs::KeptRuns {
+        unproven: 1,
+        ..jobs::KeptRuns::default()
+    };
+    assert_eq!(simulation.summary().kept_runs, expected);
+}
