--- a/crates/jobs/src/kept_runs.rs
+++ b/crates/jobs/src/kept_runs.rs
@@ -119,10 +119,10 @@
         let worker = self.worker;
         let has_own_lease = worker
             .lease_expires_at
-            .is_some_and(|at| at >= worker.expires_at);
+            .is_some_and(|at| at >= worker.expires_at());
         // A run that was moved to the next incarnation of its worker has no lease there that is known.
         let is_moved = run.ordered_at.is_some() && !run.is_proven && !has_own_lease;
-        if until > worker.expires_at || is_moved {
+        if until > worker.expires_at() || is_moved {
             KeepReason::Unproven
         } else if has_own_lease && run.phase != worker::RunPhase::Inherited {
             KeepReason::Lease
