--- a/crates/elect/tests/authority.rs
+++ b/crates/elect/tests/authority.rs
@@ -128,6 +128,29 @@
     }
 }
 
+/// Guards against a list that hides the quorum of an earlier leader: a successor that reaches no voter
+/// must not store its own list while that quorum may hold, as the next leader reads only the last one.
+#[test]
+fn list_of_an_earlier_leader_stays_while_its_quorum_may_hold() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(9, seed).calm();
+        cluster.claim(0);
+        cluster.run_ms(3_000);
+        // The leader keeps a quorum of six of its eight voters, none of which learns of later terms.
+        for index in 0..=6 {
+            cluster.cut_from_store(index);
+        }
+        cluster.cut_from_peers(7);
+        cluster.claim(7);
+        cluster.run_ms(2_000);
+        cluster.claim(8);
+        cluster.run_ms(3_000);
+        assert!(cluster.has_authority(0), "seed {seed}");
+        assert_eq!(cluster.wait_of_the_last_leader(), None, "seed {seed}");
+        cluster.assert_grants();
+    }
+}
+
 /// Guards against the wait of a successor that has nobody to wait for, and against one that believes it
 /// has: a leader whose voters are not reachable is not known to have ended.
 #[test]
