--- a/crates/controller/src/lease_authority.rs
+++ b/crates/controller/src/lease_authority.rs
@@ -158,7 +158,8 @@
     evidence: Evidence,
     relays: sync::Arc<relays::Relays>,
     started_at: time::Instant,
-    /// Until the authority of earlier leaders is known to have ended; `None` also if it is unknown.
+    /// What is known of the authority of earlier leaders, until it has ended; `None` also if nothing is
+    /// known.
     succession: Option<elect::Succession>,
     /// From when a list of this term may be written: no earlier leader relies on another one then.
     may_write_from: time::Instant,
@@ -254,6 +255,10 @@
 
     /// Reports to the scheduler once no earlier leader can prolong its authority.
     fn check_succession(&mut self) {
+        if time::Instant::now() >= self.may_write_from {
+            // Even by their leadership, earlier leaders have ended.
+            self.succession = None;
+        }
         let Some(succession) = &mut self.succession else {
             return;
         };
