telemetry: let the histograms of timings grow

saturating_record clamps to the initial range of a histogram, whose largest value is 2: every quantile of every timing was reported as 2 us at most, so also control.wait. Found as takeover.authority_ended showed 2 us where the log line said 2 ms. The new test fails before with p50, p90, p99 and max all 2.

--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -17,6 +17,9 @@
 const QUEUE_CAPACITY: usize = 4_096;
 /// Significant digits of a histogram.
 const HISTOGRAM_DIGITS: u8 = 2;
+/// Longest duration that a histogram tells from longer ones, an hour, which bounds its memory to some
+/// 30 KB.
+const MAX_TIMING_MICROS: u64 = 3_600_000_000;
 /// Reported quantiles of a timing, with their labels.
 const QUANTILES: &[(&str, f64)] = &[("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)];
 
@@ -128,7 +131,8 @@
         }
         if let Some(histogram) = timings.get_mut(name) {
             let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
-            histogram.saturating_record(micros);
+            // Fails only if the histogram cannot grow; `saturating_record` would not let it grow at all.
+            let _ = histogram.record(micros.min(MAX_TIMING_MICROS));
         }
     }
 
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -65,3 +65,26 @@
     assert_eq!(telemetry::metric_part("team-1_x"), "team-1_x");
     assert_eq!(telemetry::metric_part("a.b c\nd"), "a_b_c_d");
 }
+
+/// Guards against quantiles that are all the same: a histogram that does not grow counts every duration
+/// as 2 us.
+#[test]
+fn quantiles_of_a_timing_cover_microseconds_to_hours() {
+    let metrics = telemetry::Metrics::without_exporter();
+    for duration_ms in [1, 20, 300] {
+        metrics.time("wait", time::Duration::from_millis(duration_ms));
+    }
+    let report = metrics.report();
+    assert_eq!(report["wait.count"], 3);
+    assert!(
+        (19_800..=20_200).contains(&report["wait.p50_us"]),
+        "{report:?}"
+    );
+    assert!(
+        (297_000..=303_000).contains(&report["wait.max_us"]),
+        "{report:?}"
+    );
+    metrics.time("wait", time::Duration::MAX);
+    let longest = metrics.report()["wait.max_us"];
+    assert!(longest >= 3_600_000_000, "{longest}");
+}
