Replace silent connections to peers that are asked for the manifest

Callers saw, in a test: a leader without the store accepts keys that were removed, and refuses new ones, for more than 4 s, though a peer that it reaches on a new connection has the newer manifest. Cause: only an unanswered heartbeat replaces a silent connection, and heartbeats go to the leader. The connection by which a leader asks a peer for its manifest stays, and each question on it is in vain. Change: a question for the state of the manifest that fails replaces the connection, except that to the leader, which heartbeats watch and which carries requests of callers.

--- a/crates/controller/src/confirmation.rs
+++ b/crates/controller/src/confirmation.rs
@@ -226,13 +226,19 @@
 
 /// Asks the leader and some other peers at once for the state of their manifests.
 async fn confirm_by_peers<P: platform::Platform>(shared: &instance::Shared<P>) {
+    let leader = leader_address(&shared.cluster.borrow()).cloned();
     let mut requests = tokio::task::JoinSet::new();
     for address in peers(shared) {
         let link = shared.links.to(&address);
+        let is_leader = leader.as_ref() == Some(&address);
         requests.spawn(async move {
             let asked_at = time::Instant::now();
             let request = model::ControllerRequest::ManifestState;
             let reply = link.request(&request, STATE_TIMEOUT).await;
+            // Heartbeats replace a silent connection to the leader; it carries requests of callers.
+            if reply.is_err() && !is_leader {
+                link.replace();
+            }
             (address, asked_at, reply)
         });
     }
@@ -265,11 +271,15 @@
     }
 }
 
+fn leader_address(cluster: &elect::ClusterView) -> Option<&sync::Arc<str>> {
+    cluster.leader().map(|leader| &leader.member.address)
+}
+
 /// Returns the addresses of the leader and of some other peers.
 fn peers<P: platform::Platform>(shared: &instance::Shared<P>) -> Vec<sync::Arc<str>> {
     let cluster = shared.cluster.borrow();
     let own = &shared.member.address;
-    let leader = cluster.leader().map(|leader| &leader.member.address);
+    let leader = leader_address(&cluster);
     let leader = leader.filter(|address| *address != own && !address.is_empty());
     let members = cluster.members().map(|member| &member.address);
     let others = members.filter(|address| *address != own && Some(*address) != leader);
