controller: count the authority to grant leases by a clock that runs on in a suspension

Cause: the authority was counted by the steady clock, which stands still while a machine is suspended (DEPLOY.md, "Clocks"). A leader that was suspended for some seconds could grant leases for up to a second after it woke up, when its successor had long counted its authority as ended.

Change: the times of questions and the end of the authority are readings of a clock that counts suspensions; the control thread converts the end in each round.

No test suspends a machine, so that the effect itself is not shown by a run.

--- a/crates/controller/src/committer.rs
+++ b/crates/controller/src/committer.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic;
 use std::time;
 
+use crate::authority_clock;
 use crate::cluster_entries;
 use crate::control_thread;
 use crate::error;
@@ -68,7 +69,7 @@
 /// A batch that was found to be stored.
 #[derive(Clone, Copy, Debug)]
 struct Committed {
-    /// When the attempt was sent that has stored it; `None` if it was an earlier one.
+    /// When the attempt was sent that has stored it, by the authority clock; `None` if it was an earlier one.
     sent_at: Option<time::Instant>,
 }
 
@@ -237,12 +238,13 @@
     }
 
     async fn attempt(self, batch: sync::Arc<jobs::Batch>) -> Result<Committed, error::Error> {
+        let asked_at = authority_clock::now();
         let sent_at = time::Instant::now();
         let committed = self.store.commit(self.transaction(&batch)).await?;
         self.record_reply_latency(sent_at.elapsed());
         if committed.succeeded {
             return Ok(Committed {
-                sent_at: Some(sent_at),
+                sent_at: Some(asked_at),
             });
         }
         // An earlier attempt has taken effect, or the term has ended.
--- a/crates/controller/src/control_thread.rs
+++ b/crates/controller/src/control_thread.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc as tokio_mpsc;
 use tokio::sync::oneshot;
 
+use crate::authority_clock;
 use crate::caller_request;
 use crate::error;
 use crate::mailbox;
@@ -130,6 +131,9 @@
     actions: &tokio_mpsc::UnboundedSender<Decisions>,
 ) {
     let mut pending = PendingReplies::default();
+    let mut events = Vec::new();
+    // By the authority clock.
+    let mut authority_until = None;
     let mut ticked_at = time::Instant::now();
     let mut earliest = ticked_at;
     let mut overload = OverloadPeriod::default();
@@ -149,6 +153,17 @@
         metrics.count_by("control.caller_gone", round.gone);
         overload.update(round.overload, round.longest_wait);
         for event in round.events {
+            match event {
+                jobs::Event::LeaseAuthority { until } => authority_until = Some(until),
+                event => events.push(event),
+            }
+        }
+        // In each round, as a suspension shortens what is left of the authority by the steady clock.
+        if let Some(until) = authority_until {
+            let until = authority_clock::to_steady(until, clock.now);
+            scheduler.handle(jobs::Event::LeaseAuthority { until }, clock);
+        }
+        for event in events.drain(..) {
             scheduler.handle(event, clock);
         }
         for mailbox::Request {
--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -11,6 +11,7 @@
 
 use store::Store as _;
 
+use crate::authority_clock;
 use crate::cluster_entries;
 use crate::heartbeat;
 use crate::instance;
@@ -28,7 +29,7 @@
     pub(crate) term: model::Term,
     /// Whether there was no leader's entry before.
     pub(crate) was_vacant: bool,
-    /// When the claim was sent; the store has confirmed the term since.
+    /// When the claim was sent, by the authority clock; the store has confirmed the term since.
     pub(crate) sent_at: time::Instant,
     /// When its success was known.
     pub(crate) claimed_at: time::Instant,
@@ -109,14 +110,14 @@
     shared: &instance::Shared<P>,
     expected: Option<model::Term>,
 ) -> Option<Claimed> {
-    let sent_at = time::Instant::now();
-    let term = replace_leader(shared, expected, sent_at).await?;
+    let asked_at = authority_clock::now();
+    let term = replace_leader(shared, expected, time::Instant::now()).await?;
     // This instance is known to have acknowledged the term from `claimed_at` on.
     shared.acknowledge(term);
     Some(Claimed {
         term,
         was_vacant: expected.is_none(),
-        sent_at,
+        sent_at: asked_at,
         claimed_at: time::Instant::now(),
     })
 }
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -54,7 +54,7 @@
 ) -> Result<(), error::Error> {
     let term = claimed.term;
     let settings = &shared.settings;
-    let mut authority = elect::LeaseAuthority::new(
+    let authority = elect::LeaseAuthority::new(
         term,
         settings.lease_authority,
         settings.leadership_timeout,
@@ -63,7 +63,8 @@
     let takeover = jobs::Takeover {
         term,
         claimed_at: claimed.claimed_at,
-        authority_until: authority.until(),
+        // The evidence reports the authority once the scheduler is built.
+        authority_until: claimed.claimed_at,
         leadership_timeout: settings.leadership_timeout,
     };
     let recovered = recover(shared, takeover).await?;
--- a/crates/controller/src/lease_authority.rs
+++ b/crates/controller/src/lease_authority.rs
@@ -9,6 +9,7 @@
 
 use store::Store as _;
 
+use crate::authority_clock;
 use crate::cluster_entries;
 use crate::control_thread;
 use crate::election;
@@ -37,7 +38,7 @@
 /// Shortest time between two writes of the list of voters.
 const LIST_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 
-/// The evidence of a term, shared by the tasks that find it.
+/// The evidence of a term, shared by the tasks that find it. Its times are readings of the authority clock.
 #[derive(Clone, Debug)]
 pub(crate) struct Evidence {
     control: control_thread::Handle,
@@ -52,13 +53,15 @@
 }
 
 impl Evidence {
-    /// Creates the evidence of a term that begins with `authority`, which the control thread knows.
+    /// Creates the evidence of a term that begins with `authority`, and reports that.
     pub(crate) fn new(
         mut authority: elect::LeaseAuthority,
         control: control_thread::Handle,
     ) -> Self {
+        let until = authority.until();
+        control.send_event(jobs::Event::LeaseAuthority { until });
         let state = EvidenceState {
-            published_until: authority.until(),
+            published_until: until,
             authority,
         };
         Self {
@@ -86,8 +89,10 @@
         instance::lock(&self.state).authority.set_lists(lists);
     }
 
-    fn store_asked_at(&self) -> time::Instant {
-        instance::lock(&self.state).authority.store_asked_at()
+    /// Returns the age of the evidence of the store.
+    fn store_age(&self) -> time::Duration {
+        let asked_at = instance::lock(&self.state).authority.store_asked_at();
+        authority_clock::now().saturating_duration_since(asked_at)
     }
 
     /// Reports the authority if it has grown; returns its state.
@@ -293,7 +298,7 @@
         let now = time::Instant::now();
         let since_read = self.read_at.map(|at| now.saturating_duration_since(at));
         if self.reads.is_empty() {
-            let age = now.saturating_duration_since(self.evidence.store_asked_at());
+            let age = self.evidence.store_age();
             let is_due = since_read.is_none_or(|since| since >= READ_INTERVAL);
             if age >= READ_INTERVAL && is_due {
                 self.is_hedged = false;
@@ -309,7 +314,7 @@
         self.read_at = Some(now);
         let store = self.shared.platform.store().clone();
         self.reads.start(async move {
-            let sent_at = time::Instant::now();
+            let sent_at = authority_clock::now();
             let entry = store.get(cluster_entries::LEADER_KEY).await;
             LeaderRead { sent_at, entry }
         });
@@ -337,7 +342,7 @@
 
     /// Asks the voters if the store has not confirmed the term for a while.
     fn ask_voters(&mut self) {
-        let age = self.evidence.store_asked_at().elapsed();
+        let age = self.evidence.store_age();
         let is_due = self
             .asked_at
             .is_none_or(|at| at.elapsed() >= QUESTION_INTERVAL);
@@ -407,7 +412,7 @@
         self.evidence.set_lists(self.stored.lists());
         let store = self.shared.platform.store().clone();
         self.list_calls.start(async move {
-            let sent_at = time::Instant::now();
+            let sent_at = authority_clock::now();
             let outcome = store.commit(txn).await;
             VotersReply::Written {
                 list,
@@ -462,6 +467,7 @@
         }
         self.published_at = now;
         let mut authority = self.evidence.check();
+        let now = authority_clock::now();
         let is_lapsed = authority.until() <= now;
         if is_lapsed == self.is_lapsed {
             return;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,6 +5,7 @@
 //! recovers the scheduler's state from the store and executes its actions. A [`Platform`] provides
 //! access to the store, the workers and the recommendation service.
 
+mod authority_clock;
 mod call_lanes;
 mod caller_request;
 mod cluster_entries;
--- a/crates/controller/src/relays.rs
+++ b/crates/controller/src/relays.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use crate::authority_clock;
 use crate::control_thread;
 use crate::instance;
 use crate::lease_authority;
@@ -40,6 +41,8 @@
     store_rejects_batches: sync::Arc<atomic::AtomicBool>,
     /// Clock by which this instance begins the orders that it executes itself.
     pub(crate) own_clock: relay::OrderClock,
+    /// Clock of the questions whether the term still holds, by the authority clock.
+    question_clock: relay::OrderClock,
     state: sync::Mutex<State>,
 }
 
@@ -93,6 +96,7 @@
             is_draining: sync::Arc::clone(&shared.is_draining),
             store_rejects_batches: sync::Arc::clone(&shared.store_rejects_batches),
             own_clock: relay::OrderClock::new(time::Instant::now()),
+            question_clock: relay::OrderClock::new(authority_clock::now()),
             state: sync::Mutex::new(State {
                 assignments: relay::Assignments::new(own, shared.settings.regions.clone()),
                 in_flight: relay::InFlight::default(),
@@ -273,7 +277,7 @@
         let send = async {
             let mut orders = Vec::new();
             while outbox.recv_many(&mut orders, MAX_BATCH_ORDERS).await > 0 {
-                let asked_at = self.own_clock.reading(time::Instant::now());
+                let asked_at = self.question_clock.reading(authority_clock::now());
                 let orders = orders.drain(..).flatten();
                 let batch = relay::OrderBatch::new(self.leader_state(), asked_at, orders);
                 if let Err(cause) = sender.send(&batch).await {
@@ -360,9 +364,9 @@
 
     /// Handles the results in a message that a relay has sent on the channel with this number.
     fn complete(&self, from: &model::InstanceId, number: u64, batch: relay::ReportBatch) {
-        let now = time::Instant::now();
+        let now = authority_clock::now();
         let confirmed = batch.confirmed;
-        if let Some(asked_at) = confirmed.and_then(|at| self.own_clock.time_of(at, now)) {
+        if let Some(asked_at) = confirmed.and_then(|at| self.question_clock.time_of(at, now)) {
             self.evidence.record_peer(from, asked_at);
         }
         let mut state = instance::lock(&self.state);
