elect, controller: judge voters by their address only in a view that has the own claim

Cause: an entry at the address of a voter counts as a later process there, unless the list of voters names it as an earlier one. A view that is older than the list may still have the entry of an earlier process that had ended before the list was made, so that a live voter counted as ended.

Change: the view is used once it includes the own claim, which is later than the list.

Run: clippy is clean; the end-to-end test lease_authority passes. No test has an old view.

--- a/crates/controller/src/lease_authority.rs
+++ b/crates/controller/src/lease_authority.rs
@@ -265,9 +265,14 @@
         for instance_id in self.relays.take_joined() {
             succession.resolve(&instance_id);
         }
-        for member in self.shared.cluster.borrow().members() {
-            succession.resolve_address(&member.address, &member.instance_id);
+        let cluster = self.shared.cluster.borrow();
+        // An older view may still have entries that had ended when the list was made.
+        if cluster.includes(self.claimed.term) {
+            for member in cluster.members() {
+                succession.resolve_address(&member.address, &member.instance_id);
+            }
         }
+        drop(cluster);
         if !succession.is_ended() {
             return;
         }
--- a/crates/elect/src/cluster_view.rs
+++ b/crates/elect/src/cluster_view.rs
@@ -67,6 +67,12 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Returns whether every change up to store revision `revision` is included.
+    #[must_use]
+    pub fn includes(&self, revision: model::Revision) -> bool {
+        revision <= self.revision
+    }
+
     /// Accepts a leader reported by a peer if its term is newer; returns whether it was accepted.
     ///
     /// The view includes every term up to its revision. Any of these but the known leader's has
