jobs: failing test of a wait for a verdict that begins anew with each leader

Recovery restores lost runs as of the time of the recovery, so that a task that waits up to 20 s for the fate of its workers (VERDICT_TIMEOUT) waits for 20 s more after each change of the leader. The test fails: 10 s into the wait the leader is replaced, and the task still waits 13 s later. Not fixed here.

--- a/crates/jobs/tests/scheduler/blocked.rs
+++ b/crates/jobs/tests/scheduler/blocked.rs
@@ -154,3 +154,30 @@
     };
     assert_eq!(simulation.summary().kept_runs, expected);
 }
+
+/// Guards against a wait for the fate of lost workers that begins anew with each leader.
+#[test]
+fn wait_for_a_verdict_does_not_begin_anew_with_a_new_leader() {
+    let mut simulation = Simulation::new(1, 16, None);
+    simulation.run_ms(200);
+    simulation.submit(simulation::job(
+        1,
+        "long",
+        simulation::step(1, 7_000, 60_000),
+    ));
+    for run in 1..=5 {
+        simulation.run_ms(1_000);
+        assert_eq!(cut_workers_of(&mut simulation, 1), 1, "run {run}");
+        simulation.run_ms(6_000);
+    }
+    let starts = simulation.start_count;
+    simulation.run_ms(10_000);
+    assert_eq!(simulation.start_count, starts, "the task does not wait");
+    assert_eq!(names(&mut simulation), ["awaits_verdict"]);
+    simulation.kill_leader();
+    simulation.elect_leader();
+    simulation.end_earlier_authority();
+    // 20 s in all, of which 10 s have passed, and the time until the loss was known.
+    simulation.run_ms(13_000);
+    assert!(simulation.start_count > starts, "the task still waits");
+}
