entry tests: repeat the write of a list that is not answered in time

Change: the unconditional write of the setup is repeated, five times at most; no check of a test is changed.

--- a/crates/entry/tests/common/cluster.rs
+++ b/crates/entry/tests/common/cluster.rs
@@ -15,6 +15,9 @@
 pub(crate) const SECRET: &str = "test-secret";
 const PLANS: &str = "[manuals]\nweight = 1\nclasses = service, batch, gang\n";
 
+/// Most attempts to write a list.
+const MAX_LIST_WRITES: usize = 5;
+
 /// Size and settings of a test cluster.
 #[derive(Clone, Debug)]
 pub(crate) struct ClusterOptions {
@@ -117,7 +120,8 @@
         }
     }
 
-    /// Writes one list to the store unconditionally.
+    /// Writes one list to the store unconditionally; again if no reply comes in time, as on a machine that is
+    /// short of processor time.
     pub(crate) async fn write_list(&self, key: &str, text: &str) {
         let client = store::Etcd::builder()
             .addresses([self.store.address().to_string()])
@@ -131,6 +135,11 @@
             puts: vec![put],
             ..store::Txn::default()
         };
+        for _ in 1..MAX_LIST_WRITES {
+            if client.commit(txn.clone()).await.is_ok() {
+                return;
+            }
+        }
         client.commit(txn).await.expect("list written");
     }
 
